--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration, plans and their agreement through the key-value service.
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon's processes: sockets and actors around the decisions.
--- /dev/null
+++ b/routing/src/lib.rs
@@ -0,0 +1,4 @@
+//! Decisions about requests and members.
+//!
+//! Every module takes events and instants of the runtime's clock and returns
+//! actions; none performs input or output.
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems outside, used by tests and examples.
