network: carry messages between processes over QUIC with mutual TLS

One connection in either direction serves both ways, so that a pair of processes needs one. Control frames have their own stream inside it, and a frame from 64 KiB on travels alone, so that neither waits behind answers. A dial uses a socket apart from the accepting one, which can be replaced when the path between two sockets has gone silent.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,3 @@
 //! The daemon's processes: sockets and actors around the decisions.
+
+pub mod network;
--- /dev/null
+++ b/daemon/src/network.rs
@@ -0,0 +1,105 @@
+//! Connections between the system's own processes.
+//!
+//! Messages are sent to the address at which the receiver accepts connections.
+//! A connection that was accepted from a peer also carries messages to it. All
+//! messages may be lost, late or reordered; the decisions that use them are
+//! built for that.
+
+pub mod actor;
+mod connection;
+mod dial;
+pub mod error;
+mod handshake;
+mod lane;
+mod peer;
+pub mod tls;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jujubewall_protocol::hello::Hello;
+use jujubewall_protocol::message::Message;
+use kameo::actor::ActorRef;
+use kameo::actor::Spawn as _;
+use tokio::sync::mpsc;
+
+use crate::network::actor::NetworkActor;
+use crate::network::actor::Outbound;
+use crate::network::actor::ReplaceIdentity;
+use crate::network::error::NetworkError;
+use crate::network::tls::Identity;
+
+/// The number of events that wait for their reader before the network slows down.
+pub const EVENT_QUEUE_LEN: usize = 16 * 1024;
+
+/// What the network tells the rest of the process.
+#[derive(Debug)]
+pub enum NetworkEvent {
+    /// A message has arrived.
+    Received {
+        /// The sender.
+        from: Arc<Hello>,
+        /// The message.
+        message: Box<Message>,
+    },
+    /// A peer has been reached or has reached this process.
+    Connected(Arc<Hello>),
+    /// A peer does not answer over a new connection either.
+    Lost(SocketAddr),
+    /// Many peers fell silent together, which speaks of this process's own link.
+    OwnLinkSuspect,
+}
+
+/// A handle on the network.
+#[derive(Clone, Debug)]
+pub struct Network {
+    own_address: SocketAddr,
+    actor: ActorRef<NetworkActor>,
+}
+
+impl Network {
+    /// Binds the socket, starts accepting peers and returns the stream of events.
+    pub fn start(
+        hello: Hello,
+        identity: Identity,
+    ) -> Result<(Self, mpsc::Receiver<NetworkEvent>), NetworkError> {
+        let (events, receiver) = mpsc::channel(EVENT_QUEUE_LEN);
+        let endpoint = dial::server_endpoint(hello.peer_address, &identity)?;
+        let own_address = endpoint.local_addr().map_err(NetworkError::Bind)?;
+        let hello = Hello {
+            peer_address: own_address,
+            ..hello
+        };
+        let state = NetworkActor::new(hello, identity, endpoint, events);
+        let actor = NetworkActor::spawn(state);
+        Ok((Self { own_address, actor }, receiver))
+    }
+
+    /// Returns the address at which this process accepts connections.
+    pub fn own_address(&self) -> SocketAddr {
+        self.own_address
+    }
+
+    /// Sends a message without waiting; a message that cannot be sent is dropped and counted.
+    pub fn send(&self, to: SocketAddr, message: impl Into<Message>) {
+        let outbound = Outbound {
+            to,
+            message: Box::new(message.into()),
+        };
+        // A full mailbox means that the process is overloaded; senders then rely
+        // on their own timeouts, as with any lost message.
+        let _ = self.actor.tell(outbound).try_send();
+    }
+
+    /// Uses another certificate for every connection from now on.
+    pub async fn replace_identity(&self, identity: Identity) {
+        let _ = self.actor.tell(ReplaceIdentity(identity)).send().await;
+    }
+
+    /// Closes every connection after what was sent has left.
+    pub async fn shut_down(&self) {
+        if self.actor.stop_gracefully().await.is_ok() {
+            self.actor.wait_for_shutdown().await;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/network/peer.rs
@@ -0,0 +1,87 @@
+//! What the network keeps for each peer.
+
+use jujubewall_protocol::frame::Frame;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::network::connection::ConnectionHandle;
+use crate::network::connection::ConnectionId;
+
+/// The number of frames that may wait for a connection.
+const PENDING_LEN: usize = 1024;
+
+/// The connections of one peer and the frames that wait for one.
+#[derive(Debug, Default)]
+pub struct Peer {
+    connections: SmallVec<[ConnectionHandle; 2]>,
+    pending: Vec<Frame>,
+    is_dialling: bool,
+    dial_allowed_at: Option<Instant>,
+}
+
+impl Peer {
+    /// Sends a frame over the newest connection, or keeps it until there is one.
+    ///
+    /// Returns whether the frame was sent or kept.
+    pub fn send(&mut self, frame: Frame) -> bool {
+        if let Some(connection) = self.connections.last() {
+            return connection.send(&frame);
+        }
+        if self.pending.len() >= PENDING_LEN {
+            return false;
+        }
+        self.pending.push(frame);
+        true
+    }
+
+    /// Returns whether a dial has to be started at `now`.
+    pub fn needs_dial(&self, now: Instant) -> bool {
+        let may_dial = self.dial_allowed_at.is_none_or(|at| at <= now);
+        self.connections.is_empty() && !self.is_dialling && may_dial
+    }
+
+    /// Notes that a dial has been started.
+    pub fn on_dial_started(&mut self) {
+        self.is_dialling = true;
+    }
+
+    /// Notes that a dial has failed and when the next one may start.
+    ///
+    /// Returns the number of frames that are dropped for it.
+    pub fn on_dial_failed(&mut self, dial_allowed_at: Instant) -> usize {
+        self.is_dialling = false;
+        self.dial_allowed_at = Some(dial_allowed_at);
+        let dropped = self.pending.len();
+        self.pending.clear();
+        dropped
+    }
+
+    /// Takes a new connection into use and sends what waited for it.
+    pub fn on_connected(&mut self, connection: ConnectionHandle, was_dialled: bool) {
+        if was_dialled {
+            self.is_dialling = false;
+            self.dial_allowed_at = None;
+        }
+        for frame in self.pending.drain(..) {
+            connection.send(&frame);
+        }
+        self.connections.push(connection);
+    }
+
+    /// Forgets a closed connection.
+    pub fn on_closed(&mut self, id: ConnectionId) {
+        self.connections.retain(|connection| connection.id() != id);
+    }
+
+    /// Closes every connection, so that the next frame goes over a new one.
+    pub fn close_all(&mut self) {
+        for connection in self.connections.drain(..) {
+            connection.close();
+        }
+    }
+
+    /// Returns whether nothing is kept for the peer.
+    pub fn is_idle(&self) -> bool {
+        self.connections.is_empty() && self.pending.is_empty() && !self.is_dialling
+    }
+}
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod codec;
 pub mod config;
+pub mod frame;
 pub mod hello;
 pub mod member;
 pub mod message;
