types: add the operators' requests and answers

The daemon and the operators' tool have to agree on the JSON of notes, status, audit trail, upstreams and errors, so one module holds them. Role and MemberState move to types, since the status shows them; protocol re-exports both.

--- a/protocol/src/hello.rs
+++ b/protocol/src/hello.rs
@@ -6,22 +6,13 @@
 use jujubewall_types::id::HostName;
 use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
+pub use jujubewall_types::member::Role;
 use serde::Deserialize;
 use serde::Serialize;
 
 /// The version of the message format; peers with another one are refused.
 pub const PROTOCOL_VERSION: u16 = 1;
 
-/// The role of a process.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Role {
-    /// Accepts callers and operators.
-    Entry,
-    /// Stands in front of the upstreams of one host.
-    Agent,
-}
-
 /// The first frame that the dialling side sends.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Hello {
--- a/protocol/src/member.rs
+++ b/protocol/src/member.rs
@@ -7,25 +7,11 @@
 use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
+pub use jujubewall_types::member::MemberState;
+use jujubewall_types::member::Role;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::hello::Role;
-
-/// What is claimed about a member.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberState {
-    /// The member answers.
-    Alive,
-    /// The member did not answer and may refute this.
-    Suspect,
-    /// The member takes no new work and is about to stop.
-    Leaving,
-    /// The member is gone.
-    Dead,
-}
-
 /// One claim about one member.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberRecord {
--- a/types/src/lib.rs
+++ b/types/src/lib.rs
@@ -4,11 +4,13 @@
 //! cheap-to-clone strings, counters are `Copy`, and every type that crosses a
 //! process boundary derives its serialisation.
 
+pub mod admin;
 pub mod config;
 pub mod digest;
 pub mod error;
 pub mod id;
 pub mod layer;
+pub mod member;
 pub mod note;
 pub mod outcome;
 pub mod priority;
