--- /dev/null
+++ b/daemon/src/server.rs
@@ -0,0 +1,6 @@
+//! HTTP towards callers, operators and monitoring.
+
+pub mod answer;
+pub mod body;
+pub mod listener;
+pub mod sse;
