--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -2,3 +2,5 @@
 //!
 //! Every module takes events and instants of the runtime's clock and returns
 //! actions; none performs input or output.
+
+pub mod stream;
--- /dev/null
+++ b/routing/src/stream/payload.rs
@@ -0,0 +1,45 @@
+//! Payloads that hold one record of the same length for each position.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use jujubewall_protocol::stream::Token;
+
+/// The length of an encoded token.
+pub const TOKEN_BYTES: usize = size_of::<Token>();
+
+/// Encodes tokens as the first stage takes them.
+pub fn encode_tokens(tokens: &[Token]) -> Bytes {
+    tokens
+        .iter()
+        .flat_map(|token| token.to_le_bytes())
+        .collect()
+}
+
+/// Decodes one token.
+pub fn decode_token(payload: &[u8]) -> Option<Token> {
+    let bytes = payload.try_into().ok()?;
+    Some(Token::from_le_bytes(bytes))
+}
+
+/// Returns whether `payload` can hold one record for each of `positions`.
+pub fn is_whole(payload: &Bytes, positions: u32) -> bool {
+    positions > 0 && !payload.is_empty() && payload.len().is_multiple_of(positions as usize)
+}
+
+/// Drops the records of the first `skipped` of `positions`.
+pub fn skip_positions(payload: &Bytes, positions: u32, skipped: u32) -> Bytes {
+    let record_bytes = payload.len() / positions as usize;
+    payload.slice(record_bytes * skipped as usize..)
+}
+
+/// Joins payloads of consecutive positions.
+pub fn join(parts: &[Bytes]) -> Bytes {
+    if let [one] = parts {
+        return one.clone();
+    }
+    let mut whole = BytesMut::with_capacity(parts.iter().map(Bytes::len).sum());
+    for part in parts {
+        whole.extend_from_slice(part);
+    }
+    whole.freeze()
+}
