--- a/protocol/src/stream.rs
+++ b/protocol/src/stream.rs
@@ -184,6 +184,8 @@
 pub enum StageActivity {
     /// The stage waits for input.
     Idle,
+    /// The stage has told what it holds and waits for [`ResumeStage`].
+    Opened,
     /// The stage waits for admission.
     Queued,
     /// The stage's engine computes.
--- a/routing/src/stream/action.rs
+++ b/routing/src/stream/action.rs
@@ -51,7 +51,7 @@
         failure: Failure,
     },
     /// Choose a route and pass it to `EntryStreams::on_route`.
-    NeedRoute(RouteNeed),
+    NeedRoute(Box<RouteNeed>),
     /// Tell the pipeline chooser what was seen.
     Observe(Observation),
 }
--- a/routing/src/stream/entry/mod.rs
+++ b/routing/src/stream/entry/mod.rs
@@ -29,6 +29,8 @@
     pub version: VersionName,
     /// The priority.
     pub priority: Priority,
+    /// The number of the model's layers, all of which the route covers.
+    pub layer_count: u32,
     /// The tokens of the prompt, at least one.
     pub prompt: Vec<Token>,
     /// The number of tokens to generate, at least one.
