--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod codec;
 pub mod config;
 pub mod hello;
+pub mod limit;
 pub mod member;
 pub mod message;
 pub mod stream;
--- a/protocol/src/message.rs
+++ b/protocol/src/message.rs
@@ -5,6 +5,7 @@
 
 use crate::call::CallMessage;
 use crate::config::ConfigMessage;
+use crate::limit::LimitMessage;
 use crate::member::MemberMessage;
 use crate::stream::StreamMessage;
 
@@ -19,6 +20,8 @@
     Member(MemberMessage),
     /// A message about the configuration.
     Config(ConfigMessage),
+    /// A message about the limits of accounts.
+    Limit(LimitMessage),
 }
 
 impl From<StreamMessage> for Message {
@@ -44,3 +47,9 @@
         Self::Config(message)
     }
 }
+
+impl From<LimitMessage> for Message {
+    fn from(message: LimitMessage) -> Self {
+        Self::Limit(message)
+    }
+}
