routing: add pipeline choice, admission and account limits

Choice takes the path that adds the least expected time over own work in flight; admission bounds work in flight by measured response and queues fairly; account limits are split evenly between entries for now.

--- /dev/null
+++ b/routing/src/admission/concurrency.rs
@@ -0,0 +1,108 @@
+//! The bound on the work in flight at one upstream.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// The settings of the bound.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConcurrencySettings {
+    /// The bound before anything is measured.
+    pub initial: u32,
+    /// The lowest bound.
+    pub min: u32,
+    /// The highest bound.
+    pub max: u32,
+    /// The response of one step above which the bound falls.
+    pub target_response_ms: u64,
+    /// The time over which responses are averaged before the bound changes.
+    pub window_ms: u64,
+    /// The part of the bound that is kept when it falls, in thousandths.
+    pub decrease_permille: u32,
+    /// The part by which the bound rises while it is used up, in thousandths.
+    pub increase_permille: u32,
+}
+
+impl Default for ConcurrencySettings {
+    fn default() -> Self {
+        Self {
+            initial: 16,
+            min: 2,
+            max: 4096,
+            target_response_ms: 50,
+            window_ms: 250,
+            decrease_permille: 900,
+            increase_permille: 50,
+        }
+    }
+}
+
+/// A bound that follows the measured response.
+///
+/// It rises while it is used up and the upstream responds within the target,
+/// and falls by a part as soon as the mean response of a window exceeds it.
+#[derive(Debug)]
+pub(super) struct ConcurrencyBound {
+    settings: ConcurrencySettings,
+    bound: f64,
+    window_end: Option<Instant>,
+    samples: u32,
+    total_response: Duration,
+    was_used_up: bool,
+}
+
+impl ConcurrencyBound {
+    /// Creates the bound at its initial value.
+    pub(super) fn new(settings: ConcurrencySettings) -> Self {
+        let bound = f64::from(settings.initial.clamp(settings.min, settings.max));
+        Self {
+            settings,
+            bound,
+            window_end: None,
+            samples: 0,
+            total_response: Duration::ZERO,
+            was_used_up: false,
+        }
+    }
+
+    /// Returns the bound.
+    pub(super) fn get(&self) -> usize {
+        // The bound lies between two settings of 32 bits.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let bound = self.bound as usize;
+        bound
+    }
+
+    /// Notes the response of one step while `in_flight` requests were admitted.
+    pub(super) fn on_response(&mut self, now: Instant, response: Duration, in_flight: usize) {
+        let window = Duration::from_millis(self.settings.window_ms);
+        let window_end = *self.window_end.get_or_insert(now + window);
+        self.samples += 1;
+        self.total_response += response;
+        self.was_used_up |= in_flight >= self.get();
+        if now >= window_end {
+            self.adjust();
+            self.window_end = Some(now + window);
+        }
+    }
+
+    fn adjust(&mut self) {
+        let mean = self.total_response / self.samples.max(1);
+        let target = Duration::from_millis(self.settings.target_response_ms);
+        if mean > target {
+            self.bound *= f64::from(self.settings.decrease_permille) / 1000.0;
+        } else if self.was_used_up {
+            let part = f64::from(self.settings.increase_permille) / 1000.0;
+            self.bound += (self.bound * part).max(1.0);
+        }
+        let min = f64::from(self.settings.min);
+        let max = f64::from(self.settings.max);
+        self.bound = self.bound.clamp(min, max);
+        self.samples = 0;
+        self.total_response = Duration::ZERO;
+        self.was_used_up = false;
+    }
+}
--- /dev/null
+++ b/routing/src/admission/fair_queue.rs
@@ -0,0 +1,312 @@
+//! Weighted fair queueing over accounts, and over priorities within one.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use jujubewall_types::id::AccountName;
+use jujubewall_types::priority::Priority;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// The key of an account's queue.
+    pub(super) struct AccountKey;
+}
+
+/// The units of virtual time for one unit of cost at weight one.
+const VIRTUAL_TIME_PER_COST: u64 = 1 << 10;
+
+/// The number of priorities.
+const PRIORITIES: usize = 3;
+
+/// The weights of the priorities within an account, from the lowest.
+const PRIORITY_WEIGHTS: [u32; PRIORITIES] = [1, 4, 16];
+
+/// The number of idle accounts that are remembered beside the active ones.
+const MAX_IDLE_ACCOUNTS: usize = 4096;
+
+/// The virtual times of one flow.
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    /// The virtual time at which the last served item ends.
+    finish: u64,
+}
+
+impl Flow {
+    /// Returns the virtual time at which the next item starts.
+    fn start(self, virtual_now: u64) -> u64 {
+        self.finish.max(virtual_now)
+    }
+
+    /// Charges an item that starts at `start`.
+    fn charge(&mut self, start: u64, cost: u64, weight: u32) {
+        self.finish = start.saturating_add(virtual_cost(cost, weight));
+    }
+}
+
+/// Returns the virtual time that an item takes.
+fn virtual_cost(cost: u64, weight: u32) -> u64 {
+    cost.saturating_mul(VIRTUAL_TIME_PER_COST) / u64::from(weight.max(1))
+}
+
+/// One waiting item.
+#[derive(Debug)]
+struct Item<T> {
+    value: T,
+    cost: u64,
+}
+
+/// The queue of one account.
+#[derive(Debug)]
+struct AccountQueue<T> {
+    name: AccountName,
+    weight: u32,
+    flow: Flow,
+    /// The start under which the account stands in the order of service.
+    listed_start: Option<u64>,
+    virtual_now: u64,
+    classes: [VecDeque<Item<T>>; PRIORITIES],
+    class_flows: [Flow; PRIORITIES],
+    queued_cost: u64,
+}
+
+impl<T> AccountQueue<T> {
+    /// Returns the priority that is served next.
+    fn next_class(&self) -> Option<usize> {
+        (0..PRIORITIES)
+            .rev()
+            .filter(|&class| !self.classes[class].is_empty())
+            .min_by_key(|&class| self.class_flows[class].start(self.virtual_now))
+    }
+
+    /// Removes the next item.
+    fn pop(&mut self) -> Option<Item<T>> {
+        let class = self.next_class()?;
+        let item = self.classes[class].pop_front()?;
+        let flow = &mut self.class_flows[class];
+        let start = flow.start(self.virtual_now);
+        self.virtual_now = start;
+        flow.charge(start, item.cost, PRIORITY_WEIGHTS[class]);
+        self.queued_cost -= item.cost;
+        Some(item)
+    }
+}
+
+/// Items by account, served by start-time fair queueing.
+#[derive(Debug)]
+pub(super) struct FairQueue<T> {
+    accounts: SlotMap<AccountKey, AccountQueue<T>>,
+    by_name: HashMap<AccountName, AccountKey>,
+    order: BTreeSet<(u64, AccountKey)>,
+    virtual_now: u64,
+    queued_cost: u64,
+    active_weight: u64,
+    len: usize,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue.
+    pub(super) fn new() -> Self {
+        Self {
+            accounts: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            order: BTreeSet::new(),
+            virtual_now: 0,
+            queued_cost: 0,
+            active_weight: 0,
+            len: 0,
+        }
+    }
+
+    /// Returns the number of waiting items.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns the cost of all waiting items.
+    pub(super) fn queued_cost(&self) -> u64 {
+        self.queued_cost
+    }
+
+    /// Returns the cost that one account has waiting.
+    pub(super) fn account_cost(&self, name: &AccountName) -> u64 {
+        let key = self.by_name.get(name);
+        key.map_or(0, |&key| self.accounts[key].queued_cost)
+    }
+
+    /// Returns the part of the service that an account gets while it waits.
+    pub(super) fn account_share(&self, name: &AccountName, weight: u32) -> f64 {
+        let is_active = self.account_cost(name) > 0;
+        let others = self.active_weight - if is_active { u64::from(weight) } else { 0 };
+        let weight = f64::from(weight.max(1));
+        weight / (weight + others as f64)
+    }
+
+    /// Charges cost that was served without waiting.
+    pub(super) fn charge(&mut self, name: &AccountName, weight: u32, cost: u64) {
+        let key = self.intern(name, weight);
+        let virtual_now = self.virtual_now;
+        let flow = &mut self.accounts[key].flow;
+        let start = flow.start(virtual_now);
+        flow.charge(start, cost, weight);
+        self.virtual_now = start;
+    }
+
+    /// Gives back cost that was charged but not used.
+    pub(super) fn credit(&mut self, name: &AccountName, cost: u64) {
+        let Some(&key) = self.by_name.get(name) else {
+            return;
+        };
+        let is_listed = self.accounts[key].listed_start.is_some();
+        self.unlist(key);
+        let account = &mut self.accounts[key];
+        let unused = virtual_cost(cost, account.weight);
+        account.flow.finish = account.flow.finish.saturating_sub(unused);
+        if is_listed {
+            self.list(key);
+        }
+    }
+
+    /// Adds an item at the end of its account's and priority's queue.
+    pub(super) fn push(
+        &mut self,
+        name: &AccountName,
+        weight: u32,
+        priority: Priority,
+        cost: u64,
+        value: T,
+    ) {
+        let key = self.intern(name, weight);
+        let account = &mut self.accounts[key];
+        account.classes[class_of(priority)].push_back(Item { value, cost });
+        account.queued_cost += cost;
+        self.queued_cost += cost;
+        self.len += 1;
+        self.list(key);
+    }
+
+    /// Removes the item that is served next.
+    pub(super) fn pop(&mut self) -> Option<T> {
+        let (start, key) = self.order.pop_first()?;
+        self.virtual_now = self.virtual_now.max(start);
+        let account = &mut self.accounts[key];
+        account.listed_start = None;
+        self.active_weight -= u64::from(account.weight);
+        let item = account.pop()?;
+        account.flow.charge(start, item.cost, account.weight);
+        self.queued_cost -= item.cost;
+        self.len -= 1;
+        if account.next_class().is_some() {
+            self.list(key);
+        }
+        Some(item.value)
+    }
+
+    /// Removes every item for which `is_gone` holds, without charging it.
+    pub(super) fn remove_where(&mut self, mut is_gone: impl FnMut(&T) -> bool) -> Vec<T> {
+        let mut removed = Vec::new();
+        let keys: Vec<AccountKey> = self.order.iter().map(|&(_, key)| key).collect();
+        for key in keys {
+            self.remove_from_account(key, &mut is_gone, &mut removed);
+        }
+        removed
+    }
+
+    fn remove_from_account(
+        &mut self,
+        key: AccountKey,
+        is_gone: &mut impl FnMut(&T) -> bool,
+        removed: &mut Vec<T>,
+    ) {
+        let account = &mut self.accounts[key];
+        for class in &mut account.classes {
+            let (gone, kept): (VecDeque<_>, VecDeque<_>) =
+                class.drain(..).partition(|item| is_gone(&item.value));
+            *class = kept;
+            for item in gone {
+                account.queued_cost -= item.cost;
+                self.queued_cost -= item.cost;
+                self.len -= 1;
+                removed.push(item.value);
+            }
+        }
+        if account.next_class().is_none() {
+            self.unlist(key);
+        }
+    }
+
+    /// Puts an account with waiting items into the order of service.
+    fn list(&mut self, key: AccountKey) {
+        let account = &mut self.accounts[key];
+        if account.listed_start.is_some() {
+            return;
+        }
+        let start = account.flow.start(self.virtual_now);
+        account.listed_start = Some(start);
+        self.active_weight += u64::from(account.weight);
+        self.order.insert((start, key));
+    }
+
+    fn unlist(&mut self, key: AccountKey) {
+        let account = &mut self.accounts[key];
+        if let Some(start) = account.listed_start.take() {
+            self.active_weight -= u64::from(account.weight);
+            self.order.remove(&(start, key));
+        }
+    }
+
+    fn intern(&mut self, name: &AccountName, weight: u32) -> AccountKey {
+        if let Some(&key) = self.by_name.get(name) {
+            self.set_weight(key, weight);
+            return key;
+        }
+        self.forget_idle();
+        let key = self.accounts.insert(AccountQueue {
+            name: name.clone(),
+            weight,
+            flow: Flow::default(),
+            listed_start: None,
+            virtual_now: 0,
+            classes: Default::default(),
+            class_flows: Default::default(),
+            queued_cost: 0,
+        });
+        self.by_name.insert(name.clone(), key);
+        key
+    }
+
+    fn set_weight(&mut self, key: AccountKey, weight: u32) {
+        let account = &mut self.accounts[key];
+        if account.listed_start.is_some() {
+            self.active_weight -= u64::from(account.weight);
+            self.active_weight += u64::from(weight);
+        }
+        account.weight = weight;
+    }
+
+    /// Forgets accounts that have nothing waiting and nothing to pay back.
+    fn forget_idle(&mut self) {
+        if self.accounts.len() < MAX_IDLE_ACCOUNTS + self.order.len() {
+            return;
+        }
+        let virtual_now = self.virtual_now;
+        let by_name = &mut self.by_name;
+        self.accounts.retain(|_, account| {
+            let is_idle = account.listed_start.is_none() && account.flow.finish <= virtual_now;
+            if is_idle {
+                by_name.remove(&account.name);
+            }
+            !is_idle
+        });
+    }
+}
+
+/// Returns the index of a priority's queue.
+const fn class_of(priority: Priority) -> usize {
+    match priority {
+        Priority::Bulk => 0,
+        Priority::Normal => 1,
+        Priority::Interactive => 2,
+    }
+}
--- /dev/null
+++ b/routing/src/admission/mod.rs
@@ -0,0 +1,26 @@
+//! The admission of work at agents, and the limits of accounts at entries.
+//!
+//! An agent bounds the work in flight at its upstream and shares it out by
+//! weighted fair queueing over accounts and priorities. Entries hold parts of
+//! each account's limits, so no request waits for another process.
+
+mod account_limits;
+mod concurrency;
+mod fair_queue;
+mod gate;
+mod request;
+
+pub use self::account_limits::AccountLimit;
+pub use self::account_limits::AccountLimits;
+pub use self::account_limits::AddressedLimitMessage;
+pub use self::account_limits::LimitExceeded;
+pub use self::account_limits::LimitKind;
+pub use self::account_limits::LimitSettings;
+pub use self::concurrency::ConcurrencySettings;
+pub use self::gate::Admission;
+pub use self::gate::AdmissionSettings;
+pub use self::request::AdmissionRequest;
+pub use self::request::Decision;
+pub use self::request::Refusal;
+pub use self::request::RefusalReason;
+pub use self::request::Released;
--- /dev/null
+++ b/routing/src/choice/chooser.rs
@@ -0,0 +1,290 @@
+//! The chooser of one entry.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jujubewall_protocol::stream::Route;
+use jujubewall_protocol::stream::RouteStage;
+use jujubewall_protocol::stream::StreamId;
+use jujubewall_types::id::UpstreamName;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use super::fleet::Engine;
+use super::fleet::EngineKey;
+use super::fleet::Fleet;
+use super::fleet::GroupName;
+use super::path::DomainIndex;
+use super::path::LinkCosts;
+use super::path::PathEdge;
+use super::path::cheapest_path;
+use super::view::CacheHint;
+use super::view::ChoiceRequest;
+use super::view::EngineState;
+use super::view::EngineView;
+use super::view::LinkView;
+use super::view::NoPipeline;
+use super::view::ReportedLoad;
+use super::view::StepSample;
+
+/// The settings of the chooser.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ChooserSettings {
+    /// The delay of a link between two failure domains without a measured one.
+    pub crossing_us: u64,
+    /// The random part of each engine's cost, in thousandths.
+    pub jitter_permille: u32,
+}
+
+impl Default for ChooserSettings {
+    fn default() -> Self {
+        Self {
+            crossing_us: 250,
+            jitter_permille: 50,
+        }
+    }
+}
+
+/// The work that one stream has in flight at one engine.
+#[derive(Clone, Copy, Debug)]
+struct StageWork {
+    engine: EngineKey,
+    work_s: f64,
+}
+
+/// Chooses the pipeline of each request at one entry.
+#[derive(Debug)]
+pub struct PipelineChooser {
+    settings: ChooserSettings,
+    rng: ChaCha8Rng,
+    fleet: Fleet,
+    links: HashMap<(DomainIndex, DomainIndex), Duration>,
+    streams: HashMap<StreamId, SmallVec<[StageWork; 4]>>,
+}
+
+/// The cost of the links for an answer of some length.
+struct AnswerLinks<'a> {
+    chooser: &'a PipelineChooser,
+    tokens: f64,
+}
+
+impl LinkCosts for AnswerLinks<'_> {
+    fn cost_s(&self, from: DomainIndex, to: DomainIndex) -> f64 {
+        if from == to {
+            return 0.0;
+        }
+        let default = Duration::from_micros(self.chooser.settings.crossing_us);
+        let one_way = self.chooser.links.get(&(from, to)).unwrap_or(&default);
+        self.tokens * one_way.as_secs_f64()
+    }
+}
+
+impl PipelineChooser {
+    /// Creates a chooser that knows no engine; entries use different seeds.
+    pub fn new(settings: ChooserSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            fleet: Fleet::default(),
+            links: HashMap::new(),
+            streams: HashMap::new(),
+        }
+    }
+
+    /// Replaces the known engines, and keeps what was learnt of those that stay.
+    pub fn set_engines(&mut self, _now: Instant, engines: &[EngineView]) {
+        self.fleet.set_engines(engines);
+    }
+
+    /// Replaces the measured delays between failure domains.
+    pub fn set_links(&mut self, _now: Instant, links: &[LinkView]) {
+        self.links.clear();
+        for link in links {
+            let from = self.fleet.intern_domain(&link.from);
+            let to = self.fleet.intern_domain(&link.to);
+            self.links.insert((from, to), link.one_way);
+        }
+    }
+
+    /// Chooses a pipeline whose stages cover every layer exactly once in order.
+    pub fn choose(&mut self, now: Instant, request: &ChoiceRequest) -> Result<Route, NoPipeline> {
+        let group = GroupName {
+            model: request.model.clone(),
+            version: request.version.clone(),
+        };
+        if self.fleet.group(&group).is_empty() {
+            return Err(NoPipeline::NotLoaded {
+                model: group.model,
+                version: group.version,
+            });
+        }
+        self.route_over(now, &group, request, EngineState::Usable)
+            .or_else(|_| self.route_over(now, &group, request, EngineState::Suspect))
+            .map_err(|missing| self.explain(now, &group, missing))
+    }
+
+    /// Notes that a stream was sent along `route`.
+    pub fn on_started(
+        &mut self,
+        _now: Instant,
+        id: StreamId,
+        request: &ChoiceRequest,
+        route: &Route,
+    ) {
+        self.release(id);
+        let mut work: SmallVec<[StageWork; 4]> = SmallVec::new();
+        for stage in route {
+            let Some(key) = self.find_stage(request, stage) else {
+                continue;
+            };
+            let engine = &mut self.fleet.engines[key];
+            let per_layer_s = seconds_per_layer(engine, request);
+            let work_s = per_layer_s * f64::from(stage.layers.len());
+            engine.in_flight_s += work_s;
+            work.push(StageWork {
+                engine: key,
+                work_s,
+            });
+        }
+        self.streams.insert(id, work);
+    }
+
+    /// Notes that a stream has ended, in whatever way.
+    pub fn on_finished(&mut self, _now: Instant, id: StreamId) {
+        self.release(id);
+    }
+
+    /// Notes the measured time of a step.
+    pub fn on_step_time(&mut self, _now: Instant, _upstream: &UpstreamName, _sample: StepSample) {}
+
+    /// Notes that an agent refused a stage until some time has passed.
+    pub fn on_refused(&mut self, now: Instant, upstream: &UpstreamName, retry_after: Duration) {
+        self.fleet.for_each_assignment(upstream, |engine| {
+            engine.refused_until = Some(now + retry_after);
+        });
+    }
+
+    /// Notes a report of an engine's load.
+    pub fn on_load_report(
+        &mut self,
+        _now: Instant,
+        _upstream: &UpstreamName,
+        _report: ReportedLoad,
+    ) {
+    }
+
+    /// Notes a change of an engine's prefix cache.
+    pub fn on_cache_event(&mut self, _now: Instant, _upstream: &UpstreamName, _hint: CacheHint) {}
+
+    /// Returns the number of streams in flight.
+    pub fn streams_in_flight(&self) -> usize {
+        self.streams.len()
+    }
+
+    fn release(&mut self, id: StreamId) {
+        for stage in self.streams.remove(&id).unwrap_or_default() {
+            if let Some(engine) = self.fleet.engines.get_mut(stage.engine) {
+                engine.in_flight_s = (engine.in_flight_s - stage.work_s).max(0.0);
+            }
+        }
+    }
+
+    fn find_stage(&self, request: &ChoiceRequest, stage: &RouteStage) -> Option<EngineKey> {
+        let holds = |key: &&EngineKey| {
+            let view = &self.fleet.engines[**key].view;
+            view.model == request.model
+                && view.version == request.version
+                && view.layers.first <= stage.layers.first
+                && stage.layers.end <= view.layers.end
+        };
+        let assignments = self.fleet.assignments(&stage.upstream);
+        assignments.iter().find(holds).copied()
+    }
+
+    fn route_over(
+        &mut self,
+        now: Instant,
+        group: &GroupName,
+        request: &ChoiceRequest,
+        worst: EngineState,
+    ) -> Result<Route, u32> {
+        let mut keys = Vec::new();
+        let mut edges = Vec::new();
+        for &key in self.fleet.group(group) {
+            let engine = &self.fleet.engines[key];
+            if !may_use(engine, now, request, worst) {
+                continue;
+            }
+            let jitter = self.rng.random_range(0..=self.settings.jitter_permille);
+            keys.push(key);
+            edges.push(PathEdge {
+                layers: engine.view.layers,
+                domain: engine.domain,
+                cost_per_layer_s: cost_per_layer_s(engine, request)
+                    * (1.0 + f64::from(jitter) / 1000.0),
+            });
+        }
+        let links = AnswerLinks {
+            chooser: self,
+            tokens: f64::from(request.max_answer_tokens) + 1.0,
+        };
+        let domains = self.fleet.domain_count();
+        let hops = cheapest_path(&edges, request.layer_count, domains, &links)?;
+        let stage = |hop: &super::path::Hop| {
+            let view = &self.fleet.engines[keys[hop.edge]].view;
+            RouteStage {
+                upstream: view.upstream.clone(),
+                agent_address: view.agent_address,
+                layers: hop.layers,
+            }
+        };
+        Ok(hops.iter().map(stage).collect())
+    }
+
+    fn explain(&self, now: Instant, group: &GroupName, layer: u32) -> NoPipeline {
+        let wait = self
+            .fleet
+            .group(group)
+            .iter()
+            .filter_map(|&key| self.fleet.engines[key].refused_until)
+            .filter(|&until| until > now)
+            .min();
+        match wait {
+            Some(until) => NoPipeline::Refused {
+                retry_after_ms: u64::try_from((until - now).as_millis()).unwrap_or(u64::MAX),
+            },
+            None => NoPipeline::LayerMissing { layer },
+        }
+    }
+}
+
+/// Returns whether an engine may serve a request.
+fn may_use(engine: &Engine, now: Instant, request: &ChoiceRequest, worst: EngineState) -> bool {
+    let state_allows = match engine.view.state {
+        EngineState::Usable => true,
+        EngineState::Suspect => worst == EngineState::Suspect,
+        EngineState::Leaving => false,
+    };
+    let is_refusing = engine.refused_until.is_some_and(|until| until > now);
+    state_allows && !is_refusing && !request.exclude.contains(&engine.view.upstream)
+}
+
+/// Returns the time that a request takes for each layer.
+fn seconds_per_layer(engine: &Engine, request: &ChoiceRequest) -> f64 {
+    engine.seconds_per_layer(
+        f64::from(request.prompt_tokens),
+        f64::from(request.max_answer_tokens),
+    )
+}
+
+/// Returns the time that each layer adds, its part of the work in flight included.
+fn cost_per_layer_s(engine: &Engine, request: &ChoiceRequest) -> f64 {
+    let layers = f64::from(engine.view.layers.len().max(1));
+    engine.in_flight_s / layers + seconds_per_layer(engine, request)
+}
--- /dev/null
+++ b/routing/src/choice/path.rs
@@ -0,0 +1,212 @@
+//! The cheapest path through the layers of a model.
+
+use jujubewall_types::layer::LayerRange;
+use smallvec::SmallVec;
+
+/// An index into the table of failure domains.
+pub(super) type DomainIndex = usize;
+
+/// One engine as a way through some layers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PathEdge {
+    /// The layers that the engine holds.
+    pub(super) layers: LayerRange,
+    /// The failure domain of the engine.
+    pub(super) domain: DomainIndex,
+    /// The cost of each layer.
+    pub(super) cost_per_layer_s: f64,
+}
+
+/// A part of a path: an edge by its index and the layers that it runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Hop {
+    pub(super) edge: usize,
+    pub(super) layers: LayerRange,
+}
+
+/// The cost of passing an activation from one failure domain to another.
+pub(super) trait LinkCosts {
+    /// Returns the cost of the link.
+    fn cost_s(&self, from: DomainIndex, to: DomainIndex) -> f64;
+}
+
+/// The best known way to a layer boundary with the last stage in one domain.
+#[derive(Clone, Copy)]
+struct Label {
+    cost_s: f64,
+    hop: Hop,
+    previous_domain: DomainIndex,
+}
+
+/// The search state: labels by boundary and domain.
+struct Search<'a> {
+    boundaries: Vec<u32>,
+    domains: usize,
+    labels: Vec<Option<Label>>,
+    links: &'a dyn LinkCosts,
+}
+
+/// Finds the cheapest path over `layer_count` layers.
+///
+/// Without a path, returns the first layer that no path reaches.
+pub(super) fn cheapest_path(
+    edges: &[PathEdge],
+    layer_count: u32,
+    domains: usize,
+    links: &dyn LinkCosts,
+) -> Result<SmallVec<[Hop; 4]>, u32> {
+    let boundaries = boundaries(edges, layer_count);
+    let mut search = Search {
+        labels: vec![None; boundaries.len() * domains],
+        boundaries,
+        domains,
+        links,
+    };
+    let by_first = edges_by_first(edges);
+    let mut active: Vec<usize> = Vec::new();
+    let mut upcoming = by_first.iter().copied().peekable();
+    for at in 0..search.boundaries.len().saturating_sub(1) {
+        let layer = search.boundaries[at];
+        active.retain(|&edge| edges[edge].layers.end > layer);
+        while let Some(edge) = upcoming.next_if(|&edge| edges[edge].layers.first <= layer) {
+            active.push(edge);
+        }
+        search.relax_from(at, edges, &active);
+    }
+    search.trace_back()
+}
+
+/// Returns the sorted boundaries at which a path may change engines.
+fn boundaries(edges: &[PathEdge], layer_count: u32) -> Vec<u32> {
+    let mut boundaries: Vec<u32> = edges
+        .iter()
+        .flat_map(|edge| [edge.layers.first, edge.layers.end])
+        .filter(|&layer| layer < layer_count)
+        .collect();
+    boundaries.extend([0, layer_count]);
+    boundaries.sort_unstable();
+    boundaries.dedup();
+    boundaries
+}
+
+/// Returns the indices of the edges in the order of their first layers.
+fn edges_by_first(edges: &[PathEdge]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..edges.len())
+        .filter(|&edge| !edges[edge].layers.is_empty())
+        .collect();
+    order.sort_by_key(|&edge| edges[edge].layers.first);
+    order
+}
+
+impl Search<'_> {
+    /// Extends every path that reaches boundary `at` by each active edge.
+    fn relax_from(&mut self, at: usize, edges: &[PathEdge], active: &[usize]) {
+        let arrivals: SmallVec<[Option<(f64, DomainIndex)>; 8]> = (0..self.domains)
+            .map(|domain| self.cheapest_arrival(at, domain))
+            .collect();
+        for &index in active {
+            let edge = &edges[index];
+            if let Some((cost_s, previous_domain)) = arrivals[edge.domain] {
+                self.relax_edge(at, index, edge, cost_s, previous_domain);
+            }
+        }
+    }
+
+    /// Returns the cheapest way to start a stage at boundary `at` in `domain`.
+    fn cheapest_arrival(&self, at: usize, domain: DomainIndex) -> Option<(f64, DomainIndex)> {
+        if at == 0 {
+            return Some((0.0, domain));
+        }
+        (0..self.domains)
+            .filter_map(|from| {
+                let label = self.labels[at * self.domains + from].as_ref()?;
+                Some((label.cost_s + self.links.cost_s(from, domain), from))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    /// Extends one path by one edge up to each boundary that the edge reaches.
+    fn relax_edge(
+        &mut self,
+        at: usize,
+        index: usize,
+        edge: &PathEdge,
+        arrival_cost_s: f64,
+        previous_domain: DomainIndex,
+    ) {
+        let first = self.boundaries[at];
+        for to in at + 1..self.boundaries.len() {
+            let end = self.boundaries[to];
+            if end > edge.layers.end {
+                break;
+            }
+            let layers = LayerRange::new(first, end);
+            let cost_s = arrival_cost_s + f64::from(layers.len()) * edge.cost_per_layer_s;
+            let label = &mut self.labels[to * self.domains + edge.domain];
+            if label.is_none_or(|known| cost_s < known.cost_s) {
+                *label = Some(Label {
+                    cost_s,
+                    hop: Hop {
+                        edge: index,
+                        layers,
+                    },
+                    previous_domain,
+                });
+            }
+        }
+    }
+
+    /// Reads the cheapest path from the labels.
+    fn trace_back(&self) -> Result<SmallVec<[Hop; 4]>, u32> {
+        let last = self.boundaries.len() - 1;
+        let mut domain = self
+            .cheapest_domain(last)
+            .ok_or_else(|| self.first_unreached())?;
+        let mut hops: SmallVec<[Hop; 4]> = SmallVec::new();
+        let mut at = last;
+        while at > 0 {
+            let label = self.labels[at * self.domains + domain]
+                .as_ref()
+                .expect("every label leads back to the first layer");
+            push_merged(&mut hops, label.hop);
+            at = self
+                .boundaries
+                .binary_search(&label.hop.layers.first)
+                .expect("a hop starts at a boundary");
+            domain = label.previous_domain;
+        }
+        hops.reverse();
+        Ok(hops)
+    }
+
+    /// Returns the domain in which the cheapest path to boundary `at` ends.
+    fn cheapest_domain(&self, at: usize) -> Option<DomainIndex> {
+        (0..self.domains)
+            .filter_map(|domain| {
+                let label = self.labels[at * self.domains + domain].as_ref()?;
+                Some((label.cost_s, domain))
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, domain)| domain)
+    }
+
+    /// Returns the first layer that no path covers.
+    fn first_unreached(&self) -> u32 {
+        let reached = |at: &usize| *at == 0 || self.cheapest_domain(*at).is_some();
+        let furthest = (0..self.boundaries.len()).rev().find(reached);
+        self.boundaries[furthest.unwrap_or(0)]
+    }
+}
+
+/// Adds a hop in front of `hops`, which are in reverse order.
+///
+/// A path that leaves an engine and comes back stays there instead, since the
+/// engine holds every layer between; an engine thus serves one stage only.
+fn push_merged(hops: &mut SmallVec<[Hop; 4]>, hop: Hop) {
+    let Some(seen) = hops.iter().position(|known| known.edge == hop.edge) else {
+        hops.push(hop);
+        return;
+    };
+    hops.truncate(seen + 1);
+    hops[seen].layers.first = hop.layers.first;
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -2,3 +2,6 @@
 //!
 //! Every module takes events and instants of the runtime's clock and returns
 //! actions; none performs input or output.
+
+pub mod admission;
+pub mod choice;
