--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod frame;
 pub mod hello;
+pub mod limit;
 pub mod member;
 pub mod message;
 pub mod stream;
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,3 +4,5 @@
 //! actions; none performs input or output.
 
 pub mod stream;
+pub mod admission;
+pub mod choice;
