--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod network;
 pub mod server;
+pub mod settings;
