control: accept release notes by one swap of the head

A note is checked by a pure merge with one owning partner per item, turned into content-addressed chunks and a new head, and accepted by swapping the head. Digests carry their bytes in binary formats, which halves the head.

--- /dev/null
+++ b/control/src/item.rs
@@ -0,0 +1,196 @@
+//! Configuration items of every section behind one type.
+
+use std::fmt;
+
+use jujubewall_types::config::Adapter;
+use jujubewall_types::config::ClientAccount;
+use jujubewall_types::config::Configuration;
+use jujubewall_types::config::Model;
+use jujubewall_types::config::Owned;
+use jujubewall_types::config::Upstream;
+use jujubewall_types::id::AccountName;
+use jujubewall_types::id::AdapterName;
+use jujubewall_types::id::ModelName;
+use jujubewall_types::id::PartnerName;
+use jujubewall_types::id::UpstreamName;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A section of the configuration.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Section {
+    /// The models.
+    Model,
+    /// The adapters.
+    Adapter,
+    /// The client accounts.
+    Account,
+    /// The upstreams.
+    Upstream,
+}
+
+impl Section {
+    /// Every section, in the order of declaration.
+    pub const ALL: [Self; 4] = [Self::Model, Self::Adapter, Self::Account, Self::Upstream];
+
+    /// Returns the section as it is written in messages.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Model => "model",
+            Self::Adapter => "adapter",
+            Self::Account => "account",
+            Self::Upstream => "upstream",
+        }
+    }
+}
+
+/// The name of an item together with its section.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ItemKey {
+    /// A model.
+    Model(ModelName),
+    /// An adapter.
+    Adapter(AdapterName),
+    /// A client account.
+    Account(AccountName),
+    /// An upstream.
+    Upstream(UpstreamName),
+}
+
+impl ItemKey {
+    /// Returns the section of the item.
+    pub const fn section(&self) -> Section {
+        match self {
+            Self::Model(_) => Section::Model,
+            Self::Adapter(_) => Section::Adapter,
+            Self::Account(_) => Section::Account,
+            Self::Upstream(_) => Section::Upstream,
+        }
+    }
+
+    /// Returns the name of the item without its section.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Model(name) => name.as_str(),
+            Self::Adapter(name) => name.as_str(),
+            Self::Account(name) => name.as_str(),
+            Self::Upstream(name) => name.as_str(),
+        }
+    }
+}
+
+impl fmt::Display for ItemKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.section().as_str(), self.name())
+    }
+}
+
+/// An item of any section.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Item {
+    /// A model.
+    Model(Model),
+    /// An adapter.
+    Adapter(Adapter),
+    /// A client account.
+    Account(ClientAccount),
+    /// An upstream.
+    Upstream(Upstream),
+}
+
+impl Item {
+    /// Returns the key of the item.
+    pub fn key(&self) -> ItemKey {
+        match self {
+            Self::Model(item) => ItemKey::Model(item.name.clone()),
+            Self::Adapter(item) => ItemKey::Adapter(item.name.clone()),
+            Self::Account(item) => ItemKey::Account(item.name.clone()),
+            Self::Upstream(item) => ItemKey::Upstream(item.name.clone()),
+        }
+    }
+}
+
+/// Returns a copy of the item with `key` and its owner.
+pub fn find(configuration: &Configuration, key: &ItemKey) -> Option<Owned<Item>> {
+    match key {
+        ItemKey::Model(name) => wrap(configuration.models.get(name), Item::Model),
+        ItemKey::Adapter(name) => wrap(configuration.adapters.get(name), Item::Adapter),
+        ItemKey::Account(name) => wrap(configuration.accounts.get(name), Item::Account),
+        ItemKey::Upstream(name) => wrap(configuration.upstreams.get(name), Item::Upstream),
+    }
+}
+
+/// Adds or replaces an item.
+pub fn insert(configuration: &mut Configuration, owner: PartnerName, item: Item) {
+    match item {
+        Item::Model(item) => {
+            let name = item.name.clone();
+            configuration.models.insert(name, Owned { owner, item });
+        }
+        Item::Adapter(item) => {
+            let name = item.name.clone();
+            configuration.adapters.insert(name, Owned { owner, item });
+        }
+        Item::Account(item) => {
+            let name = item.name.clone();
+            configuration.accounts.insert(name, Owned { owner, item });
+        }
+        Item::Upstream(item) => {
+            let name = item.name.clone();
+            configuration.upstreams.insert(name, Owned { owner, item });
+        }
+    }
+}
+
+/// Removes an item if it exists.
+pub fn remove(configuration: &mut Configuration, key: &ItemKey) {
+    match key {
+        ItemKey::Model(name) => drop(configuration.models.remove(name)),
+        ItemKey::Adapter(name) => drop(configuration.adapters.remove(name)),
+        ItemKey::Account(name) => drop(configuration.accounts.remove(name)),
+        ItemKey::Upstream(name) => drop(configuration.upstreams.remove(name)),
+    }
+}
+
+fn wrap<T: Clone>(found: Option<&Owned<T>>, into_item: fn(T) -> Item) -> Option<Owned<Item>> {
+    let owned = found?;
+    Some(Owned {
+        owner: owned.owner.clone(),
+        item: into_item(owned.item.clone()),
+    })
+}
+
+/// A borrowed item of any section.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ItemRef<'a> {
+    /// A model.
+    Model(&'a Owned<Model>),
+    /// An adapter.
+    Adapter(&'a Owned<Adapter>),
+    /// A client account.
+    Account(&'a Owned<ClientAccount>),
+    /// An upstream.
+    Upstream(&'a Owned<Upstream>),
+}
+
+/// Iterates over every item that does not belong to `partner`.
+pub fn of_others<'a>(
+    configuration: &'a Configuration,
+    partner: &'a PartnerName,
+) -> impl Iterator<Item = ItemRef<'a>> {
+    let models = not_of(configuration.models.values(), partner).map(ItemRef::Model);
+    let adapters = not_of(configuration.adapters.values(), partner).map(ItemRef::Adapter);
+    let accounts = not_of(configuration.accounts.values(), partner).map(ItemRef::Account);
+    let upstreams = not_of(configuration.upstreams.values(), partner).map(ItemRef::Upstream);
+    models.chain(adapters).chain(accounts).chain(upstreams)
+}
+
+fn not_of<'a, T: 'a>(
+    items: impl Iterator<Item = &'a Owned<T>>,
+    partner: &'a PartnerName,
+) -> impl Iterator<Item = &'a Owned<T>> {
+    items.filter(move |owned| owned.owner != *partner)
+}
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -1,1 +1,27 @@
 //! Configuration, plans and their agreement through the key-value service.
+//!
+//! [`store::NoteStore`] is the way in for a process that accepts notes:
+//!
+//! - `NoteStore::new(service)` needs only the key-value service.
+//! - `load()` reads the newest configuration and its head.
+//! - `submit(&submission)` returns `Accepted`, `Refused` or `Unknown`; an error
+//!   means that the note was not accepted. The same note may be submitted any
+//!   number of times.
+//! - `note_status(&id)` and `audit(from, limit)` read the history.
+//!
+//! Everything below the store is pure: [`merge`] decides whether a note fits,
+//! [`proposal`] computes what accepting it writes, and [`snapshot`] rebuilds a
+//! revision from its head and chunks.
+
+pub mod audit;
+pub mod change;
+pub mod clash;
+pub mod head;
+pub mod invariant;
+pub mod item;
+pub mod keys;
+pub mod merge;
+pub mod proposal;
+pub mod shard;
+pub mod snapshot;
+pub mod store;
--- /dev/null
+++ b/control/src/store/writer.rs
@@ -0,0 +1,163 @@
+//! Writes values and swaps the head, also when replies are lost.
+
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jujubewall_platform::error::PlatformError;
+use jujubewall_platform::key_value::KeyValue;
+use jujubewall_platform::key_value::Swap;
+use jujubewall_types::id::Revision;
+use tokio::time::Instant;
+
+use crate::keys;
+use crate::proposal::PendingValue;
+use crate::store::CALL_TIMEOUT;
+use crate::store::StoreError;
+
+/// The pause before a call is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest pause before a call is sent again.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// How the swap of the head ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SwapResult {
+    /// The head was swapped at this revision of the service.
+    Done(Revision),
+    /// The head has moved past the expected revision, perhaps by this very swap.
+    Lost,
+    /// Whether the head was swapped is not known.
+    Unknown,
+}
+
+/// A key that was written, with the revision that a deletion needs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WrittenKey {
+    /// The key.
+    pub key: String,
+    /// The revision at which it was written.
+    pub stored_at: Revision,
+}
+
+/// Writes on behalf of one submission until its deadline.
+pub struct Writer<'a> {
+    service: &'a dyn KeyValue,
+    deadline: Instant,
+}
+
+impl<'a> Writer<'a> {
+    /// Creates a writer that gives up at `deadline`.
+    pub fn new(service: &'a dyn KeyValue, deadline: Instant) -> Self {
+        Self { service, deadline }
+    }
+
+    /// Writes every value; each key only ever holds one value.
+    pub async fn write_values(
+        &self,
+        values: &[PendingValue],
+    ) -> Result<Vec<WrittenKey>, StoreError> {
+        let mut written = Vec::with_capacity(values.len());
+        for value in values {
+            written.push(self.write_value(value).await?);
+        }
+        Ok(written)
+    }
+
+    /// Swaps the head that the service holds at `expected`.
+    ///
+    /// An error means that the head was not and will not be swapped.
+    pub async fn swap_head(
+        &self,
+        expected: Option<Revision>,
+        head: &Bytes,
+    ) -> Result<SwapResult, StoreError> {
+        let mut pause = RETRY_PAUSE;
+        let mut may_have_run = false;
+        loop {
+            match self.swap(keys::HEAD, expected, head).await {
+                Ok(Swap::Done(stored_at)) => return Ok(SwapResult::Done(stored_at)),
+                Ok(Swap::Conflict(_)) => return Ok(SwapResult::Lost),
+                Err(error) => {
+                    may_have_run |= may_have_effect(&error);
+                    if !self.pause(&mut pause).await {
+                        return unresolved(error, may_have_run);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn write_value(&self, value: &PendingValue) -> Result<WrittenKey, StoreError> {
+        let mut pause = RETRY_PAUSE;
+        loop {
+            let error = match self.swap(&value.key, None, &value.value).await {
+                Ok(Swap::Done(stored_at)) => return Ok(written(value, stored_at)),
+                Ok(Swap::Conflict(Some(entry))) if entry.value == value.value => {
+                    return Ok(written(value, entry.revision));
+                }
+                Ok(Swap::Conflict(_)) => return Err(StoreError::Overwritten(value.key.clone())),
+                Err(error) => error,
+            };
+            if !self.pause(&mut pause).await {
+                return Err(error.into());
+            }
+        }
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Option<Revision>,
+        value: &Bytes,
+    ) -> Result<Swap, PlatformError> {
+        let swap = self
+            .service
+            .compare_and_swap(key, expected, value.clone(), None);
+        call(swap).await
+    }
+
+    /// Pauses before another try; returns false if no time is left for one.
+    async fn pause(&self, pause: &mut Duration) -> bool {
+        let resume_at = Instant::now() + *pause;
+        if resume_at >= self.deadline {
+            return false;
+        }
+        tokio::time::sleep_until(resume_at).await;
+        *pause = (*pause * 2).min(MAX_RETRY_PAUSE);
+        true
+    }
+}
+
+/// Waits for a call at most [`CALL_TIMEOUT`]; a call that runs longer may have its effect.
+pub async fn call<T>(
+    call: impl Future<Output = Result<T, PlatformError>>,
+) -> Result<T, PlatformError> {
+    match tokio::time::timeout(CALL_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_) => Err(PlatformError::ReplyLost("no reply in time".to_owned())),
+    }
+}
+
+fn unresolved(error: PlatformError, may_have_run: bool) -> Result<SwapResult, StoreError> {
+    if may_have_run {
+        Ok(SwapResult::Unknown)
+    } else {
+        Err(error.into())
+    }
+}
+
+fn may_have_effect(error: &PlatformError) -> bool {
+    matches!(
+        error,
+        PlatformError::ReplyLost(_) | PlatformError::Malformed(_)
+    )
+}
+
+fn written(value: &PendingValue, stored_at: Revision) -> WrittenKey {
+    WrittenKey {
+        key: value.key.clone(),
+        stored_at,
+    }
+}
--- a/types/src/digest.rs
+++ b/types/src/digest.rs
@@ -5,7 +5,10 @@
 
 use schemars::JsonSchema;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error as _;
 use sha2::Digest as _;
 use sha2::Sha256;
 use thiserror::Error;
@@ -14,8 +17,9 @@
 pub const DIGEST_BYTES: usize = 32;
 
 /// A SHA-256 digest, written as 64 hexadecimal digits.
-#[derive(Clone, Copy, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(try_from = "String", into = "String")]
+///
+/// Binary formats carry its bytes instead, which takes half the room.
+#[derive(Clone, Copy, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd)]
 #[schemars(with = "String")]
 pub struct Digest([u8; DIGEST_BYTES]);
 
@@ -25,6 +29,16 @@
 pub struct ParseDigestError;
 
 impl Digest {
+    /// Creates the digest from its bytes.
+    pub const fn new(bytes: [u8; DIGEST_BYTES]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the bytes of the digest.
+    pub const fn as_bytes(&self) -> &[u8; DIGEST_BYTES] {
+        &self.0
+    }
+
     /// Computes the digest of `content`.
     pub fn of(content: &[u8]) -> Self {
         Self(Sha256::digest(content).into())
@@ -62,6 +76,27 @@
     }
 }
 
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            text.parse().map_err(D::Error::custom)
+        } else {
+            Ok(Self(<[u8; DIGEST_BYTES]>::deserialize(deserializer)?))
+        }
+    }
+}
+
 impl TryFrom<String> for Digest {
     type Error = ParseDigestError;
 
