--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -3,6 +3,6 @@
 //! Every module takes events and instants of the runtime's clock and returns
 //! actions; none performs input or output.
 
-pub mod stream;
 pub mod admission;
 pub mod choice;
+pub mod stream;
