--- a/upstream/src/engine.rs
+++ b/upstream/src/engine.rs
@@ -5,8 +5,10 @@
 use jujubewall_types::config::Assignment;
 use jujubewall_types::id::Attempt;
 use jujubewall_types::id::FencingNumber;
+use jujubewall_types::id::ModelName;
 use jujubewall_types::id::Position;
 use jujubewall_types::id::RequestId;
+use jujubewall_types::id::VersionName;
 use jujubewall_types::layer::LayerRange;
 use jujubewall_types::priority::Priority;
 use serde::Deserialize;
@@ -16,13 +18,21 @@
 
 /// The computation of some layers for consecutive positions of one request.
 ///
-/// The engine keeps the request's KV cache of its own layers between steps.
+/// The engine keeps the request's KV cache of its own layers between steps and
+/// runs a position once for each attempt. A higher attempt takes over the cache
+/// of a lower one: its first step at position `p` truncates the cache to its
+/// first `p` positions and is refused if the cache holds fewer. From then on,
+/// steps of the lower attempt are refused.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineStep {
     /// The request.
     pub request: RequestId,
-    /// The attempt; the first step of a higher one discards the KV cache of a lower one.
+    /// The attempt.
     pub attempt: Attempt,
+    /// The model.
+    pub model: ModelName,
+    /// The version of the weights; an engine can hold two versions side by side.
+    pub version: VersionName,
     /// The first position.
     pub first_position: Position,
     /// The number of positions.
--- a/upstream/src/error.rs
+++ b/upstream/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of upstreams.
 
+use jujubewall_http_client::HttpCallError;
 use thiserror::Error;
 
 /// The reason that an upstream gave no answer.
@@ -18,3 +19,12 @@
     #[error("the upstream's reply was lost: {0}")]
     ReplyLost(String),
 }
+
+impl From<HttpCallError> for UpstreamError {
+    fn from(error: HttpCallError) -> Self {
+        match error {
+            HttpCallError::NotSent(text) => Self::NotSent(text),
+            HttpCallError::ReplyLost(text) => Self::ReplyLost(text),
+        }
+    }
+}
