--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,17 @@
 //! Small stand-ins for the systems outside, used by tests and examples.
+//!
+//! Each stand-in implements the trait of its system in memory and can be
+//! served over HTTP, so that separate processes meet the same behaviour. All
+//! time is the runtime's clock, which tests pause and advance.
+
+pub mod certificates;
+pub mod engine;
+pub mod host_list;
+pub mod http_server;
+pub mod key_value;
+pub mod model_fold;
+pub mod relay;
+pub mod service;
+pub mod weight_store;
+
+mod platform_answer;
