daemon: serve callers, operators and engines around the decisions

An entry carries completions and service calls, an agent runs stages and calls, and both follow the configuration in the key-value service. Actors hold the decisions and own no policy. The test site gives every process its settings, certificates and stand-ins.

--- /dev/null
+++ b/daemon/src/agent.rs
@@ -0,0 +1,6 @@
+//! The agent in front of the upstreams of one host.
+
+pub mod actor;
+mod engine;
+mod service;
+mod upstreams;
--- /dev/null
+++ b/daemon/src/entry.rs
@@ -0,0 +1,12 @@
+//! The entry, which serves callers and operators.
+
+pub mod actor;
+pub mod callers;
+mod calls;
+pub mod completion;
+mod credentials;
+mod note_answers;
+pub mod operators;
+mod reply;
+mod routes;
+pub mod view;
--- /dev/null
+++ b/daemon/src/entry/routes.rs
@@ -0,0 +1,73 @@
+//! What the entry tells the pipeline chooser.
+
+use jujubewall_protocol::stream::Route;
+use jujubewall_routing::choice::ChoiceRequest;
+use jujubewall_routing::choice::EngineState;
+use jujubewall_routing::choice::EngineView;
+use jujubewall_routing::choice::NoPipeline;
+use jujubewall_routing::stream::action::RouteNeed;
+use jujubewall_types::error::ErrorKind;
+use jujubewall_types::error::Failure;
+
+use crate::entry::view::View;
+
+/// The time after which a request that found no pipeline may be repeated.
+const NO_PIPELINE_RETRY_MS: u64 = 1_000;
+
+/// Lists the engines that hold what the operator fixed for them.
+pub fn engine_views(view: &View) -> Vec<EngineView> {
+    let engines = view.engines();
+    engines
+        .filter_map(|(upstream, profile, assignment)| {
+            let assignment = assignment?;
+            Some(EngineView {
+                upstream: upstream.name.clone(),
+                agent_address: upstream.agent_address,
+                failure_domain: upstream.failure_domain.clone(),
+                model: assignment.model.clone(),
+                version: assignment.version.clone(),
+                layers: assignment.layers,
+                decode_token_layers_per_s: profile.decode_token_layers_per_s,
+                prefill_token_layers_per_s: profile.prefill_token_layers_per_s,
+                state: EngineState::Usable,
+            })
+        })
+        .collect()
+}
+
+/// Adapts the first choice to a repair: the engines to avoid are excluded.
+pub fn repair_request(first: &ChoiceRequest, need: &RouteNeed) -> ChoiceRequest {
+    ChoiceRequest {
+        exclude: need.exclude.iter().cloned().collect(),
+        ..first.clone()
+    }
+}
+
+/// Puts a chosen pipeline's stages in the place of the lost ones where the ranges allow it.
+///
+/// Stages that are kept hold caches, so that only the replacements run anything again.
+pub fn repaired_route(need: &RouteNeed, chosen: Route) -> Route {
+    let mut route = need.route.clone();
+    for &lost in &need.lost {
+        let Some(stage) = route.get_mut(usize::from(lost)) else {
+            return chosen;
+        };
+        let replacement = chosen
+            .iter()
+            .find(|candidate| candidate.layers == stage.layers);
+        match replacement {
+            Some(replacement) => *stage = replacement.clone(),
+            None => return chosen,
+        }
+    }
+    route
+}
+
+/// Tells the caller that no pipeline can serve its request now.
+pub fn no_pipeline(reason: &NoPipeline) -> Failure {
+    let retry_after_ms = match reason {
+        NoPipeline::Refused { retry_after_ms } => *retry_after_ms,
+        NoPipeline::NotLoaded { .. } | NoPipeline::LayerMissing { .. } => NO_PIPELINE_RETRY_MS,
+    };
+    Failure::new(ErrorKind::NoUpstream, reason.to_string()).with_retry_after_ms(retry_after_ms)
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,5 +1,13 @@
 //! The daemon's processes: sockets and actors around the decisions.
 
+pub mod agent;
+pub mod alarm;
+pub mod configuration;
+pub mod entry;
+pub mod membership;
+pub mod metrics;
 pub mod network;
+pub mod process;
 pub mod server;
 pub mod settings;
+pub mod vocabulary;
--- /dev/null
+++ b/daemon/src/metrics.rs
@@ -0,0 +1,221 @@
+//! Metrics of a process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubewall_types::error::ErrorKind;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// The upper bound of the smallest bucket of times, in seconds.
+const SMALLEST_BUCKET_S: f64 = 0.000_1;
+
+/// The ratio of the bounds of neighbouring buckets of times.
+const BUCKET_RATIO: f64 = 2.0;
+
+/// The number of buckets of times.
+const BUCKET_COUNT: u16 = 18;
+
+/// A label with a code of the table of error kinds, or `completed`.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct CodeLabel {
+    code: &'static str,
+}
+
+/// A label with the name of an invariant.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct InvariantLabel {
+    invariant: &'static str,
+}
+
+/// A label with a result.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ResultLabel {
+    result: &'static str,
+}
+
+/// The metrics of a process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<CodeLabel, Counter>,
+    notes: Family<ResultLabel, Counter>,
+    violations: Family<InvariantLabel, Counter>,
+    /// Tokens given to callers.
+    pub tokens: Counter,
+    /// The time from a request to its first token.
+    pub first_token: Histogram,
+    /// The time between two tokens of a stream.
+    pub token_gap: Histogram,
+    /// The time that a stream stood still until its pipeline was repaired.
+    pub stall: Histogram,
+    /// The time of a step at an engine.
+    pub step: Histogram,
+    /// Positions that were run again after a stage was lost.
+    pub rerun_positions: Counter,
+    /// Requests in progress.
+    pub in_flight: Gauge,
+    /// The configuration revision that is applied.
+    pub applied_revision: Gauge,
+    /// Peers that could not be reached over a new connection.
+    pub lost_peers: Counter,
+    /// Times that this process judged its own link to be the cause.
+    pub own_link_suspicions: Counter,
+    /// Peers that were refused at the handshake.
+    pub refused_peers: Counter,
+    /// Frames that were dropped for want of a connection or of room.
+    pub dropped_frames: Counter,
+}
+
+impl Metrics {
+    /// Creates and registers the metrics.
+    pub fn new() -> Arc<Self> {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("jujubewall"),
+            requests: Family::default(),
+            notes: Family::default(),
+            violations: Family::default(),
+            tokens: Counter::default(),
+            first_token: times(),
+            token_gap: times(),
+            stall: times(),
+            step: times(),
+            rerun_positions: Counter::default(),
+            in_flight: Gauge::default(),
+            applied_revision: Gauge::default(),
+            lost_peers: Counter::default(),
+            own_link_suspicions: Counter::default(),
+            refused_peers: Counter::default(),
+            dropped_frames: Counter::default(),
+        };
+        metrics.register_requests();
+        metrics.register_process();
+        Arc::new(metrics)
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests that ended, by code",
+            self.requests.clone(),
+        );
+        registry.register("tokens", "Tokens given to callers", self.tokens.clone());
+        registry.register(
+            "first_token_seconds",
+            "Time from a request to its first token",
+            self.first_token.clone(),
+        );
+        registry.register(
+            "token_gap_seconds",
+            "Time between two tokens of a stream",
+            self.token_gap.clone(),
+        );
+        registry.register(
+            "stall_seconds",
+            "Time that a stream stood still until its pipeline was repaired",
+            self.stall.clone(),
+        );
+        registry.register(
+            "step_seconds",
+            "Time of a step at an engine",
+            self.step.clone(),
+        );
+        registry.register(
+            "rerun_positions",
+            "Positions that were run again after a stage was lost",
+            self.rerun_positions.clone(),
+        );
+        registry.register("in_flight", "Requests in progress", self.in_flight.clone());
+    }
+
+    fn register_process(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("notes", "Release notes, by result", self.notes.clone());
+        registry.register(
+            "invariant_violations",
+            "Violations of what must always hold",
+            self.violations.clone(),
+        );
+        registry.register(
+            "applied_revision",
+            "Configuration revision that is applied",
+            self.applied_revision.clone(),
+        );
+        registry.register(
+            "lost_peers",
+            "Peers that could not be reached over a new connection",
+            self.lost_peers.clone(),
+        );
+        registry.register(
+            "own_link_suspicions",
+            "Times that this process judged its own link to be the cause",
+            self.own_link_suspicions.clone(),
+        );
+        registry.register(
+            "refused_peers",
+            "Peers that were refused at the handshake",
+            self.refused_peers.clone(),
+        );
+        registry.register(
+            "dropped_frames",
+            "Frames that were dropped for want of a connection or of room",
+            self.dropped_frames.clone(),
+        );
+    }
+
+    /// Counts a request that gave its whole answer.
+    pub fn count_completed(&self) {
+        let label = CodeLabel { code: "completed" };
+        self.requests.get_or_create(&label).inc();
+    }
+
+    /// Counts a request that failed.
+    pub fn count_failed(&self, kind: ErrorKind) {
+        let label = CodeLabel {
+            code: kind.answer().code,
+        };
+        self.requests.get_or_create(&label).inc();
+    }
+
+    /// Counts a release note.
+    pub fn count_note(&self, result: &'static str) {
+        self.notes.get_or_create(&ResultLabel { result }).inc();
+    }
+
+    /// Sets the number of violations of an invariant, which its owner counts.
+    pub fn set_violations(&self, invariant: &'static str, violations: u64) {
+        let counter = self
+            .violations
+            .get_or_create_owned(&InvariantLabel { invariant });
+        let known = counter.get();
+        counter.inc_by(violations.saturating_sub(known));
+    }
+
+    /// Writes all metrics in the text format of the `OpenMetrics` specification.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Records a time in a histogram of seconds.
+pub fn observe(histogram: &Histogram, time: Duration) {
+    histogram.observe(time.as_secs_f64());
+}
+
+fn times() -> Histogram {
+    Histogram::new(exponential_buckets(
+        SMALLEST_BUCKET_S,
+        BUCKET_RATIO,
+        BUCKET_COUNT,
+    ))
+}
--- a/daemon/src/network/dial.rs
+++ b/daemon/src/network/dial.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jujubewall_protocol::hello::SHARED_SERVER_NAME;
 use quinn::Endpoint;
 use quinn::EndpointConfig;
 use quinn::TokioRuntime;
@@ -15,7 +16,6 @@
 
 use crate::network::error::NetworkError;
 use crate::network::tls::Identity;
-use crate::network::tls::SHARED_SERVER_NAME;
 
 /// The time within which a peer has to complete the handshake.
 pub const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
--- a/daemon/src/network/tls.rs
+++ b/daemon/src/network/tls.rs
@@ -13,9 +13,6 @@
 
 use crate::network::error::NetworkError;
 
-/// The name that the certificate of every process holds beside the member's own.
-pub const SHARED_SERVER_NAME: &str = "jujubewall";
-
 /// The application protocol that both sides of a connection ask for.
 const APPLICATION_PROTOCOL: &[u8] = b"jujubewall/1";
 
--- a/protocol/src/hello.rs
+++ b/protocol/src/hello.rs
@@ -13,6 +13,11 @@
 /// The version of the message format; peers with another one are refused.
 pub const PROTOCOL_VERSION: u16 = 1;
 
+/// The name that the certificate of every process holds beside the member's own.
+///
+/// A process that dials an address does not yet know which member answers there.
+pub const SHARED_SERVER_NAME: &str = "jujubewall";
+
 /// The first frame that the dialling side sends.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Hello {
--- a/routing/src/stream/action.rs
+++ b/routing/src/stream/action.rs
@@ -11,9 +11,11 @@
 use jujubewall_protocol::stream::Token;
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::Attempt;
+use jujubewall_types::id::ModelName;
 use jujubewall_types::id::Position;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::UpstreamName;
+use jujubewall_types::id::VersionName;
 use jujubewall_types::layer::LayerRange;
 use jujubewall_types::priority::Priority;
 use smallvec::SmallVec;
@@ -171,6 +173,10 @@
 /// One step of one engine; the fields are those of the engine's own step.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StageStep {
+    /// The model.
+    pub model: ModelName,
+    /// The version of the weights.
+    pub version: VersionName,
     /// The request.
     pub request: RequestId,
     /// The attempt.
--- a/testutils/src/certificates.rs
+++ b/testutils/src/certificates.rs
@@ -1,5 +1,6 @@
 //! Certificates for mutual TLS between the system's own processes.
 
+use jujubewall_protocol::hello::SHARED_SERVER_NAME;
 use rcgen::BasicConstraints;
 use rcgen::CertificateParams;
 use rcgen::CertifiedIssuer;
@@ -58,7 +59,7 @@
     ///
     /// Panics if `member` is not a valid server name.
     pub fn issue(&self, member: &str) -> ProcessCertificate {
-        let names = vec![member.to_owned()];
+        let names = vec![member.to_owned(), SHARED_SERVER_NAME.to_owned()];
         let mut params = CertificateParams::new(names).expect("the name is valid");
         params.distinguished_name.push(DnType::CommonName, member);
         params.extended_key_usages = vec![
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,6 +5,8 @@
 //! time is the runtime's clock, which tests pause and advance.
 
 pub mod certificates;
+pub mod client;
+pub mod daemon;
 pub mod engine;
 pub mod host_list;
 pub mod http_server;
@@ -12,6 +14,7 @@
 pub mod model_fold;
 pub mod relay;
 pub mod service;
+pub mod site;
 pub mod weight_store;
 
 mod platform_answer;
--- a/types/src/admin.rs
+++ b/types/src/admin.rs
@@ -51,6 +51,8 @@
     Account,
     /// An upstream.
     Upstream,
+    /// The note itself.
+    Note,
 }
 
 impl ItemKind {
@@ -61,6 +63,7 @@
             Self::Adapter => "adapter",
             Self::Account => "account",
             Self::Upstream => "upstream",
+            Self::Note => "note",
         }
     }
 }
@@ -103,6 +106,8 @@
     MissingReference,
     /// The note names the item twice.
     NamedTwice,
+    /// The note's identifier was used for other content.
+    IdReused,
     /// The item is not valid in itself.
     Invalid,
 }
