routing: decide how an entry and an agent carry a stream

First working version: opening, steps, tokens, probes of a stalled stream, repair of lost messages in place, and a new attempt that reruns only what no stage holds any more. Not yet covered by tests.

--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,3 +4,4 @@
 //! actions; none performs input or output.
 
 pub mod stream;
+pub mod timer;
--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -1,17 +1,40 @@
 //! An agent's decisions about the stages that it runs.
 
+mod arena;
+mod closed;
+mod early;
+mod effects;
+mod generated;
+mod handlers;
+mod retained;
+mod stage;
+mod transfer;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use jujubewall_protocol::stream::KvCache;
+use jujubewall_protocol::stream::StageFailed;
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_types::error::Failure;
+use jujubewall_types::id::RequestId;
+use jujubewall_types::id::UpstreamName;
+use slotmap::SlotMap;
 use slotmap::new_key_type;
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::stream::action::AgentAction;
 use crate::stream::action::StageError;
+use crate::stream::agent::closed::ClosedStreams;
+use crate::stream::agent::early::UnopenedSteps;
+use crate::stream::agent::effects::Effects;
+use crate::stream::agent::stage::Phase;
+use crate::stream::agent::stage::Stage;
+use crate::stream::invariant::StreamInvariants;
 use crate::stream::settings::AgentSettings;
+use crate::timer::Timers;
 
 new_key_type! {
     /// One stage that an agent runs for one request.
@@ -21,19 +44,63 @@
 /// All stages of one agent.
 #[derive(Debug)]
 pub struct AgentStreams {
-    own_address: SocketAddr,
     settings: AgentSettings,
+    stages: SlotMap<StageKey, Stage>,
+    by_request: HashMap<RequestId, SmallVec<[StageKey; 2]>>,
+    unopened: UnopenedSteps,
+    closed: ClosedStreams,
+    timers: Timers<StageKey>,
+    grace_end: Option<Instant>,
+    leaving_upstreams: HashMap<UpstreamName, Instant>,
+    waiting_bytes: u64,
+    retained_bytes: u64,
+    fx: Effects,
 }
 
 impl AgentStreams {
     /// Creates the decisions of the agent that receives messages at `own_address`.
     pub fn new(own_address: SocketAddr, settings: AgentSettings) -> Self {
+        let max_unopened = settings.max_early_streams as usize;
         Self {
-            own_address,
             settings,
+            stages: SlotMap::with_key(),
+            by_request: HashMap::new(),
+            unopened: UnopenedSteps::new(max_unopened, settings.early_bytes),
+            closed: ClosedStreams::new(settings.max_closed_streams as usize),
+            timers: Timers::new(),
+            grace_end: None,
+            leaving_upstreams: HashMap::new(),
+            waiting_bytes: 0,
+            retained_bytes: 0,
+            fx: Effects::new(own_address),
         }
     }
 
+    /// Returns the number of violations of each invariant.
+    pub const fn invariants(&self) -> &StreamInvariants {
+        &self.fx.invariants
+    }
+
+    /// Returns the size of the outputs and cache copies that are kept.
+    pub const fn retained_bytes(&self) -> u64 {
+        self.retained_bytes
+    }
+
+    /// Returns the number of stages that are known.
+    pub fn stage_count(&self) -> usize {
+        self.stages.len()
+    }
+
+    /// Returns whether no stage is left.
+    pub fn is_idle(&self) -> bool {
+        self.stages.is_empty()
+    }
+
+    /// Returns when [`Self::on_tick`] has something to do.
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
     /// Handles a message from the process that accepts connections at `from`.
     pub fn on_message(
         &mut self,
@@ -41,14 +108,18 @@
         from: SocketAddr,
         message: StreamMessage,
     ) -> Vec<AgentAction> {
-        let _ = (now, from, message, self.own_address, self.settings);
-        Vec::new()
+        self.handle(now, from, message);
+        self.finish(now)
     }
 
     /// Handles the word of admission that a stage may run.
     pub fn on_admitted(&mut self, now: Instant, ticket: StageKey) -> Vec<AgentAction> {
-        let _ = (now, ticket);
-        Vec::new()
+        self.update(now, ticket, |stage, fx| {
+            if stage.phase == Phase::Admitting {
+                stage.admitted(now, fx);
+            }
+        });
+        self.finish(now)
     }
 
     /// Handles the word of admission that a stage may not run.
@@ -58,8 +129,18 @@
         ticket: StageKey,
         failure: Failure,
     ) -> Vec<AgentAction> {
-        let _ = (now, ticket, failure);
-        Vec::new()
+        let is_admitting = |stage: &&Stage| stage.phase == Phase::Admitting;
+        if let Some(stage) = self.stages.get(ticket).filter(is_admitting) {
+            let refused = StageFailed {
+                id: stage.open.id,
+                stage: stage.open.stage,
+                failure,
+            };
+            let entry = stage.open.entry_address;
+            self.fx.send(entry, StreamMessage::Refused(refused));
+            self.remove(ticket);
+        }
+        self.finish(now)
     }
 
     /// Handles the result of [`AgentAction::RunStep`].
@@ -69,8 +150,21 @@
         ticket: StageKey,
         result: Result<Bytes, StageError>,
     ) -> Vec<AgentAction> {
-        let _ = (now, ticket, result);
-        Vec::new()
+        self.update(now, ticket, |stage, fx| {
+            match result {
+                Ok(output) => stage.step_done(output, fx),
+                Err(error) => stage.step_failed(&error.message, fx),
+            }
+            if let Phase::Settling(settled) = stage.phase {
+                stage.settle(settled, fx);
+            }
+        });
+        let every_positions = self.settings.checkpoint_positions;
+        self.update(now, ticket, |stage, fx| {
+            stage.export_copy(every_positions, fx);
+        });
+        self.end_if_over(ticket);
+        self.finish(now)
     }
 
     /// Handles the result of [`AgentAction::ExportCache`].
@@ -80,8 +174,9 @@
         ticket: StageKey,
         result: Result<KvCache, StageError>,
     ) -> Vec<AgentAction> {
-        let _ = (now, ticket, result);
-        Vec::new()
+        self.update(now, ticket, |stage, fx| stage.exported(result.ok(), fx));
+        self.end_if_over(ticket);
+        self.finish(now)
     }
 
     /// Handles the result of [`AgentAction::ImportCache`].
@@ -91,29 +186,47 @@
         ticket: StageKey,
         result: Result<(), StageError>,
     ) -> Vec<AgentAction> {
-        let _ = (now, ticket, result);
-        Vec::new()
+        let chunk_positions = self.settings.replay_chunk_positions;
+        self.update(now, ticket, |stage, fx| match result {
+            Ok(()) => stage.imported(chunk_positions, fx),
+            Err(error) => stage.import_failed(&error.message, fx),
+        });
+        self.end_if_over(ticket);
+        self.finish(now)
     }
 
     /// Begins to leave: tells every entry, and refuses new streams.
     pub fn leave(&mut self, now: Instant, grace_end: Instant) -> Vec<AgentAction> {
-        let _ = (now, grace_end);
-        Vec::new()
+        self.grace_end = Some(grace_end);
+        self.tell_leaving(now, |_| true);
+        self.finish(now)
     }
 
-    /// Returns whether no stage is left.
-    pub fn is_idle(&self) -> bool {
-        true
+    /// Begins to leave with one upstream, while the agent's others stay.
+    pub fn leave_upstream(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        grace_end: Instant,
+    ) -> Vec<AgentAction> {
+        self.leaving_upstreams.insert(upstream.clone(), grace_end);
+        self.tell_leaving(now, |stage| stage.own().upstream == *upstream);
+        self.finish(now)
     }
 
-    /// Handles the passing of time.
-    pub fn on_tick(&mut self, now: Instant) -> Vec<AgentAction> {
-        let _ = now;
-        Vec::new()
+    /// Takes back the word that an upstream is leaving.
+    pub fn return_upstream(&mut self, upstream: &UpstreamName) {
+        self.leaving_upstreams.remove(upstream);
     }
 
-    /// Returns when [`Self::on_tick`] has something to do.
-    pub fn next_wakeup(&self) -> Option<Instant> {
-        None
+    /// Handles the passing of time.
+    pub fn on_tick(&mut self, now: Instant) -> Vec<AgentAction> {
+        while let Some(key) = self.timers.pop_due(now) {
+            if let Some(stage) = self.stages.get_mut(key) {
+                stage.timer.clear();
+            }
+            self.check_deadlines(now, key);
+        }
+        self.finish(now)
     }
 }
--- /dev/null
+++ b/routing/src/stream/agent/stage.rs
@@ -0,0 +1,504 @@
+//! One stage of one request.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use jujubewall_protocol::stream::Checkpoint;
+use jujubewall_protocol::stream::GeneratedToken;
+use jujubewall_protocol::stream::HeldState;
+use jujubewall_protocol::stream::KvCache;
+use jujubewall_protocol::stream::OpenStream;
+use jujubewall_protocol::stream::ResumeStage;
+use jujubewall_protocol::stream::RouteStage;
+use jujubewall_protocol::stream::StageActivity;
+use jujubewall_protocol::stream::StageFailed;
+use jujubewall_protocol::stream::StageHeld;
+use jujubewall_protocol::stream::Step;
+use jujubewall_protocol::stream::StreamId;
+use jujubewall_protocol::stream::StreamMessage;
+use jujubewall_types::error::ErrorKind;
+use jujubewall_types::error::Failure;
+use jujubewall_types::id::Attempt;
+use jujubewall_types::id::Position;
+use tokio::time::Instant;
+
+use crate::stream::action::AgentAction;
+use crate::stream::action::StageStep;
+use crate::stream::agent::StageKey;
+use crate::stream::agent::early::WaitingSteps;
+use crate::stream::agent::effects::Effects;
+use crate::stream::agent::generated::GeneratedTokens;
+use crate::stream::agent::retained::OutputChunk;
+use crate::stream::agent::retained::RetainedOutputs;
+use crate::stream::agent::transfer::Transfers;
+use crate::stream::invariant::StreamInvariant;
+use crate::stream::payload;
+use crate::timer::TimerSlot;
+
+/// What a stage does next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// It waits for the word of admission.
+    Admitting,
+    /// It waits for the engine to finish a step of an attempt that is over.
+    Settling(Settled),
+    /// It has told what it holds, and waits to be resumed.
+    Opened,
+    /// It waits for a KV cache.
+    AwaitingCache {
+        /// When it gives up.
+        until: Instant,
+    },
+    /// It waits for the engine to import a KV cache.
+    Importing,
+    /// It runs steps.
+    Running,
+    /// It has stopped in favour of another stage, and only gives its cache away.
+    Quiesced,
+    /// It can run nothing in this attempt.
+    Failed,
+    /// It waits for the engine before it is forgotten.
+    Ending,
+}
+
+/// What a stage does once its engine has finished the step of an earlier attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Settled {
+    /// It tells the entry what it holds.
+    Opened,
+    /// It begins from the first position.
+    Restarted,
+    /// It stops in favour of another stage.
+    Quiesced {
+        /// The later attempt.
+        id: StreamId,
+        /// The index of the other stage.
+        stage: u8,
+    },
+}
+
+/// A step that the engine computes.
+#[derive(Clone, Copy, Debug)]
+struct RunningStep {
+    attempt: Attempt,
+    first: u32,
+    positions: u32,
+    deadline: Instant,
+}
+
+/// A copy of another stage's KV cache.
+#[derive(Clone, Debug)]
+pub struct CacheCopy {
+    /// The attempt under which the copy was made.
+    pub attempt: Attempt,
+    /// The cache.
+    pub cache: KvCache,
+}
+
+/// One stage of one request at one engine.
+#[derive(Debug)]
+pub struct Stage {
+    /// The current attempt's `Open`.
+    pub open: Box<OpenStream>,
+    /// What the stage does next.
+    pub phase: Phase,
+    /// The steps that wait for their turn.
+    pub waiting: WaitingSteps,
+    /// The outputs that are kept.
+    pub outputs: RetainedOutputs,
+    /// A copy of another stage's KV cache.
+    pub copy: Option<CacheCopy>,
+    /// The KV caches that the stage waits for or gives away.
+    pub transfers: Transfers,
+    /// When a message about the stage came last.
+    pub heard: Instant,
+    /// The stage's timer.
+    pub timer: TimerSlot,
+    key: StageKey,
+    ran: u32,
+    ran_attempt: Attempt,
+    send_from: u32,
+    running: Option<RunningStep>,
+    tokens: GeneratedTokens,
+}
+
+impl Stage {
+    /// Creates a stage that has run nothing and waits for admission.
+    pub fn new(key: StageKey, open: Box<OpenStream>, now: Instant) -> Self {
+        Self {
+            open,
+            phase: Phase::Admitting,
+            waiting: WaitingSteps::default(),
+            outputs: RetainedOutputs::default(),
+            copy: None,
+            transfers: Transfers::default(),
+            heard: now,
+            timer: TimerSlot::default(),
+            key,
+            ran: 0,
+            ran_attempt: Attempt(0),
+            send_from: 0,
+            running: None,
+            tokens: GeneratedTokens::default(),
+        }
+    }
+
+    /// Returns the key of the stage.
+    pub const fn key(&self) -> StageKey {
+        self.key
+    }
+
+    /// Returns this stage's place in the route.
+    pub fn own(&self) -> &RouteStage {
+        &self.open.route[usize::from(self.open.stage)]
+    }
+
+    /// Returns the stage that follows, unless this one is the last.
+    pub fn next(&self) -> Option<&RouteStage> {
+        self.open.route.get(usize::from(self.open.stage) + 1)
+    }
+
+    /// Returns the stage that keeps copies of this one's KV cache.
+    pub fn copy_holder(&self) -> &RouteStage {
+        let stages = self.open.route.len();
+        &self.open.route[(usize::from(self.open.stage) + stages - 1) % stages]
+    }
+
+    /// Returns whether the stage runs the model's last layer.
+    pub fn is_last(&self) -> bool {
+        self.next().is_none()
+    }
+
+    /// Returns whether the engine computes a step.
+    pub const fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
+    /// Returns the number of positions that the stage has run.
+    pub const fn ran(&self) -> u32 {
+        self.ran
+    }
+
+    /// Returns the attempt under which the stage ran last.
+    pub const fn ran_attempt(&self) -> Attempt {
+        self.ran_attempt
+    }
+
+    /// Returns the size of what the stage keeps for others.
+    pub fn retained_bytes(&self) -> u64 {
+        let copy_bytes = |copy: &CacheCopy| copy.cache.payload.len() as u64;
+        self.outputs.bytes() + self.copy.as_ref().map_or(0, copy_bytes)
+    }
+
+    /// Gives back the largest part of what the stage keeps for others.
+    pub fn shrink_retained(&mut self) {
+        if self.copy.take().is_none() {
+            self.outputs.keep_newest();
+        }
+    }
+
+    /// Gives back all that the stage keeps for others.
+    pub fn clear_retained(&mut self) {
+        self.copy = None;
+        self.outputs.clear();
+    }
+
+    /// Returns what the stage holds.
+    pub fn held(&self) -> HeldState {
+        let retained_from = if self.is_last() {
+            self.tokens.first_output(self.ran)
+        } else {
+            self.outputs.first(self.ran)
+        };
+        HeldState {
+            attempt: self.ran_attempt,
+            cached: self.ran,
+            retained_from,
+            checkpoint: self.copy.as_ref().map(checkpoint_of),
+        }
+    }
+
+    /// Returns what the stage is doing.
+    pub fn activity(&self) -> StageActivity {
+        match self.phase {
+            Phase::Admitting => StageActivity::Queued,
+            Phase::Opened => StageActivity::Opened,
+            Phase::AwaitingCache { .. } | Phase::Importing => StageActivity::Running,
+            _ if self.is_running() => StageActivity::Running,
+            _ => StageActivity::Idle,
+        }
+    }
+
+    /// Tells the entry what the stage holds.
+    pub fn tell_opened(&self, fx: &mut Effects) {
+        let held = StageHeld {
+            id: self.open.id,
+            stage: self.open.stage,
+            held: self.held(),
+        };
+        fx.send(self.open.entry_address, StreamMessage::Opened(held));
+    }
+
+    /// Tells the entry that the stage can run nothing in this attempt.
+    pub fn fail(&mut self, message: &str, fx: &mut Effects) {
+        self.phase = Phase::Failed;
+        let failed = StageFailed {
+            id: self.open.id,
+            stage: self.open.stage,
+            failure: Failure::new(ErrorKind::StreamLost, message),
+        };
+        fx.send(self.open.entry_address, StreamMessage::Failed(failed));
+    }
+
+    /// Takes up a later attempt.
+    pub fn reopen(&mut self, open: Box<OpenStream>, fx: &mut Effects) {
+        let settled = if open.resumes {
+            Settled::Opened
+        } else {
+            Settled::Restarted
+        };
+        self.open = open;
+        self.waiting.clear();
+        self.transfers.reopen();
+        if self.phase != Phase::Admitting {
+            self.settle(settled, fx);
+        }
+    }
+
+    /// Does what `settled` says as soon as the engine computes nothing.
+    pub fn settle(&mut self, settled: Settled, fx: &mut Effects) {
+        if self.is_running() {
+            self.phase = Phase::Settling(settled);
+            return;
+        }
+        match settled {
+            Settled::Opened => {
+                self.phase = Phase::Opened;
+                self.tell_opened(fx);
+            }
+            Settled::Restarted => {
+                self.begin();
+                self.tell_opened(fx);
+            }
+            Settled::Quiesced { id, stage } => {
+                self.phase = Phase::Quiesced;
+                let held = self.held();
+                let quiesced = StageHeld { id, stage, held };
+                fx.send(self.open.entry_address, StreamMessage::Quiesced(quiesced));
+            }
+        }
+    }
+
+    /// Handles the word of admission.
+    pub fn admitted(&mut self, now: Instant, fx: &mut Effects) {
+        if self.open.resumes {
+            self.phase = Phase::Opened;
+        } else {
+            self.begin();
+        }
+        self.tell_opened(fx);
+        self.heard = now;
+    }
+
+    /// Begins from the first position.
+    fn begin(&mut self) {
+        self.truncate(0);
+        self.send_from = 0;
+        self.ran_attempt = self.open.id.attempt;
+        self.phase = Phase::Running;
+    }
+
+    /// Notes that the engine holds a KV cache of `positions` that it did not compute.
+    pub fn set_ran(&mut self, positions: u32) {
+        self.truncate(0);
+        self.ran = positions;
+    }
+
+    /// Goes on from what the stage holds.
+    pub fn resume(&mut self, resume: ResumeStage, chunk_positions: u32, fx: &mut Effects) {
+        fx.check(StreamInvariant::PositionsInOrder, resume.keep <= self.ran);
+        self.truncate(resume.keep);
+        self.ran_attempt = self.open.id.attempt;
+        self.send_from = resume.send_from;
+        self.phase = Phase::Running;
+        self.resend(resume.send_from, chunk_positions, fx);
+    }
+
+    /// Sends output from `from` on again, unless the stage waits to be resumed.
+    pub fn resend_if_running(&self, from: u32, chunk_positions: u32, fx: &mut Effects) {
+        if self.phase == Phase::Running {
+            self.resend(from, chunk_positions, fx);
+        }
+    }
+
+    /// Sends output from `from` on again.
+    fn resend(&self, from: u32, chunk_positions: u32, fx: &mut Effects) {
+        if self.is_last() {
+            self.resend_tokens(from + 1, fx);
+            return;
+        }
+        for chunk in self.outputs.replay(from, chunk_positions) {
+            self.send_output(chunk, fx);
+        }
+    }
+
+    /// Sends the tokens that take `from` and later positions again.
+    pub fn resend_tokens(&self, from: u32, fx: &mut Effects) {
+        for (position, token) in self.tokens.starting_at(from) {
+            self.send_token(position, token, fx);
+        }
+    }
+
+    /// Starts the next step if the engine is free and the step's input is there.
+    pub fn advance(&mut self, now: Instant, timeout: impl Fn(u32) -> Duration, fx: &mut Effects) {
+        if self.phase != Phase::Running || self.is_running() {
+            return;
+        }
+        let Some(input) = self.waiting.take_at(self.ran) else {
+            return;
+        };
+        fx.check(StreamInvariant::PositionsInOrder, input.first == self.ran);
+        self.running = Some(RunningStep {
+            attempt: self.open.id.attempt,
+            first: input.first,
+            positions: input.positions,
+            deadline: now + timeout(input.positions),
+        });
+        let step = self.engine_step(input);
+        fx.push(AgentAction::RunStep {
+            ticket: self.key,
+            upstream: self.own().upstream.clone(),
+            step,
+        });
+    }
+
+    fn engine_step(&self, input: OutputChunk) -> StageStep {
+        StageStep {
+            request: self.open.id.request,
+            attempt: self.open.id.attempt,
+            first_position: Position(input.first),
+            positions: input.positions,
+            layers: self.own().layers,
+            is_last: self.is_last(),
+            priority: self.open.priority,
+            payload: input.payload,
+        }
+    }
+
+    /// Takes in the output of the step that the engine has computed.
+    pub fn step_done(&mut self, output: Bytes, fx: &mut Effects) {
+        let Some(step) = self.running.take() else {
+            return;
+        };
+        self.ran = step.first + step.positions;
+        self.ran_attempt = step.attempt;
+        let is_current = self.phase == Phase::Running;
+        if self.is_last() {
+            self.take_token(&output, is_current, fx);
+        } else {
+            self.take_activations(step, output, is_current, fx);
+        }
+    }
+
+    /// Notes that the engine has lost the KV cache.
+    pub fn step_failed(&mut self, message: &str, fx: &mut Effects) {
+        self.running = None;
+        self.truncate(0);
+        if self.phase == Phase::Running {
+            self.fail(message, fx);
+        }
+    }
+
+    /// Returns when the engine is to have finished the step that it computes.
+    pub fn step_deadline(&self) -> Option<Instant> {
+        let is_timed = self.phase == Phase::Running;
+        self.running.filter(|_| is_timed).map(|step| step.deadline)
+    }
+
+    fn take_token(&mut self, output: &Bytes, is_current: bool, fx: &mut Effects) {
+        let Some(token) = payload::decode_token(output) else {
+            self.truncate(0);
+            self.fail("the engine's token is malformed", fx);
+            return;
+        };
+        if self.ran < self.open.known_tokens {
+            return;
+        }
+        self.tokens.push(self.ran, token);
+        if is_current {
+            self.send_token(self.ran, token, fx);
+        }
+    }
+
+    fn take_activations(
+        &mut self,
+        step: RunningStep,
+        output: Bytes,
+        is_current: bool,
+        fx: &mut Effects,
+    ) {
+        if !payload::is_whole(&output, step.positions) {
+            self.truncate(0);
+            self.fail("the engine's activations are malformed", fx);
+            return;
+        }
+        let chunk = OutputChunk {
+            first: step.first,
+            positions: step.positions,
+            payload: output,
+        };
+        self.outputs.push(chunk.clone());
+        if is_current && let Some(part) = chunk.starting_at(self.send_from) {
+            self.send_output(part, fx);
+        }
+    }
+
+    fn send_output(&self, chunk: OutputChunk, fx: &mut Effects) {
+        let Some(next) = self.next() else {
+            return;
+        };
+        let step = Step {
+            id: self.open.id,
+            stage: self.open.stage + 1,
+            first_position: Position(chunk.first),
+            positions: chunk.positions,
+            layers_done: self.own().layers.end,
+            payload: chunk.payload,
+        };
+        fx.send(next.agent_address, StreamMessage::Step(step));
+    }
+
+    fn send_token(&self, position: u32, token: u32, fx: &mut Effects) {
+        let generated = GeneratedToken {
+            id: self.open.id,
+            position: Position(position),
+            token,
+            layers_done: self.own().layers.end,
+        };
+        fx.send(self.open.entry_address, StreamMessage::Token(generated));
+        let end = self.open.prompt_tokens + self.open.max_answer_tokens;
+        if position + 1 < end {
+            let first = self.open.route[0].agent_address;
+            fx.send(first, StreamMessage::Token(generated));
+        }
+    }
+
+    fn truncate(&mut self, keep: u32) {
+        self.ran = self.ran.min(keep);
+        self.transfers.truncate(keep);
+        self.outputs.truncate(keep);
+        if keep == 0 {
+            self.tokens.clear();
+        } else {
+            self.tokens.truncate_after(keep);
+        }
+    }
+}
+
+fn checkpoint_of(copy: &CacheCopy) -> Checkpoint {
+    Checkpoint {
+        layers: copy.cache.layers,
+        attempt: copy.attempt,
+        positions: copy.cache.positions,
+    }
+}
--- /dev/null
+++ b/routing/src/stream/agent/transfer.rs
@@ -0,0 +1,170 @@
+//! How a stage's KV cache moves between engines.
+
+use jujubewall_protocol::stream::CacheTransfer;
+use jujubewall_protocol::stream::KvCache;
+use jujubewall_protocol::stream::ResumeStage;
+use jujubewall_protocol::stream::SendCache;
+use jujubewall_protocol::stream::StreamId;
+use jujubewall_protocol::stream::StreamMessage;
+use jujubewall_types::id::Attempt;
+use tokio::time::Instant;
+
+use crate::stream::action::AgentAction;
+use crate::stream::agent::effects::Effects;
+use crate::stream::agent::stage::Phase;
+use crate::stream::agent::stage::Stage;
+
+/// The KV caches that a stage waits for or gives away.
+#[derive(Debug, Default)]
+pub struct Transfers {
+    early_cache: Option<KvCache>,
+    import: Option<Import>,
+    export: Option<Export>,
+    copied: u32,
+}
+
+/// An order to resume that waits for a KV cache.
+#[derive(Clone, Copy, Debug)]
+struct Import {
+    resume: ResumeStage,
+    positions: u32,
+}
+
+/// A KV cache that the engine exports.
+#[derive(Clone, Copy, Debug)]
+struct Export {
+    attempt: Attempt,
+    order: Option<SendCache>,
+}
+
+impl Transfers {
+    /// Forgets what belongs to an earlier attempt.
+    pub fn reopen(&mut self) {
+        self.early_cache = None;
+        self.import = None;
+    }
+
+    /// Notes that positions from `keep` on are forgotten.
+    pub fn truncate(&mut self, keep: u32) {
+        self.copied = self.copied.min(keep);
+    }
+}
+
+impl Stage {
+    /// Waits for a KV cache before it does what `resume` says.
+    pub fn await_cache(&mut self, resume: ResumeStage, until: Instant, fx: &mut Effects) {
+        let positions = 0;
+        self.transfers.import = Some(Import { resume, positions });
+        self.phase = Phase::AwaitingCache { until };
+        if let Some(cache) = self.transfers.early_cache.take() {
+            self.take_cache(cache, fx);
+        }
+    }
+
+    /// Gives a KV cache to the engine, or keeps it until it is awaited.
+    pub fn take_cache(&mut self, cache: KvCache, fx: &mut Effects) {
+        match self.phase {
+            Phase::Opened => self.transfers.early_cache = Some(cache),
+            Phase::AwaitingCache { .. } => self.import_cache(cache, fx),
+            _ => {}
+        }
+    }
+
+    /// The cache is imported under the attempt before this one, so that this
+    /// one's first step makes the engine forget positions that are not kept.
+    fn import_cache(&mut self, cache: KvCache, fx: &mut Effects) {
+        let Some(import) = self.transfers.import else {
+            return;
+        };
+        if cache.layers != self.own().layers || cache.positions < import.resume.keep {
+            self.fail("the cache does not fit the stage", fx);
+            return;
+        }
+        self.transfers.import = Some(Import {
+            positions: cache.positions,
+            ..import
+        });
+        self.phase = Phase::Importing;
+        let id = self.open.id;
+        fx.push(AgentAction::ImportCache {
+            ticket: self.key(),
+            upstream: self.own().upstream.clone(),
+            request: id.request,
+            attempt: Attempt(id.attempt.0.saturating_sub(1)),
+            cache,
+        });
+    }
+
+    /// Goes on with the KV cache that the engine has imported.
+    pub fn imported(&mut self, chunk_positions: u32, fx: &mut Effects) {
+        if self.phase != Phase::Importing {
+            return;
+        }
+        if let Some(import) = self.transfers.import.take() {
+            self.set_ran(import.positions);
+            self.resume(import.resume, chunk_positions, fx);
+        }
+    }
+
+    /// Gives up because the engine did not take the KV cache.
+    pub fn import_failed(&mut self, message: &str, fx: &mut Effects) {
+        if self.phase == Phase::Importing {
+            self.fail(message, fx);
+        }
+    }
+
+    /// Asks the engine for its KV cache, to be sent as `order` says.
+    pub fn export_to(&mut self, order: SendCache, fx: &mut Effects) {
+        self.export(Some(order), fx);
+    }
+
+    /// Asks the engine for a copy of its KV cache if one is due.
+    pub fn export_copy(&mut self, every_positions: u32, fx: &mut Effects) {
+        let is_due = every_positions > 0
+            && self.transfers.export.is_none()
+            && self.phase == Phase::Running
+            && self.open.route.len() > 1
+            && self.ran() >= self.transfers.copied + every_positions;
+        if is_due {
+            self.transfers.copied = self.ran();
+            self.export(None, fx);
+        }
+    }
+
+    fn export(&mut self, order: Option<SendCache>, fx: &mut Effects) {
+        let attempt = self.ran_attempt();
+        self.transfers.export = Some(Export { attempt, order });
+        fx.push(AgentAction::ExportCache {
+            ticket: self.key(),
+            upstream: self.own().upstream.clone(),
+            request: self.open.id.request,
+        });
+    }
+
+    /// Sends the KV cache that the engine has exported.
+    pub fn exported(&mut self, cache: Option<KvCache>, fx: &mut Effects) {
+        let Some(export) = self.transfers.export.take() else {
+            return;
+        };
+        let Some(cache) = cache else {
+            return;
+        };
+        if let Some(order) = export.order {
+            let (id, stage) = (order.id, order.stage);
+            let transfer = Box::new(CacheTransfer { id, stage, cache });
+            fx.send(order.to_address, StreamMessage::Cache(transfer));
+            self.phase = Phase::Ending;
+        } else if export.attempt == self.ran_attempt() {
+            let transfer = Box::new(CacheTransfer {
+                id: StreamId {
+                    attempt: export.attempt,
+                    ..self.open.id
+                },
+                stage: self.open.stage,
+                cache,
+            });
+            let holder = self.copy_holder().agent_address;
+            fx.send(holder, StreamMessage::Checkpoint(transfer));
+        }
+    }
+}
--- a/routing/src/stream/payload.rs
+++ b/routing/src/stream/payload.rs
@@ -32,6 +32,12 @@
     payload.slice(record_bytes * skipped as usize..)
 }
 
+/// Keeps the records of the first `taken` of `positions`.
+pub fn take_positions(payload: &Bytes, positions: u32, taken: u32) -> Bytes {
+    let record_bytes = payload.len() / positions as usize;
+    payload.slice(..record_bytes * taken as usize)
+}
+
 /// Joins payloads of consecutive positions.
 pub fn join(parts: &[Bytes]) -> Bytes {
     if let [one] = parts {
--- a/routing/src/stream/settings.rs
+++ b/routing/src/stream/settings.rs
@@ -47,7 +47,7 @@
             prefill_chunk_positions: 256,
             stall_ms: 200,
             probe_timeout_ms: 150,
-            open_timeout_ms: 250,
+            open_timeout_ms: 150,
             route_timeout_ms: 500,
             max_repairs: 2,
             max_attempts: 16,
