--- a/routing/src/stream/action.rs
+++ b/routing/src/stream/action.rs
@@ -11,9 +11,11 @@
 use jujubewall_protocol::stream::Token;
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::Attempt;
+use jujubewall_types::id::ModelName;
 use jujubewall_types::id::Position;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::UpstreamName;
+use jujubewall_types::id::VersionName;
 use jujubewall_types::layer::LayerRange;
 use jujubewall_types::priority::Priority;
 use smallvec::SmallVec;
@@ -156,12 +158,12 @@
         upstream: UpstreamName,
         /// The request.
         request: RequestId,
-        /// The attempt that the cache belongs to; steps of higher ones shorten it.
+        /// The attempt, whose first step may truncate the cache.
         attempt: Attempt,
         /// The cache.
         cache: KvCache,
     },
-    /// Give back what admission granted: the stage has ended.
+    /// Give back what admission granted or was asked for: the stage has ended.
     Ended {
         /// The stage.
         ticket: StageKey,
@@ -175,6 +177,10 @@
     pub request: RequestId,
     /// The attempt.
     pub attempt: Attempt,
+    /// The model.
+    pub model: ModelName,
+    /// The version of the weights.
+    pub version: VersionName,
     /// The first position.
     pub first_position: Position,
     /// The number of positions.
--- a/routing/src/stream/agent/stage.rs
+++ b/routing/src/stream/agent/stage.rs
@@ -376,6 +376,8 @@
         StageStep {
             request: self.open.id.request,
             attempt: self.open.id.attempt,
+            model: self.open.model.clone(),
+            version: self.open.version.clone(),
             first_position: Position(input.first),
             positions: input.positions,
             layers: self.own().layers,
--- a/routing/src/stream/agent/transfer.rs
+++ b/routing/src/stream/agent/transfer.rs
@@ -70,8 +70,6 @@
         }
     }
 
-    /// The cache is imported under the attempt before this one, so that this
-    /// one's first step makes the engine forget positions that are not kept.
     fn import_cache(&mut self, cache: KvCache, fx: &mut Effects) {
         let Some(import) = self.transfers.import else {
             return;
@@ -85,12 +83,11 @@
             ..import
         });
         self.phase = Phase::Importing;
-        let id = self.open.id;
         fx.push(AgentAction::ImportCache {
             ticket: self.key(),
             upstream: self.own().upstream.clone(),
-            request: id.request,
-            attempt: Attempt(id.attempt.0.saturating_sub(1)),
+            request: self.open.id.request,
+            attempt: self.open.id.attempt,
             cache,
         });
     }
