--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod admission;
 pub mod choice;
 pub mod stream;
+pub mod timer;
--- a/routing/src/stream/action.rs
+++ b/routing/src/stream/action.rs
@@ -158,12 +158,12 @@
         upstream: UpstreamName,
         /// The request.
         request: RequestId,
-        /// The attempt that the cache belongs to; steps of higher ones shorten it.
+        /// The attempt, whose first step may truncate the cache.
         attempt: Attempt,
         /// The cache.
         cache: KvCache,
     },
-    /// Give back what admission granted: the stage has ended.
+    /// Give back what admission granted or was asked for: the stage has ended.
     Ended {
         /// The stage.
         ticket: StageKey,
@@ -181,6 +181,10 @@
     pub request: RequestId,
     /// The attempt.
     pub attempt: Attempt,
+    /// The model.
+    pub model: ModelName,
+    /// The version of the weights.
+    pub version: VersionName,
     /// The first position.
     pub first_position: Position,
     /// The number of positions.
