daemon: prove the whole path end to end with real processes

Found by the test: a caller that was still sending a large body lost the 413 answer, since a connection closed with unread data is reset. The body of a refused request is now read and dropped up to a bound, but not that of a caller that is too slow. Ports for tests come from below the range of outgoing connections, one of which had taken a port between its choice and its use.

--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 use jujubewall_protocol::call::CallResult;
 use jujubewall_protocol::call::ServiceCall;
 use jujubewall_protocol::call::ServiceReply;
@@ -47,6 +48,7 @@
 use crate::server::answer::Answer;
 use crate::server::body;
 use crate::server::body::BodyLimits;
+use crate::server::body::LimitedBody;
 use crate::vocabulary;
 
 /// The path of text completions.
@@ -100,28 +102,34 @@
         let callers = self.clone();
         Box::pin(async move {
             let metrics = Arc::clone(&callers.metrics);
-            callers.dispatch(request).await.unwrap_or_else(|failure| {
-                metrics.count_failed(failure.kind);
-                answer::failure(failure)
-            })
+            let (head, body) = request.into_parts();
+            let mut body = LimitedBody::new(body, callers.limits);
+            match callers.dispatch(head, &mut body).await {
+                Ok(answer) => answer,
+                Err(failure) => {
+                    metrics.count_failed(failure.kind);
+                    body.discard(&failure).await;
+                    answer::failure(failure)
+                }
+            }
         })
     }
 
-    async fn dispatch(self, request: Request<Incoming>) -> Result<Answer, Failure> {
+    async fn dispatch(self, head: Parts, body: &mut LimitedBody) -> Result<Answer, Failure> {
         let view = Arc::clone(&self.view.borrow());
-        let path = request.uri().path();
-        match (path, request.method()) {
-            (COMPLETIONS_PATH, &Method::POST) => self.complete(view, request, Form::Text).await,
-            (CHAT_PATH, &Method::POST) => self.complete(view, request, Form::Chat).await,
+        let path = head.uri.path();
+        match (path, &head.method) {
+            (COMPLETIONS_PATH, &Method::POST) => self.complete(view, &head, body, Form::Text).await,
+            (CHAT_PATH, &Method::POST) => self.complete(view, &head, body, Form::Chat).await,
             (MODELS_PATH, &Method::GET) => {
-                authenticate(&view, request.headers())?;
+                authenticate(&view, &head.headers)?;
                 Ok(list_models(&view))
             }
             (COMPLETIONS_PATH | CHAT_PATH | MODELS_PATH, _) => Err(Failure::new(
                 ErrorKind::MethodNotAllowed,
                 "the path does not offer this method",
             )),
-            (path, _) if path.starts_with(SERVICES_PREFIX) => self.call(view, request).await,
+            (path, _) if path.starts_with(SERVICES_PREFIX) => self.call(view, &head, body).await,
             _ => Err(Failure::new(ErrorKind::NotFound, "no such path")),
         }
     }
@@ -129,13 +137,14 @@
     async fn complete(
         self,
         view: Arc<View>,
-        request: Request<Incoming>,
+        request: &Parts,
+        body: &mut LimitedBody,
         form: Form,
     ) -> Result<Answer, Failure> {
-        let account = authenticate(&view, request.headers())?.name.clone();
-        let deadline = Instant::now() + credentials::deadline(request.headers())?;
-        let priority = credentials::priority(request.headers())?;
-        let body = body::read(request.into_body(), self.limits).await?;
+        let account = authenticate(&view, &request.headers)?.name.clone();
+        let deadline = Instant::now() + credentials::deadline(&request.headers)?;
+        let priority = credentials::priority(&request.headers)?;
+        let body = body.read().await?;
         let body: CompletionRequest = body::parse_json(&body)?;
         let prompt = vocabulary::encode(&body.prompt_text(form)?);
         let prompt_tokens = u32::try_from(prompt.len()).unwrap_or(u32::MAX);
@@ -164,16 +173,21 @@
         }
     }
 
-    async fn call(self, view: Arc<View>, request: Request<Incoming>) -> Result<Answer, Failure> {
-        let account = authenticate(&view, request.headers())?.name.clone();
-        let wait = credentials::deadline(request.headers())?;
-        let idempotency_key = credentials::idempotency_key(request.headers())?;
-        let (service, path) = service_path(request.uri())?;
+    async fn call(
+        self,
+        view: Arc<View>,
+        request: &Parts,
+        body: &mut LimitedBody,
+    ) -> Result<Answer, Failure> {
+        let account = authenticate(&view, &request.headers)?.name.clone();
+        let wait = credentials::deadline(&request.headers)?;
+        let idempotency_key = credentials::idempotency_key(&request.headers)?;
+        let (service, path) = service_path(&request.uri)?;
         let (upstream, profile) = pick_service(&view, &service)?;
         let id = RequestId(rand::random());
-        let method = SmolStr::new(request.method().as_str());
-        let content_type = content_type(request.headers())?;
-        let body = body::read(request.into_body(), self.limits).await?;
+        let method = SmolStr::new(request.method.as_str());
+        let content_type = content_type(&request.headers)?;
+        let body = body.read().await?;
         let call = ServiceCall {
             request: id,
             entry_address: self.own_address,
--- a/daemon/src/entry/operators.rs
+++ b/daemon/src/entry/operators.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use jujubewall_control::audit::Submission;
 use jujubewall_control::change::changes;
 use jujubewall_control::item;
@@ -46,6 +47,7 @@
 use crate::server::answer::Answer;
 use crate::server::body;
 use crate::server::body::BodyLimits;
+use crate::server::body::LimitedBody;
 use crate::settings::PartnerSettings;
 
 /// The number of audit records that are given unless the operator asks for another one.
@@ -88,22 +90,25 @@
     ) -> Pin<Box<dyn Future<Output = Answer> + Send>> {
         let operators = self.clone();
         Box::pin(async move {
-            operators
-                .dispatch(request)
-                .await
-                .unwrap_or_else(answer::failure)
+            let (head, body) = request.into_parts();
+            let mut body = LimitedBody::new(body, operators.limits);
+            match operators.dispatch(head, &mut body).await {
+                Ok(answer) => answer,
+                Err(failure) => {
+                    body.discard(&failure).await;
+                    answer::failure(failure)
+                }
+            }
         })
     }
 
-    async fn dispatch(self, request: Request<Incoming>) -> Result<Answer, Failure> {
-        let operator = self.authenticate(request.headers())?;
-        let path = request.uri().path().to_owned();
-        let method = request.method().clone();
-        match (path.as_str(), &method) {
-            (NOTES_PATH, &Method::POST) => self.submit(operator, request).await,
-            (NOTE_CHECK_PATH, &Method::POST) => self.check(&operator, request).await,
+    async fn dispatch(self, head: Parts, body: &mut LimitedBody) -> Result<Answer, Failure> {
+        let operator = self.authenticate(&head.headers)?;
+        match (head.uri.path(), &head.method) {
+            (NOTES_PATH, &Method::POST) => self.submit(operator, body).await,
+            (NOTE_CHECK_PATH, &Method::POST) => self.check(&operator, body).await,
             (STATUS_PATH, &Method::GET) => Ok(self.status()),
-            (AUDIT_PATH, &Method::GET) => self.audit(request.uri().query()).await,
+            (AUDIT_PATH, &Method::GET) => self.audit(head.uri.query()).await,
             (UPSTREAMS_PATH, &Method::GET) => Ok(self.upstreams()),
             (path, &Method::GET) => match path.strip_prefix(NOTES_PATH) {
                 Some(id) => self.note_status(id.trim_start_matches('/')).await,
@@ -132,12 +137,8 @@
         })
     }
 
-    async fn submit(
-        self,
-        operator: Operator,
-        request: Request<Incoming>,
-    ) -> Result<Answer, Failure> {
-        let note = self.read_note(&operator, request).await?;
+    async fn submit(self, operator: Operator, body: &mut LimitedBody) -> Result<Answer, Failure> {
+        let note = self.read_note(&operator, body).await?;
         let submission = Submission {
             note,
             submitted_by: operator.name,
@@ -153,12 +154,8 @@
         Ok(answer::json(status, &note_answers::note_answer(result)))
     }
 
-    async fn check(
-        self,
-        operator: &Operator,
-        request: Request<Incoming>,
-    ) -> Result<Answer, Failure> {
-        let note = self.read_note(operator, request).await?;
+    async fn check(self, operator: &Operator, body: &mut LimitedBody) -> Result<Answer, Failure> {
+        let note = self.read_note(operator, body).await?;
         let (before, _) = self
             .store
             .load()
@@ -179,9 +176,9 @@
     async fn read_note(
         &self,
         operator: &Operator,
-        request: Request<Incoming>,
+        body: &mut LimitedBody,
     ) -> Result<ReleaseNote, Failure> {
-        let body = body::read(request.into_body(), self.limits).await?;
+        let body = body.read().await?;
         let note: ReleaseNote = body::parse_json(&body)?;
         if note.partner != operator.partner {
             return Err(Failure::new(
--- a/routing/src/stream/action.rs
+++ b/routing/src/stream/action.rs
@@ -173,10 +173,6 @@
 /// One step of one engine; the fields are those of the engine's own step.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StageStep {
-    /// The model.
-    pub model: ModelName,
-    /// The version of the weights.
-    pub version: VersionName,
     /// The request.
     pub request: RequestId,
     /// The attempt.
--- a/testutils/src/daemon.rs
+++ b/testutils/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Daemons that run as processes of their own.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Stdio;
 use std::time::Duration;
@@ -51,14 +52,19 @@
         }
     }
 
-    /// Returns a client of one of the daemon's interfaces, such as `caller_address`.
+    /// Returns the address of one of the daemon's interfaces, such as `caller_address`.
     ///
     /// # Panics
     ///
     /// Panics if the settings hold no such address.
-    pub fn user(&self, interface: &str, key: &str) -> HttpUser {
+    pub fn address(&self, interface: &str) -> SocketAddr {
         let address = self.settings[interface].as_str().unwrap_or_default();
-        HttpUser::new(address.parse().expect("the settings hold it"), key)
+        address.parse().expect("the settings hold it")
+    }
+
+    /// Returns a client of one of the daemon's interfaces.
+    pub fn user(&self, interface: &str, key: &str) -> HttpUser {
+        HttpUser::new(self.address(interface), key)
     }
 
     /// Waits until the daemon answers that it is alive.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http_server;
 pub mod key_value;
 pub mod model_fold;
+pub mod ports;
 pub mod relay;
 pub mod service;
 pub mod site;
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -3,7 +3,6 @@
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -45,6 +44,7 @@
 use crate::key_value::FakeKeyValue;
 use crate::model_fold::Token;
 use crate::model_fold::expected_answer;
+use crate::ports::free_address;
 use crate::service::FakeService;
 use crate::weight_store::FakeWeightStore;
 
@@ -84,6 +84,9 @@
 /// The rate that the configuration states for every engine, in token-layers a second.
 const TOKEN_LAYERS_PER_S: u64 = 100_000;
 
+/// The time within which a body has to arrive, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 2_000;
+
 /// The number of failure domains.
 const DOMAIN_COUNT: usize = 3;
 
@@ -189,10 +192,10 @@
 
     /// Writes the settings of an entry and returns their path.
     pub fn entry_settings(&self, member: &str) -> PathBuf {
-        let mut document = self.settings(member, free_udp_address());
+        let mut document = self.settings(member, free_address());
         document["role"] = json!("entry");
-        document["caller_address"] = json!(free_tcp_address());
-        document["operator_address"] = json!(free_tcp_address());
+        document["caller_address"] = json!(free_address());
+        document["operator_address"] = json!(free_address());
         document["partners"] = json!([
             partner(PARTNER, OPERATOR_KEY),
             partner(OTHER_PARTNER, OTHER_OPERATOR_KEY),
@@ -270,13 +273,14 @@
             "failure_domain": "domain-0",
             "region": "region-0",
             "peer_address": peer_address,
-            "metrics_address": free_tcp_address(),
+            "metrics_address": free_address(),
             "tls": self.write_certificate(member),
             "platform": {
                 "key_value_address": key_value.address(),
                 "host_list_address": host_list.address(),
                 "weight_store_address": weight_store.address(),
             },
+            "limits": { "body_timeout_ms": BODY_TIMEOUT_MS },
             "seed_peers": [self.engines[0].upstream.agent_address],
         })
     }
@@ -301,27 +305,6 @@
     }
 }
 
-/// Returns a loopback address whose UDP port was free a moment ago.
-///
-/// # Panics
-///
-/// Panics if no socket can be bound.
-pub fn free_udp_address() -> SocketAddr {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a socket can be bound");
-    socket.local_addr().expect("a socket has an address")
-}
-
-/// Returns a loopback address whose TCP port was free a moment ago.
-///
-/// # Panics
-///
-/// Panics if no socket can be bound.
-pub fn free_tcp_address() -> SocketAddr {
-    let socket =
-        std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a socket can be bound");
-    socket.local_addr().expect("a socket has an address")
-}
-
 async fn listener() -> TcpListener {
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
         .await
@@ -390,7 +373,7 @@
             FailureDomainName::new,
         ),
         address,
-        agent_address: free_udp_address(),
+        agent_address: free_address(),
         kind,
     }
 }
