--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod call;
 pub mod codec;
 pub mod config;
+pub mod frame;
 pub mod hello;
+pub mod limit;
 pub mod member;
 pub mod message;
 pub mod stream;
