control: test the merge rules and the store; answer in the operators' types

The store's results convert into the operators' answers in one module. A note builder joins the test utilities, since the tests of other packages submit notes as well.

--- a/control/src/audit.rs
+++ b/control/src/audit.rs
@@ -98,7 +98,7 @@
     pub content: Digest,
     /// The number of items that the note would have changed.
     pub item_count: u64,
-    /// The number of reasons; [`Self::clashes`] lists the first ones.
+    /// The number of reasons; zero if the identifier was used before.
     pub clash_count: u64,
     /// The reasons, up to [`MAX_RECORDED_CLASHES`].
     pub clashes: Vec<Clash>,
--- a/control/src/clash.rs
+++ b/control/src/clash.rs
@@ -80,17 +80,26 @@
         /// The largest number that is allowed.
         limit: usize,
     },
-    /// The identifier was used for an accepted note with other content.
-    #[error("the identifier was used for a note with other content")]
-    IdReused,
+}
+
+impl ClashReason {
+    /// Returns the other item that the reason is about.
+    pub fn other_item(&self) -> Option<&ItemKey> {
+        match self {
+            Self::Referenced { by, .. } | Self::Taken { by, .. } | Self::Contradicts { by, .. } => {
+                Some(by)
+            }
+            _ => None,
+        }
+    }
 }
 
 /// One reason for which a note is refused.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Clash {
-    /// The item; absent if the reason concerns the whole note.
-    pub item: Option<ItemKey>,
+    /// The item of the note.
+    pub item: ItemKey,
     /// The partner that owns the item, if it exists.
     pub owner: Option<PartnerName>,
     /// The accepted note that the refused one clashes with, if there is one.
@@ -100,20 +109,10 @@
 }
 
 impl Clash {
-    /// Creates a clash about `item`, which nobody owns yet.
+    /// Creates a clash about `item` without an owner.
     pub fn new(item: ItemKey, reason: ClashReason) -> Self {
         Self {
-            item: Some(item),
-            owner: None,
-            winner: None,
-            reason,
-        }
-    }
-
-    /// Creates a clash about the whole note.
-    pub fn new_for_note(reason: ClashReason) -> Self {
-        Self {
-            item: None,
+            item,
             owner: None,
             winner: None,
             reason,
@@ -137,21 +136,15 @@
     /// Returns the item whose last note decides the clash.
     pub fn decisive_item(&self) -> Option<&ItemKey> {
         match &self.reason {
-            ClashReason::Referenced { by, .. }
-            | ClashReason::Taken { by, .. }
-            | ClashReason::Contradicts { by, .. } => Some(by),
-            ClashReason::Exists | ClashReason::NotOwned => self.item.as_ref(),
-            _ => None,
+            ClashReason::Exists | ClashReason::NotOwned => Some(&self.item),
+            reason => reason.other_item(),
         }
     }
 }
 
 impl fmt::Display for Clash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.item {
-            Some(item) => write!(f, "{item}: {}", self.reason)?,
-            None => write!(f, "{}", self.reason)?,
-        }
+        write!(f, "{}: {}", self.item, self.reason)?;
         if let Some(owner) = &self.owner {
             write!(f, " (owner {owner})")?;
         }
--- a/control/src/item.rs
+++ b/control/src/item.rs
@@ -1,7 +1,9 @@
-//! Configuration items of every section behind one type.
+//! Configuration items of every sort behind one type.
 
 use std::fmt;
 
+use jujubewall_types::admin::ItemKind;
+use jujubewall_types::admin::ItemRef;
 use jujubewall_types::config::Adapter;
 use jujubewall_types::config::ClientAccount;
 use jujubewall_types::config::Configuration;
@@ -15,37 +17,9 @@
 use jujubewall_types::id::UpstreamName;
 use serde::Deserialize;
 use serde::Serialize;
+use smol_str::SmolStr;
 
-/// A section of the configuration.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Section {
-    /// The models.
-    Model,
-    /// The adapters.
-    Adapter,
-    /// The client accounts.
-    Account,
-    /// The upstreams.
-    Upstream,
-}
-
-impl Section {
-    /// Every section, in the order of declaration.
-    pub const ALL: [Self; 4] = [Self::Model, Self::Adapter, Self::Account, Self::Upstream];
-
-    /// Returns the section as it is written in messages.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Model => "model",
-            Self::Adapter => "adapter",
-            Self::Account => "account",
-            Self::Upstream => "upstream",
-        }
-    }
-}
-
-/// The name of an item together with its section.
+/// The name of an item together with its sort.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ItemKey {
@@ -60,17 +34,17 @@
 }
 
 impl ItemKey {
-    /// Returns the section of the item.
-    pub const fn section(&self) -> Section {
+    /// Returns the sort of the item.
+    pub const fn kind(&self) -> ItemKind {
         match self {
-            Self::Model(_) => Section::Model,
-            Self::Adapter(_) => Section::Adapter,
-            Self::Account(_) => Section::Account,
-            Self::Upstream(_) => Section::Upstream,
+            Self::Model(_) => ItemKind::Model,
+            Self::Adapter(_) => ItemKind::Adapter,
+            Self::Account(_) => ItemKind::Account,
+            Self::Upstream(_) => ItemKind::Upstream,
         }
     }
 
-    /// Returns the name of the item without its section.
+    /// Returns the name of the item without its sort.
     pub fn name(&self) -> &str {
         match self {
             Self::Model(name) => name.as_str(),
@@ -81,13 +55,22 @@
     }
 }
 
+impl From<&ItemKey> for ItemRef {
+    fn from(key: &ItemKey) -> Self {
+        Self {
+            kind: key.kind(),
+            name: SmolStr::new(key.name()),
+        }
+    }
+}
+
 impl fmt::Display for ItemKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}", self.section().as_str(), self.name())
+        write!(f, "{} {}", self.kind(), self.name())
     }
 }
 
-/// An item of any section.
+/// An item of any sort.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Item {
@@ -163,9 +146,9 @@
     })
 }
 
-/// A borrowed item of any section.
+/// A borrowed item of any sort.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ItemRef<'a> {
+pub enum BorrowedItem<'a> {
     /// A model.
     Model(&'a Owned<Model>),
     /// An adapter.
@@ -180,11 +163,11 @@
 pub fn of_others<'a>(
     configuration: &'a Configuration,
     partner: &'a PartnerName,
-) -> impl Iterator<Item = ItemRef<'a>> {
-    let models = not_of(configuration.models.values(), partner).map(ItemRef::Model);
-    let adapters = not_of(configuration.adapters.values(), partner).map(ItemRef::Adapter);
-    let accounts = not_of(configuration.accounts.values(), partner).map(ItemRef::Account);
-    let upstreams = not_of(configuration.upstreams.values(), partner).map(ItemRef::Upstream);
+) -> impl Iterator<Item = BorrowedItem<'a>> {
+    let models = not_of(configuration.models.values(), partner).map(BorrowedItem::Model);
+    let adapters = not_of(configuration.adapters.values(), partner).map(BorrowedItem::Adapter);
+    let accounts = not_of(configuration.accounts.values(), partner).map(BorrowedItem::Account);
+    let upstreams = not_of(configuration.upstreams.values(), partner).map(BorrowedItem::Upstream);
     models.chain(adapters).chain(accounts).chain(upstreams)
 }
 
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -4,15 +4,18 @@
 //!
 //! - `NoteStore::new(service)` needs only the key-value service.
 //! - `load()` reads the newest configuration and its head.
-//! - `submit(&submission)` returns `Accepted`, `Refused` or `Unknown`; an error
+//! - `submit(&submission)` returns `Accepted`, `Refused`, `IdReused` or `Unknown`; an error
 //!   means that the note was not accepted. The same note may be submitted any
 //!   number of times.
 //! - `note_status(&id)` and `audit(from, limit)` read the history.
 //!
+//! [`answer`] converts all of these into the operators' interface.
+//!
 //! Everything below the store is pure: [`merge`] decides whether a note fits,
 //! [`proposal`] computes what accepting it writes, and [`snapshot`] rebuilds a
 //! revision from its head and chunks.
 
+pub mod answer;
 pub mod audit;
 pub mod change;
 pub mod clash;
--- a/control/src/merge.rs
+++ b/control/src/merge.rs
@@ -53,14 +53,14 @@
 }
 
 fn check_size(changes: &[Change]) -> Result<(), Vec<Clash>> {
-    if changes.len() <= MAX_NOTE_ITEMS {
+    let Some(excess) = changes.get(MAX_NOTE_ITEMS) else {
         return Ok(());
-    }
+    };
     let reason = ClashReason::TooManyItems {
         items: changes.len(),
         limit: MAX_NOTE_ITEMS,
     };
-    Err(vec![Clash::new_for_note(reason)])
+    Err(vec![Clash::new(excess.key.clone(), reason)])
 }
 
 fn check_ownership(
--- a/control/src/merge/uniqueness_rules.rs
+++ b/control/src/merge/uniqueness_rules.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
+use jujubewall_types::admin::ItemKind;
 use jujubewall_types::config::Configuration;
 use jujubewall_types::config::Owned;
 use jujubewall_types::config::Upstream;
@@ -13,16 +14,15 @@
 use crate::clash::Clash;
 use crate::clash::ClashReason;
 use crate::item::ItemKey;
-use crate::item::Section;
 
 /// Lists the changed items that share or contradict a value of another item.
 pub fn clashes(next: &Configuration, changed: &BTreeSet<&ItemKey>) -> Vec<Clash> {
-    let touches = |section| changed.iter().any(|key| key.section() == section);
+    let touches = |kind| changed.iter().any(|key| key.kind() == kind);
     let mut clashes = Vec::new();
-    if touches(Section::Account) {
+    if touches(ItemKind::Account) {
         clashes.extend(shared_account_keys(next, changed));
     }
-    if touches(Section::Upstream) {
+    if touches(ItemKind::Upstream) {
         clashes.extend(shared_addresses(next, changed));
         clashes.extend(contradicted_hosts(next, changed));
         clashes.extend(contradicted_services(next, changed));
--- a/control/src/shard.rs
+++ b/control/src/shard.rs
@@ -1,9 +1,10 @@
-//! The split of the sections into chunks of bounded size.
+//! The split of the items into chunks of bounded size.
 //!
 //! An item belongs to the shard that the hash of its name gives, so one change
 //! rewrites one small chunk, and adding an item moves no other.
 
 use bytes::Bytes;
+use jujubewall_types::admin::ItemKind;
 use jujubewall_types::digest::Digest;
 use jujubewall_types::id::NoteId;
 use jujubewall_types::id::PartnerName;
@@ -15,39 +16,38 @@
 
 use crate::item::Item;
 use crate::item::ItemKey;
-use crate::item::Section;
 
 /// The seed of the hash that assigns items to shards.
 const SHARD_SEED: u64 = 0;
 
-/// Returns the number of shards of `section`.
+/// Returns the number of shards of the items of `kind`.
 ///
 /// At 4,100 upstreams of about 450 bytes a chunk has some 14 KB.
-pub const fn shard_count(section: Section) -> u16 {
-    match section {
-        Section::Model | Section::Adapter => 16,
-        Section::Account => 64,
-        Section::Upstream => 128,
+pub const fn shard_count(kind: ItemKind) -> u16 {
+    match kind {
+        ItemKind::Model | ItemKind::Adapter => 16,
+        ItemKind::Account => 64,
+        ItemKind::Upstream => 128,
     }
 }
 
-/// Names one shard of one section.
+/// Names one shard of the items of one kind.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ShardId {
-    /// The section.
-    pub section: Section,
-    /// The index of the shard inside the section.
+    /// The sort of the items.
+    pub kind: ItemKind,
+    /// The index of the shard among those of its kind.
     pub index: u16,
 }
 
 impl ShardId {
     /// Returns the shard that holds the item with `key`.
     pub fn of(key: &ItemKey) -> Self {
-        let section = key.section();
+        let kind = key.kind();
         let hash = XxHash64::oneshot(SHARD_SEED, key.name().as_bytes());
-        let index = hash % u64::from(shard_count(section));
+        let index = hash % u64::from(shard_count(kind));
         Self {
-            section,
+            kind,
             index: u16::try_from(index).unwrap_or_default(),
         }
     }
--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -21,6 +21,7 @@
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::NoteId;
+use jujubewall_types::id::PartnerName;
 use jujubewall_types::id::Revision;
 use serde::Deserialize;
 use serde::Serialize;
@@ -33,8 +34,6 @@
 use crate::audit::Submission;
 use crate::change::content_digest;
 use crate::clash::Clash;
-use crate::clash::ClashReason;
-use crate::head::AcceptedNote;
 use crate::head::Head;
 use crate::proposal::ProposalError;
 use crate::proposal::propose;
@@ -58,6 +57,10 @@
 /// When asking again for an unknown result makes sense, in milliseconds.
 pub const UNKNOWN_RETRY_AFTER_MS: u64 = 2_000;
 
+/// How an operator settles an unknown result.
+pub const UNKNOWN_ADVICE: &str =
+    "submit the same note again under the same identifier, or ask for its status";
+
 /// What became of a note.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "result")]
@@ -72,6 +75,13 @@
         /// Every reason.
         clashes: Vec<Clash>,
     },
+    /// The identifier belongs to an accepted note with other content.
+    IdReused {
+        /// The revision that the accepted note led to.
+        revision: Revision,
+        /// The partner that submitted the accepted note.
+        partner: PartnerName,
+    },
     /// The note may yet turn out to be accepted.
     ///
     /// Asking for its status, or submitting the same note under the same
@@ -129,9 +139,16 @@
     pub fn failure(&self) -> Option<Failure> {
         match self {
             Self::Accepted { .. } => None,
-            Self::Refused { clashes } => Some(refusal(clashes)),
+            Self::Refused { clashes } => {
+                let reasons: Vec<String> = clashes.iter().map(ToString::to_string).collect();
+                Some(Failure::new(ErrorKind::NoteRefused, reasons.join("; ")))
+            }
+            Self::IdReused { revision, partner } => Some(Failure::new(
+                ErrorKind::NoteIdReused,
+                format!("the identifier was used by {partner} for revision {revision}"),
+            )),
             Self::Unknown { retry_after_ms, .. } => Some(
-                Failure::new(ErrorKind::NoteUnknown, "submit the same note again")
+                Failure::new(ErrorKind::NoteUnknown, UNKNOWN_ADVICE)
                     .with_retry_after_ms(*retry_after_ms),
             ),
         }
@@ -148,17 +165,6 @@
     }
 }
 
-fn refusal(clashes: &[Clash]) -> Failure {
-    let is_reused = |clash: &Clash| clash.reason == ClashReason::IdReused;
-    let kind = if clashes.iter().any(is_reused) {
-        ErrorKind::NoteIdReused
-    } else {
-        ErrorKind::NoteRefused
-    };
-    let reasons: Vec<String> = clashes.iter().map(ToString::to_string).collect();
-    Failure::new(kind, reasons.join("; "))
-}
-
 /// Reads and changes the configuration in the key-value service.
 ///
 /// Any process may hold a store. All of them together accept notes in one
@@ -290,8 +296,12 @@
             let revision = accepted.revision;
             return Ok(Some(NoteResult::Accepted { revision }));
         }
-        let clashes = vec![reused(&accepted)];
-        Ok(Some(self.refuse(loaded, submission, clashes).await))
+        let record = RefusedRecord::new(&loaded.snapshot, submission, &[]);
+        self.refusals.append(record).await;
+        Ok(Some(NoteResult::IdReused {
+            revision: accepted.revision,
+            partner: accepted.partner,
+        }))
     }
 
     async fn refuse(
@@ -306,12 +316,6 @@
     }
 }
 
-fn reused(accepted: &AcceptedNote) -> Clash {
-    Clash::new_for_note(ClashReason::IdReused)
-        .with_owner(accepted.partner.clone())
-        .with_winner(accepted.id.clone())
-}
-
 fn unknown(submission: &Submission) -> NoteResult {
     NoteResult::Unknown {
         note: submission.note.id.clone(),
--- /dev/null
+++ b/control/tests/test_merge.rs
@@ -0,0 +1,213 @@
+//! The rules by which a note is merged or refused.
+
+use assert_matches::assert_matches;
+use jujubewall_control::clash::Clash;
+use jujubewall_control::clash::ClashReason;
+use jujubewall_control::merge::apply;
+use jujubewall_testutils::notes::account;
+use jujubewall_testutils::notes::adapter;
+use jujubewall_testutils::notes::assignment;
+use jujubewall_testutils::notes::engine;
+use jujubewall_testutils::notes::model;
+use jujubewall_testutils::notes::note;
+use jujubewall_testutils::notes::service;
+use jujubewall_types::config::Configuration;
+use jujubewall_types::id::Revision;
+use serde_json::Value;
+use serde_json::json;
+
+/// The Trust has a model and an engine; the Bureau has an engine with the Trust's model.
+fn shared_pool() -> Configuration {
+    let pinned = assignment("assistant", "v1", 0, 20);
+    let trust = json!({
+        "models": [model("assistant", 40, &["v1", "v2"])],
+        "accounts": [account("attendants", 1)],
+        "upstreams": [engine(1, pinned.clone()), service(2, "orders", false)],
+    });
+    let bureau = json!({
+        "adapters": [adapter("choir", "assistant")],
+        "upstreams": [engine(3, pinned)],
+    });
+    let first = note("n1", "trust", &trust, &json!({}), &json!({}));
+    let second = note("n2", "bureau", &bureau, &json!({}), &json!({}));
+    let configuration = apply(&Configuration::default(), &first).unwrap();
+    apply(&configuration, &second).unwrap()
+}
+
+fn refused(partner: &str, added: &Value, changed: &Value, withdrawn: &Value) -> Vec<Clash> {
+    let note = note("n3", partner, added, changed, withdrawn);
+    apply(&shared_pool(), &note).unwrap_err()
+}
+
+fn added(items: &Value) -> Vec<Clash> {
+    refused("bureau", items, &json!({}), &json!({}))
+}
+
+fn text(clashes: &[Clash]) -> String {
+    let lines: Vec<String> = clashes.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn test_accepted_notes_raise_the_revision() {
+    let configuration = shared_pool();
+    assert_eq!(configuration.revision, Revision(2));
+    let change = json!({ "accounts": [account("attendants", 7)] });
+    let withdrawn = json!({ "upstreams": ["u1"] });
+    let note = note("n3", "trust", &json!({}), &change, &withdrawn);
+    let next = apply(&configuration, &note).unwrap();
+    assert_eq!(next.revision, Revision(3));
+    assert_eq!(next.upstreams.len(), 2);
+    assert_eq!(next.accounts.values().next().unwrap().item.weight, 7);
+}
+
+#[test]
+fn test_the_other_partners_items_are_refused_by_name() {
+    let change = json!({ "models": [model("assistant", 41, &["v1"])] });
+    let clashes = refused(
+        "bureau",
+        &json!({}),
+        &change,
+        &json!({ "accounts": ["attendants"] }),
+    );
+    let expected = "model assistant: the item belongs to another partner (owner trust)\n\
+                    account attendants: the item belongs to another partner (owner trust)";
+    assert_eq!(text(&clashes), expected);
+}
+
+#[test]
+fn test_withdrawing_what_others_use_is_refused_by_name() {
+    let clashes = refused(
+        "trust",
+        &json!({}),
+        &json!({}),
+        &json!({ "models": ["assistant"] }),
+    );
+    let expected = "model assistant: adapter choir of partner bureau refers to model assistant\n\
+                    model assistant: upstream u1 of partner trust refers to model assistant\n\
+                    model assistant: upstream u3 of partner bureau refers to model assistant";
+    assert_eq!(text(&clashes), expected);
+    let shrunk = json!({ "models": [model("assistant", 19, &["v1"])] });
+    let clashes = refused(
+        "trust",
+        &json!({}),
+        &shrunk,
+        &json!({ "upstreams": ["u1"] }),
+    );
+    assert_matches!(
+        &clashes[..],
+        [Clash {
+            reason: ClashReason::Referenced { .. },
+            ..
+        }]
+    );
+    let dropped = json!({ "models": [model("assistant", 40, &["v2"])] });
+    let clashes = refused(
+        "trust",
+        &json!({}),
+        &dropped,
+        &json!({ "upstreams": ["u1"] }),
+    );
+    let expected = "model assistant: upstream u3 of partner bureau refers to \
+                    version v1 of model assistant";
+    assert_eq!(text(&clashes), expected);
+}
+
+#[test]
+fn test_every_reason_is_listed() {
+    let mut zero = account("stewards", 0);
+    zero["max_in_flight"] = json!(0);
+    let mut empty = model("seating", 0, &["v1"]);
+    empty["active_version"] = json!("v9");
+    let clashes =
+        added(&json!({ "accounts": [zero, account("attendants", 1)], "models": [empty] }));
+    let expected = "account attendants: the item exists already (owner trust)\n\
+                    model seating: field layer_count: must be above 0\n\
+                    model seating: field active_version: must be one of the versions\n\
+                    account stewards: field weight: must be above 0\n\
+                    account stewards: field max_in_flight: must be above 0";
+    assert_eq!(text(&clashes), expected);
+}
+
+#[test]
+fn test_references_must_resolve() {
+    let cases = [
+        (assignment("none", "v1", 0, 1), "model none"),
+        (
+            assignment("assistant", "v7", 0, 1),
+            "version v7 of model assistant",
+        ),
+        (
+            assignment("assistant", "v1", 30, 41),
+            "layers 30..41 of model assistant, which has 40",
+        ),
+    ];
+    for (pinned, target) in cases {
+        let clashes = added(&json!({ "upstreams": [engine(9, pinned)] }));
+        assert_matches!(
+            &clashes[..],
+            [Clash { reason: ClashReason::Unresolved { target: found, .. }, .. }] if found == target
+        );
+    }
+    let clashes = added(&json!({ "adapters": [adapter("x", "none")] }));
+    assert_matches!(
+        &clashes[..],
+        [Clash {
+            reason: ClashReason::Unresolved { .. },
+            ..
+        }]
+    );
+    let empty = engine(9, assignment("assistant", "v1", 4, 4));
+    let large = engine(10, assignment("assistant", "v1", 0, 21));
+    let clashes = added(&json!({ "upstreams": [empty, large] }));
+    assert_eq!(clashes.len(), 2);
+}
+
+#[test]
+fn test_shared_values_must_agree() {
+    let mut same_key = account("stewards", 1);
+    same_key["key_digests"] = account("attendants", 1)["key_digests"].clone();
+    let clashes = added(&json!({ "accounts": [same_key] }));
+    assert_matches!(
+        &clashes[..],
+        [Clash {
+            reason: ClashReason::Taken { .. },
+            ..
+        }]
+    );
+    let mut moved = engine(9, Value::Null);
+    moved["address"] = engine(1, Value::Null)["address"].clone();
+    moved["host"] = json!("h1");
+    moved["failure_domain"] = json!("south");
+    let clashes = added(&json!({ "upstreams": [moved, service(8, "orders", false)] }));
+    let expected = "upstream u9: field address is taken by upstream u1 of partner trust\n\
+                    upstream u9: field failure_domain contradicts upstream u1 of partner trust\n\
+                    upstream u8: field kind.service contradicts upstream u2 of partner trust";
+    assert_eq!(text(&clashes), expected);
+}
+
+#[test]
+fn test_a_note_names_an_item_once() {
+    let twice = json!({ "accounts": [account("stewards", 1), account("stewards", 2)] });
+    let clashes = added(&twice);
+    assert_matches!(
+        &clashes[0],
+        Clash {
+            reason: ClashReason::Repeated,
+            ..
+        }
+    );
+    let missing = refused(
+        "bureau",
+        &json!({}),
+        &json!({}),
+        &json!({ "accounts": ["stewards"] }),
+    );
+    assert_matches!(
+        &missing[0],
+        Clash {
+            reason: ClashReason::Missing,
+            ..
+        }
+    );
+}
--- /dev/null
+++ b/control/tests/test_store.rs
@@ -0,0 +1,160 @@
+//! The store on a service that works.
+
+mod support;
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use jujubewall_control::audit::Submission;
+use jujubewall_control::clash::ClashReason;
+use jujubewall_control::store::NoteResult;
+use jujubewall_control::store::NoteStatus;
+use jujubewall_control::store::NoteStore;
+use jujubewall_platform::key_value::MAX_VALUE_BYTES;
+use jujubewall_testutils::notes::account;
+use jujubewall_testutils::notes::assignment;
+use jujubewall_testutils::notes::engine;
+use jujubewall_testutils::notes::model;
+use jujubewall_testutils::notes::note;
+use jujubewall_types::id::NoteId;
+use jujubewall_types::id::Revision;
+use jujubewall_types::note::ReleaseNote;
+use serde_json::Value;
+use serde_json::json;
+use smol_str::SmolStr;
+
+use crate::support::StubKeyValue;
+
+fn submission(note: ReleaseNote) -> Submission {
+    Submission {
+        note,
+        submitted_by: SmolStr::new("operator"),
+        submitted_at_ms: 1_700_000_000_000,
+    }
+}
+
+fn accounts(id: &str, partner: &str, added: &[Value], changed: &[Value]) -> ReleaseNote {
+    let added = json!({ "accounts": added });
+    note(
+        id,
+        partner,
+        &added,
+        &json!({ "accounts": changed }),
+        &json!({}),
+    )
+}
+
+async fn accept(store: &NoteStore, note: &ReleaseNote) -> Revision {
+    let result = store.submit(&submission(note.clone())).await.unwrap();
+    assert_matches!(result, NoteResult::Accepted { revision } => revision)
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_notes_of_two_stores_get_one_order() {
+    let service = Arc::new(StubKeyValue::default());
+    let trust = NoteStore::new(service.clone());
+    let bureau = NoteStore::new(service.clone());
+    let first = accounts("n1", "trust", &[account("a", 1)], &[]);
+    let second = accounts("n2", "bureau", &[account("b", 1)], &[]);
+    assert_eq!(accept(&trust, &first).await, Revision(1));
+    assert_eq!(accept(&bureau, &second).await, Revision(2));
+    assert_eq!(accept(&bureau, &first).await, Revision(1));
+    let (configuration, head) = trust.load().await.unwrap();
+    assert_eq!(configuration.accounts.len(), 2);
+    assert_eq!(head.recent.len(), 2);
+    let status = trust.note_status(&second.id).await.unwrap();
+    assert_eq!(
+        status,
+        NoteStatus::Accepted {
+            revision: Revision(2)
+        }
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_a_refusal_names_owner_and_winning_note() {
+    let service = Arc::new(StubKeyValue::default());
+    let store = NoteStore::new(service.clone());
+    accept(&store, &accounts("n1", "trust", &[account("a", 1)], &[])).await;
+    let late = accounts("n2", "bureau", &[account("a", 2)], &[]);
+    let result = store.submit(&submission(late.clone())).await.unwrap();
+    let clashes = assert_matches!(result, NoteResult::Refused { clashes } => clashes);
+    assert_eq!(clashes[0].reason, ClashReason::Exists);
+    assert_eq!(clashes[0].owner.as_ref().unwrap().as_str(), "trust");
+    assert_eq!(clashes[0].winner.as_ref().unwrap().as_str(), "n1");
+    let other = accounts("n1", "trust", &[account("c", 2)], &[]);
+    let result = store.submit(&submission(other)).await.unwrap();
+    assert_matches!(
+        result,
+        NoteResult::IdReused {
+            revision: Revision(1),
+            ..
+        }
+    );
+    let status = store.note_status(&late.id).await.unwrap();
+    assert_matches!(status, NoteStatus::Refused { .. });
+    let fresh = NoteStore::new(service);
+    let trail = fresh.audit(Revision(0), 10).await.unwrap();
+    assert_eq!(trail.accepted.len(), 1);
+    assert_eq!(trail.accepted[0].changes[0].before, None);
+    assert_eq!(trail.refused.len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_history_moves_to_pages_and_stays_readable() {
+    let service = Arc::new(StubKeyValue::default());
+    let store = NoteStore::new(service.clone());
+    let first = accounts("n0", "trust", &[account("a", 1)], &[]);
+    accept(&store, &first).await;
+    for weight in 2..200 {
+        let note = accounts(&format!("n{weight}"), "trust", &[], &[account("a", weight)]);
+        accept(&store, &note).await;
+    }
+    let fresh = NoteStore::new(service.clone());
+    assert_eq!(accept(&fresh, &first).await, Revision(1));
+    let trail = fresh.audit(Revision(90), 20).await.unwrap();
+    let revisions: Vec<u64> = trail.accepted.iter().map(|r| r.revision.0).collect();
+    assert_eq!(revisions, (90..110).collect::<Vec<_>>());
+    let absent = NoteId::new("absent").unwrap();
+    let status = fresh.note_status(&absent).await.unwrap();
+    assert_eq!(status, NoteStatus::NotFound);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_refused_notes_are_bounded() {
+    let service = Arc::new(StubKeyValue::default());
+    let store = NoteStore::new(service.clone());
+    for number in 0..700 {
+        let note = accounts(&format!("r{number}"), "trust", &[], &[account("a", 1)]);
+        let result = store.submit(&submission(note)).await.unwrap();
+        assert_matches!(result, NoteResult::Refused { .. });
+    }
+    assert_eq!(service.revision(), 700);
+    assert!(service.keys().len() <= 16);
+    let trail = store.audit(Revision(0), 1000).await.unwrap();
+    assert_eq!(trail.refused.last().unwrap().note.as_str(), "r699");
+    assert!(trail.refused.len() > 480);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_fleet_size_fits_and_one_change_rewrites_one_chunk() {
+    let service = Arc::new(StubKeyValue::default());
+    let store = NoteStore::new(service.clone());
+    let models: Vec<Value> = (0..17)
+        .map(|n| model(&format!("m{n}"), 80, &["v1"]))
+        .collect();
+    let all: Vec<Value> = (0..2500).map(|n| account(&format!("a{n}"), 1)).collect();
+    let pinned = || assignment("m1", "v1", 0, 10);
+    let upstreams: Vec<Value> = (0..4100).map(|n| engine(n, pinned())).collect();
+    let items = json!({ "models": models, "accounts": all, "upstreams": upstreams });
+    accept(&store, &note("n1", "trust", &items, &json!({}), &json!({}))).await;
+    assert!(service.largest_value_bytes() < MAX_VALUE_BYTES);
+    let keys = service.keys().len();
+    let change = accounts("n2", "trust", &[], &[account("a7", 9)]);
+    accept(&store, &change).await;
+    let (configuration, head) = store.load().await.unwrap();
+    assert_eq!(configuration.upstreams.len(), 4100);
+    assert_eq!(service.keys().len(), keys + 2);
+    assert_eq!(head.retired.len(), 1);
+    assert!(head.encode().unwrap().len() < 32 * 1024);
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,1 +1,3 @@
 //! Small stand-ins for the systems outside, used by tests and examples.
+
+pub mod notes;
