control: bring accepted notes to every member

A few watchers of each failure domain watch the head; whoever applies a revision announces it to some peers, which fetch the head and the chunks newer than their own revision.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -9,6 +9,10 @@
 //!   number of times.
 //! - `note_status(&id)` and `audit(from, limit)` read the history.
 //!
+//! [`dissemination`] brings accepted notes to every member; readers hold a
+//! [`dissemination::handle::ConfigHandle`]. After an acceptance, a process feeds
+//! `newest_snapshot()` to its own disseminator as [`dissemination::Event::Loaded`].
+//!
 //! [`answer`] converts all of these into the operators' interface.
 //!
 //! Everything below the store is pure: [`merge`] decides whether a note fits,
@@ -19,6 +23,7 @@
 pub mod audit;
 pub mod change;
 pub mod clash;
+pub mod dissemination;
 pub mod head;
 pub mod invariant;
 pub mod item;
--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -8,7 +8,7 @@
 
 mod collector;
 mod history;
-mod reader;
+pub(crate) mod reader;
 mod refusals;
 mod writer;
 
@@ -37,6 +37,7 @@
 use crate::head::Head;
 use crate::proposal::ProposalError;
 use crate::proposal::propose;
+use crate::snapshot::Snapshot;
 use crate::snapshot::SnapshotError;
 use crate::store::history::History;
 use crate::store::reader::Loaded;
@@ -196,6 +197,14 @@
         Ok((snapshot.configuration().clone(), snapshot.head().clone()))
     }
 
+    /// Returns the newest snapshot that this store has read or written.
+    ///
+    /// After an acceptance it holds the note, so that the process can announce
+    /// it to its peers at once.
+    pub fn newest_snapshot(&self) -> Arc<Snapshot> {
+        self.reader.newest().snapshot
+    }
+
     /// Submits a note; the same note may be submitted any number of times.
     ///
     /// An error means that the note was not accepted by this call.
--- a/control/src/store/reader.rs
+++ b/control/src/store/reader.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use jujubewall_platform::error::PlatformError;
 use jujubewall_platform::key_value::KeyValue;
 use jujubewall_platform::key_value::KeyValueEntry;
 use jujubewall_types::id::Revision;
@@ -100,7 +101,7 @@
         }
         let head = Head::decode(&entry.value).map_err(SnapshotError::Head)?;
         let missing = known.snapshot.missing(&head);
-        let fetched = self.fetch(&missing).await?;
+        let fetched = fetch_chunks(&*self.service, &missing).await?;
         let snapshot = known.snapshot.advance(entry.value, &fetched)?;
         Ok(Loaded {
             snapshot: Arc::new(snapshot),
@@ -108,24 +109,6 @@
         })
     }
 
-    async fn fetch(&self, missing: &[ChunkRef]) -> Result<ChunkMap, StoreError> {
-        let mut fetched = ChunkMap::new();
-        if missing.len() > LIST_THRESHOLD {
-            for entry in call(self.service.list(keys::CHUNKS)).await? {
-                if let Some(chunk) = keys::parse_chunk(&entry.key) {
-                    fetched.insert(chunk.digest, entry.value);
-                }
-            }
-            return Ok(fetched);
-        }
-        for chunk in missing {
-            if let Some(entry) = call(self.service.get(&keys::chunk(chunk))).await? {
-                fetched.insert(chunk.digest, entry.value);
-            }
-        }
-        Ok(fetched)
-    }
-
     /// Keeps `loaded` unless a newer snapshot was kept meanwhile.
     fn keep(&self, loaded: Loaded) -> Loaded {
         let mut newest = self.newest.lock().unwrap_or_else(PoisonError::into_inner);
@@ -143,3 +126,25 @@
         newest.clone()
     }
 }
+
+/// Reads those of the `missing` chunks that the service holds.
+pub async fn fetch_chunks(
+    service: &dyn KeyValue,
+    missing: &[ChunkRef],
+) -> Result<ChunkMap, PlatformError> {
+    let mut fetched = ChunkMap::new();
+    if missing.len() > LIST_THRESHOLD {
+        for entry in call(service.list(keys::CHUNKS)).await? {
+            if let Some(chunk) = keys::parse_chunk(&entry.key) {
+                fetched.insert(chunk.digest, entry.value);
+            }
+        }
+        return Ok(fetched);
+    }
+    for chunk in missing {
+        if let Some(entry) = call(service.get(&keys::chunk(chunk))).await? {
+            fetched.insert(chunk.digest, entry.value);
+        }
+    }
+    Ok(fetched)
+}
--- a/control/tests/test_store.rs
+++ b/control/tests/test_store.rs
@@ -1,7 +1,5 @@
 //! The store on a service that works.
 
-mod support;
-
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
@@ -10,7 +8,10 @@
 use jujubewall_control::store::NoteResult;
 use jujubewall_control::store::NoteStatus;
 use jujubewall_control::store::NoteStore;
+use jujubewall_platform::key_value::KeyValue as _;
+use jujubewall_platform::key_value::KeyValueEntry;
 use jujubewall_platform::key_value::MAX_VALUE_BYTES;
+use jujubewall_testutils::key_value::FakeKeyValue;
 use jujubewall_testutils::notes::account;
 use jujubewall_testutils::notes::assignment;
 use jujubewall_testutils::notes::engine;
@@ -23,8 +24,6 @@
 use serde_json::json;
 use smol_str::SmolStr;
 
-use crate::support::StubKeyValue;
-
 fn submission(note: ReleaseNote) -> Submission {
     Submission {
         note,
@@ -44,6 +43,10 @@
     )
 }
 
+async fn entries(service: &FakeKeyValue) -> Vec<KeyValueEntry> {
+    service.list("jujubewall/").await.unwrap()
+}
+
 async fn accept(store: &NoteStore, note: &ReleaseNote) -> Revision {
     let result = store.submit(&submission(note.clone())).await.unwrap();
     assert_matches!(result, NoteResult::Accepted { revision } => revision)
@@ -51,7 +54,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_notes_of_two_stores_get_one_order() {
-    let service = Arc::new(StubKeyValue::default());
+    let service = Arc::new(FakeKeyValue::new());
     let trust = NoteStore::new(service.clone());
     let bureau = NoteStore::new(service.clone());
     let first = accounts("n1", "trust", &[account("a", 1)], &[]);
@@ -73,7 +76,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_a_refusal_names_owner_and_winning_note() {
-    let service = Arc::new(StubKeyValue::default());
+    let service = Arc::new(FakeKeyValue::new());
     let store = NoteStore::new(service.clone());
     accept(&store, &accounts("n1", "trust", &[account("a", 1)], &[])).await;
     let late = accounts("n2", "bureau", &[account("a", 2)], &[]);
@@ -102,7 +105,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_history_moves_to_pages_and_stays_readable() {
-    let service = Arc::new(StubKeyValue::default());
+    let service = Arc::new(FakeKeyValue::new());
     let store = NoteStore::new(service.clone());
     let first = accounts("n0", "trust", &[account("a", 1)], &[]);
     accept(&store, &first).await;
@@ -122,15 +125,15 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_refused_notes_are_bounded() {
-    let service = Arc::new(StubKeyValue::default());
+    let service = Arc::new(FakeKeyValue::new());
     let store = NoteStore::new(service.clone());
     for number in 0..700 {
         let note = accounts(&format!("r{number}"), "trust", &[], &[account("a", 1)]);
         let result = store.submit(&submission(note)).await.unwrap();
         assert_matches!(result, NoteResult::Refused { .. });
     }
-    assert_eq!(service.revision(), 700);
-    assert!(service.keys().len() <= 16);
+    assert_eq!(service.counts().swaps, 700);
+    assert!(entries(&service).await.len() <= 16);
     let trail = store.audit(Revision(0), 1000).await.unwrap();
     assert_eq!(trail.refused.last().unwrap().note.as_str(), "r699");
     assert!(trail.refused.len() > 480);
@@ -138,7 +141,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_fleet_size_fits_and_one_change_rewrites_one_chunk() {
-    let service = Arc::new(StubKeyValue::default());
+    let service = Arc::new(FakeKeyValue::new());
     let store = NoteStore::new(service.clone());
     let models: Vec<Value> = (0..17)
         .map(|n| model(&format!("m{n}"), 80, &["v1"]))
@@ -148,13 +151,18 @@
     let upstreams: Vec<Value> = (0..4100).map(|n| engine(n, pinned())).collect();
     let items = json!({ "models": models, "accounts": all, "upstreams": upstreams });
     accept(&store, &note("n1", "trust", &items, &json!({}), &json!({}))).await;
-    assert!(service.largest_value_bytes() < MAX_VALUE_BYTES);
-    let keys = service.keys().len();
+    let largest = entries(&service)
+        .await
+        .into_iter()
+        .map(|e| e.value.len())
+        .max();
+    assert!(largest.unwrap() < MAX_VALUE_BYTES);
+    let keys = entries(&service).await.len();
     let change = accounts("n2", "trust", &[], &[account("a7", 9)]);
     accept(&store, &change).await;
     let (configuration, head) = store.load().await.unwrap();
     assert_eq!(configuration.upstreams.len(), 4100);
-    assert_eq!(service.keys().len(), keys + 2);
+    assert_eq!(entries(&service).await.len(), keys + 2);
     assert_eq!(head.retired.len(), 1);
     assert!(head.encode().unwrap().len() < 32 * 1024);
 }
--- a/protocol/src/config.rs
+++ b/protocol/src/config.rs
@@ -24,6 +24,8 @@
     Digest {
         /// The applied revision.
         revision: Revision,
+        /// The digest of the encoded head of that revision.
+        head: Digest,
         /// Where a request for it goes.
         reply_address: SocketAddr,
     },
@@ -31,15 +33,11 @@
     Fetch {
         /// The revision that the sender has applied.
         have: Revision,
-        /// The chunks that the sender holds.
-        chunks: Vec<Digest>,
         /// Where the answer goes.
         reply_address: SocketAddr,
     },
-    /// Gives the newest head with the chunks that the receiver lacks.
+    /// Gives the newest head with the chunks that are newer than the receiver's revision.
     Update {
-        /// The revision of the head.
-        revision: Revision,
         /// The encoded head.
         head: Bytes,
         /// The chunks that the receiver lacks.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,6 +1,4 @@
 //! Small stand-ins for the systems outside, used by tests and examples.
-
-pub mod notes;
 //!
 //! Each stand-in implements the trait of its system in memory and can be
 //! served over HTTP, so that separate processes meet the same behaviour. All
@@ -12,6 +10,7 @@
 pub mod http_server;
 pub mod key_value;
 pub mod model_fold;
+pub mod notes;
 pub mod relay;
 pub mod service;
 pub mod weight_store;
