--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod key_value;
 pub mod model_fold;
 pub mod ports;
+pub mod notes;
 pub mod relay;
 pub mod service;
 pub mod site;
