--- a/daemon/src/network/lane.rs
+++ b/daemon/src/network/lane.rs
@@ -43,7 +43,7 @@
         };
         match **message {
             Message::Stream(_) | Message::Call(_) => Self::Data,
-            Message::Member(_) | Message::Config(_) => Self::Control,
+            Message::Member(_) | Message::Config(_) | Message::Limit(_) => Self::Control,
         }
     }
 }
