--- /dev/null
+++ b/cli/src/commands.rs
@@ -0,0 +1,52 @@
+//! The commands, one module each.
+
+mod audit;
+mod keys;
+mod keys_generate;
+mod note;
+mod note_check;
+mod note_diff;
+mod note_file;
+mod note_status;
+mod note_submit;
+mod settings;
+mod settings_check;
+mod settings_schema;
+mod status;
+mod upstreams;
+
+use argh::FromArgs;
+
+use crate::exit::CommandFailure;
+
+/// Checks and submits release notes, and shows what the fleet does.
+#[derive(Debug, FromArgs)]
+pub struct Jujubewall {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Audit(audit::AuditCommand),
+    Keys(keys::KeysCommand),
+    Note(note::NoteCommand),
+    Settings(settings::SettingsCommand),
+    Status(status::StatusCommand),
+    Upstreams(upstreams::UpstreamsCommand),
+}
+
+impl Jujubewall {
+    /// Runs the command.
+    pub async fn run(self) -> Result<(), CommandFailure> {
+        match self.command {
+            Command::Audit(command) => command.run().await,
+            Command::Keys(command) => command.run(),
+            Command::Note(command) => command.run().await,
+            Command::Settings(command) => command.run(),
+            Command::Status(command) => command.run().await,
+            Command::Upstreams(command) => command.run().await,
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/commands/note_check.rs
@@ -0,0 +1,58 @@
+//! The command `note check`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use jujubewall_types::admin::NOTE_CHECK_PATH;
+use jujubewall_types::admin::NoteCheckAnswer;
+use jujubewall_types::error::ErrorKind;
+use jujubewall_types::error::Failure;
+
+use crate::client::Client;
+use crate::commands::note_file::read_note;
+use crate::exit::CommandFailure;
+use crate::print::Format;
+use crate::print::print;
+use crate::render::note::CheckReport;
+
+/// Checks whether a release note would be accepted now.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct NoteCheckCommand {
+    /// the file of the note
+    #[argh(positional)]
+    file: PathBuf,
+    /// the operator address of an entry; `JUJUBEWALL_ENTRY` by default
+    #[argh(option)]
+    entry: Option<SocketAddr>,
+    /// the file of the operator's key; `JUJUBEWALL_OPERATOR_KEY` holds the key by default
+    #[argh(option)]
+    key_file: Option<PathBuf>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl NoteCheckCommand {
+    /// Runs the command.
+    pub async fn run(self) -> Result<(), CommandFailure> {
+        let format = Format::from_switch(self.json);
+        let told = |failure| CommandFailure::new(failure, format);
+        let answer = self.check().await.map_err(told)?;
+        let is_refused = !answer.clashes.is_empty();
+        print(&CheckReport(answer), format).map_err(told)?;
+        if is_refused {
+            return Err(CommandFailure::Told(ErrorKind::NoteRefused));
+        }
+        Ok(())
+    }
+
+    async fn check(&self) -> Result<NoteCheckAnswer, Failure> {
+        let note = read_note(&self.file)?;
+        let client = Client::new(self.entry, self.key_file.as_deref())?;
+        client
+            .post(NOTE_CHECK_PATH, &note, ErrorKind::NoUpstream)
+            .await
+    }
+}
--- /dev/null
+++ b/cli/src/keys.rs
@@ -0,0 +1,5 @@
+//! Generation of keys.
+
+pub mod authority;
+mod file;
+pub mod secret;
--- /dev/null
+++ b/cli/src/render.rs
@@ -0,0 +1,9 @@
+//! What the commands print.
+
+mod audit;
+pub mod keys;
+pub mod note;
+pub mod settings;
+mod status;
+mod table;
+mod upstreams;
