--- a/routing/src/choice/chooser.rs
+++ b/routing/src/choice/chooser.rs
@@ -19,10 +19,6 @@
 use super::fleet::EngineKey;
 use super::fleet::Fleet;
 use super::fleet::GroupName;
-use super::path::DomainIndex;
-use super::path::LinkCosts;
-use super::path::PathEdge;
-use super::path::cheapest_path;
 use super::view::CacheHint;
 use super::view::ChoiceRequest;
 use super::view::EngineState;
@@ -31,6 +27,12 @@
 use super::view::NoPipeline;
 use super::view::ReportedLoad;
 use super::view::StepSample;
+use crate::path::DomainIndex;
+use crate::path::Hop;
+use crate::path::LinkCosts;
+use crate::path::PathEdge;
+use crate::path::cheapest_path;
+use crate::path::merge_revisits;
 
 /// The settings of the chooser.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -236,7 +238,8 @@
         };
         let domains = self.fleet.domain_count();
         let hops = cheapest_path(&edges, request.layer_count, domains, &links)?;
-        let stage = |hop: &super::path::Hop| {
+        let hops = merge_revisits(&hops);
+        let stage = |hop: &Hop| {
             let view = &self.fleet.engines[keys[hop.edge]].view;
             RouteStage {
                 upstream: view.upstream.clone(),
--- a/routing/src/choice/fleet.rs
+++ b/routing/src/choice/fleet.rs
@@ -11,8 +11,8 @@
 use slotmap::new_key_type;
 use tokio::time::Instant;
 
-use super::path::DomainIndex;
 use super::view::EngineView;
+use crate::path::DomainIndex;
 
 new_key_type! {
     /// The key of one assignment of one engine.
--- a/routing/src/choice/mod.rs
+++ b/routing/src/choice/mod.rs
@@ -7,7 +7,7 @@
 
 mod chooser;
 mod fleet;
-mod path;
+
 mod view;
 
 pub use self::chooser::ChooserSettings;
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,4 +4,7 @@
 //! actions; none performs input or output.
 
 pub mod admission;
+pub mod bound;
 pub mod choice;
+
+mod path;
--- a/routing/src/choice/path.rs
+++ b/routing/src/path.rs
@@ -4,28 +4,28 @@
 use smallvec::SmallVec;
 
 /// An index into the table of failure domains.
-pub(super) type DomainIndex = usize;
+pub(crate) type DomainIndex = usize;
 
 /// One engine as a way through some layers.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PathEdge {
+pub(crate) struct PathEdge {
     /// The layers that the engine holds.
-    pub(super) layers: LayerRange,
+    pub(crate) layers: LayerRange,
     /// The failure domain of the engine.
-    pub(super) domain: DomainIndex,
+    pub(crate) domain: DomainIndex,
     /// The cost of each layer.
-    pub(super) cost_per_layer_s: f64,
+    pub(crate) cost_per_layer_s: f64,
 }
 
 /// A part of a path: an edge by its index and the layers that it runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct Hop {
-    pub(super) edge: usize,
-    pub(super) layers: LayerRange,
+pub(crate) struct Hop {
+    pub(crate) edge: usize,
+    pub(crate) layers: LayerRange,
 }
 
 /// The cost of passing an activation from one failure domain to another.
-pub(super) trait LinkCosts {
+pub(crate) trait LinkCosts {
     /// Returns the cost of the link.
     fn cost_s(&self, from: DomainIndex, to: DomainIndex) -> f64;
 }
@@ -49,7 +49,7 @@
 /// Finds the cheapest path over `layer_count` layers.
 ///
 /// Without a path, returns the first layer that no path reaches.
-pub(super) fn cheapest_path(
+pub(crate) fn cheapest_path(
     edges: &[PathEdge],
     layer_count: u32,
     domains: usize,
@@ -168,7 +168,7 @@
             let label = self.labels[at * self.domains + domain]
                 .as_ref()
                 .expect("every label leads back to the first layer");
-            push_merged(&mut hops, label.hop);
+            hops.push(label.hop);
             at = self
                 .boundaries
                 .binary_search(&label.hop.layers.first)
@@ -198,15 +198,20 @@
     }
 }
 
-/// Adds a hop in front of `hops`, which are in reverse order.
+/// Makes every engine serve one stage only.
 ///
-/// A path that leaves an engine and comes back stays there instead, since the
-/// engine holds every layer between; an engine thus serves one stage only.
-fn push_merged(hops: &mut SmallVec<[Hop; 4]>, hop: Hop) {
-    let Some(seen) = hops.iter().position(|known| known.edge == hop.edge) else {
-        hops.push(hop);
-        return;
-    };
-    hops.truncate(seen + 1);
-    hops[seen].layers.first = hop.layers.first;
+/// A path that leaves an engine and comes back stays there instead, which it
+/// can, since the engine holds every layer between.
+pub(crate) fn merge_revisits(hops: &[Hop]) -> SmallVec<[Hop; 4]> {
+    let mut merged: SmallVec<[Hop; 4]> = SmallVec::new();
+    for hop in hops {
+        match merged.iter().position(|known| known.edge == hop.edge) {
+            Some(seen) => {
+                merged.truncate(seen + 1);
+                merged[seen].layers.end = hop.layers.end;
+            }
+            None => merged.push(*hop),
+        }
+    }
+    merged
 }
