--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,6 +4,9 @@
 //! actions; none performs input or output.
 
 pub mod admission;
+pub mod bound;
 pub mod choice;
 pub mod stream;
 pub mod timer;
+
+mod path;
