--- a/routing/src/stream/entry/mod.rs
+++ b/routing/src/stream/entry/mod.rs
@@ -7,7 +7,7 @@
 mod recovery;
 mod stream;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use jujubewall_protocol::stream::Route;
@@ -63,7 +63,7 @@
 #[derive(Debug)]
 pub struct EntryStreams {
     settings: EntrySettings,
-    streams: HashMap<RequestId, Stream>,
+    streams: BTreeMap<RequestId, Stream>,
     timers: Timers<RequestId>,
     fx: Effects,
 }
@@ -73,7 +73,7 @@
     pub fn new(own_address: SocketAddr, settings: EntrySettings) -> Self {
         Self {
             settings,
-            streams: HashMap::new(),
+            streams: BTreeMap::new(),
             timers: Timers::new(),
             fx: Effects::new(own_address),
         }
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod model_fold;
 pub mod relay;
 pub mod service;
+pub mod stream_network;
 pub mod weight_store;
 
 mod platform_answer;
--- /dev/null
+++ b/testutils/src/stream_network/engine_host.rs
@@ -0,0 +1,195 @@
+//! An engine and the admission in front of it.
+
+use std::pin::pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+use std::time::Duration;
+
+use jujubewall_protocol::stream::KvCache;
+use jujubewall_routing::stream::action::AgentAction;
+use jujubewall_routing::stream::action::StageError;
+use jujubewall_routing::stream::action::StageStep;
+use jujubewall_routing::stream::agent::AgentStreams;
+use jujubewall_routing::stream::agent::StageKey;
+use jujubewall_types::config::Assignment;
+use jujubewall_types::id::Attempt;
+use jujubewall_types::id::RequestId;
+use jujubewall_upstream::engine::CacheExport;
+use jujubewall_upstream::engine::Engine as _;
+use jujubewall_upstream::engine::EngineStep;
+use jujubewall_upstream::error::UpstreamError;
+use tokio::time::Instant;
+
+use super::topology::NetworkSettings;
+use crate::engine::EngineSettings;
+use crate::engine::FakeEngine;
+
+/// A call whose result the agent awaits.
+pub(super) enum EngineCall {
+    Admit(StageKey),
+    Run(StageKey, StageStep),
+    Export(StageKey, RequestId),
+    Import(StageKey, RequestId, Attempt, KvCache),
+}
+
+/// An engine that runs one step after the other on the network's instants.
+pub(super) struct EngineHost {
+    engine: FakeEngine,
+    times: EngineSettings,
+    cache_position_layer: Duration,
+    busy_until: Option<Instant>,
+    pub(super) is_leaving: bool,
+}
+
+impl EngineHost {
+    /// Creates an engine that holds an assignment.
+    ///
+    /// The engine itself computes at once; the host adds the time that it takes.
+    pub(super) fn new(settings: &NetworkSettings, assignment: Assignment) -> Self {
+        let times = settings.engine.clone();
+        let engine = FakeEngine::new(EngineSettings {
+            decode_token_layer: Duration::ZERO,
+            prefill_token_layer: Duration::ZERO,
+            ..times.clone()
+        });
+        engine.hold(assignment);
+        Self {
+            engine,
+            times,
+            cache_position_layer: settings.cache_position_layer,
+            busy_until: None,
+            is_leaving: false,
+        }
+    }
+
+    pub(super) const fn engine(&self) -> &FakeEngine {
+        &self.engine
+    }
+
+    pub(super) fn kill(&mut self) {
+        self.engine.kill();
+    }
+
+    pub(super) fn restart(&mut self, assignment: Assignment) {
+        self.engine.restart();
+        self.engine.hold(assignment);
+        self.busy_until = None;
+        self.is_leaving = false;
+    }
+
+    /// Begins what an action asks for, and returns when its result comes.
+    pub(super) fn begin(
+        &mut self,
+        action: AgentAction,
+        now: Instant,
+    ) -> Option<(Instant, EngineCall)> {
+        match action {
+            AgentAction::Admit { ticket, .. } => Some((now, EngineCall::Admit(ticket))),
+            AgentAction::RunStep { ticket, step, .. } => {
+                let work = step.positions * step.layers.len();
+                let duration = self.times.token_layer(step.positions) * work;
+                let end = self.occupy(now, duration);
+                Some((end, EngineCall::Run(ticket, step)))
+            }
+            AgentAction::ExportCache {
+                ticket, request, ..
+            } => Some((now, EngineCall::Export(ticket, request))),
+            AgentAction::ImportCache {
+                ticket,
+                request,
+                attempt,
+                cache,
+                ..
+            } => {
+                let work = cache.positions * cache.layers.len();
+                let end = now + self.cache_position_layer * work;
+                Some((end, EngineCall::Import(ticket, request, attempt, cache)))
+            }
+            AgentAction::Release {
+                request, attempt, ..
+            } => {
+                // A dead engine has nothing to release.
+                let _ = ready(self.engine.release(request, attempt));
+                None
+            }
+            AgentAction::Ended { .. } | AgentAction::Send { .. } => None,
+        }
+    }
+
+    /// Gives the result of a call to the agent.
+    pub(super) fn finish(
+        &self,
+        call: EngineCall,
+        now: Instant,
+        streams: &mut AgentStreams,
+    ) -> Vec<AgentAction> {
+        match call {
+            EngineCall::Admit(ticket) => streams.on_admitted(now, ticket),
+            EngineCall::Run(ticket, step) => {
+                let output = ready(self.engine.run(engine_step(step)));
+                let result = output.map(|output| output.payload);
+                streams.on_step_done(now, ticket, result.map_err(|error| stage_error(&error)))
+            }
+            EngineCall::Export(ticket, request) => {
+                let cache = ready(self.engine.export_cache(request));
+                let result = cache.map(kv_cache).map_err(|error| stage_error(&error));
+                streams.on_exported(now, ticket, result)
+            }
+            EngineCall::Import(ticket, request, attempt, cache) => {
+                let cache = CacheExport {
+                    layers: cache.layers,
+                    positions: cache.positions,
+                    payload: cache.payload,
+                };
+                let result = ready(self.engine.import_cache(request, attempt, cache));
+                streams.on_imported(now, ticket, result.map_err(|error| stage_error(&error)))
+            }
+        }
+    }
+
+    fn occupy(&mut self, now: Instant, duration: Duration) -> Instant {
+        let start = self.busy_until.map_or(now, |end| end.max(now));
+        let end = start + duration;
+        self.busy_until = Some(end);
+        end
+    }
+}
+
+/// Takes the result of a call that does not wait.
+fn ready<T>(call: impl Future<Output = Result<T, UpstreamError>>) -> Result<T, UpstreamError> {
+    let mut context = Context::from_waker(Waker::noop());
+    match pin!(call).poll(&mut context) {
+        Poll::Ready(result) => result,
+        Poll::Pending => Err(UpstreamError::ReplyLost("the engine hangs".into())),
+    }
+}
+
+fn engine_step(step: StageStep) -> EngineStep {
+    EngineStep {
+        request: step.request,
+        attempt: step.attempt,
+        model: step.model,
+        version: step.version,
+        first_position: step.first_position,
+        positions: step.positions,
+        layers: step.layers,
+        is_last: step.is_last,
+        priority: step.priority,
+        payload: step.payload,
+    }
+}
+
+fn kv_cache(cache: CacheExport) -> KvCache {
+    KvCache {
+        layers: cache.layers,
+        positions: cache.positions,
+        payload: cache.payload,
+    }
+}
+
+fn stage_error(error: &UpstreamError) -> StageError {
+    StageError {
+        message: error.to_string(),
+    }
+}
