routing: recover a stream without running anything twice

Tokens that reached the first or last stage but not the entry are taken over, so that a cut between the entry and one stage makes no stage forget its work. A leaving stage's newest output goes along with its KV cache, so that the next stage lacks nothing. A stage whose input fails to arrive repeatedly is replaced, then the one before it.

--- a/protocol/src/stream.rs
+++ b/protocol/src/stream.rs
@@ -142,7 +142,7 @@
 }
 
 /// What a stage holds, told before it is resumed or left.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StageHeld {
     /// The stream.
     pub id: StreamId,
@@ -150,6 +150,8 @@
     pub stage: u8,
     /// What the stage holds.
     pub held: HeldState,
+    /// The tokens after the known ones, as far as a first or last stage has seen them.
+    pub tokens: Vec<Token>,
 }
 
 /// The order to a stage of a later attempt to go on.
@@ -227,6 +229,8 @@
     pub stage: u8,
     /// The engine that stops.
     pub upstream: UpstreamName,
+    /// The number of tokens that the entry knows.
+    pub known_tokens: u32,
 }
 
 /// The order to send a KV cache, or the copy of one, to another agent.
@@ -251,6 +255,19 @@
     pub stage: u8,
     /// The cache.
     pub cache: KvCache,
+    /// The stage's newest output, which the next stage may still lack.
+    pub output: Option<StageOutput>,
+}
+
+/// Consecutive positions of a stage's output.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StageOutput {
+    /// The first position.
+    pub first: u32,
+    /// The number of positions.
+    pub positions: u32,
+    /// One record for each position, all of the same length.
+    pub payload: Bytes,
 }
 
 /// A KV cache in the engine's own format.
--- a/routing/src/stream/agent/early.rs
+++ b/routing/src/stream/agent/early.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
+use jujubewall_protocol::stream::StageOutput;
 use jujubewall_protocol::stream::Step;
 use jujubewall_protocol::stream::StreamId;
 
-use crate::stream::agent::retained::OutputChunk;
+use crate::stream::agent::retained::starting_at;
 
 /// The steps of one stage that wait for their turn, by first position.
 #[derive(Clone, Debug, Default)]
@@ -35,19 +36,19 @@
     }
 
     /// Takes the part of a step that begins exactly at `ran`.
-    pub fn take_at(&mut self, ran: u32) -> Option<OutputChunk> {
+    pub fn take_at(&mut self, ran: u32) -> Option<StageOutput> {
         while let Some(entry) = self.steps.first_entry() {
             if *entry.key() > ran {
                 return None;
             }
             let step = entry.remove();
             self.bytes -= step.payload.len() as u64;
-            let chunk = OutputChunk {
+            let chunk = StageOutput {
                 first: step.first_position.0,
                 positions: step.positions,
                 payload: step.payload,
             };
-            if let Some(part) = chunk.starting_at(ran) {
+            if let Some(part) = starting_at(&chunk, ran) {
                 return Some(part);
             }
         }
--- a/routing/src/stream/agent/handlers.rs
+++ b/routing/src/stream/agent/handlers.rs
@@ -51,7 +51,7 @@
             StreamMessage::SendCache(order) => self.on_send_cache(now, order),
             StreamMessage::Cache(transfer) => {
                 self.update_at(now, transfer.id, transfer.stage, |stage, fx| {
-                    stage.take_cache(transfer.cache, fx);
+                    stage.take_cache(*transfer, fx);
                 });
             }
             StreamMessage::Checkpoint(transfer) => self.on_checkpoint(now, *transfer),
@@ -193,13 +193,18 @@
     }
 
     fn on_quiesce(&mut self, now: Instant, quiesce: &QuiesceStage) {
-        let (id, stage) = (quiesce.id, quiesce.stage);
+        let id = quiesce.id;
         let is_meant = |found: &Stage| {
             found.own().upstream == quiesce.upstream && found.open.id.attempt < id.attempt
         };
         if let Some(key) = self.find_where(id.request, is_meant) {
             self.update(now, key, |found, fx| {
-                found.settle(Settled::Quiesced { id, stage }, fx);
+                let settled = Settled::Quiesced {
+                    id,
+                    stage: quiesce.stage,
+                    known_tokens: quiesce.known_tokens,
+                };
+                found.settle(settled, fx);
             });
         }
     }
@@ -226,6 +231,7 @@
                 id: order.id,
                 stage: order.stage,
                 cache: copy.cache,
+                output: None,
             });
             self.fx
                 .send(order.to_address, StreamMessage::Cache(transfer));
--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -4,10 +4,10 @@
 mod closed;
 mod early;
 mod effects;
-mod generated;
 mod handlers;
 mod retained;
 mod stage;
+mod token_log;
 mod transfer;
 
 use std::collections::HashMap;
--- a/routing/src/stream/agent/retained.rs
+++ b/routing/src/stream/agent/retained.rs
@@ -3,58 +3,46 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
+use jujubewall_protocol::stream::StageOutput;
 
 use crate::stream::payload;
 
 /// Consecutive outputs that end where the stage's KV cache ends.
 #[derive(Clone, Debug, Default)]
 pub struct RetainedOutputs {
-    chunks: VecDeque<OutputChunk>,
+    chunks: VecDeque<StageOutput>,
     bytes: u64,
 }
 
-/// The output of one step.
-#[derive(Clone, Debug)]
-pub struct OutputChunk {
-    /// The first position.
-    pub first: u32,
-    /// The number of positions.
-    pub positions: u32,
-    /// One record for each position.
-    pub payload: Bytes,
+/// Returns the position after the last one of `output`.
+pub const fn end_of(output: &StageOutput) -> u32 {
+    output.first + output.positions
 }
 
-impl OutputChunk {
-    /// Returns the position after the last one.
-    pub const fn end(&self) -> u32 {
-        self.first + self.positions
+/// Returns the part of `output` from `from` on, unless nothing is left.
+pub fn starting_at(output: &StageOutput, from: u32) -> Option<StageOutput> {
+    if from >= end_of(output) {
+        return None;
     }
+    let skipped = from.saturating_sub(output.first);
+    Some(StageOutput {
+        first: output.first + skipped,
+        positions: output.positions - skipped,
+        payload: payload::skip_positions(&output.payload, output.positions, skipped),
+    })
+}
 
-    /// Returns the part of the chunk from `from` on, unless nothing is left.
-    pub fn starting_at(&self, from: u32) -> Option<Self> {
-        if from >= self.end() {
-            return None;
-        }
-        let skipped = from.saturating_sub(self.first);
-        Some(Self {
-            first: self.first + skipped,
-            positions: self.positions - skipped,
-            payload: payload::skip_positions(&self.payload, self.positions, skipped),
-        })
-    }
-
-    /// Returns the part of the chunk before `end`, unless nothing is left.
-    fn ending_at(&self, end: u32) -> Option<Self> {
-        if end <= self.first {
-            return None;
-        }
-        let positions = self.positions.min(end - self.first);
-        Some(Self {
-            first: self.first,
-            positions,
-            payload: payload::take_positions(&self.payload, self.positions, positions),
-        })
+/// Returns the part of `output` before `end`, unless nothing is left.
+fn ending_at(output: &StageOutput, end: u32) -> Option<StageOutput> {
+    if end <= output.first {
+        return None;
     }
+    let positions = output.positions.min(end - output.first);
+    Some(StageOutput {
+        first: output.first,
+        positions,
+        payload: payload::take_positions(&output.payload, output.positions, positions),
+    })
 }
 
 impl RetainedOutputs {
@@ -69,16 +57,16 @@
     }
 
     /// Keeps the output that follows what is kept.
-    pub fn push(&mut self, chunk: OutputChunk) {
+    pub fn push(&mut self, chunk: StageOutput) {
         self.bytes += chunk.payload.len() as u64;
         self.chunks.push_back(chunk);
     }
 
     /// Forgets outputs of positions from `end` on.
     pub fn truncate(&mut self, end: u32) {
-        while let Some(chunk) = self.chunks.pop_back_if(|chunk| chunk.end() > end) {
+        while let Some(chunk) = self.chunks.pop_back_if(|chunk| end_of(chunk) > end) {
             self.bytes -= chunk.payload.len() as u64;
-            if let Some(part) = chunk.ending_at(end) {
+            if let Some(part) = ending_at(&chunk, end) {
                 self.push(part);
             }
         }
@@ -90,6 +78,11 @@
         self.bytes = 0;
     }
 
+    /// Returns the newest output.
+    pub fn newest(&self) -> Option<&StageOutput> {
+        self.chunks.back()
+    }
+
     /// Forgets every output but the newest, so that a lost message can be repeated.
     pub fn keep_newest(&mut self) {
         while self.chunks.len() > 1 {
@@ -100,14 +93,14 @@
     }
 
     /// Returns the outputs from `from` on in steps of at most `chunk_positions`.
-    pub fn replay(&self, from: u32, chunk_positions: u32) -> Vec<OutputChunk> {
+    pub fn replay(&self, from: u32, chunk_positions: u32) -> Vec<StageOutput> {
         let mut steps = Vec::new();
-        let mut parts: Vec<OutputChunk> = Vec::new();
+        let mut parts: Vec<StageOutput> = Vec::new();
         let mut positions = 0;
         for chunk in self
             .chunks
             .iter()
-            .filter_map(|chunk| chunk.starting_at(from))
+            .filter_map(|chunk| starting_at(chunk, from))
         {
             if positions > 0 && positions + chunk.positions > chunk_positions {
                 steps.extend(join(&parts));
@@ -123,10 +116,10 @@
 }
 
 /// Joins consecutive chunks to one.
-fn join(parts: &[OutputChunk]) -> Option<OutputChunk> {
+fn join(parts: &[StageOutput]) -> Option<StageOutput> {
     let first = parts.first()?;
     let payloads: Vec<Bytes> = parts.iter().map(|part| part.payload.clone()).collect();
-    Some(OutputChunk {
+    Some(StageOutput {
         first: first.first,
         positions: parts.iter().map(|part| part.positions).sum(),
         payload: payload::join(&payloads),
--- a/routing/src/stream/agent/stage.rs
+++ b/routing/src/stream/agent/stage.rs
@@ -13,6 +13,7 @@
 use jujubewall_protocol::stream::StageActivity;
 use jujubewall_protocol::stream::StageFailed;
 use jujubewall_protocol::stream::StageHeld;
+use jujubewall_protocol::stream::StageOutput;
 use jujubewall_protocol::stream::Step;
 use jujubewall_protocol::stream::StreamId;
 use jujubewall_protocol::stream::StreamMessage;
@@ -27,9 +28,10 @@
 use crate::stream::agent::StageKey;
 use crate::stream::agent::early::WaitingSteps;
 use crate::stream::agent::effects::Effects;
-use crate::stream::agent::generated::GeneratedTokens;
-use crate::stream::agent::retained::OutputChunk;
 use crate::stream::agent::retained::RetainedOutputs;
+use crate::stream::agent::retained::end_of;
+use crate::stream::agent::retained::starting_at;
+use crate::stream::agent::token_log::TokenLog;
 use crate::stream::agent::transfer::Transfers;
 use crate::stream::invariant::StreamInvariant;
 use crate::stream::payload;
@@ -74,15 +76,19 @@
         id: StreamId,
         /// The index of the other stage.
         stage: u8,
+        /// The number of tokens that the entry knows.
+        known_tokens: u32,
     },
 }
 
 /// A step that the engine computes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct RunningStep {
     attempt: Attempt,
     first: u32,
     positions: u32,
+    /// The tokens of a first stage's step.
+    tokens: Bytes,
     deadline: Instant,
 }
 
@@ -119,7 +125,7 @@
     ran_attempt: Attempt,
     send_from: u32,
     running: Option<RunningStep>,
-    tokens: GeneratedTokens,
+    tokens: TokenLog,
 }
 
 impl Stage {
@@ -139,7 +145,7 @@
             ran_attempt: Attempt(0),
             send_from: 0,
             running: None,
-            tokens: GeneratedTokens::default(),
+            tokens: TokenLog::default(),
         }
     }
 
@@ -206,7 +212,7 @@
     /// Returns what the stage holds.
     pub fn held(&self) -> HeldState {
         let retained_from = if self.is_last() {
-            self.tokens.first_output(self.ran)
+            self.tokens.first().map_or(self.ran, |first| first - 1)
         } else {
             self.outputs.first(self.ran)
         };
@@ -235,6 +241,7 @@
             id: self.open.id,
             stage: self.open.stage,
             held: self.held(),
+            tokens: self.tokens.since(self.open.known_tokens),
         };
         fx.send(self.open.entry_address, StreamMessage::Opened(held));
     }
@@ -280,10 +287,19 @@
                 self.begin();
                 self.tell_opened(fx);
             }
-            Settled::Quiesced { id, stage } => {
+            Settled::Quiesced {
+                id,
+                stage,
+                known_tokens,
+            } => {
                 self.phase = Phase::Quiesced;
-                let held = self.held();
-                let quiesced = StageHeld { id, stage, held };
+                self.outputs.keep_newest();
+                let quiesced = StageHeld {
+                    id,
+                    stage,
+                    held: self.held(),
+                    tokens: self.tokens.since(known_tokens),
+                };
                 fx.send(self.open.entry_address, StreamMessage::Quiesced(quiesced));
             }
         }
@@ -309,9 +325,12 @@
     }
 
     /// Notes that the engine holds a KV cache of `positions` that it did not compute.
-    pub fn set_ran(&mut self, positions: u32) {
+    pub fn set_ran(&mut self, positions: u32, output: Option<StageOutput>) {
         self.truncate(0);
         self.ran = positions;
+        if let Some(output) = output.filter(|output| end_of(output) == positions) {
+            self.outputs.push(output);
+        }
     }
 
     /// Goes on from what the stage holds.
@@ -362,6 +381,11 @@
             attempt: self.open.id.attempt,
             first: input.first,
             positions: input.positions,
+            tokens: if self.open.stage == 0 {
+                input.payload.clone()
+            } else {
+                Bytes::new()
+            },
             deadline: now + timeout(input.positions),
         });
         let step = self.engine_step(input);
@@ -372,7 +396,7 @@
         });
     }
 
-    fn engine_step(&self, input: OutputChunk) -> StageStep {
+    fn engine_step(&self, input: StageOutput) -> StageStep {
         StageStep {
             request: self.open.id.request,
             attempt: self.open.id.attempt,
@@ -397,9 +421,13 @@
         let is_current = self.phase == Phase::Running;
         if self.is_last() {
             self.take_token(&output, is_current, fx);
-        } else {
-            self.take_activations(step, output, is_current, fx);
+            return;
         }
+        if self.open.stage == 0 {
+            let answer_start = self.open.prompt_tokens;
+            self.tokens.extend(step.first, &step.tokens, answer_start);
+        }
+        self.take_activations(&step, output, is_current, fx);
     }
 
     /// Notes that the engine has lost the KV cache.
@@ -414,7 +442,8 @@
     /// Returns when the engine is to have finished the step that it computes.
     pub fn step_deadline(&self) -> Option<Instant> {
         let is_timed = self.phase == Phase::Running;
-        self.running.filter(|_| is_timed).map(|step| step.deadline)
+        let running = self.running.as_ref().filter(|_| is_timed);
+        running.map(|step| step.deadline)
     }
 
     fn take_token(&mut self, output: &Bytes, is_current: bool, fx: &mut Effects) {
@@ -434,7 +463,7 @@
 
     fn take_activations(
         &mut self,
-        step: RunningStep,
+        step: &RunningStep,
         output: Bytes,
         is_current: bool,
         fx: &mut Effects,
@@ -444,18 +473,18 @@
             self.fail("the engine's activations are malformed", fx);
             return;
         }
-        let chunk = OutputChunk {
+        let chunk = StageOutput {
             first: step.first,
             positions: step.positions,
             payload: output,
         };
         self.outputs.push(chunk.clone());
-        if is_current && let Some(part) = chunk.starting_at(self.send_from) {
+        if is_current && let Some(part) = starting_at(&chunk, self.send_from) {
             self.send_output(part, fx);
         }
     }
 
-    fn send_output(&self, chunk: OutputChunk, fx: &mut Effects) {
+    fn send_output(&self, chunk: StageOutput, fx: &mut Effects) {
         let Some(next) = self.next() else {
             return;
         };
@@ -489,11 +518,9 @@
         self.ran = self.ran.min(keep);
         self.transfers.truncate(keep);
         self.outputs.truncate(keep);
-        if keep == 0 {
-            self.tokens.clear();
-        } else {
-            self.tokens.truncate_after(keep);
-        }
+        // The output of the last position that is kept is the token after it.
+        let generated = u32::from(self.is_last() && keep > 0);
+        self.tokens.truncate(keep + generated);
     }
 }
 
--- a/routing/src/stream/agent/transfer.rs
+++ b/routing/src/stream/agent/transfer.rs
@@ -4,6 +4,7 @@
 use jujubewall_protocol::stream::KvCache;
 use jujubewall_protocol::stream::ResumeStage;
 use jujubewall_protocol::stream::SendCache;
+use jujubewall_protocol::stream::StageOutput;
 use jujubewall_protocol::stream::StreamId;
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_types::id::Attempt;
@@ -17,17 +18,18 @@
 /// The KV caches that a stage waits for or gives away.
 #[derive(Debug, Default)]
 pub struct Transfers {
-    early_cache: Option<KvCache>,
+    early_cache: Option<CacheTransfer>,
     import: Option<Import>,
     export: Option<Export>,
     copied: u32,
 }
 
 /// An order to resume that waits for a KV cache.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Import {
     resume: ResumeStage,
     positions: u32,
+    output: Option<StageOutput>,
 }
 
 /// A KV cache that the engine exports.
@@ -53,25 +55,29 @@
 impl Stage {
     /// Waits for a KV cache before it does what `resume` says.
     pub fn await_cache(&mut self, resume: ResumeStage, until: Instant, fx: &mut Effects) {
-        let positions = 0;
-        self.transfers.import = Some(Import { resume, positions });
+        self.transfers.import = Some(Import {
+            resume,
+            positions: 0,
+            output: None,
+        });
         self.phase = Phase::AwaitingCache { until };
-        if let Some(cache) = self.transfers.early_cache.take() {
-            self.take_cache(cache, fx);
+        if let Some(transfer) = self.transfers.early_cache.take() {
+            self.take_cache(transfer, fx);
         }
     }
 
     /// Gives a KV cache to the engine, or keeps it until it is awaited.
-    pub fn take_cache(&mut self, cache: KvCache, fx: &mut Effects) {
+    pub fn take_cache(&mut self, transfer: CacheTransfer, fx: &mut Effects) {
         match self.phase {
-            Phase::Opened => self.transfers.early_cache = Some(cache),
-            Phase::AwaitingCache { .. } => self.import_cache(cache, fx),
+            Phase::Opened => self.transfers.early_cache = Some(transfer),
+            Phase::AwaitingCache { .. } => self.import_cache(transfer, fx),
             _ => {}
         }
     }
 
-    fn import_cache(&mut self, cache: KvCache, fx: &mut Effects) {
-        let Some(import) = self.transfers.import else {
+    fn import_cache(&mut self, transfer: CacheTransfer, fx: &mut Effects) {
+        let cache = transfer.cache;
+        let Some(import) = self.transfers.import.take() else {
             return;
         };
         if cache.layers != self.own().layers || cache.positions < import.resume.keep {
@@ -80,6 +86,7 @@
         }
         self.transfers.import = Some(Import {
             positions: cache.positions,
+            output: transfer.output,
             ..import
         });
         self.phase = Phase::Importing;
@@ -98,7 +105,7 @@
             return;
         }
         if let Some(import) = self.transfers.import.take() {
-            self.set_ran(import.positions);
+            self.set_ran(import.positions, import.output);
             self.resume(import.resume, chunk_positions, fx);
         }
     }
@@ -148,7 +155,12 @@
         };
         if let Some(order) = export.order {
             let (id, stage) = (order.id, order.stage);
-            let transfer = Box::new(CacheTransfer { id, stage, cache });
+            let transfer = Box::new(CacheTransfer {
+                id,
+                stage,
+                cache,
+                output: self.outputs.newest().cloned(),
+            });
             fx.send(order.to_address, StreamMessage::Cache(transfer));
             self.phase = Phase::Ending;
         } else if export.attempt == self.ran_attempt() {
@@ -159,6 +171,7 @@
                 },
                 stage: self.open.stage,
                 cache,
+                output: None,
             });
             let holder = self.copy_holder().agent_address;
             fx.send(holder, StreamMessage::Checkpoint(transfer));
--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -44,8 +44,8 @@
     fx: &mut Effects,
 ) {
     match message {
-        StreamMessage::Opened(opened) => on_opened(now, stream, opened, settings, fx),
-        StreamMessage::Quiesced(held) => on_quiesced(now, stream, held, settings, fx),
+        StreamMessage::Opened(opened) => on_opened(now, stream, &opened, settings, fx),
+        StreamMessage::Quiesced(held) => on_quiesced(now, stream, &held, settings, fx),
         StreamMessage::Token(token) => on_token(now, stream, &token, settings, fx),
         StreamMessage::Refused(refused) => on_refused(now, stream, refused, settings, fx),
         StreamMessage::Failed(failed) if usize::from(failed.stage) < stream.route.len() => {
@@ -74,33 +74,61 @@
 fn on_opened(
     now: Instant,
     stream: &mut Stream,
-    opened: StageHeld,
+    opened: &StageHeld,
     settings: &EntrySettings,
     fx: &mut Effects,
 ) {
-    if let Phase::Opening(opening) = &mut stream.phase
-        && let Some(held) = opening.held.get_mut(usize::from(opened.stage))
-    {
+    let Phase::Opening(opening) = &mut stream.phase else {
+        return;
+    };
+    if let Some(held) = opening.held.get_mut(usize::from(opened.stage)) {
         *held = Some(opened.held);
     }
+    adopt_tokens(now, stream, opened, fx);
     recovery::start_if_opened(now, stream, settings, fx);
 }
 
 fn on_quiesced(
     now: Instant,
     stream: &mut Stream,
-    quiesced: StageHeld,
+    quiesced: &StageHeld,
     settings: &EntrySettings,
     fx: &mut Effects,
 ) {
-    if let Phase::Opening(opening) = &mut stream.phase
-        && let Some(source) = &mut opening.source
-    {
+    let Phase::Opening(opening) = &mut stream.phase else {
+        return;
+    };
+    if let Some(source) = &mut opening.source {
         source.held = Some(quiesced.held);
     }
+    adopt_tokens(now, stream, quiesced, fx);
     recovery::start_if_opened(now, stream, settings, fx);
 }
 
+/// Commits tokens of the attempt before that reached a stage but not the entry.
+///
+/// Only that attempt could generate them, and what the stages computed from
+/// them need not run again.
+fn adopt_tokens(now: Instant, stream: &mut Stream, told: &StageHeld, fx: &mut Effects) {
+    if told.held.attempt.next() != stream.attempt {
+        return;
+    }
+    let adopted = (stream.known_tokens() - stream.attempt_known) as usize;
+    let left = (stream.total_tokens() - stream.known_tokens()) as usize;
+    let tokens = told.tokens.iter().skip(adopted).take(left);
+    let tokens: SmallVec<[Token; 4]> = tokens.copied().collect();
+    if tokens.is_empty() {
+        return;
+    }
+    stream.tokens.extend_from_slice(&tokens);
+    stream.lineage.extend_start(stream.known_tokens());
+    stream.last_token = now;
+    deliver(stream, tokens, fx);
+    if stream.is_whole() {
+        finish(stream, fx);
+    }
+}
+
 /// A refusal that another upstream may not share leads to another route.
 fn on_refused(
     now: Instant,
--- a/routing/src/stream/entry/plan.rs
+++ b/routing/src/stream/entry/plan.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// The number of its positions that belong to the answer.
     pub positions: u32,
+    /// The first position whose output comes with it.
+    pub retained_from: u32,
 }
 
 /// What a stage of the new attempt does.
@@ -63,6 +65,13 @@
         self.known_at_start.push(known_tokens);
     }
 
+    /// Notes that the current attempt begins with more tokens than was said before.
+    pub fn extend_start(&mut self, known_tokens: u32) {
+        if let Some(start) = self.known_at_start.last_mut() {
+            *start = known_tokens;
+        }
+    }
+
     /// Returns how many of the positions that were run in `attempt` belong to the answer.
     ///
     /// Attempts count from one. What the current attempt itself has run is not
@@ -98,7 +107,7 @@
         .source
         .filter(|source| source.positions > means.cached);
     let cached = source.map_or(means.cached, |source| source.positions);
-    let retained_from = source.map_or(means.retained_from, |source| source.positions);
+    let retained_from = source.map_or(means.retained_from, |source| source.retained_from);
     let can_send = lacked_from >= retained_from;
     let keep = if can_send {
         cached
--- a/routing/src/stream/entry/probe.rs
+++ b/routing/src/stream/entry/probe.rs
@@ -80,18 +80,9 @@
     }
     watch.answers.clear();
     watch.due = now + settings.probe_timeout();
-    note_progress(watch, &answers);
     repair(now, stream, &answers, settings, fx);
 }
 
-fn note_progress(watch: &mut Watch, answers: &[StageProgress]) {
-    let ran_sum = answers.iter().map(|answer| u64::from(answer.ran)).sum();
-    if ran_sum > watch.ran_sum {
-        watch.repairs = 0;
-    }
-    watch.ran_sum = ran_sum;
-}
-
 fn silent_stages(watch: &Watch) -> SmallVec<[u8; 4]> {
     let answers = watch.answers.iter().enumerate();
     let silent = answers.filter(|(_, answer)| answer.is_none());
@@ -119,9 +110,10 @@
     let Phase::Running(watch) = &mut stream.phase else {
         return;
     };
-    watch.repairs += 1;
+    watch.repaired();
     if watch.repairs > settings.max_repairs {
-        recover(now, stream, &[starved.stage], true, settings, fx);
+        let lost = blamed_stage(stream, starved.stage);
+        recover(now, stream, &[lost], true, settings, fx);
     } else {
         repeat_input(stream, starved, settings, fx);
     }
@@ -140,6 +132,18 @@
     None
 }
 
+/// Returns the stage to replace when input does not arrive at `starved`.
+///
+/// The first time it is the receiver; if that did not help, it is the sender.
+fn blamed_stage(stream: &mut Stream, starved: u8) -> u8 {
+    let last = stage_index(stream.route.len() - 1);
+    if stream.last_starved.replace(starved) == Some(starved) {
+        starved.checked_sub(1).unwrap_or(last)
+    } else {
+        starved
+    }
+}
+
 fn repeat_input(
     stream: &mut Stream,
     starved: StageProgress,
--- a/routing/src/stream/entry/recovery.rs
+++ b/routing/src/stream/entry/recovery.rs
@@ -170,6 +170,7 @@
             id: stream.stream_id(),
             stage: stage_index(stage),
             upstream: old.upstream.clone(),
+            known_tokens: stream.known_tokens(),
         },
         old_stage,
         held: None,
@@ -253,9 +254,18 @@
         && let Some(held) = source.held
     {
         let agent = opening.old_route[usize::from(source.old_stage)].agent_address;
-        means[usize::from(source.quiesce.stage)].source = Some(CacheSource {
+        let old = StageMeans::new(&held, &stream.lineage);
+        let index = usize::from(source.quiesce.stage);
+        let is_last = index + 1 == means.len();
+        means[index].source = Some(CacheSource {
             address: agent,
-            positions: StageMeans::new(&held, &stream.lineage).cached,
+            positions: old.cached,
+            // A last stage's output are tokens, which the entry has taken over.
+            retained_from: if is_last {
+                old.cached
+            } else {
+                old.retained_from
+            },
         });
     }
     means
@@ -271,7 +281,11 @@
             .lineage
             .valid_positions(copy.attempt.0, copy.positions);
         let address = stage.agent_address;
-        (copy.layers == layers).then_some(CacheSource { address, positions })
+        (copy.layers == layers).then_some(CacheSource {
+            address,
+            positions,
+            retained_from: positions,
+        })
     });
     copies.max_by_key(|source| source.positions)
 }
--- a/routing/src/stream/entry/stream.rs
+++ b/routing/src/stream/entry/stream.rs
@@ -28,6 +28,9 @@
 use crate::stream::payload;
 use crate::timer::TimerSlot;
 
+/// The number of tokens after which an earlier repair counts no longer.
+const REPAIR_MEMORY_TOKENS: u32 = 64;
+
 /// What an entry does next for a stream.
 #[derive(Clone, Debug)]
 pub enum Phase {
@@ -81,10 +84,10 @@
     pub answers: Vec<Option<StageProgress>>,
     /// The number of times that the current probes were sent.
     pub rounds: u32,
-    /// The number of positions that all stages had run at the last answers.
-    pub ran_sum: u64,
-    /// The number of repairs since the last progress.
+    /// The number of repairs that were not followed by a long undisturbed run.
     pub repairs: u32,
+    /// The number of tokens since the last repair.
+    pub tokens_since_repair: u32,
     /// The stage that is to move once a route is chosen.
     pub moving: Option<u8>,
 }
@@ -96,18 +99,27 @@
             due,
             answers: Vec::new(),
             rounds: 0,
-            ran_sum: 0,
             repairs: 0,
+            tokens_since_repair: 0,
             moving: None,
         }
     }
 
     /// Notes that the stream goes on; it is looked at again at `due`.
     pub fn progressed(&mut self, due: Instant) {
-        *self = Self {
-            moving: self.moving,
-            ..Self::new(due)
-        };
+        self.due = due;
+        self.answers.clear();
+        self.rounds = 0;
+        self.tokens_since_repair += 1;
+        if self.tokens_since_repair >= REPAIR_MEMORY_TOKENS {
+            self.repairs = 0;
+        }
+    }
+
+    /// Notes that a message had to be repeated.
+    pub fn repaired(&mut self) {
+        self.repairs += 1;
+        self.tokens_since_repair = 0;
     }
 }
 
@@ -129,6 +141,8 @@
     pub tokens: Vec<Token>,
     /// The current attempt.
     pub attempt: Attempt,
+    /// The number of tokens that were known when the attempt began.
+    pub attempt_known: u32,
     /// The current route.
     pub route: Route,
     /// Which computed positions belong to the answer.
@@ -147,6 +161,8 @@
     pub last_token: Instant,
     /// The stall that the current attempt is to end.
     pub stall: Option<Stall>,
+    /// The stage that was replaced last because its input did not arrive.
+    pub last_starved: Option<u8>,
     /// Whether any stage may have run.
     pub has_run: bool,
     /// The stream's timer.
@@ -160,6 +176,7 @@
         Self {
             tokens: request.prompt.clone(),
             attempt: Attempt(0),
+            attempt_known: 0,
             route: request.route.clone(),
             lineage: Lineage::default(),
             phase: Phase::Rerouting { until: now },
@@ -169,6 +186,7 @@
             mean_gap: None,
             last_token: now,
             stall: None,
+            last_starved: None,
             has_run: false,
             timer: TimerSlot::default(),
             ahead: BTreeMap::new(),
@@ -219,7 +237,8 @@
     /// Begins the next attempt on `route`.
     pub fn begin_attempt(&mut self, route: Route) {
         self.attempt = self.attempt.next();
-        self.lineage.begin_attempt(self.known_tokens());
+        self.attempt_known = self.known_tokens();
+        self.lineage.begin_attempt(self.attempt_known);
         self.route = route;
         self.ahead.clear();
         self.resumes.clear();
@@ -268,7 +287,7 @@
             priority: request.priority,
             prompt_tokens: self.total_tokens() - request.max_answer_tokens,
             max_answer_tokens: request.max_answer_tokens,
-            known_tokens: self.known_tokens(),
+            known_tokens: self.attempt_known,
             resumes,
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         }
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use jujubewall_routing::stream::settings::EntrySettings;
 use jujubewall_routing::stream::settings::RecoveryMode;
 use jujubewall_testutils::engine::EngineSettings;
 use jujubewall_testutils::stream_network::End;
@@ -165,3 +164,134 @@
 fn test_fault_before_last_token() {
     run_faults(&settings(), ANSWER_TOKENS as usize - 1, check_recovery);
 }
+
+#[test]
+fn test_start_over_runs_every_stage_again() {
+    let mut settings = settings();
+    settings.entry.recovery = RecoveryMode::StartOver;
+    run_faults(&settings, 10, |network, _, stage| {
+        assert!(longest_gap(network) <= 2 * MAX_STALL);
+        let _ = stage;
+    });
+}
+
+#[test]
+fn test_two_stages_lost_at_once() {
+    for (one, other) in [(0, 1), (0, 2), (1, 2)] {
+        let mut network = started(settings());
+        run_to(&mut network, 10);
+        network.kill(one);
+        network.freeze(other);
+        run_to(&mut network, 0);
+        assert_whole(&network);
+        let stays = 3 - one - other;
+        assert_eq!(doubled_runs(&network, stays), 0);
+    }
+}
+
+#[test]
+fn test_replacement_lost_during_recovery() {
+    let mut settings = settings();
+    settings.replicas = 3;
+    for delay_ms in [1, 100, 300, 510, 520, 530] {
+        let mut network = started(settings.clone());
+        run_to(&mut network, 10);
+        network.kill(1);
+        network.run(Duration::from_millis(delay_ms), |_| false);
+        network.kill(4);
+        run_to(&mut network, 0);
+        assert_whole(&network);
+        assert_eq!(doubled_runs(&network, 0) + doubled_runs(&network, 2), 0);
+    }
+}
+
+#[test]
+fn test_no_replacement_fails_at_once_with_advice() {
+    let mut settings = settings();
+    settings.replicas = 1;
+    let mut network = started(settings);
+    run_to(&mut network, 10);
+    network.kill(1);
+    let killed_at = network.now();
+    run_to(&mut network, 0);
+    let answer = &network.answers()[&REQUEST];
+    assert_matches!(&answer.end, Some(End::Failed(failure)) => {
+        assert_eq!(failure.kind, ErrorKind::StreamLost);
+        assert!(failure.retry_after_ms.is_some());
+    });
+    assert!(answer.ended_at.unwrap() - killed_at <= MAX_STALL);
+}
+
+#[test]
+fn test_retention_is_bounded_and_falls_back_to_running_again() {
+    let mut settings = settings();
+    settings.agent.retained_bytes = 1024;
+    run_faults(&settings, 10, |network, _, _| {
+        let kept = (0..3).map(|agent| network.retained_bytes(agent));
+        assert!(kept.max() <= Some(1024));
+    });
+}
+
+#[test]
+fn test_checkpoint_saves_running_again() {
+    let mut settings = settings();
+    settings.agent.checkpoint_positions = 16;
+    run_faults(&settings, 30, |network, fault, stage| {
+        check_recovery(network, fault, stage);
+        if matches!(fault, Fault::Kill) {
+            let runs = network.engine(stage + 3).runs_of_request(REQUEST);
+            assert!(runs < u64::from(PROMPT_TOKENS), "the cache was imported");
+        }
+    });
+}
+
+#[test]
+fn test_leaving_stage_moves_without_running_again() {
+    for stage in 0..3 {
+        let mut network = started(settings());
+        run_to(&mut network, 10);
+        network.leave(stage, Duration::from_millis(200));
+        run_to(&mut network, 0);
+        assert_whole(&network);
+        assert!(longest_gap(&network) < Duration::from_millis(100));
+        for agent in 0..network.agent_count() {
+            assert_eq!(doubled_runs(&network, agent), 0);
+        }
+        let all = (0..network.agent_count()).map(|agent| network.engine(agent));
+        let runs: u64 = all.map(|engine| engine.runs_of_request(REQUEST)).sum();
+        assert_eq!(runs, u64::from((PROMPT_TOKENS + ANSWER_TOKENS - 1) * 6));
+        assert_eq!(network.stage_count(stage), 0);
+    }
+}
+
+#[test]
+fn test_stream_that_ends_within_grace_does_not_move() {
+    let mut network = started(settings());
+    run_to(&mut network, 10);
+    network.leave(1, LONG);
+    run_to(&mut network, 0);
+    assert_whole(&network);
+    assert_eq!(network.engine(4).total_runs(), 0);
+}
+
+#[test]
+fn test_leaving_agent_takes_no_new_stream() {
+    let mut network = StreamNetwork::new(settings(), Instant::now());
+    network.leave(1, LONG);
+    network.start(0, REQUEST, vec![1, 2, 3], ANSWER_TOKENS, &[0, 1, 2]);
+    run_to(&mut network, 0);
+    assert_whole(&network);
+    assert_eq!(network.engine(1).total_runs(), 0);
+}
+
+#[test]
+fn test_cancel_lets_every_agent_forget() {
+    let mut network = started(settings());
+    run_to(&mut network, 10);
+    network.cancel(0, REQUEST);
+    network.run(LONG, |_| false);
+    for agent in 0..3 {
+        assert_eq!(network.stage_count(agent), 0);
+        assert_eq!(network.engine(agent).live_requests(), 0);
+    }
+}
