--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod service;
 pub mod site;
+pub mod stream_network;
 pub mod weight_store;
 
 mod platform_answer;
