control, daemon: translate results of notes in one place

The store's own translation replaces the daemon's, which said the same. A reused identifier is an error of its own kind and not a refused note.

--- a/cli/src/keys/authority.rs
+++ b/cli/src/keys/authority.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use jujubewall_daemon::network::tls::SHARED_SERVER_NAME;
+use jujubewall_protocol::hello::SHARED_SERVER_NAME;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::MemberName;
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -5,7 +5,6 @@
 mod calls;
 pub mod completion;
 mod credentials;
-mod note_answers;
 pub mod operators;
 mod reply;
 mod routes;
--- a/daemon/src/entry/operators.rs
+++ b/daemon/src/entry/operators.rs
@@ -12,6 +12,8 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
+use jujubewall_control::answer as note_answers;
+use jujubewall_control::audit;
 use jujubewall_control::audit::Submission;
 use jujubewall_control::change::changes;
 use jujubewall_control::item;
@@ -39,7 +41,6 @@
 use tokio::sync::watch;
 
 use crate::entry::credentials;
-use crate::entry::note_answers;
 use crate::entry::view::View;
 use crate::membership::Members;
 use crate::metrics::Metrics;
@@ -150,8 +151,12 @@
             .await
             .map_err(|error| Failure::from(&error))?;
         self.metrics.count_note(result_name(&result));
-        let status = note_http_status(&result);
-        Ok(answer::json(status, &note_answers::note_answer(result)))
+        let failure = result.failure();
+        match (note_answers::note_answer(result), failure) {
+            (Some(document), failure) => Ok(answer::json(http_status(failure), &document)),
+            (None, Some(failure)) => Err(failure),
+            (None, None) => Err(Failure::new(ErrorKind::Internal, "the note has no result")),
+        }
     }
 
     async fn check(self, operator: &Operator, body: &mut LimitedBody) -> Result<Answer, Failure> {
@@ -163,7 +168,7 @@
             .map_err(|error| Failure::from(&error))?;
         let clashes = match merge::apply(&before, &note) {
             Ok(_) => Vec::new(),
-            Err(clashes) => clashes.iter().map(note_answers::note_clash).collect(),
+            Err(clashes) => clashes.into_iter().map(Into::into).collect(),
         };
         let check = NoteCheckAnswer {
             head: before.revision,
@@ -248,8 +253,11 @@
     changes(note)
         .iter()
         .map(|change| {
-            let existing = item::find(before, &change.key).map(|owned| owned.item);
-            note_answers::item_change(&change.key, existing.as_ref(), change.after())
+            note_answers::item_change(&audit::ItemChange {
+                before: item::find(before, &change.key).map(|owned| owned.item),
+                after: change.after().cloned(),
+                key: change.key.clone(),
+            })
         })
         .collect()
 }
@@ -258,16 +266,15 @@
     match result {
         NoteResult::Accepted { .. } => "accepted",
         NoteResult::Refused { .. } => "refused",
+        NoteResult::IdReused { .. } => "id_reused",
         NoteResult::Unknown { .. } => "unknown",
     }
 }
 
-fn note_http_status(result: &NoteResult) -> StatusCode {
-    let Some(failure) = result.failure() else {
-        return StatusCode::OK;
-    };
-    StatusCode::from_u16(failure.kind.answer().http_status)
-        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+fn http_status(failure: Option<Failure>) -> StatusCode {
+    let code = failure.map(|failure| failure.kind.answer().http_status);
+    code.and_then(|code| StatusCode::from_u16(code).ok())
+        .unwrap_or(StatusCode::OK)
 }
 
 fn number(query: Option<&str>, name: &str) -> Result<Option<u64>, Failure> {
--- a/types/src/admin.rs
+++ b/types/src/admin.rs
@@ -51,8 +51,6 @@
     Account,
     /// An upstream.
     Upstream,
-    /// The note itself.
-    Note,
 }
 
 impl ItemKind {
@@ -63,7 +61,6 @@
             Self::Adapter => "adapter",
             Self::Account => "account",
             Self::Upstream => "upstream",
-            Self::Note => "note",
         }
     }
 }
@@ -106,8 +103,6 @@
     MissingReference,
     /// The note names the item twice.
     NamedTwice,
-    /// The note's identifier was used for other content.
-    IdReused,
     /// The item is not valid in itself.
     Invalid,
 }
