--- a/daemon/src/agent/actor.rs
+++ b/daemon/src/agent/actor.rs
@@ -25,7 +25,6 @@
 use crate::agent::upstreams::Upstreams;
 use crate::alarm::Alarm;
 use crate::metrics::Metrics;
-use crate::metrics::observe;
 use crate::network::Network;
 
 /// What the actor is built from.
@@ -111,7 +110,7 @@
                 tell_when_done(actor, async move {
                     let started = Instant::now();
                     let result = engine::run_step(engine, step).await;
-                    observe(&metrics.step, started.elapsed());
+                    metrics.count_step(started.elapsed());
                     EngineAnswer::Step(ticket, result)
                 });
             }
--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -7,6 +7,7 @@
 use jujubewall_protocol::call::CallMessage;
 use jujubewall_protocol::call::CallResult;
 use jujubewall_protocol::call::ServiceCall;
+use jujubewall_protocol::stream::Route;
 use jujubewall_protocol::stream::StreamId;
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_protocol::stream::Token;
@@ -100,6 +101,8 @@
 pub struct StartedStream {
     /// The request.
     pub request: RequestId,
+    /// The pipeline that was chosen first.
+    pub route: Route,
     /// What happens to it.
     pub events: mpsc::UnboundedReceiver<StreamEvent>,
 }
@@ -197,7 +200,7 @@
             prompt: start.prompt,
             max_answer_tokens: start.max_answer_tokens,
             deadline: start.deadline,
-            route,
+            route: route.clone(),
         };
         let sink = Sink {
             events,
@@ -211,6 +214,7 @@
         self.carry_out(actions, actor);
         Ok(StartedStream {
             request,
+            route,
             events: receiver,
         })
     }
--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -13,11 +13,13 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use jujubewall_protocol::call::CallResult;
 use jujubewall_protocol::call::ServiceCall;
 use jujubewall_protocol::call::ServiceReply;
+use jujubewall_protocol::stream::Route;
 use jujubewall_types::config::ClientAccount;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
@@ -63,6 +65,9 @@
 /// The path below which plain services are reached by name.
 const SERVICES_PREFIX: &str = "/v1/services/";
 
+/// The header that names the pipeline of an answer.
+const PIPELINE_HEADER: HeaderName = HeaderName::from_static("jujubewall-pipeline");
+
 /// What the handler of callers' requests needs.
 #[derive(Clone)]
 pub struct Callers {
@@ -166,11 +171,15 @@
         };
         let events = StreamEvents::new(started.request, started.events, self.actor);
         // The actor counts how the stream ends.
-        if body.stream {
-            Ok(reply::streamed(head, events).await)
+        let mut answer = if body.stream {
+            reply::streamed(head, events).await
         } else {
-            Ok(reply::whole(head, events).await)
+            reply::whole(head, events).await
+        };
+        if request.headers.contains_key(credentials::TRACE_HEADER) {
+            set_pipeline(&mut answer, &started.route);
         }
+        Ok(answer)
     }
 
     async fn call(
@@ -211,6 +220,17 @@
     }
 }
 
+/// Names the engines of a pipeline with their layers.
+fn set_pipeline(answer: &mut Answer, route: &Route) {
+    let stages: Vec<_> = route
+        .iter()
+        .map(|stage| format!("{}[{}]", stage.upstream, stage.layers))
+        .collect();
+    if let Ok(value) = HeaderValue::from_str(&stages.join(", ")) {
+        answer.headers_mut().insert(PIPELINE_HEADER, value);
+    }
+}
+
 async fn wait_for_result(
     request: RequestId,
     wait: Duration,
--- a/daemon/src/entry/credentials.rs
+++ b/daemon/src/entry/credentials.rs
@@ -19,6 +19,9 @@
 /// The header with the caller's idempotency key.
 pub const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// The header by which a caller asks to be told the pipeline of its answer.
+pub const TRACE_HEADER: HeaderName = HeaderName::from_static("jujubewall-trace");
+
 /// The time after which a caller without a stated deadline gives up.
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a process.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use jujubewall_types::error::ErrorKind;
@@ -55,8 +57,9 @@
     pub token_gap: Histogram,
     /// The time that a stream stood still until its pipeline was repaired.
     pub stall: Histogram,
-    /// The time of a step at an engine.
-    pub step: Histogram,
+    step: Histogram,
+    step_time_us: AtomicU64,
+    step_count: AtomicU64,
     /// Positions that were run again after a stage was lost.
     pub rerun_positions: Counter,
     /// Requests in progress.
@@ -86,6 +89,8 @@
             token_gap: times(),
             stall: times(),
             step: times(),
+            step_time_us: AtomicU64::new(0),
+            step_count: AtomicU64::new(0),
             rerun_positions: Counter::default(),
             in_flight: Gauge::default(),
             applied_revision: Gauge::default(),
@@ -189,6 +194,20 @@
         self.notes.get_or_create(&ResultLabel { result }).inc();
     }
 
+    /// Counts a step at an engine.
+    pub fn count_step(&self, time: Duration) {
+        observe(&self.step, time);
+        let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        self.step_time_us.fetch_add(time_us, Ordering::Relaxed);
+        self.step_count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the mean time of a step at an engine.
+    pub fn mean_step(&self) -> Duration {
+        let count = self.step_count.load(Ordering::Relaxed).max(1);
+        Duration::from_micros(self.step_time_us.load(Ordering::Relaxed) / count)
+    }
+
     /// Sets the number of violations of an invariant, which its owner counts.
     pub fn set_violations(&self, invariant: &'static str, violations: u64) {
         let counter = self
--- a/daemon/src/network.rs
+++ b/daemon/src/network.rs
@@ -23,9 +23,11 @@
 use kameo::actor::Spawn as _;
 use tokio::sync::mpsc;
 
+use crate::network::actor::MeasureRoundTrips;
 use crate::network::actor::NetworkActor;
 use crate::network::actor::Outbound;
 use crate::network::actor::ReplaceIdentity;
+use crate::network::actor::RoundTrip;
 use crate::network::error::NetworkError;
 use crate::network::tls::Identity;
 
@@ -91,6 +93,12 @@
         let _ = self.actor.tell(outbound).try_send();
     }
 
+    /// Returns the time that a packet takes to each connected peer and back.
+    pub async fn round_trips(&self) -> Vec<RoundTrip> {
+        let asked = self.actor.ask(MeasureRoundTrips).send().await;
+        asked.unwrap_or_default()
+    }
+
     /// Uses another certificate for every connection from now on.
     pub async fn replace_identity(&self, identity: Identity) {
         let _ = self.actor.tell(ReplaceIdentity(identity)).send().await;
--- a/daemon/src/network/actor.rs
+++ b/daemon/src/network/actor.rs
@@ -8,6 +8,7 @@
 use jujubewall_protocol::frame::Frame;
 use jujubewall_protocol::hello::Hello;
 use jujubewall_protocol::message::Message;
+use jujubewall_types::id::MemberName;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
@@ -86,6 +87,19 @@
 #[derive(Debug)]
 pub struct ReplaceIdentity(pub Identity);
 
+/// Asks how far away the connected peers are.
+#[derive(Debug)]
+pub struct MeasureRoundTrips;
+
+/// The time that a packet takes to a peer and back.
+#[derive(Clone, Debug)]
+pub struct RoundTrip {
+    /// The peer.
+    pub member: MemberName,
+    /// The time.
+    pub time: Duration,
+}
+
 impl NetworkActor {
     /// Creates the actor around the bound socket.
     pub fn new(
@@ -305,3 +319,21 @@
         self.client = None;
     }
 }
+
+impl Handle<MeasureRoundTrips> for NetworkActor {
+    type Reply = Vec<RoundTrip>;
+
+    async fn handle(
+        &mut self,
+        _: MeasureRoundTrips,
+        _: &mut Context<Self, Vec<RoundTrip>>,
+    ) -> Vec<RoundTrip> {
+        let connections = self.peers.values().filter_map(Peer::newest);
+        connections
+            .map(|connection| RoundTrip {
+                member: connection.member().clone(),
+                time: connection.round_trip(),
+            })
+            .collect()
+    }
+}
--- a/daemon/src/network/connection.rs
+++ b/daemon/src/network/connection.rs
@@ -1,11 +1,13 @@
 //! The tasks that read and write one connection.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use jujubewall_protocol::codec;
 use jujubewall_protocol::frame::Frame;
 use jujubewall_protocol::hello::Hello;
+use jujubewall_types::id::MemberName;
 use kameo::actor::ActorRef;
 use log::debug;
 use quinn::Connection;
@@ -42,6 +44,7 @@
 #[derive(Debug)]
 pub struct ConnectionHandle {
     id: ConnectionId,
+    hello: Arc<Hello>,
     connection: Connection,
     control: mpsc::Sender<Bytes>,
     data: mpsc::Sender<Bytes>,
@@ -69,6 +72,7 @@
         tokio::spawn(accept_lanes(reader, introduced.connection.clone(), actor));
         Self {
             id,
+            hello: introduced.hello,
             connection: introduced.connection,
             control,
             data,
@@ -80,6 +84,16 @@
         self.id
     }
 
+    /// Returns the name of the peer.
+    pub fn member(&self) -> &MemberName {
+        &self.hello.member
+    }
+
+    /// Returns the time that a packet takes to the peer and back.
+    pub fn round_trip(&self) -> Duration {
+        self.connection.rtt()
+    }
+
     /// Queues a frame; returns whether there was room.
     pub fn send(&self, frame: &Frame) -> bool {
         let Ok(body) = codec::encode(frame) else {
--- a/daemon/src/network/peer.rs
+++ b/daemon/src/network/peer.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns the newest connection.
+    pub fn newest(&self) -> Option<&ConnectionHandle> {
+        self.connections.last()
+    }
+
     /// Returns whether nothing is kept for the peer.
     pub fn is_idle(&self) -> bool {
         self.connections.is_empty() && self.pending.is_empty() && !self.is_dialling
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -45,6 +45,7 @@
 use crate::metrics::Metrics;
 use crate::network::Network;
 use crate::network::NetworkEvent;
+use crate::network::actor::RoundTrip;
 use crate::network::tls::Identity;
 use crate::server::answer;
 use crate::server::answer::Answer;
@@ -67,6 +68,7 @@
 /// A process that serves.
 pub struct Running {
     network: Network,
+    metrics: Arc<Metrics>,
     role: RunningRole,
     monitoring: Listener,
     is_ready: watch::Sender<bool>,
@@ -116,7 +118,7 @@
         let monitoring = start_monitoring(settings, &metrics, &applied, ready).await?;
         let parts = Parts {
             network: network.clone(),
-            metrics,
+            metrics: Arc::clone(&metrics),
             store,
             applied,
             members: Members::default(),
@@ -132,6 +134,7 @@
         info!("{} {} serves", settings.role, settings.member);
         Ok(Self {
             network,
+            metrics,
             role,
             monitoring,
             is_ready,
@@ -165,6 +168,16 @@
         self.monitoring.address()
     }
 
+    /// Returns the metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the time that a packet takes to each connected peer and back.
+    pub async fn round_trips(&self) -> Vec<RoundTrip> {
+        self.network.round_trips().await
+    }
+
     /// Takes no new work, finishes what is in progress and stops.
     pub async fn stop(self) {
         info!("the process drains");
--- a/testutils/src/client.rs
+++ b/testutils/src/client.rs
@@ -36,6 +36,8 @@
     pub outcome: Option<String>,
     /// The time after which asking again makes sense, in seconds.
     pub retry_after_s: Option<u64>,
+    /// The header that names the pipeline.
+    pub pipeline: Option<String>,
     /// The body.
     pub body: Bytes,
 }
@@ -133,12 +135,14 @@
         };
         let outcome = header("jujubewall-outcome");
         let retry_after_s = header("retry-after").and_then(|value| value.parse().ok());
+        let pipeline = header("jujubewall-pipeline");
         let status = response.status().as_u16();
         let body = response.into_body().collect().await.map_err(no_answer)?;
         Ok(HttpAnswer {
             status,
             outcome,
             retry_after_s,
+            pipeline,
             body: body.to_bytes(),
         })
     }
@@ -162,6 +166,7 @@
             status: 0,
             outcome: None,
             retry_after_s: None,
+            pipeline: None,
             body: Bytes::from(error.to_string()),
         };
         let response = self
@@ -180,6 +185,7 @@
             status,
             outcome: None,
             retry_after_s: None,
+            pipeline: None,
             body: collected
                 .map(http_body_util::Collected::to_bytes)
                 .unwrap_or_default(),
