routing: membership by probing along rings

Each member watches its successors on six hashed rings, so that probes, connections and pushed claims per member do not grow with the fleet, and each member is watched by six others at a known spacing. Choosing probe targets at random over the whole fleet was ruled out, since it needs a connection or a handshake to everyone. Claims are ordered by incarnation and state; leaving is final for an incarnation; digests by bucket close gaps. When half of the watched members fail in more than one failure domain, the own link is blamed and nobody is declared dead. Random runs over a simulated network cover crashes, restarts, freezes, cuts, silent connections and loss.

--- a/protocol/src/member.rs
+++ b/protocol/src/member.rs
@@ -34,18 +34,19 @@
 }
 
 /// Any message about membership.
+///
+/// The sender is known from the handshake of its connection, and answers go to
+/// the address at which it accepts connections.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum MemberMessage {
     /// Asks the receiver to answer, and passes claims on.
     Probe {
         /// Matches the answer to the probe.
         sequence: u64,
-        /// Where the answer goes.
-        reply_address: SocketAddr,
         /// Recent claims.
         records: Vec<MemberRecord>,
     },
-    /// Answers a probe.
+    /// Answers a probe, or tells that a third member answered one.
     ProbeAnswer {
         /// The number of the probe.
         sequence: u64,
@@ -54,19 +55,23 @@
     },
     /// Asks the receiver to probe a third member on the sender's behalf.
     ProbeRequest {
-        /// Matches the answer to the probe.
+        /// Matches the answer to the sender's own probe.
         sequence: u64,
-        /// Where the answer goes.
-        reply_address: SocketAddr,
         /// The member to probe.
         target_address: SocketAddr,
     },
-    /// Announces that the sender takes no new work.
-    Leaving(MemberRecord),
+    /// Passes claims on that are new to the sender.
+    Records {
+        /// The claims.
+        records: Vec<MemberRecord>,
+    },
+    /// Tells the configuration revision that the sender has applied.
+    Applied {
+        /// The revision.
+        revision: Revision,
+    },
     /// Asks for every claim that the receiver holds.
     TableRequest {
-        /// Where the answer goes.
-        reply_address: SocketAddr,
         /// The sender's claim about itself.
         record: Box<MemberRecord>,
     },
@@ -75,4 +80,20 @@
         /// The claims.
         records: Vec<MemberRecord>,
     },
+    /// Summarises the claims that the sender holds, by hash of the member's name.
+    Digest {
+        /// The combined hash of the claims in each bucket.
+        buckets: Vec<u64>,
+    },
+    /// The claims of the buckets in which two digests differ.
+    Difference {
+        /// The places of the buckets.
+        buckets: Vec<u16>,
+        /// Every claim that the sender holds in these buckets.
+        records: Vec<MemberRecord>,
+        /// Whether the receiver should return the claims that the sender lacks.
+        wants_answer: bool,
+    },
+    /// Tells the receiver that the platform lists its host as leaving.
+    HostLeaving,
 }
--- /dev/null
+++ b/routing/src/membership/table.rs
@@ -0,0 +1,100 @@
+//! The arena of members with its indices.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use jujubewall_protocol::member::MemberRecord;
+use jujubewall_types::id::MemberName;
+use jujubewall_types::member::MemberState;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+use tokio::time::Instant;
+
+use super::entry::Entry;
+use super::entry::Listing;
+use super::rings::MemberKeys;
+use super::rings::Rings;
+
+new_key_type! {
+    /// The key of one member.
+    pub(super) struct MemberKey;
+}
+
+/// The members that are known, dead ones included.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    pub(super) entries: SlotMap<MemberKey, Entry>,
+    by_name: HashMap<MemberName, MemberKey>,
+    rings: Rings,
+}
+
+impl Table {
+    /// Adds a member that is not known yet.
+    pub(super) fn insert(&mut self, record: MemberRecord, now: Instant) -> MemberKey {
+        let name = record.member.clone();
+        let is_present = record.state != MemberState::Dead;
+        let key = self.entries.insert(Entry::new(record, now));
+        if is_present {
+            self.rings.insert(key, &name);
+        }
+        self.by_name.insert(name, key);
+        key
+    }
+
+    /// Returns the key of a member.
+    pub(super) fn find(&self, name: &MemberName) -> Option<MemberKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the member that was last known to accept connections at an address.
+    pub(super) fn find_address(&self, address: SocketAddr) -> Option<MemberKey> {
+        let is_there = |(_, entry): &(MemberKey, &Entry)| entry.record.peer_address == address;
+        let mut found = self.entries.iter().filter(is_there).collect::<Vec<_>>();
+        found.sort_by_key(|(_, entry)| entry.record.state);
+        found.first().map(|(key, _)| *key)
+    }
+
+    /// Replaces the claim about a member.
+    pub(super) fn replace(&mut self, key: MemberKey, record: MemberRecord, now: Instant) {
+        let name = record.member.clone();
+        let entry = &mut self.entries[key];
+        let is_new_life = record.incarnation > entry.record.incarnation;
+        let is_dead = record.state == MemberState::Dead;
+        entry.has_left = entry.record.state == MemberState::Leaving && !is_new_life;
+        entry.dead_since = is_dead.then_some(now);
+        entry.suspicion = None;
+        if is_new_life && record.peer_address != entry.record.peer_address {
+            entry.listing = Listing::Never;
+        }
+        entry.record = record;
+        if is_dead {
+            self.rings.remove(key, &name);
+        } else {
+            self.rings.insert(key, &name);
+        }
+    }
+
+    /// Forgets a member.
+    pub(super) fn remove(&mut self, key: MemberKey) {
+        if let Some(entry) = self.entries.remove(key) {
+            self.rings.remove(key, &entry.record.member);
+            self.by_name.remove(&entry.record.member);
+        }
+    }
+
+    /// Returns the members that `key` watches.
+    pub(super) fn successors(&self, key: MemberKey) -> MemberKeys {
+        self.rings.successors(key, &self.entries[key].record.member)
+    }
+
+    /// Returns the members that watch `key`.
+    pub(super) fn predecessors(&self, key: MemberKey) -> MemberKeys {
+        self.rings
+            .predecessors(key, &self.entries[key].record.member)
+    }
+
+    /// Returns every claim.
+    pub(super) fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod host_list;
 pub mod http_server;
 pub mod key_value;
+pub mod members;
 pub mod model_fold;
 pub mod relay;
 pub mod service;
