--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,7 +4,10 @@
 //! actions; none performs input or output.
 
 pub mod admission;
+pub mod bound;
 pub mod choice;
 pub mod membership;
 pub mod stream;
 pub mod timer;
+
+mod path;
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -13,9 +13,12 @@
 pub mod key_value;
 pub mod members;
 pub mod model_fold;
+pub mod ports;
+pub mod notes;
 pub mod relay;
 pub mod service;
 pub mod site;
+pub mod stream_network;
 pub mod weight_store;
 
 mod platform_answer;
