bench: measure throughput against the bound beside three baselines

A small discrete-event model drives the real chooser, admission and retry budget on virtual time: 40 engines in 3 failure domains that batch continuously, 10 accounts, 4 entries.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,26 @@
-//! Entry point.
+//! Measurements of jujubewall, one subcommand each.
 
-fn main() {}
+mod throughput;
+
+use argh::FromArgs;
+
+/// Measures jujubewall.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+/// The measurements.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Throughput(throughput::ThroughputCommand),
+}
+
+fn main() -> eyre::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    match arguments.command {
+        Command::Throughput(command) => command.run(),
+    }
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod admission;
 pub mod bound;
 pub mod choice;
+pub mod retry;
 
 mod path;
--- /dev/null
+++ b/routing/src/retry/budget.rs
@@ -0,0 +1,98 @@
+//! The budget and the delays of retries.
+
+use std::time::Duration;
+
+use jujubewall_types::id::Attempt;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// The units of budget that one retry costs.
+const RETRY_COST: u64 = 1_000;
+
+/// The settings of retries.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RetrySettings {
+    /// The retries allowed for a thousand first attempts.
+    pub budget_permille: u32,
+    /// The retries that may be saved up.
+    pub max_saved: u32,
+    /// The number of attempts of one request, the first included.
+    pub max_attempts: u32,
+    /// The mean delay before the first retry; each further one doubles it.
+    pub base_delay_ms: u64,
+    /// The longest mean delay.
+    pub max_delay_ms: u64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            budget_permille: 100,
+            max_saved: 100,
+            max_attempts: 4,
+            base_delay_ms: 5,
+            max_delay_ms: 500,
+        }
+    }
+}
+
+/// The reason that a request is not tried again.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum NoRetry {
+    /// The request was tried as often as allowed.
+    #[error("the request was tried as often as allowed")]
+    AttemptsUsedUp,
+    /// Retries already make up their share of traffic.
+    #[error("retries make up their whole share of traffic")]
+    BudgetUsedUp,
+}
+
+/// The budget of one entry.
+#[derive(Debug)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    rng: ChaCha8Rng,
+    saved: u64,
+}
+
+impl RetryBudget {
+    /// Creates a full budget; entries use different seeds.
+    pub fn new(settings: RetrySettings, seed: u64) -> Self {
+        let saved = u64::from(settings.max_saved) * RETRY_COST;
+        Self {
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            saved,
+        }
+    }
+
+    /// Notes the first attempt of a request.
+    pub fn on_first_attempt(&mut self) {
+        let max = u64::from(self.settings.max_saved) * RETRY_COST;
+        let earned = u64::from(self.settings.budget_permille);
+        self.saved = (self.saved + earned).min(max);
+    }
+
+    /// Takes one retry from the budget and returns the delay before it.
+    pub fn try_retry(&mut self, failed: Attempt) -> Result<Duration, NoRetry> {
+        if failed.0 >= self.settings.max_attempts {
+            return Err(NoRetry::AttemptsUsedUp);
+        }
+        let saved = self.saved.checked_sub(RETRY_COST);
+        self.saved = saved.ok_or(NoRetry::BudgetUsedUp)?;
+        Ok(self.delay(failed))
+    }
+
+    /// Draws a delay between zero and twice the mean of this attempt.
+    fn delay(&mut self, failed: Attempt) -> Duration {
+        let doublings = failed.0.saturating_sub(1).min(16);
+        let mean_ms = self.settings.base_delay_ms << doublings;
+        let mean_ms = mean_ms.min(self.settings.max_delay_ms);
+        Duration::from_micros(self.rng.random_range(0..=2 * mean_ms * 1_000))
+    }
+}
