routing: weigh pipelines by load for each layer and follow measured speed

Summed work made pipelines of many small stages look costly although a stream is at one stage at a time. Load now counts for each layer alike, times the number of entries; prefix affinity lowers the cost by a bounded factor; a slow engine is told by its steps beside its peers' and forgotten with a half-life. Refusals and retry budgets are kept by account, since a large account's refusals blocked engines for all others.

Agents aim at a token gap for their part of the layers, in microseconds.

--- a/bench/src/throughput/measure.rs
+++ b/bench/src/throughput/measure.rs
@@ -42,6 +42,9 @@
     /// the number of entries
     #[argh(option, default = "4")]
     entries: usize,
+    /// measure the product's own policy only
+    #[argh(switch)]
+    no_baselines: bool,
 }
 
 /// Times in milliseconds.
@@ -333,9 +336,14 @@
     pub fn run(self) -> eyre::Result<()> {
         let (upper, lower) = bound_requests_per_s(&rated_speeds())?;
         let mean = scenario::mean_answer_tokens();
-        let policies: eyre::Result<Vec<PolicyFigures>> = PolicyKind::ALL
-            .into_iter()
-            .map(|policy| {
+        let count = if self.no_baselines {
+            1
+        } else {
+            PolicyKind::ALL.len()
+        };
+        let policies: eyre::Result<Vec<PolicyFigures>> = PolicyKind::ALL[..count]
+            .iter()
+            .map(|&policy| {
                 let runs = Runs {
                     seed: self.seed,
                     entries: self.entries,
--- a/bench/src/throughput/policy.rs
+++ b/bench/src/throughput/policy.rs
@@ -15,6 +15,7 @@
 use jujubewall_routing::choice::PipelineChooser;
 use jujubewall_routing::choice::ReportedLoad;
 use jujubewall_routing::choice::StepSample;
+use jujubewall_types::id::AccountName;
 use jujubewall_types::id::UpstreamName;
 use jujubewall_types::layer::LayerRange;
 use rand::RngExt as _;
@@ -75,6 +76,14 @@
         }
     }
 
+    /// Sets the number of entries.
+    pub fn set_entry_count(&mut self, now: Instant, entries: usize) {
+        if let Self::Jujubewall(chooser) = self {
+            let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+            chooser.set_entry_count(now, entries);
+        }
+    }
+
     /// Chooses a pipeline.
     pub fn choose(&mut self, now: Instant, request: &ChoiceRequest) -> Result<Route, NoPipeline> {
         match self {
@@ -106,13 +115,18 @@
     }
 
     /// Notes a refusal.
-    pub fn on_refused(&mut self, now: Instant, upstream: &UpstreamName, retry_after: Duration) {
+    pub fn on_refused(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        account: &AccountName,
+        retry_after: Duration,
+    ) {
         match self {
-            Self::Jujubewall(chooser) => chooser.on_refused(now, upstream, retry_after),
+            Self::Jujubewall(chooser) => chooser.on_refused(now, upstream, account, retry_after),
             Self::Baseline(baseline) => {
-                baseline
-                    .refused_until
-                    .insert(upstream.clone(), now + retry_after);
+                let key = (upstream.clone(), account.clone());
+                baseline.refused_until.insert(key, now + retry_after);
             }
         }
     }
@@ -153,7 +167,7 @@
     reported: HashMap<UpstreamName, u32>,
     own: HashMap<UpstreamName, u32>,
     streams: HashMap<StreamId, Route>,
-    refused_until: HashMap<UpstreamName, Instant>,
+    refused_until: HashMap<(UpstreamName, AccountName), Instant>,
 }
 
 impl Baseline {
@@ -194,10 +208,8 @@
     fn candidates(&self, now: Instant, request: &ChoiceRequest, layer: u32) -> Vec<usize> {
         let is_usable = |&index: &usize| {
             let view = &self.engines[index];
-            let is_refusing = self
-                .refused_until
-                .get(&view.upstream)
-                .is_some_and(|&t| t > now);
+            let refusal = (view.upstream.clone(), request.account.clone());
+            let is_refusing = self.refused_until.get(&refusal).is_some_and(|&t| t > now);
             view.state == EngineState::Usable
                 && !is_refusing
                 && !request.exclude.contains(&view.upstream)
--- a/bench/src/throughput/world.rs
+++ b/bench/src/throughput/world.rs
@@ -54,8 +54,8 @@
 const CALLER_PATIENCE_US: u64 = 12_000_000;
 /// The time between tokens that entries expect when they set deadlines.
 const EXPECTED_TOKEN_GAP_US: u64 = 66_000;
-/// The step response that agents aim at.
-const TARGET_RESPONSE_MS: u64 = 20;
+/// The time between tokens that agents aim at, each for its part of the layers.
+const TARGET_TOKEN_GAP_US: u64 = 60_000;
 /// The time after which a caller repeats a request that was refused.
 const CALLER_RETRY_US: u64 = 500_000;
 
@@ -226,10 +226,12 @@
     measured: Measured,
 }
 
-fn admission_settings() -> AdmissionSettings {
+fn admission_settings(view: &EngineView) -> AdmissionSettings {
+    let layers = u64::from(view.layers.len());
+    let target_response_us = TARGET_TOKEN_GAP_US * layers / u64::from(scenario::LAYERS);
     AdmissionSettings {
         concurrency: ConcurrencySettings {
-            target_response_ms: TARGET_RESPONSE_MS,
+            target_response_us,
             ..ConcurrencySettings::default()
         },
         ..AdmissionSettings::default()
@@ -281,7 +283,10 @@
             known_dead: vec![false; views.len()],
             engines: views
                 .into_iter()
-                .map(|view| FakeEngine::new(view, admission_settings()))
+                .map(|view| {
+                    let settings = admission_settings(&view);
+                    FakeEngine::new(view, settings)
+                })
                 .collect(),
             index_of,
             entries: (0..settings.entries).map(entry).collect(),
@@ -417,7 +422,9 @@
             last_token_us: 0,
             repeats_left,
         });
-        self.entries[entry].retries.on_first_attempt();
+        self.entries[entry]
+            .retries
+            .on_first_attempt(&scenario::account(account));
         self.choose(self.streams.len() - 1, 1);
     }
 
@@ -779,10 +786,11 @@
         let (engine, _) = self.streams[key.stream].route[key.stage];
         let upstream = self.engines[engine].view.upstream.clone();
         let entry = self.streams[key.stream].entry;
+        let account = scenario::account(self.streams[key.stream].account);
         let retry_after = Duration::from_millis(retry_after_ms);
         self.entries[entry]
             .policy
-            .on_refused(now, &upstream, retry_after);
+            .on_refused(now, &upstream, &account, retry_after);
         self.streams[key.stream].exclude.push(upstream);
         self.retry_or_refuse(key.stream);
     }
@@ -796,7 +804,8 @@
         known.route.clear();
         known.state = StreamState::Opening;
         let (entry, attempt) = (known.entry, known.attempt);
-        match self.entries[entry].retries.try_retry(failed) {
+        let account = scenario::account(known.account);
+        match self.entries[entry].retries.try_retry(&account, failed) {
             Ok(delay) => {
                 self.measured.retries += 1;
                 self.after(micros(delay), Event::Choose { stream, attempt });
@@ -872,7 +881,8 @@
 
     fn set_speed(&mut self, engine: usize, speed: f64) {
         if speed <= 0.0 {
-            self.engines[engine].kill(admission_settings());
+            let settings = admission_settings(&self.engines[engine].view);
+            self.engines[engine].kill(settings);
         } else {
             self.engines[engine].speed = speed;
         }
@@ -897,8 +907,10 @@
             .map(view)
             .collect();
         let now = self.now();
+        let live_entries = self.entries.iter().filter(|entry| !entry.is_lost).count();
         for entry in &mut self.entries {
             entry.policy.set_engines(now, &views);
+            entry.policy.set_entry_count(now, live_entries);
         }
         for stream in 0..self.streams.len() {
             self.move_if_cut(stream);
--- a/routing/src/admission/concurrency.rs
+++ b/routing/src/admission/concurrency.rs
@@ -17,7 +17,7 @@
     /// The highest bound.
     pub max: u32,
     /// The response of one step above which the bound falls.
-    pub target_response_ms: u64,
+    pub target_response_us: u64,
     /// The time over which responses are averaged before the bound changes.
     pub window_ms: u64,
     /// The part of the bound that is kept when it falls, in thousandths.
@@ -32,7 +32,7 @@
             initial: 16,
             min: 2,
             max: 4096,
-            target_response_ms: 50,
+            target_response_us: 50_000,
             window_ms: 250,
             decrease_permille: 900,
             increase_permille: 50,
@@ -91,7 +91,7 @@
 
     fn adjust(&mut self) {
         let mean = self.total_response / self.samples.max(1);
-        let target = Duration::from_millis(self.settings.target_response_ms);
+        let target = Duration::from_micros(self.settings.target_response_us);
         if mean > target {
             self.bound *= f64::from(self.settings.decrease_permille) / 1000.0;
         } else if self.was_used_up {
--- a/routing/src/admission/gate.rs
+++ b/routing/src/admission/gate.rs
@@ -151,7 +151,7 @@
         };
         let unused = admitted.cost.saturating_sub(used_cost);
         self.queue.credit(&admitted.account, unused);
-        self.note_finished_cost(now, used_cost);
+        self.note_finished_cost(now, admitted.cost);
     }
 
     /// Forgets work that its caller has given up, waiting or admitted.
--- a/routing/src/choice/chooser.rs
+++ b/routing/src/choice/chooser.rs
@@ -6,6 +6,7 @@
 use jujubewall_protocol::stream::Route;
 use jujubewall_protocol::stream::RouteStage;
 use jujubewall_protocol::stream::StreamId;
+use jujubewall_types::id::AccountName;
 use jujubewall_types::id::UpstreamName;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -14,6 +15,7 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use twox_hash::XxHash64;
 
 use super::fleet::Engine;
 use super::fleet::EngineKey;
@@ -42,6 +44,14 @@
     pub crossing_us: u64,
     /// The random part of each engine's cost, in thousandths.
     pub jitter_permille: u32,
+    /// The weight of the time on an idle pipeline beside that of the work in
+    /// flight, in thousandths.
+    pub latency_permille: u32,
+    /// The load, in thousandths of other engines' load, that an engine may have
+    /// more because it has the prompt's prefix cached.
+    pub cached_permille: u32,
+    /// The same for the engine that all entries prefer for a prefix.
+    pub preferred_permille: u32,
 }
 
 impl Default for ChooserSettings {
@@ -49,6 +59,9 @@
         Self {
             crossing_us: 250,
             jitter_permille: 50,
+            latency_permille: 300,
+            cached_permille: 200,
+            preferred_permille: 100,
         }
     }
 }
@@ -66,6 +79,7 @@
     settings: ChooserSettings,
     rng: ChaCha8Rng,
     fleet: Fleet,
+    entries: u32,
     links: HashMap<(DomainIndex, DomainIndex), Duration>,
     streams: HashMap<StreamId, SmallVec<[StageWork; 4]>>,
 }
@@ -94,6 +108,7 @@
             settings,
             rng: ChaCha8Rng::seed_from_u64(seed),
             fleet: Fleet::default(),
+            entries: 1,
             links: HashMap::new(),
             streams: HashMap::new(),
         }
@@ -104,6 +119,11 @@
         self.fleet.set_engines(engines);
     }
 
+    /// Sets the number of entries that share the traffic.
+    pub fn set_entry_count(&mut self, _now: Instant, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
     /// Replaces the measured delays between failure domains.
     pub fn set_links(&mut self, _now: Instant, links: &[LinkView]) {
         self.links.clear();
@@ -128,13 +148,13 @@
         }
         self.route_over(now, &group, request, EngineState::Usable)
             .or_else(|_| self.route_over(now, &group, request, EngineState::Suspect))
-            .map_err(|missing| self.explain(now, &group, missing))
+            .map_err(|missing| self.explain(now, &group, &request.account, missing))
     }
 
     /// Notes that a stream was sent along `route`.
     pub fn on_started(
         &mut self,
-        _now: Instant,
+        now: Instant,
         id: StreamId,
         request: &ChoiceRequest,
         route: &Route,
@@ -148,6 +168,9 @@
             let engine = &mut self.fleet.engines[key];
             let per_layer_s = seconds_per_layer(engine, request);
             let work_s = per_layer_s * f64::from(stage.layers.len());
+            if let Some(prefix) = request.prefix_hash {
+                engine.prefixes.on_sent(now, prefix);
+            }
             engine.in_flight_s += work_s;
             work.push(StageWork {
                 engine: key,
@@ -163,12 +186,23 @@
     }
 
     /// Notes the measured time of a step.
-    pub fn on_step_time(&mut self, _now: Instant, _upstream: &UpstreamName, _sample: StepSample) {}
+    pub fn on_step_time(&mut self, now: Instant, upstream: &UpstreamName, sample: StepSample) {
+        self.fleet.for_each_assignment(upstream, |engine| {
+            let rate = engine.view.decode_token_layers_per_s;
+            engine.step_ratio.on_sample(now, sample, rate);
+        });
+    }
 
-    /// Notes that an agent refused a stage until some time has passed.
-    pub fn on_refused(&mut self, now: Instant, upstream: &UpstreamName, retry_after: Duration) {
+    /// Notes that an agent refuses an account's work until some time has passed.
+    pub fn on_refused(
+        &mut self,
+        now: Instant,
+        upstream: &UpstreamName,
+        account: &AccountName,
+        retry_after: Duration,
+    ) {
         self.fleet.for_each_assignment(upstream, |engine| {
-            engine.refused_until = Some(now + retry_after);
+            engine.refusals.on_refused(now, account, retry_after);
         });
     }
 
@@ -182,7 +216,11 @@
     }
 
     /// Notes a change of an engine's prefix cache.
-    pub fn on_cache_event(&mut self, _now: Instant, _upstream: &UpstreamName, _hint: CacheHint) {}
+    pub fn on_cache_event(&mut self, now: Instant, upstream: &UpstreamName, hint: CacheHint) {
+        self.fleet.for_each_assignment(upstream, |engine| {
+            engine.prefixes.on_event(now, hint);
+        });
+    }
 
     /// Returns the number of streams in flight.
     pub fn streams_in_flight(&self) -> usize {
@@ -218,6 +256,7 @@
     ) -> Result<Route, u32> {
         let mut keys = Vec::new();
         let mut edges = Vec::new();
+        let typical_ratio = self.fleet.typical_step_ratio(self.fleet.group(group));
         for &key in self.fleet.group(group) {
             let engine = &self.fleet.engines[key];
             if !may_use(engine, now, request, worst) {
@@ -228,7 +267,7 @@
             edges.push(PathEdge {
                 layers: engine.view.layers,
                 domain: engine.domain,
-                cost_per_layer_s: cost_per_layer_s(engine, request)
+                cost_per_layer_s: self.cost_per_layer_s(now, engine, request, typical_ratio)
                     * (1.0 + f64::from(jitter) / 1000.0),
             });
         }
@@ -250,13 +289,51 @@
         Ok(hops.iter().map(stage).collect())
     }
 
-    fn explain(&self, now: Instant, group: &GroupName, layer: u32) -> NoPipeline {
+    /// Returns what each layer adds to the cost of a path.
+    ///
+    /// The load of an engine counts for each layer alike, so paths are compared
+    /// by the mean load of their layers and not by the sum over their stages.
+    fn cost_per_layer_s(
+        &self,
+        now: Instant,
+        engine: &Engine,
+        request: &ChoiceRequest,
+        typical_ratio: f64,
+    ) -> f64 {
+        let slowness = engine.step_ratio.slowness(now, typical_ratio);
+        let latency = f64::from(self.settings.latency_permille) / 1000.0;
+        let idle_s = slowness * seconds_per_layer(engine, request);
+        let layers = f64::from(request.layer_count.max(1));
+        let load_s = slowness * engine.in_flight_s * f64::from(self.entries);
+        let factor = self.affinity_factor(now, engine, request);
+        (latency * idle_s + load_s / layers) * factor
+    }
+
+    /// Returns the factor by which affinity to the prefix lowers the cost.
+    fn affinity_factor(&self, now: Instant, engine: &Engine, request: &ChoiceRequest) -> f64 {
+        let Some(prefix) = request.prefix_hash else {
+            return 1.0;
+        };
+        let mut more_load =
+            preference(prefix, engine) * f64::from(self.settings.preferred_permille);
+        if engine.prefixes.probably_has(now, prefix) {
+            more_load += f64::from(self.settings.cached_permille);
+        }
+        1.0 / (1.0 + more_load / 1000.0)
+    }
+
+    fn explain(
+        &self,
+        now: Instant,
+        group: &GroupName,
+        account: &AccountName,
+        layer: u32,
+    ) -> NoPipeline {
         let wait = self
             .fleet
             .group(group)
             .iter()
-            .filter_map(|&key| self.fleet.engines[key].refused_until)
-            .filter(|&until| until > now)
+            .filter_map(|&key| self.fleet.engines[key].refusals.until(now, account))
             .min();
         match wait {
             Some(until) => NoPipeline::Refused {
@@ -274,7 +351,7 @@
         EngineState::Suspect => worst == EngineState::Suspect,
         EngineState::Leaving => false,
     };
-    let is_refusing = engine.refused_until.is_some_and(|until| until > now);
+    let is_refusing = engine.refusals.until(now, &request.account).is_some();
     state_allows && !is_refusing && !request.exclude.contains(&engine.view.upstream)
 }
 
@@ -286,8 +363,10 @@
     )
 }
 
-/// Returns the time that each layer adds, its part of the work in flight included.
-fn cost_per_layer_s(engine: &Engine, request: &ChoiceRequest) -> f64 {
-    let layers = f64::from(engine.view.layers.len().max(1));
-    engine.in_flight_s / layers + seconds_per_layer(engine, request)
+/// Returns how much entries prefer an engine for a prefix, from zero to one.
+///
+/// All entries agree on it without talking to each other.
+fn preference(prefix: u64, engine: &Engine) -> f64 {
+    let hash = XxHash64::oneshot(engine.name_hash, &prefix.to_le_bytes());
+    hash as f64 / u64::MAX as f64
 }
--- a/routing/src/choice/fleet.rs
+++ b/routing/src/choice/fleet.rs
@@ -9,8 +9,11 @@
 use jujubewall_types::id::VersionName;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
-use tokio::time::Instant;
+use twox_hash::XxHash64;
 
+use super::prefixes::PrefixHints;
+use super::refusals::Refusals;
+use super::speed::StepRatio;
 use super::view::EngineView;
 use crate::path::DomainIndex;
 
@@ -31,10 +34,16 @@
 pub(super) struct Engine {
     pub(super) view: EngineView,
     pub(super) domain: DomainIndex,
-    /// The time that the work in flight takes at the rated speed.
+    /// The rated time of this entry's work in flight.
     pub(super) in_flight_s: f64,
-    /// The time until which the engine is not asked again.
-    pub(super) refused_until: Option<Instant>,
+    /// How measured steps compare with the rated speed.
+    pub(super) step_ratio: StepRatio,
+    /// What the engine's cache probably holds.
+    pub(super) prefixes: PrefixHints,
+    /// The hash of the engine's name, by which entries agree on preferences.
+    pub(super) name_hash: u64,
+    /// The accounts whose work the agent refuses for now.
+    pub(super) refusals: Refusals,
 }
 
 impl Engine {
@@ -88,6 +97,19 @@
         }
     }
 
+    /// Returns how steps of a group's engines typically compare with ratings.
+    pub(super) fn typical_step_ratio(&self, keys: &[EngineKey]) -> f64 {
+        let means = keys
+            .iter()
+            .filter_map(|&key| self.engines[key].step_ratio.mean());
+        let mut means: Vec<f64> = means.collect();
+        if means.is_empty() {
+            return 1.0;
+        }
+        let middle = means.len() / 2;
+        *means.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
+
     /// Returns the number of failure domains.
     pub(super) fn domain_count(&self) -> usize {
         self.domains.len()
@@ -114,7 +136,10 @@
             view: view.clone(),
             domain,
             in_flight_s: 0.0,
-            refused_until: None,
+            step_ratio: StepRatio::new(),
+            prefixes: PrefixHints::default(),
+            name_hash: XxHash64::oneshot(0, view.upstream.as_str().as_bytes()),
+            refusals: Refusals::default(),
         })
     }
 
--- a/routing/src/choice/mod.rs
+++ b/routing/src/choice/mod.rs
@@ -7,6 +7,9 @@
 
 mod chooser;
 mod fleet;
+mod prefixes;
+mod refusals;
+mod speed;
 
 mod view;
 
--- a/routing/src/retry/budget.rs
+++ b/routing/src/retry/budget.rs
@@ -1,7 +1,9 @@
 //! The budget and the delays of retries.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use jujubewall_types::id::AccountName;
 use jujubewall_types::id::Attempt;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -33,7 +35,7 @@
     fn default() -> Self {
         Self {
             budget_permille: 100,
-            max_saved: 100,
+            max_saved: 10,
             max_attempts: 4,
             base_delay_ms: 5,
             max_delay_ms: 500,
@@ -52,42 +54,61 @@
     BudgetUsedUp,
 }
 
-/// The budget of one entry.
+/// The budgets of one entry, one for each account.
+///
+/// An account whose requests are refused in great number thus uses up its own
+/// retries only.
 #[derive(Debug)]
 pub struct RetryBudget {
     settings: RetrySettings,
     rng: ChaCha8Rng,
-    saved: u64,
+    saved: HashMap<AccountName, u64>,
 }
 
 impl RetryBudget {
-    /// Creates a full budget; entries use different seeds.
+    /// Creates full budgets; entries use different seeds.
     pub fn new(settings: RetrySettings, seed: u64) -> Self {
-        let saved = u64::from(settings.max_saved) * RETRY_COST;
         Self {
             settings,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            saved,
+            saved: HashMap::new(),
         }
     }
 
     /// Notes the first attempt of a request.
-    pub fn on_first_attempt(&mut self) {
-        let max = u64::from(self.settings.max_saved) * RETRY_COST;
+    pub fn on_first_attempt(&mut self, account: &AccountName) {
+        let max = self.max_saved();
         let earned = u64::from(self.settings.budget_permille);
-        self.saved = (self.saved + earned).min(max);
+        if let Some(saved) = self.saved.get_mut(account) {
+            *saved = (*saved + earned).min(max);
+        } else {
+            self.saved.insert(account.clone(), max);
+        }
     }
 
-    /// Takes one retry from the budget and returns the delay before it.
-    pub fn try_retry(&mut self, failed: Attempt) -> Result<Duration, NoRetry> {
+    /// Takes one retry from an account's budget and returns the delay before it.
+    pub fn try_retry(
+        &mut self,
+        account: &AccountName,
+        failed: Attempt,
+    ) -> Result<Duration, NoRetry> {
         if failed.0 >= self.settings.max_attempts {
             return Err(NoRetry::AttemptsUsedUp);
         }
-        let saved = self.saved.checked_sub(RETRY_COST);
-        self.saved = saved.ok_or(NoRetry::BudgetUsedUp)?;
+        let saved = self.saved.get_mut(account).ok_or(NoRetry::BudgetUsedUp)?;
+        *saved = saved.checked_sub(RETRY_COST).ok_or(NoRetry::BudgetUsedUp)?;
         Ok(self.delay(failed))
     }
 
+    /// Forgets accounts that are no longer configured.
+    pub fn retain_accounts(&mut self, is_configured: impl Fn(&AccountName) -> bool) {
+        self.saved.retain(|account, _| is_configured(account));
+    }
+
+    fn max_saved(&self) -> u64 {
+        u64::from(self.settings.max_saved) * RETRY_COST
+    }
+
     /// Draws a delay between zero and twice the mean of this attempt.
     fn delay(&mut self, failed: Attempt) -> Duration {
         let doublings = failed.0.saturating_sub(1).min(16);
--- a/routing/tests/test_choice.rs
+++ b/routing/tests/test_choice.rs
@@ -101,11 +101,19 @@
     let now = Instant::now();
     let mut chooser = chooser(&[engine(0, 0, 24, 100)]);
     let upstream = UpstreamName::new("engine-0").unwrap();
-    chooser.on_refused(now, &upstream, Duration::from_millis(40));
+    chooser.on_refused(
+        now,
+        &upstream,
+        &request().account,
+        Duration::from_millis(40),
+    );
     assert_matches!(
         chooser.choose(now, &request()),
         Err(NoPipeline::Refused { retry_after_ms: 40 })
     );
+    let mut other = request();
+    other.account = AccountName::new("other").unwrap();
+    assert_matches!(chooser.choose(now, &other), Ok(_));
     let later = now + Duration::from_millis(41);
     assert_matches!(chooser.choose(later, &request()), Ok(_));
 }
