--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod membership;
 pub mod stream;
 pub mod timer;
+pub mod retry;
 
 mod path;
