--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod admission;
 pub mod choice;
+pub mod link;
 pub mod stream;
 pub mod timer;
