--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bound;
 pub mod choice;
 pub mod membership;
+pub mod link;
 pub mod stream;
 pub mod timer;
 pub mod retry;
