daemon: membership, dissemination and link monitoring in every process

Processes watch one another, pass the configuration on without the service, and judge a silent peer by a connection from a new socket. An accepted note goes to the peers at once, so that losing the service right after acceptance does not delay it. SIGHUP reads the TLS identity again.

--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use jujubewall_protocol::call::CallMessage;
 use jujubewall_protocol::call::CallResult;
@@ -25,6 +26,7 @@
 use jujubewall_types::id::Attempt;
 use jujubewall_types::id::ModelName;
 use jujubewall_types::id::RequestId;
+use jujubewall_types::id::UpstreamName;
 use jujubewall_types::priority::Priority;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -41,6 +43,7 @@
 use crate::entry::reply::StreamEvent;
 use crate::entry::routes;
 use crate::entry::view::View;
+use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::metrics::observe;
 use crate::network::Network;
@@ -50,6 +53,8 @@
 pub struct EntryArgs {
     /// The network.
     pub network: Network,
+    /// The members.
+    pub members: Members,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// The settings of the streams.
@@ -61,6 +66,7 @@
 /// Owns the streams and calls of an entry.
 pub struct EntryActor {
     network: Network,
+    members: Members,
     metrics: Arc<Metrics>,
     streams: EntryStreams,
     chooser: PipelineChooser,
@@ -144,6 +150,10 @@
 #[derive(Debug)]
 pub struct ApplyView(pub Arc<View>);
 
+/// The states of the agents have changed.
+#[derive(Debug)]
+pub struct MembersChanged;
+
 /// Asks the entry to take no new work.
 #[derive(Debug)]
 pub struct Drain;
@@ -219,6 +229,11 @@
         })
     }
 
+    fn update_engines(&mut self) {
+        let engines = routes::engine_views(&self.view, &self.members);
+        self.chooser.set_engines(Instant::now(), &engines);
+    }
+
     fn check_running(&self) -> Result<(), Failure> {
         if !self.is_draining {
             return Ok(());
@@ -306,15 +321,23 @@
                     .rerun_positions
                     .inc_by(u64::from(*rerun_positions));
             }
-            Observation::Refused { upstream, failure } => {
-                let retry_after_ms = failure.retry_after_ms.unwrap_or_default();
-                let retry_after = std::time::Duration::from_millis(retry_after_ms);
-                self.chooser
-                    .on_refused(Instant::now(), upstream, retry_after);
-            }
+            Observation::Refused {
+                request,
+                upstream,
+                failure,
+            } => self.on_refused(*request, upstream, failure),
             Observation::StageLost { .. } => {}
         }
     }
+
+    fn on_refused(&mut self, request: RequestId, upstream: &UpstreamName, failure: &Failure) {
+        let Some(sink) = self.sinks.get(&request) else {
+            return;
+        };
+        let retry_after = Duration::from_millis(failure.retry_after_ms.unwrap_or_default());
+        self.chooser
+            .on_refused(Instant::now(), upstream, &sink.choice.account, retry_after);
+    }
 }
 
 /// The time after which a caller may ask another entry.
@@ -355,6 +378,7 @@
         Ok(Self {
             streams: EntryStreams::new(args.network.own_address(), args.settings),
             network: args.network,
+            members: args.members,
             metrics: args.metrics,
             chooser: args.chooser,
             view: Arc::default(),
@@ -442,8 +466,15 @@
 
     async fn handle(&mut self, apply: ApplyView, _: &mut Context<Self, ()>) {
         self.view = apply.0;
-        let engines = routes::engine_views(&self.view);
-        self.chooser.set_engines(Instant::now(), &engines);
+        self.update_engines();
+    }
+}
+
+impl Handle<MembersChanged> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: MembersChanged, _: &mut Context<Self, ()>) {
+        self.update_engines();
     }
 }
 
--- a/daemon/src/entry/operators.rs
+++ b/daemon/src/entry/operators.rs
@@ -16,6 +16,7 @@
 use jujubewall_control::audit;
 use jujubewall_control::audit::Submission;
 use jujubewall_control::change::changes;
+use jujubewall_control::dissemination::Event;
 use jujubewall_control::item;
 use jujubewall_control::merge;
 use jujubewall_control::store::NoteResult;
@@ -37,12 +38,17 @@
 use jujubewall_types::id::PartnerName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::note::ReleaseNote;
+use kameo::actor::ActorRef;
 use smol_str::SmolStr;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::entry::credentials;
 use crate::entry::view::View;
+use crate::membership;
 use crate::membership::Members;
+use crate::membership::actor::ListMembers;
+use crate::membership::actor::MembershipActor;
 use crate::metrics::Metrics;
 use crate::server::answer;
 use crate::server::answer::Answer;
@@ -67,8 +73,12 @@
     pub store: Arc<NoteStore>,
     /// The configuration in force.
     pub view: watch::Receiver<Arc<View>>,
-    /// The members.
+    /// The members as of their last change.
     pub members: Members,
+    /// The actor that knows the members.
+    pub membership: ActorRef<MembershipActor>,
+    /// Where accepted notes go at once, so that they spread without the service.
+    pub dissemination: mpsc::Sender<Event>,
     /// The partners with their keys.
     pub partners: Arc<Vec<PartnerSettings>>,
     /// The metrics.
@@ -108,7 +118,7 @@
         match (head.uri.path(), &head.method) {
             (NOTES_PATH, &Method::POST) => self.submit(operator, body).await,
             (NOTE_CHECK_PATH, &Method::POST) => self.check(&operator, body).await,
-            (STATUS_PATH, &Method::GET) => Ok(self.status()),
+            (STATUS_PATH, &Method::GET) => Ok(self.status().await),
             (AUDIT_PATH, &Method::GET) => self.audit(head.uri.query()).await,
             (UPSTREAMS_PATH, &Method::GET) => Ok(self.upstreams()),
             (path, &Method::GET) => match path.strip_prefix(NOTES_PATH) {
@@ -151,6 +161,10 @@
             .await
             .map_err(|error| Failure::from(&error))?;
         self.metrics.count_note(result_name(&result));
+        if matches!(result, NoteResult::Accepted { .. }) {
+            let snapshot = self.store.newest_snapshot();
+            let _ = self.dissemination.send(Event::Loaded(snapshot)).await;
+        }
         let failure = result.failure();
         match (note_answers::note_answer(result), failure) {
             (Some(document), failure) => Ok(answer::json(http_status(failure), &document)),
@@ -225,19 +239,22 @@
         Ok(answer::json(StatusCode::OK, &document))
     }
 
-    fn status(&self) -> Answer {
+    async fn status(&self) -> Answer {
         let head = self.view.borrow().configuration().revision;
-        answer::json(StatusCode::OK, &self.members.status(head))
+        let members = self.membership.ask(ListMembers).send().await;
+        let status = membership::status(&members.unwrap_or_default(), head);
+        answer::json(StatusCode::OK, &status)
     }
 
     fn upstreams(&self) -> Answer {
         let view = Arc::clone(&self.view.borrow());
         let configuration = view.configuration();
+        let states = self.members.states();
         let upstreams = configuration
             .upstreams
             .values()
             .map(|upstream| UpstreamStatus {
-                agent_state: self.members.state_of(upstream.item.agent_address),
+                agent_state: states.get(&upstream.item.agent_address).copied(),
                 upstream: upstream.clone(),
                 in_flight: 0,
             });
--- a/daemon/src/entry/routes.rs
+++ b/daemon/src/entry/routes.rs
@@ -8,14 +8,17 @@
 use jujubewall_routing::stream::action::RouteNeed;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
+use jujubewall_types::member::MemberState;
 
 use crate::entry::view::View;
+use crate::membership::Members;
 
 /// The time after which a request that found no pipeline may be repeated.
 const NO_PIPELINE_RETRY_MS: u64 = 1_000;
 
 /// Lists the engines that hold what the operator fixed for them.
-pub fn engine_views(view: &View) -> Vec<EngineView> {
+pub fn engine_views(view: &View, members: &Members) -> Vec<EngineView> {
+    let states = members.states();
     let engines = view.engines();
     engines
         .filter_map(|(upstream, profile, assignment)| {
@@ -29,12 +32,21 @@
                 layers: assignment.layers,
                 decode_token_layers_per_s: profile.decode_token_layers_per_s,
                 prefill_token_layers_per_s: profile.prefill_token_layers_per_s,
-                state: EngineState::Usable,
+                state: engine_state(states.get(&upstream.agent_address).copied()),
             })
         })
         .collect()
 }
 
+/// Judges an engine by its agent; one that is not a member yet is tried.
+fn engine_state(agent: Option<MemberState>) -> EngineState {
+    match agent {
+        None | Some(MemberState::Alive) => EngineState::Usable,
+        Some(MemberState::Suspect | MemberState::Dead) => EngineState::Suspect,
+        Some(MemberState::Leaving) => EngineState::Leaving,
+    }
+}
+
 /// Adapts the first choice to a repair: the engines to avoid are excluded.
 pub fn repair_request(first: &ChoiceRequest, need: &RouteNeed) -> ChoiceRequest {
     ChoiceRequest {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod agent;
 pub mod alarm;
-pub mod configuration;
 pub mod entry;
 pub mod membership;
 pub mod metrics;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -8,6 +8,7 @@
 use jujubewall_daemon::settings::CheckedSettings;
 use jujubewall_daemon::settings::Settings;
 use log::error;
+use log::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -45,11 +46,23 @@
 async fn serve(settings: &CheckedSettings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
     let running = Running::start(settings).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => reload_identity(&running, settings).await,
+        }
     }
     running.stop().await;
     Ok(())
 }
+
+/// Takes new keys into use; keys that cannot be used change nothing.
+async fn reload_identity(running: &Running, settings: &CheckedSettings) {
+    match running.reload_identity(settings.settings()).await {
+        Ok(()) => info!("the TLS identity is read again"),
+        Err(failure) => error!("the TLS identity stays as it was: {failure:#}"),
+    }
+}
--- a/daemon/src/membership.rs
+++ b/daemon/src/membership.rs
@@ -1,75 +1,71 @@
 //! What a process knows about the other members.
 
+pub mod actor;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use jujubewall_protocol::member::MemberRecord;
+use jujubewall_routing::membership::MemberView;
 use jujubewall_types::admin::MemberStatus;
 use jujubewall_types::admin::StatusAnswer;
 use jujubewall_types::id::Revision;
 use jujubewall_types::member::MemberState;
 use tokio::time::Instant;
 
-/// One member and when it was last heard of.
-#[derive(Clone, Debug)]
-pub struct SeenMember {
-    /// What is claimed about the member.
-    pub record: MemberRecord,
-    /// When its applied revision was reported.
-    pub reported_at: Instant,
-}
-
-/// A handle on the newest list of members.
+/// A handle on the list of members as of its last change.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    list: Arc<ArcSwap<Vec<SeenMember>>>,
+    list: Arc<ArcSwap<Vec<MemberView>>>,
 }
 
 impl Members {
     /// Replaces the list.
-    pub fn replace(&self, members: Vec<SeenMember>) {
+    pub fn replace(&self, members: Vec<MemberView>) {
         self.list.store(Arc::new(members));
     }
 
-    /// Returns the state of the member at an address.
-    pub fn state_of(&self, address: SocketAddr) -> Option<MemberState> {
+    /// Returns the state of each member by its address.
+    pub fn states(&self) -> HashMap<SocketAddr, MemberState> {
         let list = self.list.load();
         list.iter()
-            .find(|member| member.record.peer_address == address)
-            .map(|member| member.record.state)
+            .map(|member| (member.record.peer_address, member.record.state))
+            .collect()
     }
+}
 
-    /// Describes how far the members have come with `head`.
-    pub fn status(&self, head: Revision) -> StatusAnswer {
-        let now = Instant::now();
-        let list = self.list.load();
-        let is_reachable = |state| matches!(state, MemberState::Alive | MemberState::Leaving);
-        let mut behind: Vec<_> = list
+/// Describes how far `members` have come with `head`.
+pub fn status(members: &[MemberView], head: Revision) -> StatusAnswer {
+    let now = Instant::now();
+    let is_reachable = |state| matches!(state, MemberState::Alive | MemberState::Leaving);
+    let mut behind: Vec<_> = members
+        .iter()
+        .filter(|member| is_reachable(member.record.state))
+        .filter(|member| member.record.applied_revision < head)
+        .collect();
+    behind.sort_by_key(|member| member.record.applied_revision);
+    let unreachable = members
+        .iter()
+        .filter(|member| !is_reachable(member.record.state));
+    StatusAnswer {
+        head,
+        is_in_force: behind.is_empty(),
+        slowest: behind
             .iter()
-            .filter(|member| is_reachable(member.record.state))
-            .filter(|member| member.record.applied_revision < head)
-            .collect();
-        behind.sort_by_key(|member| member.record.applied_revision);
-        let unreachable = list
+            .map(|member| member.record.member.clone())
+            .collect(),
+        unreachable: unreachable
+            .map(|member| member.record.member.clone())
+            .collect(),
+        members: members
             .iter()
-            .filter(|member| !is_reachable(member.record.state));
-        StatusAnswer {
-            head,
-            is_in_force: behind.is_empty(),
-            slowest: behind
-                .iter()
-                .map(|member| member.record.member.clone())
-                .collect(),
-            unreachable: unreachable
-                .map(|member| member.record.member.clone())
-                .collect(),
-            members: list.iter().map(|member| status_of(member, now)).collect(),
-        }
+            .map(|member| status_of(member, now))
+            .collect(),
     }
 }
 
-fn status_of(member: &SeenMember, now: Instant) -> MemberStatus {
+fn status_of(member: &MemberView, now: Instant) -> MemberStatus {
     let record = &member.record;
     let age = now.saturating_duration_since(member.reported_at);
     MemberStatus {
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jujubewall_types::error::ErrorKind;
+use jujubewall_types::id::Revision;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -64,8 +65,7 @@
     pub rerun_positions: Counter,
     /// Requests in progress.
     pub in_flight: Gauge,
-    /// The configuration revision that is applied.
-    pub applied_revision: Gauge,
+    applied_revision: Gauge,
     /// Peers that could not be reached over a new connection.
     pub lost_peers: Counter,
     /// Times that this process judged its own link to be the cause.
@@ -189,6 +189,12 @@
         self.requests.get_or_create(&label).inc();
     }
 
+    /// Notes the configuration revision that is applied.
+    pub fn set_applied_revision(&self, revision: Revision) {
+        let revision = i64::try_from(revision.0).unwrap_or(i64::MAX);
+        self.applied_revision.set(revision);
+    }
+
     /// Counts a release note.
     pub fn count_note(&self, result: &'static str) {
         self.notes.get_or_create(&ResultLabel { result }).inc();
--- a/daemon/src/network.rs
+++ b/daemon/src/network.rs
@@ -23,9 +23,11 @@
 use kameo::actor::Spawn as _;
 use tokio::sync::mpsc;
 
+use crate::metrics::Metrics;
 use crate::network::actor::MeasureRoundTrips;
 use crate::network::actor::NetworkActor;
 use crate::network::actor::Outbound;
+use crate::network::actor::Redial;
 use crate::network::actor::ReplaceIdentity;
 use crate::network::actor::RoundTrip;
 use crate::network::error::NetworkError;
@@ -64,6 +66,7 @@
     pub fn start(
         hello: Hello,
         identity: Identity,
+        metrics: Arc<Metrics>,
     ) -> Result<(Self, mpsc::Receiver<NetworkEvent>), NetworkError> {
         let (events, receiver) = mpsc::channel(EVENT_QUEUE_LEN);
         let endpoint = dial::server_endpoint(hello.peer_address, &identity)?;
@@ -72,7 +75,7 @@
             peer_address: own_address,
             ..hello
         };
-        let state = NetworkActor::new(hello, identity, endpoint, events);
+        let state = NetworkActor::new(hello, identity, endpoint, events, metrics);
         let actor = NetworkActor::spawn(state);
         Ok((Self { own_address, actor }, receiver))
     }
@@ -93,6 +96,11 @@
         let _ = self.actor.tell(outbound).try_send();
     }
 
+    /// Makes a connection to a peer from a new socket and judges the peer by it.
+    pub fn redial(&self, to: SocketAddr) {
+        let _ = self.actor.tell(Redial { to }).try_send();
+    }
+
     /// Returns the time that a packet takes to each connected peer and back.
     pub async fn round_trips(&self) -> Vec<RoundTrip> {
         let asked = self.actor.ask(MeasureRoundTrips).send().await;
--- a/daemon/src/network/actor.rs
+++ b/daemon/src/network/actor.rs
@@ -8,6 +8,9 @@
 use jujubewall_protocol::frame::Frame;
 use jujubewall_protocol::hello::Hello;
 use jujubewall_protocol::message::Message;
+use jujubewall_routing::link::LinkAction;
+use jujubewall_routing::link::LinkMonitor;
+use jujubewall_routing::link::LinkSettings;
 use jujubewall_types::id::MemberName;
 use kameo::Actor;
 use kameo::actor::ActorRef;
@@ -16,11 +19,14 @@
 use kameo::error::Infallible;
 use kameo::message::Context;
 use kameo::message::Message as Handle;
+use log::debug;
 use log::info;
 use quinn::Endpoint;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::alarm::Alarm;
+use crate::metrics::Metrics;
 use crate::network::NetworkEvent;
 use crate::network::connection::ConnectionHandle;
 use crate::network::connection::ConnectionId;
@@ -34,6 +40,9 @@
 /// The time between a failed dial and the next one to the same peer.
 const REDIAL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The shortest time between two looks at which peers are silent.
+const MONITOR_INTERVAL: Duration = Duration::from_millis(25);
+
 /// The time that connections get to send what they hold when the process stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -47,7 +56,10 @@
     peers: HashMap<SocketAddr, Peer>,
     next_connection: u64,
     events: mpsc::Sender<NetworkEvent>,
-    dropped_frames: u64,
+    monitor: LinkMonitor,
+    next_ping: u64,
+    alarm: Option<Alarm>,
+    metrics: Arc<Metrics>,
 }
 
 /// Asks for a message to be sent.
@@ -87,6 +99,16 @@
 #[derive(Debug)]
 pub struct ReplaceIdentity(pub Identity);
 
+/// Asks for a connection from a new socket.
+#[derive(Debug)]
+pub struct Redial {
+    /// The peer.
+    pub to: SocketAddr,
+}
+
+/// The alarm has rung.
+struct Wake;
+
 /// Asks how far away the connected peers are.
 #[derive(Debug)]
 pub struct MeasureRoundTrips;
@@ -107,6 +129,7 @@
         identity: Identity,
         server: Endpoint,
         events: mpsc::Sender<NetworkEvent>,
+        metrics: Arc<Metrics>,
     ) -> Self {
         Self {
             own,
@@ -116,7 +139,10 @@
             peers: HashMap::new(),
             next_connection: 0,
             events,
-            dropped_frames: 0,
+            monitor: LinkMonitor::new(LinkSettings::default()),
+            next_ping: 0,
+            alarm: None,
+            metrics,
         }
     }
 
@@ -127,7 +153,7 @@
         }
         let peer = self.peers.entry(to).or_default();
         if !peer.send(Frame::Message(message)) {
-            self.dropped_frames += 1;
+            self.metrics.dropped_frames.inc();
         }
         if peer.needs_dial(Instant::now()) {
             self.start_dial(to, actor.clone());
@@ -140,7 +166,7 @@
             message,
         };
         if self.events.try_send(event).is_err() {
-            self.dropped_frames += 1;
+            self.metrics.dropped_frames.inc();
         }
     }
 
@@ -148,7 +174,7 @@
         let endpoint = match self.client_endpoint() {
             Ok(endpoint) => endpoint,
             Err(error) => {
-                self.on_dial_failed(to, &error);
+                self.on_dial_failed(to, &error, &actor);
                 return;
             }
         };
@@ -182,14 +208,78 @@
         Ok(endpoint)
     }
 
-    fn on_dial_failed(&mut self, address: SocketAddr, error: &NetworkError) {
+    fn on_dial_failed(
+        &mut self,
+        address: SocketAddr,
+        error: &NetworkError,
+        actor: &ActorRef<Self>,
+    ) {
         let Some(peer) = self.peers.get_mut(&address) else {
             return;
         };
         let dropped = peer.on_dial_failed(Instant::now() + REDIAL_INTERVAL);
-        self.dropped_frames += dropped as u64;
-        info!("peer {address} cannot be reached: {error}");
-        let _ = self.events.try_send(NetworkEvent::Lost(address));
+        self.metrics.dropped_frames.inc_by(dropped as u64);
+        debug!("peer {address} cannot be dialled: {error}");
+        let actions = self.monitor.on_dial_failed(Instant::now(), address);
+        self.judge(actions, actor);
+    }
+
+    /// Dials a peer from a new socket, beside the connections that it has.
+    fn redial(&mut self, to: SocketAddr, actor: &ActorRef<Self>) {
+        if self.peers.entry(to).or_default().is_dialling() {
+            return;
+        }
+        // The state that something in between has lost belongs to the old socket.
+        self.client = None;
+        self.start_dial(to, actor.clone());
+    }
+
+    fn judge(&mut self, actions: Vec<LinkAction>, actor: &ActorRef<Self>) {
+        for action in actions {
+            match action {
+                LinkAction::Ping { peer } => self.ping(peer),
+                LinkAction::Redial { peer } => self.redial(peer, actor),
+                LinkAction::PeerLost { peer } => {
+                    self.metrics.lost_peers.inc();
+                    info!("peer {peer} is lost");
+                    let _ = self.events.try_send(NetworkEvent::Lost(peer));
+                }
+                LinkAction::OwnLinkSuspect => {
+                    self.metrics.own_link_suspicions.inc();
+                    info!("many peers are silent, so the own link is suspect");
+                    let _ = self.events.try_send(NetworkEvent::OwnLinkSuspect);
+                }
+                LinkAction::OwnLinkBack => info!("the own link is trusted again"),
+            }
+        }
+        self.set_alarm();
+    }
+
+    fn ping(&mut self, peer: SocketAddr) {
+        let sequence = self.next_ping;
+        self.next_ping += 1;
+        if let Some(connection) = self.peers.get(&peer).and_then(Peer::newest) {
+            connection.send(&Frame::Ping { sequence });
+        }
+    }
+
+    fn set_alarm(&self) {
+        let earliest = Instant::now() + MONITOR_INTERVAL;
+        let wakeup = self.monitor.next_wakeup().map(|at| at.max(earliest));
+        if let Some(alarm) = &self.alarm {
+            alarm.set(wakeup);
+        }
+    }
+
+    /// Tells the monitor which peers were heard since the last time.
+    fn note_received(&mut self, now: Instant) -> Vec<LinkAction> {
+        let mut actions = Vec::new();
+        for (address, peer) in &mut self.peers {
+            if peer.has_received() {
+                actions.extend(self.monitor.on_received(now, *address));
+            }
+        }
+        actions
     }
 }
 
@@ -202,39 +292,61 @@
     introduce(connection, own).await
 }
 
-async fn accept_peers(endpoint: Endpoint, own: Hello, actor: ActorRef<NetworkActor>) {
+async fn accept_peers(
+    endpoint: Endpoint,
+    own: Hello,
+    actor: ActorRef<NetworkActor>,
+    metrics: Arc<Metrics>,
+) {
     while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(accept_peer(incoming, own.clone(), actor.clone()));
+        let own = own.clone();
+        let actor = actor.clone();
+        let metrics = Arc::clone(&metrics);
+        tokio::spawn(async move {
+            match accept_peer(incoming, &own).await {
+                Ok(connected) => {
+                    let _ = actor.tell(connected).send().await;
+                }
+                Err(error) => {
+                    metrics.refused_peers.inc();
+                    debug!("a peer is refused: {error}");
+                }
+            }
+        });
     }
 }
 
-async fn accept_peer(incoming: quinn::Incoming, own: Hello, actor: ActorRef<NetworkActor>) {
-    let address = incoming.remote_address();
-    let connection = match incoming.await {
-        Ok(connection) => connection,
-        Err(error) => {
-            info!("a peer at {address} is refused: {error}");
-            return;
-        }
-    };
-    match introduce(connection, &own).await {
-        Ok(introduced) => {
-            let connected = Connected {
-                introduced,
-                was_dialled: false,
-            };
-            let _ = actor.tell(connected).send().await;
-        }
-        Err(error) => info!("a peer at {address} is refused: {error}"),
-    }
+async fn accept_peer(incoming: quinn::Incoming, own: &Hello) -> Result<Connected, NetworkError> {
+    let connection = incoming
+        .await
+        .map_err(|error| NetworkError::Closed(error.to_string()))?;
+    Ok(Connected {
+        introduced: introduce(connection, own).await?,
+        was_dialled: false,
+    })
 }
 
 impl Actor for NetworkActor {
     type Args = Self;
     type Error = Infallible;
 
-    async fn on_start(state: Self, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        tokio::spawn(accept_peers(state.server.clone(), state.own.clone(), actor));
+    async fn on_start(mut state: Self, actor: ActorRef<Self>) -> Result<Self, Infallible> {
+        let target = actor.downgrade();
+        state.alarm = Some(Alarm::start(move || {
+            let target = target.upgrade();
+            async move {
+                match target {
+                    Some(target) => target.tell(Wake).send().await.is_ok(),
+                    None => false,
+                }
+            }
+        }));
+        tokio::spawn(accept_peers(
+            state.server.clone(),
+            state.own.clone(),
+            actor,
+            Arc::clone(&state.metrics),
+        ));
         Ok(state)
     }
 
@@ -278,15 +390,19 @@
         );
         let peer = self.peers.entry(hello.peer_address).or_default();
         peer.on_connected(connection, connected.was_dialled);
+        let actions = self
+            .monitor
+            .on_connected(Instant::now(), hello.peer_address);
         let _ = self.events.try_send(NetworkEvent::Connected(hello));
+        self.judge(actions, context.actor_ref());
     }
 }
 
 impl Handle<DialFailed> for NetworkActor {
     type Reply = ();
 
-    async fn handle(&mut self, failed: DialFailed, _: &mut Context<Self, ()>) {
-        self.on_dial_failed(failed.address, &failed.error);
+    async fn handle(&mut self, failed: DialFailed, context: &mut Context<Self, ()>) {
+        self.on_dial_failed(failed.address, &failed.error, context.actor_ref());
     }
 }
 
@@ -300,6 +416,7 @@
         peer.on_closed(closed.id);
         if peer.is_idle() {
             self.peers.remove(&closed.address);
+            self.monitor.forget(closed.address);
         }
     }
 }
@@ -337,3 +454,22 @@
             .collect()
     }
 }
+
+impl Handle<Redial> for NetworkActor {
+    type Reply = ();
+
+    async fn handle(&mut self, redial: Redial, context: &mut Context<Self, ()>) {
+        self.redial(redial.to, context.actor_ref());
+    }
+}
+
+impl Handle<Wake> for NetworkActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Wake, context: &mut Context<Self, ()>) {
+        let now = Instant::now();
+        let mut actions = self.note_received(now);
+        actions.extend(self.monitor.on_tick(now));
+        self.judge(actions, context.actor_ref());
+    }
+}
--- a/daemon/src/network/connection.rs
+++ b/daemon/src/network/connection.rs
@@ -1,6 +1,8 @@
 //! The tasks that read and write one connection.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +38,7 @@
 struct Reader {
     id: ConnectionId,
     hello: Arc<Hello>,
+    received: Arc<AtomicU64>,
     reply: mpsc::Sender<Bytes>,
     events: mpsc::Sender<NetworkEvent>,
 }
@@ -45,6 +48,7 @@
 pub struct ConnectionHandle {
     id: ConnectionId,
     hello: Arc<Hello>,
+    received: Arc<AtomicU64>,
     connection: Connection,
     control: mpsc::Sender<Bytes>,
     data: mpsc::Sender<Bytes>,
@@ -60,9 +64,11 @@
     ) -> Self {
         let (control, control_queue) = mpsc::channel(LANE_QUEUE_LEN);
         let (data, data_queue) = mpsc::channel(LANE_QUEUE_LEN);
+        let received = Arc::new(AtomicU64::new(0));
         let reader = Reader {
             id,
             hello: Arc::clone(&introduced.hello),
+            received: Arc::clone(&received),
             reply: control.clone(),
             events,
         };
@@ -73,6 +79,7 @@
         Self {
             id,
             hello: introduced.hello,
+            received,
             connection: introduced.connection,
             control,
             data,
@@ -89,6 +96,11 @@
         &self.hello.member
     }
 
+    /// Returns the number of frames that have been received.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
     /// Returns the time that a packet takes to the peer and back.
     pub fn round_trip(&self) -> Duration {
         self.connection.rtt()
@@ -177,6 +189,7 @@
     let Some(body) = read_frame(stream).await? else {
         return Ok(false);
     };
+    reader.received.fetch_add(1, Ordering::Relaxed);
     match codec::decode(&body)? {
         Frame::Hello(_) => return Err(NetworkError::Refused("a second introduction")),
         Frame::Ping { sequence } => {
--- a/daemon/src/network/peer.rs
+++ b/daemon/src/network/peer.rs
@@ -17,6 +17,7 @@
     pending: Vec<Frame>,
     is_dialling: bool,
     dial_allowed_at: Option<Instant>,
+    received: u64,
 }
 
 impl Peer {
@@ -40,6 +41,23 @@
         self.connections.is_empty() && !self.is_dialling && may_dial
     }
 
+    /// Returns whether a dial is under way.
+    pub fn is_dialling(&self) -> bool {
+        self.is_dialling
+    }
+
+    /// Returns whether a frame was received since the last call.
+    pub fn has_received(&mut self) -> bool {
+        let received = self
+            .connections
+            .iter()
+            .map(ConnectionHandle::received)
+            .sum();
+        let has_received = received > self.received;
+        self.received = received;
+        has_received
+    }
+
     /// Notes that a dial has been started.
     pub fn on_dial_started(&mut self) {
         self.is_dialling = true;
@@ -61,6 +79,7 @@
         if was_dialled {
             self.is_dialling = false;
             self.dial_allowed_at = None;
+            self.close_all();
         }
         for frame in self.pending.drain(..) {
             connection.send(&frame);
--- /dev/null
+++ b/daemon/src/process/dispatch.rs
@@ -0,0 +1,168 @@
+//! Passing what arrives on to the part of the process that it is for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jujubewall_control::dissemination::Event;
+use jujubewall_protocol::call::CallMessage;
+use jujubewall_protocol::hello::Hello;
+use jujubewall_protocol::message::Message;
+use jujubewall_protocol::stream::StreamMessage;
+use kameo::actor::ActorRef;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::agent::actor as agent;
+use crate::agent::actor::AgentActor;
+use crate::entry::actor as entry;
+use crate::entry::actor::EntryActor;
+use crate::entry::view::View;
+use crate::membership::actor::MemberReceived;
+use crate::membership::actor::MembershipEvent;
+use crate::membership::actor::RevisionApplied;
+use crate::network::NetworkEvent;
+use crate::process::shared::Shared;
+
+/// The actor of the process's role.
+#[derive(Clone)]
+pub enum RoleActor {
+    /// The actor of an entry.
+    Entry(ActorRef<EntryActor>),
+    /// The actor of an agent.
+    Agent(ActorRef<AgentActor>),
+}
+
+impl RoleActor {
+    // An actor that has stopped needs no messages, so that failures are passed over.
+
+    async fn on_stream(&self, from: SocketAddr, message: StreamMessage) {
+        match self {
+            Self::Entry(actor) => {
+                let received = entry::StreamReceived { from, message };
+                let _ = actor.tell(received).send().await;
+            }
+            Self::Agent(actor) => {
+                let received = agent::StreamReceived { from, message };
+                let _ = actor.tell(received).send().await;
+            }
+        }
+    }
+
+    async fn on_call(&self, message: CallMessage) {
+        match self {
+            Self::Entry(actor) => {
+                if let CallMessage::Result(result) = message {
+                    let _ = actor.tell(entry::CallEnded(result)).send().await;
+                }
+            }
+            Self::Agent(actor) => {
+                let _ = actor.tell(agent::CallReceived(message)).send().await;
+            }
+        }
+    }
+
+    async fn on_peer_lost(&self, peer: SocketAddr) {
+        if let Self::Entry(actor) = self {
+            let _ = actor.tell(entry::PeerLost(peer)).send().await;
+        }
+    }
+
+    async fn on_members_changed(&self) {
+        if let Self::Entry(actor) = self {
+            let _ = actor.tell(entry::MembersChanged).send().await;
+        }
+    }
+
+    async fn on_own_host_leaving(&self, grace_end: Instant) {
+        if let Self::Agent(actor) = self {
+            let _ = actor.tell(agent::Leave { grace_end }).send().await;
+        }
+    }
+}
+
+/// Passes the network's events on until the network has stopped.
+pub async fn network_events(
+    mut events: mpsc::Receiver<NetworkEvent>,
+    shared: Shared,
+    role: RoleActor,
+) {
+    while let Some(event) = events.recv().await {
+        match event {
+            NetworkEvent::Received { from, message } => {
+                received(&shared, &role, from, *message).await;
+            }
+            NetworkEvent::Lost(peer) => role.on_peer_lost(peer).await,
+            NetworkEvent::Connected(_) | NetworkEvent::OwnLinkSuspect => {}
+        }
+    }
+}
+
+async fn received(shared: &Shared, role: &RoleActor, from: Arc<Hello>, message: Message) {
+    match message {
+        Message::Stream(message) => role.on_stream(from.peer_address, message).await,
+        Message::Call(message) => role.on_call(message).await,
+        Message::Member(message) => {
+            let received = MemberReceived { from, message };
+            let _ = shared.membership.tell(received).send().await;
+        }
+        Message::Config(message) => {
+            let _ = shared.dissemination.send(Event::Message(message)).await;
+        }
+        Message::Limit(_) => {}
+    }
+}
+
+/// Passes changes of the members on until membership has stopped.
+pub async fn member_events(
+    mut events: mpsc::Receiver<MembershipEvent>,
+    role: RoleActor,
+    drain_grace: std::time::Duration,
+) {
+    while let Some(event) = events.recv().await {
+        match event {
+            MembershipEvent::Changed => role.on_members_changed().await,
+            MembershipEvent::Lost(peer) => role.on_peer_lost(peer).await,
+            MembershipEvent::OwnHostLeaving => {
+                role.on_own_host_leaving(Instant::now() + drain_grace).await;
+            }
+        }
+    }
+}
+
+/// Brings each applied configuration to an entry.
+pub async fn views(shared: Shared, views: watch::Sender<Arc<View>>, actor: ActorRef<EntryActor>) {
+    let mut revision = shared.configuration.subscribe();
+    while revision.changed().await.is_ok() {
+        let view = Arc::new(View::new(shared.configuration.configuration()));
+        let applied = view.configuration().revision;
+        let told = actor.tell(entry::ApplyView(Arc::clone(&view))).send().await;
+        views.send_replace(view);
+        let _ = shared
+            .membership
+            .tell(RevisionApplied(applied))
+            .send()
+            .await;
+        if told.is_err() {
+            return;
+        }
+    }
+}
+
+/// Brings each applied configuration to an agent.
+pub async fn agent_configurations(shared: Shared, actor: ActorRef<AgentActor>) {
+    let mut revision = shared.configuration.subscribe();
+    while revision.changed().await.is_ok() {
+        let configuration = shared.configuration.configuration();
+        let applied = configuration.revision;
+        let apply = agent::ApplyConfiguration(configuration);
+        if actor.tell(apply).send().await.is_err() {
+            return;
+        }
+        let _ = shared
+            .membership
+            .tell(RevisionApplied(applied))
+            .send()
+            .await;
+    }
+}
--- /dev/null
+++ b/daemon/src/process/limits.rs
@@ -0,0 +1,40 @@
+//! The settings' limits in the form that the listeners take.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+use tokio::net::TcpListener;
+
+use crate::server::body::BodyLimits;
+use crate::server::listener::ConnectionLimits;
+use crate::settings::Settings;
+
+/// Binds a TCP socket.
+pub async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("{address} cannot be bound"))
+}
+
+/// Returns the limits on connections.
+pub fn connections(settings: &Settings) -> ConnectionLimits {
+    let limits = &settings.limits;
+    ConnectionLimits {
+        max_connections: clamp(limits.max_connections),
+        max_header_bytes: clamp(limits.max_header_bytes),
+        header_timeout: Duration::from_millis(limits.header_timeout_ms),
+    }
+}
+
+/// Returns the limits on bodies of up to `max_body_bytes`.
+pub fn bodies(settings: &Settings, max_body_bytes: u64) -> BodyLimits {
+    BodyLimits {
+        max_body_bytes: clamp(max_body_bytes),
+        body_timeout: Duration::from_millis(settings.limits.body_timeout_ms),
+    }
+}
+
+fn clamp(value: u64) -> usize {
+    usize::try_from(value).unwrap_or(usize::MAX)
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,10 +6,10 @@
 pub mod admission;
 pub mod bound;
 pub mod choice;
-pub mod membership;
 pub mod link;
+pub mod membership;
+pub mod retry;
 pub mod stream;
 pub mod timer;
-pub mod retry;
 
 mod path;
--- a/routing/src/stream/action.rs
+++ b/routing/src/stream/action.rs
@@ -83,6 +83,8 @@
     },
     /// An upstream refused a stream.
     Refused {
+        /// The request.
+        request: RequestId,
         /// The upstream.
         upstream: UpstreamName,
         /// The reason.
--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -141,6 +141,7 @@
         return;
     };
     fx.observe(Observation::Refused {
+        request: refused.id.request,
         upstream: stage.upstream.clone(),
         failure: refused.failure.clone(),
     });
--- a/testutils/src/ports.rs
+++ b/testutils/src/ports.rs
@@ -14,32 +14,32 @@
 /// The number of ports, which ends below those that the system gives to outgoing connections.
 const PORT_COUNT: u32 = 22_000;
 
-/// The distance between the first ports of two test processes that follow each other.
-const PROCESS_STRIDE: u32 = 97;
-
 static GIVEN_OUT: AtomicU32 = AtomicU32::new(0);
 
 /// Returns a loopback address that is free for TCP and UDP.
 ///
-/// A port that the system picks for a moment could be taken by an outgoing
-/// connection before the process that is told about it binds it. No port is
-/// given out twice by one test process.
+/// Every test process has a host part of its own, made from its identifier, so
+/// that no two of them and no outgoing connection can take one another's ports
+/// between the choice of an address and its use. No port is given out twice by
+/// one test process.
 ///
 /// # Panics
 ///
 /// Panics if every port is taken.
 pub fn free_address() -> SocketAddr {
     for _ in 0..PORT_COUNT {
-        let index = GIVEN_OUT.fetch_add(1, Ordering::Relaxed);
-        let offset = process::id()
-            .wrapping_mul(PROCESS_STRIDE)
-            .wrapping_add(index)
-            % PORT_COUNT;
-        let port = u16::try_from(FIRST_PORT + offset).unwrap_or_default();
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let index = GIVEN_OUT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let port = u16::try_from(FIRST_PORT + index).unwrap_or_default();
+        let address = SocketAddr::from((own_host(), port));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
     panic!("no port is free");
 }
+
+/// Returns the loopback address of this process, which is never 127.0.0.x.
+fn own_host() -> Ipv4Addr {
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | high, middle, low)
+}
