routing: let the admission bound follow the gradient of the response

Fixed steps took 16 s to fill the fleet, and as long again after a fault. The bound now moves by the square root of target over mean response.

--- a/routing/src/admission/concurrency.rs
+++ b/routing/src/admission/concurrency.rs
@@ -20,10 +20,10 @@
     pub target_response_us: u64,
     /// The time over which responses are averaged before the bound changes.
     pub window_ms: u64,
-    /// The part of the bound that is kept when it falls, in thousandths.
-    pub decrease_permille: u32,
-    /// The part by which the bound rises while it is used up, in thousandths.
-    pub increase_permille: u32,
+    /// The part by which the bound falls at most at once, in thousandths.
+    pub max_decrease_permille: u32,
+    /// The part by which the bound rises at most at once, in thousandths.
+    pub max_increase_permille: u32,
 }
 
 impl Default for ConcurrencySettings {
@@ -34,16 +34,17 @@
             max: 4096,
             target_response_us: 50_000,
             window_ms: 250,
-            decrease_permille: 900,
-            increase_permille: 50,
+            max_decrease_permille: 200,
+            max_increase_permille: 500,
         }
     }
 }
 
 /// A bound that follows the measured response.
 ///
-/// It rises while it is used up and the upstream responds within the target,
-/// and falls by a part as soon as the mean response of a window exceeds it.
+/// At the end of each window it moves by the square root of target over mean
+/// response, which damps it, since response grows with the work in flight. It
+/// rises only where it was used up.
 #[derive(Debug)]
 pub(super) struct ConcurrencyBound {
     settings: ConcurrencySettings,
@@ -90,13 +91,14 @@
     }
 
     fn adjust(&mut self) {
-        let mean = self.total_response / self.samples.max(1);
-        let target = Duration::from_micros(self.settings.target_response_us);
-        if mean > target {
-            self.bound *= f64::from(self.settings.decrease_permille) / 1000.0;
-        } else if self.was_used_up {
-            let part = f64::from(self.settings.increase_permille) / 1000.0;
-            self.bound += (self.bound * part).max(1.0);
+        let mean_s = self.total_response.as_secs_f64() / f64::from(self.samples.max(1));
+        let target_s = Duration::from_micros(self.settings.target_response_us).as_secs_f64();
+        let lowest = f64::from(self.settings.max_decrease_permille) / 1000.0;
+        let highest = f64::from(self.settings.max_increase_permille) / 1000.0;
+        let gradient = (target_s / mean_s.max(f64::MIN_POSITIVE)).sqrt();
+        let factor = gradient.clamp(1.0 - lowest, 1.0 + highest);
+        if factor < 1.0 || self.was_used_up {
+            self.bound *= factor;
         }
         let min = f64::from(self.settings.min);
         let max = f64::from(self.settings.max);
