routing: refuse early and bound work by what was in flight

Work that waited two seconds at each stage held slots at the stages before and started late, all at once. The longest wait is now 300 ms, and a window sets the bound from the work that was in flight, so several windows do not lower it for one excess. Waits are computed from the order of service. Entries weigh requests by what their account got lately.

--- a/bench/src/throughput/world.rs
+++ b/bench/src/throughput/world.rs
@@ -11,6 +11,7 @@
 use jujubewall_routing::admission::AdmissionSettings;
 use jujubewall_routing::admission::ConcurrencySettings;
 use jujubewall_routing::admission::Decision;
+use jujubewall_routing::admission::FairWeights;
 use jujubewall_routing::admission::Refusal;
 use jujubewall_routing::choice::CacheHint;
 use jujubewall_routing::choice::ChoiceRequest;
@@ -53,7 +54,7 @@
 /// The time that a caller waits for a whole answer.
 const CALLER_PATIENCE_US: u64 = 12_000_000;
 /// The time between tokens that entries expect when they set deadlines.
-const EXPECTED_TOKEN_GAP_US: u64 = 66_000;
+const EXPECTED_TOKEN_GAP_US: u64 = 80_000;
 /// The time between tokens that agents aim at, each for its part of the layers.
 const TARGET_TOKEN_GAP_US: u64 = 66_000;
 /// The time after which a caller repeats a request that was refused.
@@ -167,6 +168,7 @@
 struct Entry {
     policy: Policy,
     retries: RetryBudget,
+    weights: FairWeights,
     is_lost: bool,
 }
 
@@ -271,6 +273,7 @@
             Entry {
                 policy: Policy::new(settings.policy, seed),
                 retries: RetryBudget::new(RetrySettings::default(), seed),
+                weights: FairWeights::new(),
                 is_lost: false,
             }
         };
@@ -493,15 +496,17 @@
         }
         let service_us = u64::from(scenario::MAX_ANSWER_TOKENS) * EXPECTED_TOKEN_GAP_US;
         let start_by_us = known.arrived_us + CALLER_PATIENCE_US - service_us;
+        let account = scenario::account(known.account);
+        let now = self.now();
+        let weight = self.entries[known.entry].weights.weight(now, &account, 1);
         let request = AdmissionRequest {
             id: key,
-            account: scenario::account(known.account),
-            weight: 1,
+            account,
+            weight,
             priority: Priority::Normal,
             cost: cost_of(scenario::MAX_ANSWER_TOKENS, layers.len()),
             deadline: self.instant(start_by_us),
         };
-        let now = self.now();
         match self.engines[engine].admission.offer(now, request) {
             Decision::Admit => self.after(FAR_US, Event::Opened(key)),
             Decision::Queue => {}
@@ -730,6 +735,10 @@
                 .push((now_us, now_us - known.last_token_us));
         }
         known.last_token_us = now_us;
+        let account = scenario::account(known.account);
+        let (entry, now) = (known.entry, self.base + Duration::from_micros(now_us));
+        self.entries[entry].weights.on_served(now, &account, 1, 1);
+        let known = &self.streams[stream];
         if known.generated >= known.answer_tokens {
             let is_in_time = now_us - known.arrived_us <= CALLER_PATIENCE_US;
             if is_in_time {
--- a/routing/src/admission/concurrency.rs
+++ b/routing/src/admission/concurrency.rs
@@ -42,9 +42,10 @@
 
 /// A bound that follows the measured response.
 ///
-/// At the end of each window it moves by the square root of target over mean
-/// response, which damps it, since response grows with the work in flight. It
-/// rises only where it was used up.
+/// At the end of each window it is set to the work that was in flight times the
+/// square root of target over mean response. It starts from what was in flight
+/// and not from the last bound, since work that was admitted stays for a while
+/// and several windows would otherwise lower the bound for the same excess.
 #[derive(Debug)]
 pub(super) struct ConcurrencyBound {
     settings: ConcurrencySettings,
@@ -52,6 +53,7 @@
     window_end: Option<Instant>,
     samples: u32,
     total_response: Duration,
+    total_in_flight: u64,
     was_used_up: bool,
 }
 
@@ -65,6 +67,7 @@
             window_end: None,
             samples: 0,
             total_response: Duration::ZERO,
+            total_in_flight: 0,
             was_used_up: false,
         }
     }
@@ -83,6 +86,7 @@
         let window_end = *self.window_end.get_or_insert(now + window);
         self.samples += 1;
         self.total_response += response;
+        self.total_in_flight += in_flight as u64;
         self.was_used_up |= in_flight >= self.get();
         if now >= window_end {
             self.adjust();
@@ -97,14 +101,18 @@
         let highest = f64::from(self.settings.max_increase_permille) / 1000.0;
         let gradient = (target_s / mean_s.max(f64::MIN_POSITIVE)).sqrt();
         let factor = gradient.clamp(1.0 - lowest, 1.0 + highest);
-        if factor < 1.0 || self.was_used_up {
-            self.bound *= factor;
+        let in_flight = self.total_in_flight as f64 / f64::from(self.samples.max(1));
+        if factor < 1.0 {
+            self.bound = self.bound.min(in_flight * factor);
+        } else if self.was_used_up {
+            self.bound = self.bound.max(in_flight * factor);
         }
         let min = f64::from(self.settings.min);
         let max = f64::from(self.settings.max);
         self.bound = self.bound.clamp(min, max);
         self.samples = 0;
         self.total_response = Duration::ZERO;
+        self.total_in_flight = 0;
         self.was_used_up = false;
     }
 }
--- a/routing/src/admission/fair_queue.rs
+++ b/routing/src/admission/fair_queue.rs
@@ -15,7 +15,7 @@
 }
 
 /// The units of virtual time for one unit of cost at weight one.
-const VIRTUAL_TIME_PER_COST: u64 = 1 << 10;
+const VIRTUAL_TIME_PER_COST: u64 = 1 << 20;
 
 /// The number of priorities.
 const PRIORITIES: usize = 3;
@@ -50,6 +50,11 @@
     cost.saturating_mul(VIRTUAL_TIME_PER_COST) / u64::from(weight.max(1))
 }
 
+/// Returns the cost that is served at some weight in a span of virtual time.
+fn cost_in(virtual_span: u64, weight: u32) -> u64 {
+    virtual_span.saturating_mul(u64::from(weight.max(1))) / VIRTUAL_TIME_PER_COST
+}
+
 /// One waiting item.
 #[derive(Debug)]
 struct Item<T> {
@@ -100,8 +105,6 @@
     by_name: HashMap<AccountName, AccountKey>,
     order: BTreeSet<(u64, AccountKey)>,
     virtual_now: u64,
-    queued_cost: u64,
-    active_weight: u64,
     len: usize,
 }
 
@@ -113,8 +116,6 @@
             by_name: HashMap::new(),
             order: BTreeSet::new(),
             virtual_now: 0,
-            queued_cost: 0,
-            active_weight: 0,
             len: 0,
         }
     }
@@ -124,23 +125,27 @@
         self.len
     }
 
-    /// Returns the cost of all waiting items.
-    pub(super) fn queued_cost(&self) -> u64 {
-        self.queued_cost
-    }
-
-    /// Returns the cost that one account has waiting.
-    pub(super) fn account_cost(&self, name: &AccountName) -> u64 {
-        let key = self.by_name.get(name);
-        key.map_or(0, |&key| self.accounts[key].queued_cost)
+    /// Returns the cost that is served before a new item of an account.
+    pub(super) fn cost_ahead(&self, name: &AccountName, weight: u32) -> u64 {
+        let start = self.next_start(name, weight);
+        let earlier = self.order.iter().take_while(|&&(first, _)| first <= start);
+        let ahead = earlier.map(|&(first, key)| {
+            let account = &self.accounts[key];
+            let served = cost_in(start - first, account.weight);
+            account.queued_cost.min(served)
+        });
+        ahead.sum()
     }
 
-    /// Returns the part of the service that an account gets while it waits.
-    pub(super) fn account_share(&self, name: &AccountName, weight: u32) -> f64 {
-        let is_active = self.account_cost(name) > 0;
-        let others = self.active_weight - if is_active { u64::from(weight) } else { 0 };
-        let weight = f64::from(weight.max(1));
-        weight / (weight + others as f64)
+    /// Returns the virtual time at which a new item of an account would start.
+    fn next_start(&self, name: &AccountName, weight: u32) -> u64 {
+        let Some(&key) = self.by_name.get(name) else {
+            return self.virtual_now;
+        };
+        let account = &self.accounts[key];
+        let listed = account.listed_start;
+        let start = listed.unwrap_or_else(|| account.flow.start(self.virtual_now));
+        start.saturating_add(virtual_cost(account.queued_cost, weight))
     }
 
     /// Charges cost that was served without waiting.
@@ -181,7 +186,6 @@
         let account = &mut self.accounts[key];
         account.classes[class_of(priority)].push_back(Item { value, cost });
         account.queued_cost += cost;
-        self.queued_cost += cost;
         self.len += 1;
         self.list(key);
     }
@@ -192,10 +196,8 @@
         self.virtual_now = self.virtual_now.max(start);
         let account = &mut self.accounts[key];
         account.listed_start = None;
-        self.active_weight -= u64::from(account.weight);
         let item = account.pop()?;
         account.flow.charge(start, item.cost, account.weight);
-        self.queued_cost -= item.cost;
         self.len -= 1;
         if account.next_class().is_some() {
             self.list(key);
@@ -226,7 +228,6 @@
             *class = kept;
             for item in gone {
                 account.queued_cost -= item.cost;
-                self.queued_cost -= item.cost;
                 self.len -= 1;
                 removed.push(item.value);
             }
@@ -244,21 +245,19 @@
         }
         let start = account.flow.start(self.virtual_now);
         account.listed_start = Some(start);
-        self.active_weight += u64::from(account.weight);
         self.order.insert((start, key));
     }
 
     fn unlist(&mut self, key: AccountKey) {
         let account = &mut self.accounts[key];
         if let Some(start) = account.listed_start.take() {
-            self.active_weight -= u64::from(account.weight);
             self.order.remove(&(start, key));
         }
     }
 
     fn intern(&mut self, name: &AccountName, weight: u32) -> AccountKey {
         if let Some(&key) = self.by_name.get(name) {
-            self.set_weight(key, weight);
+            self.accounts[key].weight = weight;
             return key;
         }
         self.forget_idle();
@@ -276,15 +275,6 @@
         key
     }
 
-    fn set_weight(&mut self, key: AccountKey, weight: u32) {
-        let account = &mut self.accounts[key];
-        if account.listed_start.is_some() {
-            self.active_weight -= u64::from(account.weight);
-            self.active_weight += u64::from(weight);
-        }
-        account.weight = weight;
-    }
-
     /// Forgets accounts that have nothing waiting and nothing to pay back.
     fn forget_idle(&mut self) {
         if self.accounts.len() < MAX_IDLE_ACCOUNTS + self.order.len() {
--- a/routing/src/admission/gate.rs
+++ b/routing/src/admission/gate.rs
@@ -38,7 +38,7 @@
     fn default() -> Self {
         Self {
             concurrency: ConcurrencySettings::default(),
-            max_wait_ms: 2_000,
+            max_wait_ms: 300,
             min_retry_after_ms: 50,
         }
     }
@@ -231,10 +231,8 @@
         let Some(cost_per_s) = self.cost_per_s else {
             return Duration::ZERO;
         };
-        let share = self.queue.account_share(&request.account, request.weight);
-        let own = self.queue.account_cost(&request.account) + request.cost;
-        let all = self.queue.queued_cost() + request.cost;
-        let wait_s = (own as f64 / share).min(all as f64) / cost_per_s.max(f64::MIN_POSITIVE);
+        let ahead = self.queue.cost_ahead(&request.account, request.weight);
+        let wait_s = (ahead + request.cost) as f64 / cost_per_s.max(f64::MIN_POSITIVE);
         Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX / 4)
     }
 
--- a/routing/src/admission/mod.rs
+++ b/routing/src/admission/mod.rs
@@ -7,6 +7,7 @@
 mod account_limits;
 mod concurrency;
 mod fair_queue;
+mod fair_weights;
 mod gate;
 mod request;
 
@@ -17,6 +18,7 @@
 pub use self::account_limits::LimitKind;
 pub use self::account_limits::LimitSettings;
 pub use self::concurrency::ConcurrencySettings;
+pub use self::fair_weights::FairWeights;
 pub use self::gate::Admission;
 pub use self::gate::AdmissionSettings;
 pub use self::request::AdmissionRequest;
