routing: judge randomised answers by tokens that sampling makes unique

The fake engine gives the same token again for the same input, so that running a stage on another attempt's tokens did not show. Generated tokens now differ in their upper bits, and the judge recomputes each token from those delivered before it. A resumed last stage is told how many tokens are known by then, so that it sends none that the entry has already taken over.

--- a/protocol/src/stream.rs
+++ b/protocol/src/stream.rs
@@ -165,6 +165,8 @@
     pub keep: u32,
     /// The first position whose retained output goes to the next stage.
     pub send_from: u32,
+    /// The number of tokens that the entry knows; a last stage sends only later ones.
+    pub known_tokens: u32,
     /// Whether the stage first waits for a [`StreamMessage::Cache`].
     pub imports_cache: bool,
 }
--- a/routing/src/stream/agent/stage.rs
+++ b/routing/src/stream/agent/stage.rs
@@ -338,6 +338,7 @@
         fx.check(StreamInvariant::PositionsInOrder, resume.keep <= self.ran);
         self.truncate(resume.keep);
         self.ran_attempt = self.open.id.attempt;
+        self.open.known_tokens = resume.known_tokens;
         self.send_from = resume.send_from;
         self.phase = Phase::Running;
         self.resend(resume.send_from, chunk_positions, fx);
--- a/routing/src/stream/entry/recovery.rs
+++ b/routing/src/stream/entry/recovery.rs
@@ -223,6 +223,7 @@
             stage,
             keep: plan.keep,
             send_from: plan.send_from,
+            known_tokens: stream.known_tokens(),
             imports_cache: plan.import_from.is_some(),
         };
         stream.send_to(stage, StreamMessage::Resume(resume), fx);
--- a/routing/tests/test_stream_random.rs
+++ b/routing/tests/test_stream_random.rs
@@ -170,15 +170,21 @@
 }
 
 impl NetworkTest {
-    /// Checks that every caller received a beginning of its answer, and the whole if it was told so.
-    fn check_answers(&self) {
-        for (request, answer) in self.network.answers() {
-            let length = self.answers[usize::try_from(request.0).unwrap()] as usize;
-            let expected = self.network.expected(*request, length);
+    /// Checks that each token of every answer follows from those before it.
+    fn check_tokens(&self) {
+        for request in self.network.answers().keys() {
             assert!(
-                expected.starts_with(&answer.tokens),
+                self.network.is_consistent(*request),
                 "{request} got other tokens"
             );
+        }
+    }
+
+    /// Checks that no caller received too much, and that each one was told what happened.
+    fn check_answers(&self) {
+        for (request, answer) in self.network.answers() {
+            let length = self.answers[usize::try_from(request.0).unwrap()] as usize;
+            assert!(answer.tokens.len() <= length);
             match &answer.end {
                 Some(End::Finished) => assert_eq!(answer.tokens.len(), length),
                 Some(End::Failed(failure)) => {
@@ -216,6 +222,7 @@
                 ..EngineSettings::default()
             },
             kill_noticed_after: Some(Duration::from_millis(50)),
+            samples: true,
             seed: plan.seed,
             ..NetworkSettings::default()
         };
@@ -291,6 +298,7 @@
         test.network.run(LONG, StreamNetwork::is_done);
         assert!(test.network.is_done(), "a request is held");
         test.check_answers();
+        test.check_tokens();
         test.network.run(LONG, |_| false);
         for agent in 0..AGENTS {
             assert_eq!(
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -28,6 +28,7 @@
             prefill_token_layer: Duration::from_micros(50),
             ..EngineSettings::default()
         },
+        samples: true,
         ..NetworkSettings::default()
     }
 }
@@ -51,10 +52,8 @@
 fn assert_whole(network: &StreamNetwork) {
     let answer = &network.answers()[&REQUEST];
     assert_eq!(answer.end, Some(End::Finished));
-    assert_eq!(
-        answer.tokens,
-        network.expected(REQUEST, ANSWER_TOKENS as usize)
-    );
+    assert_eq!(answer.tokens.len(), ANSWER_TOKENS as usize);
+    assert!(network.is_consistent(REQUEST));
 }
 
 fn longest_gap(network: &StreamNetwork) -> Duration {
--- a/testutils/src/stream_network.rs
+++ b/testutils/src/stream_network.rs
@@ -35,6 +35,7 @@
 use tokio::time::Instant;
 
 use self::engine_host::EngineHost;
+use self::engine_host::FOLD_TOKEN_BITS;
 pub use self::faults::LinkFaults;
 use self::queue::Event;
 use self::queue::EventQueue;
@@ -113,7 +114,7 @@
         let agents = (0..topology.agent_count()).map(|index| Agent {
             address: topology::process_address(index),
             streams: AgentStreams::new(topology::process_address(index), settings.agent),
-            engine: EngineHost::new(&settings, topology.assignment(index)),
+            engine: EngineHost::new(&settings, topology.assignment(index), index),
             state: ProcessState::Running,
             parked: Vec::new(),
         });
@@ -141,10 +142,21 @@
         &self.answers
     }
 
-    /// Returns the answer that a request is to have.
-    pub fn expected(&self, request: RequestId, answer_tokens: usize) -> Vec<Token> {
-        let prompt = &self.prompts[&request];
-        self.topology.expected_answer(prompt, answer_tokens)
+    /// Returns whether each token of an answer follows from the prompt and those before it.
+    ///
+    /// The token is computed without an engine, so that a layer that was left
+    /// out, run twice or run on another token's cache shows.
+    pub fn is_consistent(&self, request: RequestId) -> bool {
+        let Some(answer) = self.answers.get(&request) else {
+            return true;
+        };
+        let mut known = self.prompts[&request].clone();
+        answer.tokens.iter().all(|&token| {
+            let fold_bits = (1 << FOLD_TOKEN_BITS) - 1;
+            let is_expected = token & fold_bits == self.topology.expected_token(&known);
+            known.push(token);
+            is_expected
+        })
     }
 
     /// Returns the number of agents.
--- a/testutils/src/stream_network/engine_host.rs
+++ b/testutils/src/stream_network/engine_host.rs
@@ -6,12 +6,16 @@
 use std::task::Waker;
 use std::time::Duration;
 
+use bytes::Bytes;
 use jujubewall_protocol::stream::KvCache;
+use jujubewall_protocol::stream::Token;
 use jujubewall_routing::stream::action::AgentAction;
 use jujubewall_routing::stream::action::StageError;
 use jujubewall_routing::stream::action::StageStep;
 use jujubewall_routing::stream::agent::AgentStreams;
 use jujubewall_routing::stream::agent::StageKey;
+use jujubewall_routing::stream::payload::decode_token;
+use jujubewall_routing::stream::payload::encode_tokens;
 use jujubewall_types::config::Assignment;
 use jujubewall_types::id::Attempt;
 use jujubewall_types::id::RequestId;
@@ -25,6 +29,12 @@
 use crate::engine::EngineSettings;
 use crate::engine::FakeEngine;
 
+/// The bits of a token that the model's fold decides; sampling fills the others.
+pub(super) const FOLD_TOKEN_BITS: u32 = 8;
+
+/// The number of tokens that one engine samples before it repeats another one's.
+const SAMPLES_PER_ENGINE: u32 = 1 << 16;
+
 /// A call whose result the agent awaits.
 pub(super) enum EngineCall {
     Admit(StageKey),
@@ -39,6 +49,8 @@
     times: EngineSettings,
     cache_position_layer: Duration,
     busy_until: Option<Instant>,
+    samples: bool,
+    sampled: Token,
     pub(super) is_leaving: bool,
 }
 
@@ -46,7 +58,7 @@
     /// Creates an engine that holds an assignment.
     ///
     /// The engine itself computes at once; the host adds the time that it takes.
-    pub(super) fn new(settings: &NetworkSettings, assignment: Assignment) -> Self {
+    pub(super) fn new(settings: &NetworkSettings, assignment: Assignment, index: usize) -> Self {
         let times = settings.engine.clone();
         let engine = FakeEngine::new(EngineSettings {
             decode_token_layer: Duration::ZERO,
@@ -59,6 +71,8 @@
             times,
             cache_position_layer: settings.cache_position_layer,
             busy_until: None,
+            samples: settings.samples,
+            sampled: SAMPLES_PER_ENGINE * u32::try_from(index).expect("there are few engines"),
             is_leaving: false,
         }
     }
@@ -119,7 +133,7 @@
 
     /// Gives the result of a call to the agent.
     pub(super) fn finish(
-        &self,
+        &mut self,
         call: EngineCall,
         now: Instant,
         streams: &mut AgentStreams,
@@ -127,8 +141,9 @@
         match call {
             EngineCall::Admit(ticket) => streams.on_admitted(now, ticket),
             EngineCall::Run(ticket, step) => {
+                let is_last = step.is_last;
                 let output = ready(self.engine.run(engine_step(step)));
-                let result = output.map(|output| output.payload);
+                let result = output.map(|output| self.sample(output.payload, is_last));
                 streams.on_step_done(now, ticket, result.map_err(|error| stage_error(&error)))
             }
             EngineCall::Export(ticket, request) => {
@@ -148,6 +163,15 @@
         }
     }
 
+    /// Makes each generated token unlike every other in its upper bits.
+    fn sample(&mut self, output: Bytes, is_last: bool) -> Bytes {
+        let (true, Some(token)) = (self.samples && is_last, decode_token(&output)) else {
+            return output;
+        };
+        self.sampled += 1;
+        encode_tokens(&[token | (self.sampled << FOLD_TOKEN_BITS)])
+    }
+
     fn occupy(&mut self, now: Instant, duration: Duration) -> Instant {
         let start = self.busy_until.map_or(now, |end| end.max(now));
         let end = start + duration;
--- a/testutils/src/stream_network/topology.rs
+++ b/testutils/src/stream_network/topology.rs
@@ -31,6 +31,8 @@
     pub layers_per_stage: u32,
     /// The properties of the engines.
     pub engine: EngineSettings,
+    /// Whether a token that is generated again comes out differently.
+    pub samples: bool,
     /// The time that moving a KV cache takes for each position and layer.
     pub cache_position_layer: Duration,
     /// The settings of the entries.
@@ -55,6 +57,7 @@
             replicas: 2,
             layers_per_stage: 2,
             engine: EngineSettings::default(),
+            samples: false,
             cache_position_layer: Duration::ZERO,
             entry: EntrySettings::default(),
             agent: AgentSettings::default(),
@@ -120,9 +123,9 @@
         }
     }
 
-    pub(super) fn expected_answer(&self, prompt: &[Token], answer_tokens: usize) -> Vec<Token> {
-        let layers = self.layer_count();
-        expected_answer(&model(), &version(), layers, prompt, answer_tokens)
+    /// Returns the token that follows `tokens`, without what sampling adds.
+    pub(super) fn expected_token(&self, tokens: &[Token]) -> Token {
+        expected_answer(&model(), &version(), self.layer_count(), tokens, 1)[0]
     }
 }
 
