daemon: admit stages at the agent and keep accounts' limits at the entry

Each engine has its own admission, with the accounts' weights from the configuration and a bound that follows the measured time of single-position steps. Entries keep accounts' limits together by messages of their own. Violations of invariants reach the metrics.

--- a/daemon/src/agent/actor.rs
+++ b/daemon/src/agent/actor.rs
@@ -1,7 +1,9 @@
 //! The actor that carries out an agent's decisions about stages.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use jujubewall_protocol::call::CallMessage;
@@ -11,6 +13,7 @@
 use jujubewall_routing::stream::action::StageError;
 use jujubewall_routing::stream::agent::AgentStreams;
 use jujubewall_routing::stream::agent::StageKey;
+use jujubewall_routing::stream::invariant::StreamInvariant;
 use jujubewall_routing::stream::settings::AgentSettings;
 use jujubewall_types::config::Configuration;
 use kameo::Actor;
@@ -20,6 +23,8 @@
 use kameo::message::Message as Handle;
 use tokio::time::Instant;
 
+use crate::agent::admissions::Admissions;
+use crate::agent::admissions::Admitted;
 use crate::agent::engine;
 use crate::agent::service;
 use crate::agent::upstreams::Upstreams;
@@ -27,6 +32,9 @@
 use crate::metrics::Metrics;
 use crate::network::Network;
 
+/// The time between two looks at stages that wait to be admitted.
+const ADMISSION_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What the actor is built from.
 #[derive(Debug)]
 pub struct AgentArgs {
@@ -44,6 +52,8 @@
     metrics: Arc<Metrics>,
     streams: AgentStreams,
     upstreams: Upstreams,
+    admissions: Admissions,
+    used_costs: HashMap<StageKey, u64>,
     alarm: Alarm,
 }
 
@@ -80,25 +90,70 @@
 
 /// The engine has answered.
 enum EngineAnswer {
-    Step(StageKey, Result<Bytes, StageError>),
+    Step(StepDone),
     Exported(StageKey, Result<KvCache, StageError>),
     Imported(StageKey, Result<(), StageError>),
 }
 
+/// The result of a step.
+struct StepDone {
+    ticket: StageKey,
+    positions: u32,
+    time: Duration,
+    result: Result<Bytes, StageError>,
+}
+
 impl AgentActor {
+    fn on_step_done(&mut self, done: StepDone, actor: &ActorRef<Self>) -> Vec<AgentAction> {
+        let now = Instant::now();
+        self.metrics.count_step(done.time);
+        // Only steps of one position take about the same time.
+        if done.result.is_ok() && done.positions == 1 {
+            let answers = self.admissions.on_response(now, done.ticket, done.time);
+            self.answer_admissions(answers, actor);
+        }
+        self.streams.on_step_done(now, done.ticket, done.result)
+    }
+
+    fn answer_admissions(&mut self, answers: Vec<Admitted>, actor: &ActorRef<Self>) {
+        for Admitted { ticket, result } in answers {
+            let now = Instant::now();
+            let actions = match result {
+                Ok(()) => self.streams.on_admitted(now, ticket),
+                Err(failure) => self.streams.on_refused(now, ticket, failure),
+            };
+            self.carry_out(actions, actor);
+        }
+    }
+
+    fn export_invariants(&self) {
+        let invariants = self.streams.invariants();
+        for invariant in StreamInvariant::ALL {
+            let violations = invariants.violations(invariant);
+            self.metrics.set_violations(invariant.as_str(), violations);
+        }
+    }
+
+    fn set_alarm(&self) {
+        let waiting = self.admissions.has_waiting();
+        let admission = waiting.then(|| Instant::now() + ADMISSION_INTERVAL);
+        let wakeups = [self.streams.next_wakeup(), admission];
+        self.alarm.set(wakeups.into_iter().flatten().min());
+    }
+
     fn carry_out(&mut self, actions: Vec<AgentAction>, actor: &ActorRef<Self>) {
         for action in actions {
             self.carry_out_one(action, actor);
         }
-        self.alarm.set(self.streams.next_wakeup());
+        self.set_alarm();
     }
 
     fn carry_out_one(&mut self, action: AgentAction, actor: &ActorRef<Self>) {
         match action {
             AgentAction::Send { to, message } => self.network.send(to, message),
-            AgentAction::Admit { ticket, .. } => {
-                let actions = self.streams.on_admitted(Instant::now(), ticket);
-                self.carry_out(actions, actor);
+            AgentAction::Admit { ticket, open } => {
+                let answer = self.admissions.offer(Instant::now(), ticket, &open);
+                self.answer_admissions(answer.into_iter().collect(), actor);
             }
             AgentAction::RunStep {
                 ticket,
@@ -106,12 +161,18 @@
                 step,
             } => {
                 let engine = self.upstreams.engine(&upstream);
-                let metrics = Arc::clone(&self.metrics);
+                let positions = step.positions;
+                let cost = u64::from(positions) * u64::from(step.layers.len());
+                *self.used_costs.entry(ticket).or_default() += cost;
                 tell_when_done(actor, async move {
                     let started = Instant::now();
                     let result = engine::run_step(engine, step).await;
-                    metrics.count_step(started.elapsed());
-                    EngineAnswer::Step(ticket, result)
+                    EngineAnswer::Step(StepDone {
+                        ticket,
+                        positions,
+                        time: started.elapsed(),
+                        result,
+                    })
                 });
             }
             AgentAction::Release {
@@ -147,7 +208,11 @@
                     EngineAnswer::Imported(ticket, result)
                 });
             }
-            AgentAction::Ended { .. } => {}
+            AgentAction::Ended { ticket } => {
+                let used_cost = self.used_costs.remove(&ticket).unwrap_or_default();
+                let answers = self.admissions.on_ended(Instant::now(), ticket, used_cost);
+                self.answer_admissions(answers, actor);
+            }
         }
     }
 }
@@ -183,6 +248,8 @@
             network: args.network,
             metrics: args.metrics,
             upstreams: Upstreams::default(),
+            admissions: Admissions::default(),
+            used_costs: HashMap::new(),
             alarm,
         })
     }
@@ -217,7 +284,7 @@
     async fn handle(&mut self, answer: EngineAnswer, context: &mut Context<Self, ()>) {
         let now = Instant::now();
         let actions = match answer {
-            EngineAnswer::Step(ticket, result) => self.streams.on_step_done(now, ticket, result),
+            EngineAnswer::Step(done) => self.on_step_done(done, context.actor_ref()),
             EngineAnswer::Exported(ticket, result) => self.streams.on_exported(now, ticket, result),
             EngineAnswer::Imported(ticket, result) => self.streams.on_imported(now, ticket, result),
         };
@@ -230,6 +297,7 @@
 
     async fn handle(&mut self, apply: ApplyConfiguration, _: &mut Context<Self, ()>) {
         self.upstreams.apply(&apply.0, self.network.own_address());
+        self.admissions.apply(apply.0);
     }
 }
 
@@ -237,6 +305,7 @@
     type Reply = ();
 
     async fn handle(&mut self, leave: Leave, context: &mut Context<Self, ()>) {
+        self.admissions.drain();
         let actions = self.streams.leave(Instant::now(), leave.grace_end);
         self.carry_out(actions, context.actor_ref());
     }
@@ -254,7 +323,11 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Wake, context: &mut Context<Self, ()>) {
-        let actions = self.streams.on_tick(Instant::now());
+        let now = Instant::now();
+        let actions = self.streams.on_tick(now);
         self.carry_out(actions, context.actor_ref());
+        let answers = self.admissions.on_tick(now);
+        self.answer_admissions(answers, context.actor_ref());
+        self.export_invariants();
     }
 }
--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -8,10 +8,14 @@
 use jujubewall_protocol::call::CallMessage;
 use jujubewall_protocol::call::CallResult;
 use jujubewall_protocol::call::ServiceCall;
+use jujubewall_protocol::limit::LimitMessage;
 use jujubewall_protocol::stream::Route;
 use jujubewall_protocol::stream::StreamId;
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_protocol::stream::Token;
+use jujubewall_routing::admission::AccountLimits;
+use jujubewall_routing::admission::AddressedLimitMessage;
+use jujubewall_routing::admission::LimitSettings;
 use jujubewall_routing::choice::ChoiceRequest;
 use jujubewall_routing::choice::PipelineChooser;
 use jujubewall_routing::stream::action::EntryAction;
@@ -19,17 +23,20 @@
 use jujubewall_routing::stream::action::RouteNeed;
 use jujubewall_routing::stream::entry::EntryStreams;
 use jujubewall_routing::stream::entry::StreamRequest;
+use jujubewall_routing::stream::invariant::StreamInvariant;
 use jujubewall_routing::stream::settings::EntrySettings;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::AccountName;
 use jujubewall_types::id::Attempt;
+use jujubewall_types::id::MemberName;
 use jujubewall_types::id::ModelName;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::UpstreamName;
 use jujubewall_types::priority::Priority;
 use kameo::Actor;
 use kameo::actor::ActorRef;
+use kameo::actor::WeakActorRef;
 use kameo::error::Infallible;
 use kameo::message::Context;
 use kameo::message::Message as Handle;
@@ -53,6 +60,8 @@
 pub struct EntryArgs {
     /// The network.
     pub network: Network,
+    /// The name of this process.
+    pub member: MemberName,
     /// The members.
     pub members: Members,
     /// The metrics.
@@ -73,6 +82,7 @@
     view: Arc<View>,
     sinks: HashMap<RequestId, Sink>,
     calls: PendingCalls,
+    limits: AccountLimits,
     is_draining: bool,
     alarm: Alarm,
 }
@@ -150,6 +160,18 @@
 #[derive(Debug)]
 pub struct ApplyView(pub Arc<View>);
 
+/// A message about the limits of accounts has arrived.
+#[derive(Debug)]
+pub struct LimitReceived {
+    /// The sender.
+    pub from: MemberName,
+    /// The message.
+    pub message: LimitMessage,
+}
+
+/// The period of the sharing of limits has passed.
+struct LimitTick;
+
 /// The states of the agents have changed.
 #[derive(Debug)]
 pub struct MembersChanged;
@@ -197,6 +219,7 @@
             .choose(now, &choice)
             .map_err(|reason| routes::no_pipeline(&reason))?;
         let request = RequestId(rand::random());
+        self.take_limits(now, &choice.account, request)?;
         self.chooser
             .on_started(now, first_attempt(request), &choice, &route);
         let (events, receiver) = mpsc::unbounded_channel();
@@ -229,11 +252,41 @@
         })
     }
 
+    fn export_invariants(&self) {
+        let invariants = self.streams.invariants();
+        for invariant in StreamInvariant::ALL {
+            let violations = invariants.violations(invariant);
+            self.metrics.set_violations(invariant.as_str(), violations);
+        }
+    }
+
     fn update_engines(&mut self) {
         let engines = routes::engine_views(&self.view, &self.members);
         self.chooser.set_engines(Instant::now(), &engines);
     }
 
+    fn take_limits(
+        &mut self,
+        now: Instant,
+        account: &AccountName,
+        request: RequestId,
+    ) -> Result<(), Failure> {
+        self.limits
+            .try_start(now, account, request)
+            .map_err(|exceeded| {
+                Failure::new(exceeded.kind(), exceeded.to_string())
+                    .with_retry_after_ms(exceeded.retry_after_ms)
+            })
+    }
+
+    fn send_limits(&self, messages: Vec<AddressedLimitMessage>) {
+        for AddressedLimitMessage { to, message } in messages {
+            if let Some(address) = self.members.address_of(&to) {
+                self.network.send(address, message);
+            }
+        }
+    }
+
     fn check_running(&self) -> Result<(), Failure> {
         if !self.is_draining {
             return Ok(());
@@ -280,6 +333,7 @@
     }
 
     fn end(&mut self, request: RequestId, event: StreamEvent) {
+        self.limits.on_finished(Instant::now(), request);
         self.chooser
             .on_finished(Instant::now(), first_attempt(request));
         if let Some(sink) = self.sinks.remove(&request) {
@@ -375,6 +429,8 @@
                 }
             }
         });
+        let limits = AccountLimits::new(args.member, LimitSettings::default());
+        tokio::spawn(tick_limits(limits.tick_interval(), actor.downgrade()));
         Ok(Self {
             streams: EntryStreams::new(args.network.own_address(), args.settings),
             network: args.network,
@@ -384,6 +440,7 @@
             view: Arc::default(),
             sinks: HashMap::new(),
             calls: PendingCalls::default(),
+            limits,
             is_draining: false,
             alarm,
         })
@@ -408,6 +465,7 @@
 
     async fn handle(&mut self, cancel: CancelStream, context: &mut Context<Self, ()>) {
         let now = Instant::now();
+        self.limits.on_finished(now, cancel.request);
         self.chooser.on_finished(now, first_attempt(cancel.request));
         if self.sinks.remove(&cancel.request).is_some() {
             self.metrics.in_flight.dec();
@@ -437,6 +495,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         self.check_running()?;
+        self.take_limits(Instant::now(), &start.call.account, start.call.request)?;
         let receiver = self.calls.start(start.call.request);
         self.network
             .send(start.agent_address, CallMessage::Call(*start.call));
@@ -448,6 +507,7 @@
     type Reply = ();
 
     async fn handle(&mut self, ended: CallEnded, _: &mut Context<Self, ()>) {
+        self.limits.on_finished(Instant::now(), ended.0.request);
         self.calls.finish(ended.0);
     }
 }
@@ -466,6 +526,8 @@
 
     async fn handle(&mut self, apply: ApplyView, _: &mut Context<Self, ()>) {
         self.view = apply.0;
+        self.limits
+            .set_accounts(Instant::now(), &self.view.account_limits());
         self.update_engines();
     }
 }
@@ -474,6 +536,8 @@
     type Reply = ();
 
     async fn handle(&mut self, _: MembersChanged, _: &mut Context<Self, ()>) {
+        self.limits
+            .set_members(Instant::now(), &self.members.live_entries());
         self.update_engines();
     }
 }
@@ -502,3 +566,37 @@
         self.carry_out(actions, context.actor_ref());
     }
 }
+
+impl Handle<LimitReceived> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, received: LimitReceived, _: &mut Context<Self, ()>) {
+        let now = Instant::now();
+        let messages = self
+            .limits
+            .on_message(now, &received.from, received.message);
+        self.send_limits(messages);
+    }
+}
+
+impl Handle<LimitTick> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: LimitTick, _: &mut Context<Self, ()>) {
+        let messages = self.limits.on_tick(Instant::now());
+        self.send_limits(messages);
+        self.export_invariants();
+    }
+}
+
+async fn tick_limits(period: Duration, actor: WeakActorRef<EntryActor>) {
+    loop {
+        tokio::time::sleep(period).await;
+        let Some(actor) = actor.upgrade() else {
+            return;
+        };
+        if actor.tell(LimitTick).send().await.is_err() {
+            return;
+        }
+    }
+}
--- a/daemon/src/entry/view.rs
+++ b/daemon/src/entry/view.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use jujubewall_routing::admission::AccountLimit;
 use jujubewall_types::config::Assignment;
 use jujubewall_types::config::ClientAccount;
 use jujubewall_types::config::Configuration;
@@ -55,6 +56,18 @@
             .map(|owned| &owned.item)
     }
 
+    /// Returns the limits of every account.
+    pub fn account_limits(&self) -> Vec<AccountLimit> {
+        let accounts = self.configuration.accounts.values();
+        accounts
+            .map(|owned| AccountLimit {
+                account: owned.item.name.clone(),
+                requests_per_s: owned.item.requests_per_s,
+                max_in_flight: owned.item.max_in_flight,
+            })
+            .collect()
+    }
+
     /// Returns a model.
     pub fn model(&self, name: &ModelName) -> Option<&Model> {
         self.configuration.models.get(name).map(|owned| &owned.item)
--- a/daemon/src/membership.rs
+++ b/daemon/src/membership.rs
@@ -10,8 +10,10 @@
 use jujubewall_routing::membership::MemberView;
 use jujubewall_types::admin::MemberStatus;
 use jujubewall_types::admin::StatusAnswer;
+use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::member::MemberState;
+use jujubewall_types::member::Role;
 use tokio::time::Instant;
 
 /// A handle on the list of members as of its last change.
@@ -33,6 +35,23 @@
             .map(|member| (member.record.peer_address, member.record.state))
             .collect()
     }
+
+    /// Returns the names of the entries that take part.
+    pub fn live_entries(&self) -> Vec<MemberName> {
+        let list = self.list.load();
+        list.iter()
+            .filter(|member| member.record.role == Role::Entry)
+            .filter(|member| member.record.state != MemberState::Dead)
+            .map(|member| member.record.member.clone())
+            .collect()
+    }
+
+    /// Returns the address of a member.
+    pub fn address_of(&self, name: &MemberName) -> Option<SocketAddr> {
+        let list = self.list.load();
+        let member = list.iter().find(|member| member.record.member == *name);
+        member.map(|member| member.record.peer_address)
+    }
 }
 
 /// Describes how far `members` have come with `head`.
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -204,6 +204,7 @@
     operator_address: SocketAddr,
 ) -> eyre::Result<RunningRole> {
     let args = EntryArgs {
+        member: settings.member.clone(),
         network: shared.network.clone(),
         members: shared.members.clone(),
         metrics: Arc::clone(&shared.metrics),
--- a/daemon/src/process/dispatch.rs
+++ b/daemon/src/process/dispatch.rs
@@ -6,8 +6,10 @@
 use jujubewall_control::dissemination::Event;
 use jujubewall_protocol::call::CallMessage;
 use jujubewall_protocol::hello::Hello;
+use jujubewall_protocol::limit::LimitMessage;
 use jujubewall_protocol::message::Message;
 use jujubewall_protocol::stream::StreamMessage;
+use jujubewall_types::id::MemberName;
 use kameo::actor::ActorRef;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -62,6 +64,13 @@
         }
     }
 
+    async fn on_limit(&self, from: MemberName, message: LimitMessage) {
+        if let Self::Entry(actor) = self {
+            let received = entry::LimitReceived { from, message };
+            let _ = actor.tell(received).send().await;
+        }
+    }
+
     async fn on_peer_lost(&self, peer: SocketAddr) {
         if let Self::Entry(actor) = self {
             let _ = actor.tell(entry::PeerLost(peer)).send().await;
@@ -109,7 +118,7 @@
         Message::Config(message) => {
             let _ = shared.dissemination.send(Event::Message(message)).await;
         }
-        Message::Limit(_) => {}
+        Message::Limit(message) => role.on_limit(from.member.clone(), message).await,
     }
 }
 
