--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -195,6 +195,11 @@
         self.applied_revision.set(revision);
     }
 
+    /// Returns whether a configuration has been applied.
+    pub fn has_configuration(&self) -> bool {
+        self.applied_revision.get() > 0
+    }
+
     /// Counts a release note.
     pub fn count_note(&self, result: &'static str) {
         self.notes.get_or_create(&ResultLabel { result }).inc();
--- a/daemon/src/network/peer.rs
+++ b/daemon/src/network/peer.rs
@@ -1,8 +1,11 @@
 //! What the network keeps for each peer.
 
+use std::time::Duration;
+
 use jujubewall_protocol::frame::Frame;
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use tokio::time::sleep;
 
 use crate::network::connection::ConnectionHandle;
 use crate::network::connection::ConnectionId;
@@ -10,11 +13,15 @@
 /// The number of frames that may wait for a connection.
 const PENDING_LEN: usize = 1024;
 
+/// The time that a replaced connection has to deliver what it carries.
+const RETIRE_TIME: Duration = Duration::from_secs(2);
+
 /// The connections of one peer and the frames that wait for one.
 #[derive(Debug, Default)]
 pub struct Peer {
     connections: SmallVec<[ConnectionHandle; 2]>,
     pending: Vec<Frame>,
+    replaced: SmallVec<[ConnectionId; 2]>,
     is_dialling: bool,
     dial_allowed_at: Option<Instant>,
     received: u64,
@@ -58,9 +65,12 @@
         has_received
     }
 
-    /// Notes that a dial has been started.
+    /// Notes that a dial has been started, which replaces the connections of now.
+    ///
+    /// Two processes that dial each other at once keep both connections.
     pub fn on_dial_started(&mut self) {
         self.is_dialling = true;
+        self.replaced = self.connections.iter().map(ConnectionHandle::id).collect();
     }
 
     /// Notes that a dial has failed and when the next one may start.
@@ -79,7 +89,7 @@
         if was_dialled {
             self.is_dialling = false;
             self.dial_allowed_at = None;
-            self.close_all();
+            self.retire_replaced();
         }
         for frame in self.pending.drain(..) {
             connection.send(&frame);
@@ -87,6 +97,19 @@
         self.connections.push(connection);
     }
 
+    /// Closes the replaced connections after what they still carry has arrived.
+    fn retire_replaced(&mut self) {
+        let replaced = std::mem::take(&mut self.replaced);
+        let is_replaced = |connection: &ConnectionHandle| replaced.contains(&connection.id());
+        for connection in self.connections.drain(..).collect::<Vec<_>>() {
+            if is_replaced(&connection) {
+                tokio::spawn(close_later(connection));
+            } else {
+                self.connections.push(connection);
+            }
+        }
+    }
+
     /// Forgets a closed connection.
     pub fn on_closed(&mut self, id: ConnectionId) {
         self.connections.retain(|connection| connection.id() != id);
@@ -109,3 +132,8 @@
         self.connections.is_empty() && self.pending.is_empty() && !self.is_dialling
     }
 }
+
+async fn close_later(connection: ConnectionHandle) {
+    sleep(RETIRE_TIME).await;
+    connection.close();
+}
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -81,8 +81,7 @@
         let settings = checked.settings();
         let (shared, events) = Shared::start(settings)?;
         let (is_serving, serving) = watch::channel(true);
-        let monitoring =
-            monitoring::start(settings, &shared.metrics, &shared.configuration, serving).await?;
+        let monitoring = monitoring::start(settings, &shared.metrics, serving).await?;
         let role = match checked.role() {
             RoleSettings::Entry {
                 caller_address,
--- a/daemon/src/process/dispatch.rs
+++ b/daemon/src/process/dispatch.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 
 use jujubewall_control::dissemination::Event;
+use jujubewall_control::dissemination::handle::ConfigHandle;
 use jujubewall_protocol::call::CallMessage;
 use jujubewall_protocol::hello::Hello;
 use jujubewall_protocol::limit::LimitMessage;
 use jujubewall_protocol::message::Message;
 use jujubewall_protocol::stream::StreamMessage;
+use jujubewall_types::config::Configuration;
 use jujubewall_types::id::MemberName;
+use jujubewall_types::id::Revision;
 use kameo::actor::ActorRef;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -141,37 +144,67 @@
 
 /// Brings each applied configuration to an entry.
 pub async fn views(shared: Shared, views: watch::Sender<Arc<View>>, actor: ActorRef<EntryActor>) {
-    let mut revision = shared.configuration.subscribe();
-    while revision.changed().await.is_ok() {
-        let view = Arc::new(View::new(shared.configuration.configuration()));
+    let mut revisions = Revisions::new(&shared);
+    while let Some(configuration) = revisions.next().await {
+        let view = Arc::new(View::new(configuration));
         let applied = view.configuration().revision;
         let told = actor.tell(entry::ApplyView(Arc::clone(&view))).send().await;
         views.send_replace(view);
-        let _ = shared
-            .membership
-            .tell(RevisionApplied(applied))
-            .send()
-            .await;
         if told.is_err() {
             return;
         }
+        report_applied(&shared, applied).await;
     }
 }
 
 /// Brings each applied configuration to an agent.
 pub async fn agent_configurations(shared: Shared, actor: ActorRef<AgentActor>) {
-    let mut revision = shared.configuration.subscribe();
-    while revision.changed().await.is_ok() {
-        let configuration = shared.configuration.configuration();
+    let mut revisions = Revisions::new(&shared);
+    while let Some(configuration) = revisions.next().await {
         let applied = configuration.revision;
         let apply = agent::ApplyConfiguration(configuration);
         if actor.tell(apply).send().await.is_err() {
             return;
         }
-        let _ = shared
-            .membership
-            .tell(RevisionApplied(applied))
-            .send()
-            .await;
+        report_applied(&shared, applied).await;
     }
 }
+
+/// The configurations that are in force one after the other.
+struct Revisions {
+    handle: Arc<ConfigHandle>,
+    changes: watch::Receiver<Revision>,
+}
+
+impl Revisions {
+    /// Starts with the configuration that is in force now, if there is one.
+    fn new(shared: &Shared) -> Self {
+        let mut changes = shared.configuration.subscribe();
+        changes.mark_changed();
+        Self {
+            handle: Arc::clone(&shared.configuration),
+            changes,
+        }
+    }
+
+    /// Waits for the next configuration; some may be skipped for a newer one.
+    async fn next(&mut self) -> Option<Arc<Configuration>> {
+        loop {
+            self.changes.changed().await.ok()?;
+            let revision = *self.changes.borrow_and_update();
+            if revision > Revision::default() {
+                return Some(self.handle.configuration());
+            }
+        }
+    }
+}
+
+/// Tells monitoring and the other members what the role has applied.
+async fn report_applied(shared: &Shared, applied: Revision) {
+    shared.metrics.set_applied_revision(applied);
+    let _ = shared
+        .membership
+        .tell(RevisionApplied(applied))
+        .send()
+        .await;
+}
--- a/daemon/src/process/monitoring.rs
+++ b/daemon/src/process/monitoring.rs
@@ -5,7 +5,6 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use jujubewall_control::dissemination::handle::ConfigHandle;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use tokio::sync::watch;
@@ -25,19 +24,15 @@
 
 /// Starts to serve the metrics and the state of the process.
 ///
-/// A process is ready once it has applied a configuration, until it drains.
+/// A process is ready once its role has applied a configuration, until it drains.
 pub async fn start(
     settings: &Settings,
     metrics: &Arc<Metrics>,
-    configuration: &Arc<ConfigHandle>,
     is_serving: watch::Receiver<bool>,
 ) -> eyre::Result<Listener> {
     let metrics = Arc::clone(metrics);
-    let configuration = Arc::clone(configuration);
     let handler = move |request: Request<Incoming>| {
-        let revision = configuration.revision();
-        let is_ready = *is_serving.borrow() && revision.0 > 0;
-        metrics.set_applied_revision(revision);
+        let is_ready = *is_serving.borrow() && metrics.has_configuration();
         let answer = answer_path(request.uri().path(), &metrics, is_ready);
         async move { answer }
     };
--- a/daemon/tests/test_end_to_end.rs
+++ b/daemon/tests/test_end_to_end.rs
@@ -4,96 +4,47 @@
 use std::time::Duration;
 
 use hyper::Method;
+use jujubewall_testutils::client::Event;
 use jujubewall_testutils::client::HttpUser;
-use jujubewall_testutils::daemon::DaemonProcess;
 use jujubewall_testutils::daemon::Signal;
 use jujubewall_testutils::daemon::eventually;
 use jujubewall_testutils::engine::EngineSettings;
+use jujubewall_testutils::fleet::COMPLETIONS;
+use jujubewall_testutils::fleet::Fleet;
+use jujubewall_testutils::fleet::completion;
 use jujubewall_testutils::site::ACCOUNT_KEY;
 use jujubewall_testutils::site::MODEL;
-use jujubewall_testutils::site::OPERATOR_KEY;
 use jujubewall_testutils::site::OTHER_OPERATOR_KEY;
 use jujubewall_testutils::site::SiteShape;
-use jujubewall_testutils::site::TestSite;
-use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-const COMPLETIONS: &str = "/v1/completions";
 const TOKENS: usize = 24;
 
-/// Two entries and the agents of a site, all ready, with the site's note accepted.
-struct Fleet {
-    site: TestSite,
-    entries: Vec<DaemonProcess>,
-    agents: Vec<DaemonProcess>,
-}
-
-impl Fleet {
-    async fn start(shape: SiteShape) -> Self {
-        let binary = Path::new(env!("CARGO_BIN_EXE_jujubewalld"));
-        let site = TestSite::start(shape).await;
-        let agents = site.agent_settings();
-        let spawn = |path: &std::path::PathBuf| DaemonProcess::spawn(binary, path);
-        let agents: Vec<_> = agents.iter().map(spawn).collect();
-        let entries = ["entry-0", "entry-1"].map(|name| site.entry_settings(name));
-        let entries: Vec<_> = entries.iter().map(spawn).collect();
-        let fleet = Self {
-            site,
-            entries,
-            agents,
-        };
-        for process in fleet.entries.iter().chain(&fleet.agents) {
-            process.wait_until_alive().await;
-        }
-        let note = json!(fleet.site.release_note("first"));
-        let answer = fleet.operator().post("/admin/v1/notes", &note).await;
-        assert_eq!(
-            answer.expect("the entry answers").json()["result"],
-            "accepted"
-        );
-        for process in fleet.entries.iter().chain(&fleet.agents) {
-            process.wait_until_ready().await;
-        }
-        fleet
-    }
-
-    fn caller(&self, entry: usize) -> HttpUser {
-        self.entries[entry].user("caller_address", ACCOUNT_KEY)
-    }
-
-    fn operator(&self) -> HttpUser {
-        self.entries[0].user("operator_address", OPERATOR_KEY)
-    }
-
-    async fn stop(self) {
-        for mut process in self.entries.into_iter().chain(self.agents) {
-            process.signal(Signal::Terminate);
-            assert!(process.wait().await, "the process drains and ends well");
-        }
-    }
-}
-
-fn completion(prompt: &str, stream: bool) -> Value {
-    json!({ "model": MODEL, "prompt": prompt, "max_tokens": TOKENS, "stream": stream })
+async fn start(shape: SiteShape) -> Fleet {
+    Fleet::start(Path::new(env!("CARGO_BIN_EXE_jujubewalld")), shape).await
 }
 
 #[tokio::test]
 async fn test_answer_is_right_at_every_entry_whole_and_streamed() {
-    let fleet = Fleet::start(SiteShape::default()).await;
+    let fleet = start(SiteShape::default()).await;
     for entry in 0..2 {
         let prompt = format!("shift handover for entry {entry}");
         let expected = fleet.site.expected_text(&prompt, TOKENS);
         let caller = fleet.caller(entry);
-        let whole = caller.post(COMPLETIONS, &completion(&prompt, false)).await;
+        let whole = caller
+            .post(COMPLETIONS, &completion(&prompt, TOKENS, false))
+            .await;
         let whole = whole.expect("the entry answers");
         assert_eq!(whole.status, 200, "{:?}", whole.body);
         assert_eq!(whole.outcome.as_deref(), Some("completed"));
         assert_eq!(whole.json()["choices"][0]["text"], json!(expected));
-        let streamed = caller.stream(COMPLETIONS, &completion(&prompt, true)).await;
+        let streamed = caller
+            .stream(COMPLETIONS, &completion(&prompt, TOKENS, true))
+            .await;
         let text = streamed.expect("the stream begins").text().await;
         assert_eq!(text.expect("the answer is whole"), expected);
     }
@@ -102,7 +53,7 @@
 
 #[tokio::test]
 async fn test_service_call_runs_once_and_tells_its_outcome() {
-    let fleet = Fleet::start(SiteShape::default()).await;
+    let fleet = start(SiteShape::default()).await;
     let caller = fleet.caller(0);
     let answer = caller
         .send(
@@ -122,8 +73,8 @@
 
 #[tokio::test]
 async fn test_each_bad_request_has_its_own_error() {
-    let fleet = Fleet::start(SiteShape::default()).await;
-    let good = completion("x", false);
+    let fleet = start(SiteShape::default()).await;
+    let good = completion("x", TOKENS, false);
     let caller = fleet.caller(0);
     let stranger = fleet.entries[0].user("caller_address", "no-such-key");
     let code = async |user: &HttpUser, path: &str, body: String| {
@@ -169,7 +120,7 @@
 
 #[tokio::test]
 async fn test_slow_caller_is_answered_with_a_timeout() {
-    let fleet = Fleet::start(SiteShape::default()).await;
+    let fleet = start(SiteShape::default()).await;
     let caller = fleet.entries[0].address("caller_address");
     let mut socket = TcpStream::connect(caller).await.expect("the entry accepts");
     let head = format!(
@@ -190,7 +141,7 @@
 
 #[tokio::test]
 async fn test_operator_key_submits_notes_of_its_own_partner_only() {
-    let fleet = Fleet::start(SiteShape::default()).await;
+    let fleet = start(SiteShape::default()).await;
     let mut note = json!(fleet.site.release_note("second"));
     let other = fleet.entries[1].user("operator_address", OTHER_OPERATOR_KEY);
     let answer = other.post("/admin/v1/notes", &note).await;
@@ -201,7 +152,7 @@
     assert_eq!(answer["result"], "refused");
     assert_eq!(answer["clashes"][0]["reason"], "already_exists");
     assert_eq!(answer["clashes"][0]["owner"], "trust");
-    let audit = fleet.operator().get("/admin/v1/audit").await;
+    let audit = fleet.operator(0).get("/admin/v1/audit").await;
     let audit = audit.expect("the entry answers").json();
     let results = audit["records"].as_array().expect("records are listed");
     let results: Vec<_> = results
@@ -222,13 +173,9 @@
         engine,
         ..SiteShape::default()
     };
-    let fleet = Fleet::start(shape).await;
+    let fleet = start(shape).await;
     let expected = fleet.site.expected_text("long answer", TOKENS);
-    let caller = fleet.caller(0);
-    let mut stream = caller
-        .stream(COMPLETIONS, &completion("long answer", true))
-        .await
-        .expect("the stream begins");
+    let mut stream = fleet.stream(0, "long answer", TOKENS).await;
     let first = stream.next().await;
     for process in fleet.entries.iter().chain(&fleet.agents) {
         process.signal(Signal::Terminate);
@@ -240,7 +187,7 @@
     })
     .await;
     let rest = stream.text().await.expect("the answer is whole");
-    let Some(jujubewall_testutils::client::Event::Text(first)) = first else {
+    let Some(Event::Text(first)) = first else {
         panic!("the first event is text");
     };
     assert_eq!(first + &rest, expected);
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod daemon;
 pub mod engine;
+pub mod fleet;
 pub mod host_list;
 pub mod http_server;
 pub mod key_value;
