control: cut a writer's link right after the swap in the random notes test

Planted faults showed that a reply lost up to the deadline was too rare to be met in 64 cases: the gate in front of each store now loses the reply of the head's swap and all that follows. Runs start with items of both partners, so more notes are accepted, and damage hits any byte of a message.

--- a/control/tests/fleet/gate.rs
+++ b/control/tests/fleet/gate.rs
@@ -1,10 +1,12 @@
-//! A key-value client whose process can be paused before and after each call.
+//! A key-value client that can be paused around its calls, or lose its link.
 
 use std::future::Future;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use jujubewall_control::keys::HEAD;
 use jujubewall_platform::error::PlatformError;
 use jujubewall_platform::key_value::KeyValue;
 use jujubewall_platform::key_value::KeyValueEntry;
@@ -14,23 +16,49 @@
 use jujubewall_types::id::Revision;
 use tokio::sync::watch;
 
+/// What is wrong with the link of one process to the service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Link {
+    #[default]
+    Whole,
+    /// Every call fails without an effect.
+    Cut,
+    /// The next swap of the head takes effect, and then the link is cut.
+    CutAfterSwap,
+}
+
 pub struct GatedKeyValue {
     service: FakeKeyValue,
     is_paused: watch::Sender<bool>,
+    link: Mutex<Link>,
 }
 
 impl GatedKeyValue {
     pub fn new(service: FakeKeyValue) -> Self {
         let (is_paused, _) = watch::channel(false);
-        Self { service, is_paused }
+        Self {
+            service,
+            is_paused,
+            link: Mutex::default(),
+        }
     }
 
     pub fn set_paused(&self, is_paused: bool) {
         self.is_paused.send_replace(is_paused);
     }
 
-    async fn pass<T>(&self, call: impl Future<Output = T>) -> T {
+    pub fn set_link(&self, link: Link) {
+        *self.link.lock().unwrap() = link;
+    }
+
+    async fn pass<T>(
+        &self,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
         self.open().await;
+        if *self.link.lock().unwrap() == Link::Cut {
+            return Err(PlatformError::Unavailable("the link is cut".to_owned()));
+        }
         let result = call.await;
         self.open().await;
         result
@@ -60,7 +88,13 @@
         lease: Option<LeaseId>,
     ) -> Result<Swap, PlatformError> {
         let swap = self.service.compare_and_swap(key, expected, value, lease);
-        self.pass(swap).await
+        let result = self.pass(swap).await?;
+        let mut link = self.link.lock().unwrap();
+        if *link == Link::CutAfterSwap && key == HEAD {
+            *link = Link::Cut;
+            return Err(PlatformError::ReplyLost("the link is cut".to_owned()));
+        }
+        Ok(result)
     }
 
     async fn delete(&self, key: &str, expected: Revision) -> Result<Swap, PlatformError> {
--- a/control/tests/fleet/mod.rs
+++ b/control/tests/fleet/mod.rs
@@ -210,21 +210,22 @@
         return None;
     }
     if links.rng.random_ratio(damage, 1000) {
-        damage_message(&mut message);
+        let position = links.rng.random_range(0..64 * 1024);
+        damage_message(&mut message, position);
     }
     links.bytes += size_bytes(&message);
     let delay = Duration::from_millis(links.rng.random_range(0..=MAX_DELAY_MS));
     Some((receiver, message, delay))
 }
 
-fn damage_message(message: &mut ConfigMessage) {
+fn damage_message(message: &mut ConfigMessage, position: usize) {
     let ConfigMessage::Update { head, chunks } = message else {
         return;
     };
     let target = chunks.first_mut().map_or(head, |chunk| &mut chunk.content);
     let mut bytes = target.to_vec();
-    if let Some(byte) = bytes.get_mut(10) {
-        *byte ^= 0x20;
+    if let Some(index) = position.checked_rem(bytes.len()) {
+        bytes[index] ^= 0x01;
     }
     *target = bytes.into();
 }
--- a/control/tests/random_notes/mod.rs
+++ b/control/tests/random_notes/mod.rs
@@ -32,8 +32,10 @@
 use self::steps::Reference;
 use self::steps::STORES;
 use self::steps::Step;
+use self::steps::first_notes;
 use crate::fleet::Fleet;
 use crate::fleet::gate::GatedKeyValue;
+use crate::fleet::gate::Link;
 
 const FLEET_SEED: u64 = 20_261_204;
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
@@ -77,13 +79,15 @@
         let fleet = Fleet::new(MEMBERS, DOMAINS, FLEET_SEED);
         let writers = (0..STORES).map(|_| Writer::new(&fleet)).collect();
         drop(guard);
-        Self {
+        let mut run = Self {
             runtime,
             fleet,
             writers,
             told: Arc::default(),
             applied: vec![Revision::default(); MEMBERS],
-        }
+        };
+        run.submit_first_notes();
+        run
     }
 
     fn apply(mut run: Self, (): &(), step: Step) -> Self {
@@ -143,6 +147,7 @@
             }),
             Step::SilentWatches(is_silent) => set(&|faults| faults.silent_watches = is_silent),
             Step::Pause(writer, is_paused) => self.writers[writer].gate.set_paused(is_paused),
+            Step::Link(writer, link) => self.writers[writer].gate.set_link(link),
             Step::ReplaceStore(writer) => self.writers[writer] = Writer::new(&self.fleet),
             Step::ReplaceMember(member) => {
                 self.fleet.replace(member);
@@ -155,6 +160,17 @@
         Duration::from_millis(1)
     }
 
+    fn submit_first_notes(&mut self) {
+        let runtime = self.runtime.clone();
+        let guard = runtime.enter();
+        for note in first_notes() {
+            self.submit(0, note);
+        }
+        drop(guard);
+        let submissions = &mut self.writers[0].submissions;
+        runtime.block_on(async { while submissions.join_next().await.is_some() {} });
+    }
+
     fn submit(&mut self, writer: usize, note: ReleaseNote) {
         let told = self.told.clone();
         let was_accepted = told.lock().unwrap().start(&note);
@@ -179,6 +195,7 @@
         self.fleet.set_faulty(0, 0);
         for writer in &self.writers {
             writer.gate.set_paused(false);
+            writer.gate.set_link(Link::Whole);
         }
     }
 
--- a/control/tests/random_notes/steps.rs
+++ b/control/tests/random_notes/steps.rs
@@ -18,6 +18,8 @@
 use proptest_state_machine::ReferenceStateMachine;
 use serde_json::json;
 
+use crate::fleet::gate::Link;
+
 pub const STORES: usize = 3;
 pub const MEMBERS: usize = 6;
 pub const DOMAINS: usize = 3;
@@ -46,6 +48,7 @@
     DelayEffects(u32, Duration),
     SilentWatches(bool),
     Pause(usize, bool),
+    Link(usize, Link),
     ReplaceStore(usize),
     ReplaceMember(usize),
     Cut(usize),
@@ -53,6 +56,25 @@
     Lossy(u32, u32),
 }
 
+/// Notes that give both partners items to contend for.
+pub fn first_notes() -> [ReleaseNote; 2] {
+    let trust = json!({
+        "models": [model("m0", 20, &["v1"])],
+        "accounts": [account("a0", 1), account("a1", 1)],
+        "adapters": [adapter("x0", "m0")],
+    });
+    let bureau = json!({
+        "models": [model("m1", 20, &["v1"])],
+        "accounts": [account("a2", 1)],
+        "adapters": [adapter("x1", "m1")],
+        "upstreams": [engine(1, assignment("m0", "v1", 0, 5))],
+    });
+    [
+        note("first-trust", "trust", &trust, &json!({}), &json!({})),
+        note("first-bureau", "bureau", &bureau, &json!({}), &json!({})),
+    ]
+}
+
 impl NoteSpec {
     pub fn note(&self) -> ReleaseNote {
         let partner = if self.partner { "trust" } else { "bureau" };
@@ -110,15 +132,16 @@
 
     fn transitions((): &()) -> BoxedStrategy<Step> {
         prop_oneof![
-            24 => (0..STORES, spec()).prop_map(|(store, spec)| Step::Submit { store, spec }),
-            10 => millis(1..3_000).prop_map(Step::Advance),
+            30 => (0..STORES, spec()).prop_map(|(store, spec)| Step::Submit { store, spec }),
+            10 => millis(1..10_000).prop_map(Step::Advance),
             4 => outage().prop_map(Step::Outage),
             1 => Just(Step::HourWithoutService),
-            3 => millis(0..1_500).prop_map(Step::Delay),
+            3 => delay().prop_map(Step::Delay),
             3 => (1..4_u32).prop_map(Step::LoseReplies),
             3 => (1..4_u32, millis(1..20_000)).prop_map(|(n, by)| Step::DelayEffects(n, by)),
             1 => proptest::bool::ANY.prop_map(Step::SilentWatches),
-            4 => (0..STORES, proptest::bool::ANY).prop_map(|(s, on)| Step::Pause(s, on)),
+            4 => (0..STORES, proptest::bool::weighted(0.3)).prop_map(|(s, on)| Step::Pause(s, on)),
+            6 => (0..STORES, link()).prop_map(|(store, link)| Step::Link(store, link)),
             2 => (0..STORES).prop_map(Step::ReplaceStore),
             3 => (0..MEMBERS).prop_map(Step::ReplaceMember),
             2 => (0..DOMAINS).prop_map(Step::Cut),
@@ -137,12 +160,24 @@
 
 fn outage() -> impl proptest::prelude::Strategy<Value = Outage> {
     prop_oneof![
-        2 => Just(Outage::None),
+        4 => Just(Outage::None),
         1 => Just(Outage::Refusing),
         1 => Just(Outage::Silent),
     ]
 }
 
+fn delay() -> impl proptest::prelude::Strategy<Value = Duration> {
+    prop_oneof![3 => millis(0..20), 1 => millis(0..1_500)]
+}
+
+fn link() -> impl proptest::prelude::Strategy<Value = Link> {
+    prop_oneof![
+        3 => Just(Link::Whole),
+        1 => Just(Link::Cut),
+        2 => Just(Link::CutAfterSwap),
+    ]
+}
+
 fn spec() -> impl proptest::prelude::Strategy<Value = NoteSpec> {
     let parts = (
         0..40_u32,
