control: keep the same neighbours, and test the collector

Comparisons with any peer would open a connection a second from every member. Neighbours are now the peers with the highest hashes of the pair, so connections are kept. A starting member asks its neighbours at once. Counters reach the handle.

Planted faults in the collector and an acceptance claimed without the swap were not met by the random test: submissions now carry the run's time, a link may lose the swap before its effect, and two tests cover expiry and orphans.

--- a/control/src/dissemination.rs
+++ b/control/src/dissemination.rs
@@ -1,9 +1,9 @@
 //! Brings the newest configuration to every member.
 //!
 //! A few members of each failure domain watch the head in the key-value
-//! service. Whoever applies a new revision announces it to some peers, and a
-//! peer that lacks it fetches the head and the changed chunks from the
-//! announcer. A periodic comparison with a random peer finds what announcements
+//! service. Whoever applies a new revision announces it to its neighbours, and a
+//! neighbour that lacks it fetches the head and the changed chunks from the
+//! announcer. A periodic comparison with one neighbour finds what announcements
 //! missed, and it is also how a starting member gets its first revision, with or
 //! without the service. A member only ever applies a higher revision.
 //!
@@ -59,11 +59,11 @@
     pub min_backoff: Duration,
     /// The longest pause after a failed call of the service.
     pub max_backoff: Duration,
-    /// The number of peers of the own failure domain that hear of a new revision.
-    pub announce_own_domain: usize,
-    /// The number of peers of other failure domains that hear of a new revision.
-    pub announce_other_domains: usize,
-    /// The time between two comparisons with a random peer.
+    /// The number of neighbours in the own failure domain.
+    pub near_neighbours: usize,
+    /// The number of neighbours in other failure domains.
+    pub far_neighbours: usize,
+    /// The time between two comparisons with a neighbour.
     pub compare_interval: Duration,
     /// How long the answer of a peer is waited for before another one is asked.
     pub fetch_timeout: Duration,
@@ -80,8 +80,8 @@
             read_timeout: Duration::from_secs(2),
             min_backoff: Duration::from_millis(500),
             max_backoff: Duration::from_secs(5),
-            announce_own_domain: 5,
-            announce_other_domains: 2,
+            near_neighbours: 5,
+            far_neighbours: 2,
             compare_interval: Duration::from_secs(1),
             fetch_timeout: Duration::from_millis(400),
             max_served_bytes_per_s: 16 * 1024 * 1024,
--- a/control/src/dissemination/disseminator.rs
+++ b/control/src/dissemination/disseminator.rs
@@ -23,7 +23,7 @@
 use crate::dissemination::Peer;
 use crate::dissemination::gossip::Gossip;
 use crate::dissemination::head_watch::HeadWatch;
-use crate::dissemination::selection::Peers;
+use crate::dissemination::selection::Neighbours;
 use crate::dissemination::selection::is_watcher;
 use crate::head::Head;
 use crate::invariant::Invariant;
@@ -31,9 +31,6 @@
 use crate::snapshot::Snapshot;
 use crate::snapshot::SnapshotError;
 
-/// How many comparisons go to a near peer for each one that goes to any peer.
-const NEAR_COMPARISONS: f64 = 0.75;
-
 /// How often something happened, for metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct DisseminationCounters {
@@ -52,7 +49,7 @@
 pub struct Disseminator {
     settings: DisseminationSettings,
     own: Peer,
-    peers: Peers,
+    neighbours: Neighbours,
     snapshot: Arc<Snapshot>,
     head_digest: Digest,
     watch: HeadWatch,
@@ -69,7 +66,7 @@
         Self {
             head_digest: snapshot.head_digest(),
             snapshot,
-            peers: Peers::default(),
+            neighbours: Neighbours::default(),
             watch: HeadWatch::new(settings),
             gossip: Gossip::new(settings),
             compare_at: now,
@@ -116,10 +113,16 @@
     }
 
     fn on_members(&mut self, live: &[Peer], now: Instant, actions: &mut Vec<Action>) {
-        self.peers = Peers::new(&self.own, live);
+        let near = self.settings.near_neighbours;
+        let far = self.settings.far_neighbours;
+        self.neighbours = Neighbours::new(&self.own, live, near, far);
         let watchers = self.settings.watchers_per_domain;
         let is_active = is_watcher(&self.own, live, watchers);
         self.watch.set_active(is_active, now, actions);
+        if self.snapshot.revision() == Revision::default() {
+            // Whoever is ahead answers, so a starting member need not wait.
+            self.announce(actions);
+        }
     }
 
     fn on_message(&mut self, message: ConfigMessage, now: Instant, actions: &mut Vec<Action>) {
@@ -281,11 +284,7 @@
     }
 
     fn compare(&mut self, actions: &mut Vec<Action>) {
-        let peer = if self.rng.random_bool(NEAR_COMPARISONS) {
-            self.peers.draw_near(&mut self.rng)
-        } else {
-            self.peers.draw_any(&mut self.rng)
-        };
+        let peer = self.neighbours.draw(&mut self.rng);
         actions.extend(peer.map(|peer| self.announce_to(peer)));
     }
 
@@ -328,11 +327,9 @@
         self.announce(actions);
     }
 
-    fn announce(&mut self, actions: &mut Vec<Action>) {
-        let own_domain = self.settings.announce_own_domain;
-        let other_domains = self.settings.announce_other_domains;
-        let peers = self.peers.draw(&mut self.rng, own_domain, other_domains);
-        actions.extend(peers.into_iter().map(|peer| self.announce_to(peer)));
+    fn announce(&self, actions: &mut Vec<Action>) {
+        let peers = self.neighbours.iter();
+        actions.extend(peers.map(|peer| self.announce_to(peer)));
     }
 
     fn announce_to(&self, to: SocketAddr) -> Action {
--- a/control/src/dissemination/driver.rs
+++ b/control/src/dissemination/driver.rs
@@ -88,6 +88,7 @@
         for action in self.disseminator.handle(event, Instant::now()) {
             self.perform(action);
         }
+        self.handle.set_counters(self.disseminator.counters());
     }
 
     fn perform(&mut self, action: Action) {
--- a/control/src/dissemination/handle.rs
+++ b/control/src/dissemination/handle.rs
@@ -1,12 +1,15 @@
 //! What the rest of a process sees of the configuration.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 
 use arc_swap::ArcSwap;
 use jujubewall_types::config::Configuration;
 use jujubewall_types::id::Revision;
 use tokio::sync::watch;
 
+use crate::dissemination::disseminator::DisseminationCounters;
 use crate::invariant::Invariant;
 use crate::snapshot::Snapshot;
 
@@ -15,6 +18,7 @@
 pub struct ConfigHandle {
     snapshot: ArcSwap<Snapshot>,
     revision: watch::Sender<Revision>,
+    counters: Mutex<DisseminationCounters>,
 }
 
 impl ConfigHandle {
@@ -24,6 +28,7 @@
         Self {
             snapshot: ArcSwap::default(),
             revision,
+            counters: Mutex::default(),
         }
     }
 
@@ -47,6 +52,16 @@
         self.revision.subscribe()
     }
 
+    /// Returns how often something happened, for metrics.
+    pub fn counters(&self) -> DisseminationCounters {
+        *self.counters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets readers see `counters`.
+    pub fn set_counters(&self, counters: DisseminationCounters) {
+        *self.counters.lock().unwrap_or_else(PoisonError::into_inner) = counters;
+    }
+
     /// Lets readers see `snapshot`, unless it is older than what they see.
     pub fn publish(&self, snapshot: Arc<Snapshot>) {
         let revision = snapshot.revision();
--- a/control/src/dissemination/selection.rs
+++ b/control/src/dissemination/selection.rs
@@ -1,8 +1,8 @@
-//! Chooses watchers and the peers of one exchange.
+//! Chooses the watchers of a failure domain and the neighbours of a member.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
-use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::id::MemberName;
 use rand::seq::IndexedRandom as _;
 use rand_chacha::ChaCha8Rng;
@@ -14,58 +14,45 @@
 /// The seed of the hash that ranks the members of a failure domain.
 const WATCHER_SEED: u64 = 1;
 
+/// The seed of the hash that ranks the neighbours of a member.
+const NEIGHBOUR_SEED: u64 = 2;
+
 /// Addresses of a few peers.
-pub type Addresses = SmallVec<[SocketAddr; 8]>;
+type Addresses = SmallVec<[SocketAddr; 8]>;
 
-/// The other live members, split by whether they share the own failure domain.
+/// The peers that a member exchanges the configuration with.
+///
+/// They are the ones with the highest hashes of the pair, so they stay for as
+/// long as the members stay, and connections to them are kept.
 #[derive(Clone, Debug, Default)]
-pub struct Peers {
-    own_domain: Vec<SocketAddr>,
-    other_domains: Vec<SocketAddr>,
+pub struct Neighbours {
+    addresses: Addresses,
 }
 
-impl Peers {
-    /// Sorts the members of `live` other than `own`.
-    pub fn new(own: &Peer, live: &[Peer]) -> Self {
-        let mut peers = Self::default();
-        for peer in live.iter().filter(|peer| peer.member != own.member) {
-            if peer.failure_domain == own.failure_domain {
-                peers.own_domain.push(peer.address);
-            } else {
-                peers.other_domains.push(peer.address);
-            }
-        }
-        peers
-    }
-
-    /// Draws up to `own_domain` and `other_domains` distinct peers.
+impl Neighbours {
+    /// Chooses among `live` up to `near` peers of the own failure domain and `far` others.
     ///
     /// Places that one side cannot fill go to the other one.
-    pub fn draw(&self, rng: &mut ChaCha8Rng, own_domain: usize, other_domains: usize) -> Addresses {
-        let own_spare = own_domain.saturating_sub(self.own_domain.len());
-        let other_spare = other_domains.saturating_sub(self.other_domains.len());
-        let own = self.own_domain.sample(rng, own_domain + other_spare);
-        let mut drawn: Addresses = own.copied().collect();
-        let others = self.other_domains.sample(rng, other_domains + own_spare);
-        drawn.extend(others.copied());
-        drawn
+    pub fn new(own: &Peer, live: &[Peer], near: usize, far: usize) -> Self {
+        let others = live.iter().filter(|peer| peer.member != own.member);
+        let (near_peers, far_peers): (Vec<&Peer>, Vec<&Peer>) =
+            others.partition(|peer| peer.failure_domain == own.failure_domain);
+        let spare_near = near.saturating_sub(near_peers.len());
+        let spare_far = far.saturating_sub(far_peers.len());
+        let mut addresses = Addresses::new();
+        addresses.extend(highest(own, near_peers, near + spare_far));
+        addresses.extend(highest(own, far_peers, far + spare_near));
+        Self { addresses }
     }
 
-    /// Draws one peer of any failure domain.
-    pub fn draw_any(&self, rng: &mut ChaCha8Rng) -> Option<SocketAddr> {
-        let all: Vec<SocketAddr> = self
-            .own_domain
-            .iter()
-            .chain(&self.other_domains)
-            .copied()
-            .collect();
-        all.choose(rng).copied()
+    /// Iterates over all neighbours.
+    pub fn iter(&self) -> impl Iterator<Item = SocketAddr> {
+        self.addresses.iter().copied()
     }
 
-    /// Draws one peer of the own failure domain, or any if it has none.
-    pub fn draw_near(&self, rng: &mut ChaCha8Rng) -> Option<SocketAddr> {
-        let near = self.own_domain.choose(rng);
-        near.or_else(|| self.other_domains.choose(rng)).copied()
+    /// Draws one neighbour.
+    pub fn draw(&self, rng: &mut ChaCha8Rng) -> Option<SocketAddr> {
+        self.addresses.choose(rng).copied()
     }
 }
 
@@ -74,17 +61,26 @@
 /// The watchers are the members with the highest hashes, so a member that comes
 /// or goes moves at most one of them.
 pub fn is_watcher(own: &Peer, live: &[Peer], watchers: usize) -> bool {
-    let own_score = score(&own.failure_domain, &own.member);
+    let rank = |peer: &Peer| (hash(WATCHER_SEED, &peer.member, None), peer.member.clone());
+    let own_rank = rank(own);
     let higher = live
         .iter()
         .filter(|peer| peer.failure_domain == own.failure_domain)
-        .filter(|peer| peer.member != own.member)
-        .filter(|peer| score(&peer.failure_domain, &peer.member) > own_score)
+        .filter(|peer| rank(peer) > own_rank)
         .count();
     higher < watchers
 }
 
-fn score<'a>(domain: &FailureDomainName, member: &'a MemberName) -> (u64, &'a MemberName) {
-    let text = format!("{domain}/{member}");
-    (XxHash64::oneshot(WATCHER_SEED, text.as_bytes()), member)
+fn highest(own: &Peer, mut peers: Vec<&Peer>, count: usize) -> Vec<SocketAddr> {
+    let rank = |peer: &&Peer| Reverse(hash(NEIGHBOUR_SEED, &own.member, Some(&peer.member)));
+    peers.sort_by_cached_key(rank);
+    let chosen = peers.into_iter().take(count);
+    chosen.map(|peer| peer.address).collect()
+}
+
+fn hash(seed: u64, first: &MemberName, second: Option<&MemberName>) -> u64 {
+    let second_hash = second.map_or(seed, |name| {
+        XxHash64::oneshot(seed, name.as_str().as_bytes())
+    });
+    XxHash64::oneshot(second_hash, first.as_str().as_bytes())
 }
--- a/control/tests/fleet/gate.rs
+++ b/control/tests/fleet/gate.rs
@@ -23,6 +23,8 @@
     Whole,
     /// Every call fails without an effect.
     Cut,
+    /// The next swap of the head is lost on its way, and the link is cut.
+    CutBeforeSwap,
     /// The next swap of the head takes effect, and then the link is cut.
     CutAfterSwap,
 }
@@ -51,6 +53,16 @@
         *self.link.lock().unwrap() = link;
     }
 
+    /// Cuts the link and loses the reply if the link has the fault `planned`.
+    fn replace_link(&self, planned: Link) -> Result<(), PlatformError> {
+        let mut link = self.link.lock().unwrap();
+        if *link != planned {
+            return Ok(());
+        }
+        *link = Link::Cut;
+        Err(PlatformError::ReplyLost("the link is cut".to_owned()))
+    }
+
     async fn pass<T>(
         &self,
         call: impl Future<Output = Result<T, PlatformError>>,
@@ -87,12 +99,13 @@
         value: Bytes,
         lease: Option<LeaseId>,
     ) -> Result<Swap, PlatformError> {
+        if key == HEAD {
+            self.replace_link(Link::CutBeforeSwap)?;
+        }
         let swap = self.service.compare_and_swap(key, expected, value, lease);
         let result = self.pass(swap).await?;
-        let mut link = self.link.lock().unwrap();
-        if *link == Link::CutAfterSwap && key == HEAD {
-            *link = Link::Cut;
-            return Err(PlatformError::ReplyLost("the link is cut".to_owned()));
+        if key == HEAD {
+            self.replace_link(Link::CutAfterSwap)?;
         }
         Ok(result)
     }
--- a/control/tests/random_notes/mod.rs
+++ b/control/tests/random_notes/mod.rs
@@ -25,6 +25,7 @@
 use smol_str::SmolStr;
 use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use self::steps::DOMAINS;
 use self::steps::HOUR;
@@ -65,6 +66,7 @@
     writers: Vec<Writer>,
     told: Arc<Mutex<Told>>,
     applied: Vec<Revision>,
+    started_at: Instant,
 }
 
 impl StateMachineTest for Run {
@@ -78,6 +80,7 @@
         let guard = runtime.enter();
         let fleet = Fleet::new(MEMBERS, DOMAINS, FLEET_SEED);
         let writers = (0..STORES).map(|_| Writer::new(&fleet)).collect();
+        let started_at = Instant::now();
         drop(guard);
         let mut run = Self {
             runtime,
@@ -85,6 +88,7 @@
             writers,
             told: Arc::default(),
             applied: vec![Revision::default(); MEMBERS],
+            started_at,
         };
         run.submit_first_notes();
         run
@@ -176,8 +180,10 @@
         let was_accepted = told.lock().unwrap().start(&note);
         let store = self.writers[writer].store.clone();
         let announcer = self.fleet.sender(writer);
+        let started_at = self.started_at;
         self.writers[writer].submissions.spawn(async move {
-            let result = store.submit(&submission(&note)).await;
+            let submission = submission(&note, started_at.elapsed());
+            let result = store.submit(&submission).await;
             if matches!(result, Ok(NoteResult::Accepted { .. })) {
                 drop(announcer.try_send(Event::Loaded(store.newest_snapshot())));
             }
@@ -248,7 +254,7 @@
 async fn check_history(fleet: &Fleet, mut told: Told) {
     let store = NoteStore::new(Arc::new(fleet.service.clone()));
     for note in std::mem::take(&mut told.unknown) {
-        let result = store.submit(&submission(&note)).await.unwrap();
+        let result = store.submit(&submission(&note, HOUR)).await.unwrap();
         assert!(!matches!(result, NoteResult::Unknown { .. }));
         let was_accepted = told.start(&note);
         told.end(&note, Some(&result), was_accepted);
@@ -276,10 +282,10 @@
     }
 }
 
-fn submission(note: &ReleaseNote) -> Submission {
+fn submission(note: &ReleaseNote, time: Duration) -> Submission {
     Submission {
         note: note.clone(),
         submitted_by: SmolStr::new("operator"),
-        submitted_at_ms: 0,
+        submitted_at_ms: u64::try_from(time.as_millis()).unwrap(),
     }
 }
--- a/control/tests/random_notes/steps.rs
+++ b/control/tests/random_notes/steps.rs
@@ -174,6 +174,7 @@
     prop_oneof![
         3 => Just(Link::Whole),
         1 => Just(Link::Cut),
+        1 => Just(Link::CutBeforeSwap),
         2 => Just(Link::CutAfterSwap),
     ]
 }
--- a/control/tests/test_store.rs
+++ b/control/tests/test_store.rs
@@ -1,10 +1,12 @@
 //! The store on a service that works.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use assert_matches::assert_matches;
 use jujubewall_control::audit::Submission;
 use jujubewall_control::clash::ClashReason;
+use jujubewall_control::keys;
 use jujubewall_control::store::NoteResult;
 use jujubewall_control::store::NoteStatus;
 use jujubewall_control::store::NoteStore;
@@ -17,6 +19,7 @@
 use jujubewall_testutils::notes::engine;
 use jujubewall_testutils::notes::model;
 use jujubewall_testutils::notes::note;
+use jujubewall_types::digest::Digest;
 use jujubewall_types::id::NoteId;
 use jujubewall_types::id::Revision;
 use jujubewall_types::note::ReleaseNote;
@@ -166,3 +169,46 @@
     assert_eq!(head.retired.len(), 1);
     assert!(head.encode().unwrap().len() < 32 * 1024);
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_collection_keeps_what_readers_need() {
+    const MINUTE_MS: u64 = 60_000;
+    let service = Arc::new(FakeKeyValue::new());
+    let store = NoteStore::new(service.clone());
+    accept(&store, &accounts("n0", "trust", &[account("a", 1)], &[])).await;
+    let mut needed = Vec::new();
+    for number in 1..600_u32 {
+        let change = accounts(&format!("n{number}"), "trust", &[], &[account("a", number)]);
+        let mut submission = submission(change);
+        submission.submitted_at_ms += u64::from(number) * MINUTE_MS;
+        let result = store.submit(&submission).await.unwrap();
+        assert_matches!(result, NoteResult::Accepted { .. });
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let (_, head) = store.load().await.unwrap();
+        needed.push(keys::chunk(head.shards.values().next().unwrap()));
+        for key in needed.iter().rev().take(10) {
+            assert!(
+                service.peek(key).is_some(),
+                "{key} is gone at note {number}"
+            );
+        }
+    }
+    assert_eq!(service.list(keys::CHUNKS).await.unwrap().len(), 11);
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_orphans_are_swept() {
+    let service = Arc::new(FakeKeyValue::new());
+    let store = NoteStore::new(service.clone());
+    accept(&store, &accounts("n0", "trust", &[account("a", 1)], &[])).await;
+    let orphan = format!("{}{:016x}/{}", keys::CHUNKS, 7, Digest::of(b"orphan"));
+    let written = service.compare_and_swap(&orphan, None, "orphan".into(), None);
+    written.await.unwrap();
+    for number in 1..256_u32 {
+        let change = accounts(&format!("n{number}"), "trust", &[], &[account("a", number)]);
+        accept(&store, &change).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(service.peek(&orphan), None);
+    NoteStore::new(service).load().await.unwrap();
+}
