--- a/control/tests/random_notes/mod.rs
+++ b/control/tests/random_notes/mod.rs
@@ -25,6 +25,7 @@
 use smol_str::SmolStr;
 use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use self::steps::DOMAINS;
 use self::steps::HOUR;
@@ -32,8 +33,10 @@
 use self::steps::Reference;
 use self::steps::STORES;
 use self::steps::Step;
+use self::steps::first_notes;
 use crate::fleet::Fleet;
 use crate::fleet::gate::GatedKeyValue;
+use crate::fleet::gate::Link;
 
 const FLEET_SEED: u64 = 20_261_204;
 const SETTLE_LIMIT: Duration = Duration::from_secs(30);
@@ -63,6 +66,7 @@
     writers: Vec<Writer>,
     told: Arc<Mutex<Told>>,
     applied: Vec<Revision>,
+    started_at: Instant,
 }
 
 impl StateMachineTest for Run {
@@ -76,14 +80,18 @@
         let guard = runtime.enter();
         let fleet = Fleet::new(MEMBERS, DOMAINS, FLEET_SEED);
         let writers = (0..STORES).map(|_| Writer::new(&fleet)).collect();
+        let started_at = Instant::now();
         drop(guard);
-        Self {
+        let mut run = Self {
             runtime,
             fleet,
             writers,
             told: Arc::default(),
             applied: vec![Revision::default(); MEMBERS],
-        }
+            started_at,
+        };
+        run.submit_first_notes();
+        run
     }
 
     fn apply(mut run: Self, (): &(), step: Step) -> Self {
@@ -143,6 +151,7 @@
             }),
             Step::SilentWatches(is_silent) => set(&|faults| faults.silent_watches = is_silent),
             Step::Pause(writer, is_paused) => self.writers[writer].gate.set_paused(is_paused),
+            Step::Link(writer, link) => self.writers[writer].gate.set_link(link),
             Step::ReplaceStore(writer) => self.writers[writer] = Writer::new(&self.fleet),
             Step::ReplaceMember(member) => {
                 self.fleet.replace(member);
@@ -155,13 +164,26 @@
         Duration::from_millis(1)
     }
 
+    fn submit_first_notes(&mut self) {
+        let runtime = self.runtime.clone();
+        let guard = runtime.enter();
+        for note in first_notes() {
+            self.submit(0, note);
+        }
+        drop(guard);
+        let submissions = &mut self.writers[0].submissions;
+        runtime.block_on(async { while submissions.join_next().await.is_some() {} });
+    }
+
     fn submit(&mut self, writer: usize, note: ReleaseNote) {
         let told = self.told.clone();
         let was_accepted = told.lock().unwrap().start(&note);
         let store = self.writers[writer].store.clone();
         let announcer = self.fleet.sender(writer);
+        let started_at = self.started_at;
         self.writers[writer].submissions.spawn(async move {
-            let result = store.submit(&submission(&note)).await;
+            let submission = submission(&note, started_at.elapsed());
+            let result = store.submit(&submission).await;
             if matches!(result, Ok(NoteResult::Accepted { .. })) {
                 drop(announcer.try_send(Event::Loaded(store.newest_snapshot())));
             }
@@ -179,6 +201,7 @@
         self.fleet.set_faulty(0, 0);
         for writer in &self.writers {
             writer.gate.set_paused(false);
+            writer.gate.set_link(Link::Whole);
         }
     }
 
@@ -231,7 +254,7 @@
 async fn check_history(fleet: &Fleet, mut told: Told) {
     let store = NoteStore::new(Arc::new(fleet.service.clone()));
     for note in std::mem::take(&mut told.unknown) {
-        let result = store.submit(&submission(&note)).await.unwrap();
+        let result = store.submit(&submission(&note, HOUR)).await.unwrap();
         assert!(!matches!(result, NoteResult::Unknown { .. }));
         let was_accepted = told.start(&note);
         told.end(&note, Some(&result), was_accepted);
@@ -259,10 +282,10 @@
     }
 }
 
-fn submission(note: &ReleaseNote) -> Submission {
+fn submission(note: &ReleaseNote, time: Duration) -> Submission {
     Submission {
         note: note.clone(),
         submitted_by: SmolStr::new("operator"),
-        submitted_at_ms: 0,
+        submitted_at_ms: u64::try_from(time.as_millis()).unwrap(),
     }
 }
