control: plan engines as a pure function and reconcile them with fencing

The plan is a stable function of configuration, engines and the plan before: engines keep their ranges, holes are covered by free engines and then by spare ones, and what is left goes to the slowest model. A rollout loads beside what is loaded, drops only above a floor and bounds how many engines load at once, so that the weight store's rate is shared by few. Writing is one compare-and-swap whose revision is the fencing number.

--- a/control/src/invariant.rs
+++ b/control/src/invariant.rs
@@ -20,10 +20,12 @@
     OtherPartnerUntouched,
     /// Two heads of the same revision are the same head.
     OneHeadPerRevision,
+    /// No order with an older number than an earlier one reaches an engine.
+    OrderNumberRises,
 }
 
 /// The number of kinds of invariants.
-const INVARIANT_COUNT: usize = 5;
+const INVARIANT_COUNT: usize = 6;
 
 static VIOLATIONS: [AtomicU64; INVARIANT_COUNT] = [const { AtomicU64::new(0) }; INVARIANT_COUNT];
 
@@ -35,6 +37,7 @@
         Self::AppliedRevisionRises,
         Self::OtherPartnerUntouched,
         Self::OneHeadPerRevision,
+        Self::OrderNumberRises,
     ];
 
     /// Returns the stable text that labels the metric.
@@ -45,6 +48,7 @@
             Self::AppliedRevisionRises => "applied_revision_rises",
             Self::OtherPartnerUntouched => "other_partner_untouched",
             Self::OneHeadPerRevision => "one_head_per_revision",
+            Self::OrderNumberRises => "order_number_rises",
         }
     }
 
--- /dev/null
+++ b/control/tests/test_plan.rs
@@ -0,0 +1,357 @@
+//! Tests of planning: coverage, few moves, rollouts and racing planners.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubewall_control::plan::coverage::Coverage;
+use jujubewall_control::plan::document::Plan;
+use jujubewall_control::plan::input::EngineReport;
+use jujubewall_control::plan::input::EngineView;
+use jujubewall_control::plan::input::PlanInput;
+use jujubewall_control::plan::input::Presence;
+use jujubewall_control::plan::planner::plan;
+use jujubewall_control::plan::planner::planned_tokens_per_s;
+use jujubewall_control::plan::planner::uncovered_models;
+use jujubewall_control::plan::settings::PlanSettings;
+use jujubewall_control::plan::writer::PlanStep;
+use jujubewall_control::plan::writer::PlanWriter;
+use jujubewall_platform::key_value::KeyValue;
+use jujubewall_testutils::key_value::FakeKeyValue;
+use jujubewall_types::config::Model;
+use jujubewall_types::id::FailureDomainName;
+use jujubewall_types::id::ModelName;
+use jujubewall_types::id::Revision;
+use jujubewall_types::id::UpstreamName;
+use jujubewall_types::id::VersionName;
+use proptest::prelude::*;
+use smallvec::smallvec;
+
+/// More rounds of planning and loading than any change needs.
+const MAX_ROUNDS: usize = 400;
+
+const SETTINGS: PlanSettings = PlanSettings {
+    max_concurrent_loads: 3,
+    capacity_floor_permille: 500,
+};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn model_name(index: usize) -> ModelName {
+    ModelName::new(format!("model-{index}")).unwrap()
+}
+
+fn version(number: u32) -> VersionName {
+    VersionName::new(format!("v{number}")).unwrap()
+}
+
+fn engine_name(index: usize) -> UpstreamName {
+    UpstreamName::new(format!("engine-{index:03}")).unwrap()
+}
+
+fn model(index: usize, layer_count: u32) -> Model {
+    Model {
+        name: model_name(index),
+        layer_count,
+        active_version: version(1),
+        versions: smallvec![],
+        max_prompt_tokens: 1,
+        max_answer_tokens: 1,
+    }
+}
+
+fn engine((max_layers, rate, domain): (u32, u64, u8)) -> EngineView {
+    EngineView {
+        failure_domain: FailureDomainName::new(format!("domain-{domain}")).unwrap(),
+        max_layers,
+        rate,
+        fixed: None,
+        report: EngineReport {
+            presence: Presence::Live,
+            ..EngineReport::default()
+        },
+    }
+}
+
+fn input() -> impl Strategy<Value = PlanInput> {
+    let models = prop::collection::vec(2_u32..24, 1..4);
+    let engines = prop::collection::vec((1_u32..24, 100_u64..10_000, 0_u8..3), 1..24);
+    (models, engines).prop_map(|(models, engines)| PlanInput {
+        revision: Revision(1),
+        models: models
+            .into_iter()
+            .enumerate()
+            .map(|(index, layers)| (model_name(index), model(index, layers)))
+            .collect(),
+        engines: engines
+            .into_iter()
+            .enumerate()
+            .map(|(index, parts)| (engine_name(index), engine(parts)))
+            .collect(),
+    })
+}
+
+/// Returns whether there is room for every model whatever is wasted at its edges.
+fn is_ample(input: &PlanInput) -> bool {
+    let live = || input.engines.values().filter(|engine| engine.is_live());
+    let room: u32 = live().map(|engine| engine.max_layers).sum();
+    let largest = live().map(|engine| engine.max_layers).max().unwrap_or(0);
+    let waste = |model: &Model| model.layer_count + largest;
+    room >= input.models.values().map(waste).sum()
+}
+
+/// Lets an engine do what the plan says: drop, then load what fits.
+fn follow(engine: &mut EngineView, plan: &Plan, name: &UpstreamName) {
+    let hold = plan.hold(name);
+    let loaded = &mut engine.report.loaded;
+    loaded.retain(|held| hold.contains(held));
+    for wanted in hold {
+        let used: u32 = loaded.iter().map(|held| held.layers.len()).sum();
+        let fits = used + wanted.layers.len() <= engine.max_layers;
+        if fits && !loaded.contains(wanted) {
+            loaded.push(wanted.clone());
+        }
+    }
+}
+
+/// Returns the rate of each version of a model as loaded.
+fn loaded_rates(input: &PlanInput, model: &Model) -> BTreeMap<VersionName, u64> {
+    let mut rates: BTreeMap<VersionName, Coverage> = BTreeMap::new();
+    for engine in input.engines.values().filter(|engine| engine.is_live()) {
+        for held in engine
+            .report
+            .loaded
+            .iter()
+            .filter(|held| held.model == model.name)
+        {
+            rates
+                .entry(held.version.clone())
+                .or_insert_with(|| Coverage::new(model.layer_count))
+                .add(held.layers, engine.tokens_per_s(held.layers.len()));
+        }
+    }
+    let rate = |(version, coverage): (VersionName, Coverage)| (version, coverage.tokens_per_s());
+    rates.into_iter().map(rate).collect()
+}
+
+/// Plans and loads until nothing changes; engines act in a random order.
+fn settle(
+    input: &mut PlanInput,
+    mut current: Plan,
+    turns: &[usize],
+    mut each: impl FnMut(&PlanInput, &Plan),
+) -> Plan {
+    for (round, turn) in (0..MAX_ROUNDS).zip(turns.iter().cycle()) {
+        let next = plan(input, &current, &SETTINGS);
+        each(input, &next);
+        let is_done = |(name, engine): (&UpstreamName, &EngineView)| {
+            let mut followed = engine.clone();
+            follow(&mut followed, &next, name);
+            !engine.is_live() || followed == *engine
+        };
+        if next == current && input.engines.iter().all(is_done) {
+            return next;
+        }
+        for (index, (name, engine)) in input.engines.iter_mut().enumerate() {
+            let acts = round % 3 == 0 || turn >> (index % 16) & 1 == 0;
+            if engine.is_live() && acts {
+                follow(engine, &next, name);
+            }
+        }
+        current = next;
+    }
+    panic!("the plan does not settle");
+}
+
+fn check_loads(input: &PlanInput, plan: &Plan) {
+    let is_loading = |(name, engine): &(&UpstreamName, &EngineView)| {
+        let mut hold = plan.hold(name).iter();
+        engine.is_live() && hold.any(|held| !engine.report.loaded.contains(held))
+    };
+    let loading = input.engines.iter().filter(is_loading).count();
+    assert!(
+        loading <= SETTINGS.max_concurrent_loads,
+        "{loading} engines load at once"
+    );
+    for (name, engine) in &input.engines {
+        let held: u32 = plan.hold(name).iter().map(|held| held.layers.len()).sum();
+        assert!(held <= engine.max_layers, "{name} is to hold {held} layers");
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Every model is covered where there is room, the plan follows from itself,
+    /// and engines end up with their targets alone.
+    #[test]
+    fn test_random_plan_covers_and_settles(
+        mut input in input(),
+        turns in prop::collection::vec(any::<usize>(), 1..8),
+    ) {
+        let settled = settle(&mut input, Plan::default(), &turns, check_loads);
+        if is_ample(&input) {
+            prop_assert_eq!(uncovered_models(&input, &settled), Vec::<ModelName>::new());
+        }
+        for (name, engine) in &input.engines {
+            let target = settled.target(name).cloned();
+            prop_assert_eq!(engine.report.loaded.clone().into_vec(), Vec::from_iter(target));
+        }
+    }
+
+    /// The ranges of lost engines are covered again, and engines move only for that.
+    #[test]
+    fn test_random_lost_engines_are_covered_again(
+        mut input in input(),
+        lost in prop::collection::vec(any::<usize>(), 1..4),
+    ) {
+        let before = settle(&mut input, Plan::default(), &[0], |_, _| {});
+        let names: Vec<_> = input.engines.keys().cloned().collect();
+        for index in lost {
+            let name = &names[index % names.len()];
+            input.engines.get_mut(name).unwrap().report.presence = Presence::Lost;
+        }
+        let after = plan(&input, &before, &SETTINGS);
+        let is_whole = |plan: &Plan, name: &ModelName| planned_tokens_per_s(&input, plan, name) > 0;
+        let holes: Vec<_> = input.models.keys().filter(|name| !is_whole(&before, name)).collect();
+        let moved = |name: &&UpstreamName| {
+            input.engines[*name].is_live() && before.target(name).is_some()
+                && before.target(name) != after.target(name)
+        };
+        for name in input.engines.keys().filter(moved) {
+            let is_mending = after.target(name).is_some_and(|target| holes.contains(&&target.model));
+            prop_assert!(is_mending, "{} moves for nothing", name);
+        }
+        for name in input.models.keys() {
+            prop_assert!(!is_whole(&before, name) || is_whole(&after, name), "{} is broken", name);
+        }
+        if is_ample(&input) && holes.len() <= 1 {
+            let is_spare_enough = |name: &&UpstreamName| {
+                let engine = &input.engines[*name];
+                engine.is_live() && before.target(name).is_none()
+            };
+            let free: u32 = input.engines.keys().filter(is_spare_enough)
+                .map(|name| input.engines[name].max_layers).sum();
+            let wanted: u32 = input.engines.iter().filter(|(_, engine)| !engine.is_live())
+                .filter_map(|(name, _)| before.target(name)).map(|target| target.layers.len()).sum();
+            prop_assert!(free < wanted || uncovered_models(&input, &after).is_empty());
+        }
+    }
+
+    /// A changed version takes over without the model ever being less than
+    /// whole or below the floor.
+    #[test]
+    fn test_random_version_change_keeps_capacity(
+        mut input in input(),
+        turns in prop::collection::vec(any::<usize>(), 1..8),
+    ) {
+        let settled = settle(&mut input, Plan::default(), &turns, check_loads);
+        let changed = model_name(0);
+        let was_whole = planned_tokens_per_s(&input, &settled, &changed) > 0;
+        input.models.get_mut(&changed).unwrap().active_version = version(2);
+        input.revision = Revision(2);
+        let floor = |input: &PlanInput, plan: &Plan| {
+            planned_tokens_per_s(input, plan, &changed) * SETTINGS.capacity_floor_permille / 1000
+        };
+        let done = settle(&mut input, settled, &turns, |input, plan| {
+            check_loads(input, plan);
+            let rates = loaded_rates(input, &input.models[&changed]);
+            let total: u64 = rates.values().sum();
+            assert!(!was_whole || total > 0, "no version is whole");
+            assert!(!was_whole || total >= floor(input, plan), "{total} tokens/s are left");
+        });
+        let rates = loaded_rates(&input, &input.models[&changed]);
+        let is_done = rates.get(&version(2)).copied() == Some(planned_tokens_per_s(&input, &done, &changed));
+        let stays = rates.get(&version(1)).copied().unwrap_or_default() > 0;
+        prop_assert!(!was_whole || is_done || stays, "{:?}", rates);
+    }
+
+    /// Planners that race, lag, lose replies or are overtaken while they wait
+    /// never bring an older configuration's plan back.
+    #[test]
+    fn test_random_planners_race(
+        seed in any::<u64>(),
+        base in input(),
+        rounds in prop::collection::vec((0_u64..4, 0_u64..4, 0_u64..400, 0_u64..400), 1..12),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time().start_paused(true).build().unwrap();
+        runtime.block_on(race(seed, &base, &rounds));
+    }
+}
+
+async fn race(seed: u64, base: &PlanInput, rounds: &[(u64, u64, u64, u64)]) {
+    let service = FakeKeyValue::with_seed(seed);
+    let shared: Arc<dyn KeyValue> = Arc::new(service.clone());
+    let (a, b) = (
+        PlanWriter::new(Arc::clone(&shared), SETTINGS),
+        PlanWriter::new(shared, SETTINGS),
+    );
+    let mut last = (Revision::default(), Revision::default());
+    for (round, (lag_a, lag_b, delay_a, delay_b)) in (4..).zip(rounds) {
+        let view = |lag: u64| {
+            let mut view = base.clone();
+            view.revision = Revision(round - lag);
+            let victim = usize::try_from(round).unwrap() % view.engines.len();
+            let engine = view.engines.get_mut(&engine_name(victim)).unwrap();
+            engine.report.presence = if lag.is_multiple_of(2) {
+                Presence::Lost
+            } else {
+                Presence::Live
+            };
+            view
+        };
+        service.set_faults(|faults| faults.lose_reply_permille = 200);
+        let step = async |writer: &PlanWriter, lag, delay| {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+            writer.step(&view(lag)).await
+        };
+        let results = tokio::join!(step(&a, *lag_a, *delay_a), step(&b, *lag_b, *delay_b));
+        service.set_faults(|faults| faults.lose_reply_permille = 0);
+        let now = a.read().await.unwrap();
+        let place = (now.plan.made_for, now.revision.unwrap_or_default());
+        assert!(place >= last, "{place:?} after {last:?}");
+        assert!(
+            now.plan.made_for >= last.0,
+            "an older configuration's plan is back"
+        );
+        for result in [results.0, results.1].into_iter().flatten() {
+            if let PlanStep::Written(written) = result {
+                assert!(written.fencing() <= now.fencing());
+            }
+        }
+        last = place;
+    }
+}
+
+#[test]
+fn test_a_plan_of_the_fleet_fits_one_value() {
+    let engines = (0..4100).map(|index| {
+        let parts = (
+            10,
+            1000 + u64::try_from(index).unwrap() % 7,
+            u8::try_from(index % 7).unwrap(),
+        );
+        (engine_name(index), engine(parts))
+    });
+    let input = PlanInput {
+        revision: Revision(1),
+        models: (0..17)
+            .map(|index| (model_name(index), model(index, 80)))
+            .collect(),
+        engines: engines.collect(),
+    };
+    let encoded = plan(&input, &Plan::default(), &PlanSettings::default())
+        .encode()
+        .unwrap();
+    assert!(
+        encoded.len() <= jujubewall_platform::key_value::MAX_VALUE_BYTES,
+        "{} bytes",
+        encoded.len()
+    );
+}
