bench: membership load and speed by the size of the fleet

Six sizes from 50 to 1,200 members run the product's decisions over the simulated network. The report gives idle messages and bytes, times after crashes, leaves and the loss of a failure domain, and lines through the sizes.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of jujubewall, one subcommand each.
 
+mod membership;
 mod throughput;
 
 use argh::FromArgs;
@@ -16,11 +17,13 @@
 #[argh(subcommand)]
 enum Command {
     Throughput(throughput::ThroughputCommand),
+    Membership(membership::MembershipCommand),
 }
 
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Throughput(command) => command.run(),
+        Command::Membership(command) => command.run(),
     }
 }
--- a/routing/src/membership/machine.rs
+++ b/routing/src/membership/machine.rs
@@ -5,6 +5,7 @@
 
 use jujubewall_protocol::member::MemberMessage;
 use jujubewall_protocol::member::MemberRecord;
+use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::member::MemberState;
 use rand::SeedableRng as _;
@@ -138,6 +139,12 @@
         })
     }
 
+    /// Returns the state of a member on which work is routed.
+    pub fn state_of(&self, member: &MemberName) -> Option<MemberState> {
+        let key = self.table.find(member)?;
+        Some(self.table.entries[key].effective_state())
+    }
+
     /// Returns whether this process's own link is thought to be at fault.
     pub const fn is_link_suspect(&self) -> bool {
         self.is_link_suspect
--- a/testutils/src/members.rs
+++ b/testutils/src/members.rs
@@ -137,6 +137,26 @@
         network
     }
 
+    /// Creates members that know one another from the start.
+    pub fn new_joined(settings: MemberNetworkSettings, start: Instant) -> Self {
+        let mut network = Self::new(settings, start);
+        let records: Vec<_> = network
+            .members
+            .iter()
+            .map(|member| member.membership.own_record().clone())
+            .collect();
+        for index in 0..network.members.len() {
+            let from = network.members[index].hello.clone();
+            let table = MemberMessage::Table {
+                records: records.clone(),
+            };
+            let member = &mut network.members[index].membership;
+            // The reports to entries that follow carry nothing new.
+            let _ = member.on_message(start, &from, table);
+        }
+        network
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
@@ -232,10 +252,7 @@
     /// Returns the state of member `about` as member `at` knows it.
     pub fn state(&self, at: usize, about: usize) -> Option<MemberState> {
         let name = &self.members[about].hello.member;
-        let mut views = self.members[at].membership.members();
-        views
-            .find(|view| view.record.member == *name)
-            .map(|view| view.record.state)
+        self.members[at].membership.state_of(name)
     }
 
     /// Returns whether every running member knows `about` in one of `states`.
@@ -263,15 +280,9 @@
     }
 
     fn knows_alive(&self, at: usize, expected: &[usize]) -> bool {
-        let alive: BTreeSet<MemberName> = self.members[at]
-            .membership
-            .members()
-            .filter(|view| view.record.state == MemberState::Alive)
-            .map(|view| view.record.member)
-            .collect();
         expected
             .iter()
-            .all(|index| alive.contains(&self.members[*index].hello.member))
+            .all(|index| self.state(at, *index) == Some(MemberState::Alive))
     }
 
     fn member(&mut self, index: usize, life: u16, incarnation: u64) -> SimulatedMember {
