--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -91,6 +91,11 @@
         self.stages.len()
     }
 
+    /// Returns the keys of the stages that are known.
+    pub fn stage_keys(&self) -> impl Iterator<Item = StageKey> {
+        self.stages.keys()
+    }
+
     /// Returns whether no stage is left.
     pub fn is_idle(&self) -> bool {
         self.stages.is_empty()
--- a/routing/tests/test_stream_random.rs
+++ b/routing/tests/test_stream_random.rs
@@ -69,6 +69,8 @@
     answers: Vec<u32>,
     entries: Vec<usize>,
     cancelled: Vec<u128>,
+    frozen: Vec<usize>,
+    dead: Vec<usize>,
 }
 
 impl ReferenceStateMachine for Plan {
@@ -91,6 +93,8 @@
                     answers: Vec::new(),
                     entries: Vec::new(),
                     cancelled: Vec::new(),
+                    frozen: Vec::new(),
+                    dead: Vec::new(),
                 },
             )
             .boxed()
@@ -99,7 +103,7 @@
     fn transitions(state: &Self) -> BoxedStrategy<Transition> {
         let agent = 0..AGENTS;
         let replicas = proptest::array::uniform3(0..REPLICAS);
-        let start = (0..ENTRIES, 1_u32..40, 1_u32..20, replicas).prop_map(
+        let start = (0..ENTRIES, 1_u32..40, 1_u32..200, replicas).prop_map(
             |(entry, prompt, answer, replicas)| Transition::Start {
                 entry,
                 prompt,
@@ -109,6 +113,16 @@
         );
         let cut = (agent.clone(), proptest::option::of(agent.clone()));
         let links = (0_u64..20_000, 0_u32..100, 0_u32..200);
+        let pick = |agents: &[usize], make: fn(usize) -> Transition| {
+            let agents = agents.to_vec();
+            (0..agents.len().max(1)).prop_map(move |index| {
+                agents
+                    .get(index)
+                    .map_or(Transition::Heal, |&agent| make(agent))
+            })
+        };
+        let restart = pick(&state.dead, Transition::Restart);
+        let thaw = pick(&state.frozen, Transition::Thaw);
         let cancel = (0..state.started.max(1)).prop_map({
             let entries = state.entries.clone();
             move |request| Transition::Cancel {
@@ -123,9 +137,9 @@
             6 => start,
             1 => cancel,
             2 => agent.clone().prop_map(Transition::Kill),
-            3 => agent.clone().prop_map(Transition::Restart),
+            2 => restart,
             2 => agent.clone().prop_map(Transition::Freeze),
-            3 => agent.clone().prop_map(Transition::Thaw),
+            3 => thaw,
             1 => cut.prop_map(|(one, other)| Transition::Cut(one, other)),
             1 => agent.clone().prop_map(Transition::Isolate),
             2 => Just(Transition::Heal),
@@ -146,6 +160,9 @@
                 *request < state.started && !state.cancelled.contains(request)
             }
             Transition::Cut(one, other) => Some(*one) != *other,
+            Transition::Kill(agent) | Transition::Freeze(agent) => {
+                !state.dead.contains(agent) && !state.frozen.contains(agent)
+            }
             _ => true,
         }
     }
@@ -158,6 +175,13 @@
                 state.entries.push(*entry);
             }
             Transition::Cancel { request, .. } => state.cancelled.push(*request),
+            Transition::Kill(agent) => {
+                state.frozen.retain(|other| other != agent);
+                state.dead.push(*agent);
+            }
+            Transition::Restart(agent) => state.dead.retain(|other| other != agent),
+            Transition::Freeze(agent) => state.frozen.push(*agent),
+            Transition::Thaw(agent) => state.frozen.retain(|other| other != agent),
             _ => {}
         }
         state
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -82,7 +82,7 @@
         assert_eq!(doubled_runs(&network, agent), 0);
         let runs = network.engine(agent).runs_of_request(REQUEST);
         assert_eq!(runs, u64::from((PROMPT_TOKENS + ANSWER_TOKENS - 1) * 2));
-        network.run(LONG, |_| false);
+        network.run(MAX_STALL, |_| false);
         assert_eq!(network.stage_count(agent), 0);
         assert_eq!(network.engine(agent).live_requests(), 0);
     }
--- a/testutils/src/model_fold.rs
+++ b/testutils/src/model_fold.rs
@@ -90,6 +90,20 @@
     sequence.split_off(prompt.len())
 }
 
+/// Computes the token that follows each beginning of `sequence` without an engine.
+pub fn following_tokens(
+    model: &ModelName,
+    version: &VersionName,
+    layer_count: u32,
+    sequence: &[Token],
+) -> Vec<Token> {
+    let fold = ModelFold::new(model, version);
+    let mut states = vec![fold.initial_state(); layer_count as usize];
+    let tokens = sequence.iter().enumerate();
+    let outputs = tokens.map(|(position, &token)| run_position(fold, &mut states, position, token));
+    outputs.map(|output| fold.token(output)).collect()
+}
+
 fn run_position(fold: ModelFold, states: &mut [u64], position: usize, token: Token) -> u64 {
     let position = Position(u32::try_from(position).expect("sequences are short"));
     let mut activation = fold.embed(token);
--- a/testutils/src/stream_network.rs
+++ b/testutils/src/stream_network.rs
@@ -150,13 +150,12 @@
         let Some(answer) = self.answers.get(&request) else {
             return true;
         };
-        let mut known = self.prompts[&request].clone();
-        answer.tokens.iter().all(|&token| {
-            let fold_bits = (1 << FOLD_TOKEN_BITS) - 1;
-            let is_expected = token & fold_bits == self.topology.expected_token(&known);
-            known.push(token);
-            is_expected
-        })
+        let prompt = &self.prompts[&request];
+        let whole = [&prompt[..], &answer.tokens[..]].concat();
+        let expected = self.topology.following_tokens(&whole);
+        let fold_bits = (1 << FOLD_TOKEN_BITS) - 1;
+        let mut pairs = answer.tokens.iter().zip(&expected[prompt.len() - 1..]);
+        pairs.all(|(token, expected)| token & fold_bits == *expected)
     }
 
     /// Returns the number of agents.
--- a/testutils/src/stream_network/topology.rs
+++ b/testutils/src/stream_network/topology.rs
@@ -16,7 +16,7 @@
 
 use super::faults::LinkFaults;
 use crate::engine::EngineSettings;
-use crate::model_fold::expected_answer;
+use crate::model_fold::following_tokens;
 
 /// The size and the properties of a network.
 #[derive(Clone, Debug)]
@@ -123,9 +123,9 @@
         }
     }
 
-    /// Returns the token that follows `tokens`, without what sampling adds.
-    pub(super) fn expected_token(&self, tokens: &[Token]) -> Token {
-        expected_answer(&model(), &version(), self.layer_count(), tokens, 1)[0]
+    /// Returns the token after each beginning of `tokens`, without what sampling adds.
+    pub(super) fn following_tokens(&self, tokens: &[Token]) -> Vec<Token> {
+        following_tokens(&model(), &version(), self.layer_count(), tokens)
     }
 }
 
