routing: check the place of every delivered token

The count of delivered tokens alone did not show a token that was taken over twice; each one's place is now compared with the place that is due. A test makes one stage run ahead on tokens that are then lost with the first and last stage.

--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -7,7 +7,6 @@
 use jujubewall_protocol::stream::StageFailed;
 use jujubewall_protocol::stream::StageHeld;
 use jujubewall_protocol::stream::StreamMessage;
-use jujubewall_protocol::stream::Token;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use smallvec::SmallVec;
@@ -20,6 +19,7 @@
 use crate::stream::entry::recovery;
 use crate::stream::entry::recovery::fail;
 use crate::stream::entry::recovery::recover;
+use crate::stream::entry::stream::Committed;
 use crate::stream::entry::stream::Phase;
 use crate::stream::entry::stream::Stream;
 use crate::stream::entry::stream::stage_index;
@@ -113,17 +113,20 @@
     if told.held.attempt.next() != stream.attempt {
         return;
     }
-    let adopted = (stream.known_tokens() - stream.attempt_known) as usize;
-    let left = (stream.total_tokens() - stream.known_tokens()) as usize;
-    let tokens = told.tokens.iter().skip(adopted).take(left);
-    let tokens: SmallVec<[Token; 4]> = tokens.copied().collect();
-    if tokens.is_empty() {
+    let (known, total) = (stream.known_tokens(), stream.total_tokens());
+    let mut committed = Committed::default();
+    for (position, &token) in (stream.attempt_known..total).zip(&told.tokens) {
+        if position >= known {
+            committed.push(position, token);
+        }
+    }
+    if committed.tokens.is_empty() {
         return;
     }
-    stream.tokens.extend_from_slice(&tokens);
+    stream.tokens.extend_from_slice(&committed.tokens);
     stream.lineage.extend_start(stream.known_tokens());
     stream.last_token = now;
-    deliver(stream, tokens, fx);
+    deliver(stream, committed, fx);
     if stream.is_whole() {
         finish(stream, fx);
     }
@@ -172,15 +175,18 @@
     let is_whole =
         generated.id == stream.stream_id() && generated.layers_done == stream.request.layer_count;
     fx.check(StreamInvariant::TokenOfWholePipeline, is_whole);
-    let tokens = stream.commit(generated);
-    if !is_whole || tokens.is_empty() {
+    if !is_whole {
+        return;
+    }
+    let committed = stream.commit(generated);
+    if committed.tokens.is_empty() {
         return;
     }
     note_gap(now, stream, fx);
     if let Phase::Running(watch) = &mut stream.phase {
         watch.progressed(now + settings.stall());
     }
-    deliver(stream, tokens, fx);
+    deliver(stream, committed, fx);
     if stream.is_whole() {
         finish(stream, fx);
     }
@@ -205,13 +211,16 @@
     }
 }
 
-fn deliver(stream: &mut Stream, tokens: SmallVec<[Token; 4]>, fx: &mut Effects) {
-    let request = stream.id();
-    let prompt = stream.total_tokens() - stream.request.max_answer_tokens;
-    stream.delivered += u32::try_from(tokens.len()).unwrap_or(u32::MAX);
-    let is_in_order = prompt + stream.delivered == stream.known_tokens();
-    fx.check(StreamInvariant::DeliveredInOrder, is_in_order);
-    fx.push(EntryAction::Deliver { request, tokens });
+fn deliver(stream: &mut Stream, committed: Committed, fx: &mut Effects) {
+    for position in committed.positions {
+        let is_in_order = position == stream.next_delivered();
+        fx.check(StreamInvariant::DeliveredInOrder, is_in_order);
+        stream.delivered += 1;
+    }
+    fx.push(EntryAction::Deliver {
+        request: stream.id(),
+        tokens: committed.tokens,
+    });
 }
 
 fn finish(stream: &mut Stream, fx: &mut Effects) {
--- a/routing/src/stream/entry/stream.rs
+++ b/routing/src/stream/entry/stream.rs
@@ -132,6 +132,23 @@
     pub rerun_positions: u32,
 }
 
+/// Tokens that have become part of an answer, each with the place that it takes.
+#[derive(Clone, Debug, Default)]
+pub struct Committed {
+    /// The places.
+    pub positions: SmallVec<[u32; 4]>,
+    /// The tokens.
+    pub tokens: SmallVec<[Token; 4]>,
+}
+
+impl Committed {
+    /// Adds a token.
+    pub fn push(&mut self, position: u32, token: Token) {
+        self.positions.push(position);
+        self.tokens.push(token);
+    }
+}
+
 /// One stream.
 #[derive(Debug)]
 pub struct Stream {
@@ -245,19 +262,28 @@
     }
 
     /// Takes in a token of the current attempt, and returns the tokens that are now committed.
-    pub fn commit(&mut self, generated: &GeneratedToken) -> SmallVec<[Token; 4]> {
+    pub fn commit(&mut self, generated: &GeneratedToken) -> Committed {
         let position = generated.position.0;
         if position >= self.known_tokens() && position < self.total_tokens() {
             self.ahead.insert(position, generated.token);
         }
-        let mut committed = SmallVec::new();
-        while let Some(token) = self.ahead.remove(&self.known_tokens()) {
+        let mut committed = Committed::default();
+        while let Some((&position, &token)) = self.ahead.first_key_value() {
+            if position != self.known_tokens() {
+                break;
+            }
+            self.ahead.pop_first();
             self.tokens.push(token);
-            committed.push(token);
+            committed.push(position, token);
         }
         committed
     }
 
+    /// Returns the position that the next delivered token takes.
+    pub fn next_delivered(&self) -> u32 {
+        self.total_tokens() - self.request.max_answer_tokens + self.delivered
+    }
+
     /// Sends every stage, or those that `is_asked` names, its `Open`.
     pub fn send_opens(
         &self,
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -204,6 +204,19 @@
     }
 }
 
+/// Stage 1 has run on tokens that nobody who is left knows, so that others are generated.
+#[test]
+fn test_work_on_tokens_that_were_lost_is_forgotten() {
+    let mut network = started(settings());
+    run_to(&mut network, 10);
+    network.cut(2, None);
+    network.run(Duration::from_millis(100), |_| false);
+    network.kill(0);
+    network.kill(2);
+    run_to(&mut network, 0);
+    assert_whole(&network);
+}
+
 #[test]
 fn test_no_replacement_fails_at_once_with_advice() {
     let mut settings = settings();
