--- /dev/null
+++ b/daemon/src/entry.rs
@@ -0,0 +1,11 @@
+//! The entry, which serves callers and operators.
+
+pub mod actor;
+pub mod callers;
+mod calls;
+pub mod completion;
+mod credentials;
+pub mod operators;
+mod reply;
+mod routes;
+pub mod view;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,3 +1,68 @@
-//! Entry point.
+//! The daemon `jujubewalld`.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use jujubewall_daemon::process::Running;
+use jujubewall_daemon::settings::CheckedSettings;
+use jujubewall_daemon::settings::Settings;
+use log::error;
+use log::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// The exit code for settings with a fault.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Runs one process of the jujubewall router.
+#[derive(FromArgs)]
+struct Arguments {
+    /// the settings file, in JSON
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let settings = match Settings::read(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    match serve(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            error!("the process fails: {failure:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn serve(settings: &CheckedSettings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let running = Running::start(settings).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => reload_identity(&running, settings).await,
+        }
+    }
+    running.stop().await;
+    Ok(())
+}
+
+/// Takes new keys into use; keys that cannot be used change nothing.
+async fn reload_identity(running: &Running, settings: &CheckedSettings) {
+    match running.reload_identity(settings.settings()).await {
+        Ok(()) => info!("the TLS identity is read again"),
+        Err(failure) => error!("the TLS identity stays as it was: {failure:#}"),
+    }
+}
--- a/daemon/src/network/connection.rs
+++ b/daemon/src/network/connection.rs
@@ -1,11 +1,15 @@
 //! The tasks that read and write one connection.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use jujubewall_protocol::codec;
 use jujubewall_protocol::frame::Frame;
 use jujubewall_protocol::hello::Hello;
+use jujubewall_types::id::MemberName;
 use kameo::actor::ActorRef;
 use log::debug;
 use quinn::Connection;
@@ -34,6 +38,7 @@
 struct Reader {
     id: ConnectionId,
     hello: Arc<Hello>,
+    received: Arc<AtomicU64>,
     reply: mpsc::Sender<Bytes>,
     events: mpsc::Sender<NetworkEvent>,
 }
@@ -42,6 +47,8 @@
 #[derive(Debug)]
 pub struct ConnectionHandle {
     id: ConnectionId,
+    hello: Arc<Hello>,
+    received: Arc<AtomicU64>,
     connection: Connection,
     control: mpsc::Sender<Bytes>,
     data: mpsc::Sender<Bytes>,
@@ -57,9 +64,11 @@
     ) -> Self {
         let (control, control_queue) = mpsc::channel(LANE_QUEUE_LEN);
         let (data, data_queue) = mpsc::channel(LANE_QUEUE_LEN);
+        let received = Arc::new(AtomicU64::new(0));
         let reader = Reader {
             id,
             hello: Arc::clone(&introduced.hello),
+            received: Arc::clone(&received),
             reply: control.clone(),
             events,
         };
@@ -69,6 +78,8 @@
         tokio::spawn(accept_lanes(reader, introduced.connection.clone(), actor));
         Self {
             id,
+            hello: introduced.hello,
+            received,
             connection: introduced.connection,
             control,
             data,
@@ -80,6 +91,21 @@
         self.id
     }
 
+    /// Returns the name of the peer.
+    pub fn member(&self) -> &MemberName {
+        &self.hello.member
+    }
+
+    /// Returns the number of frames that have been received.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Returns the time that a packet takes to the peer and back.
+    pub fn round_trip(&self) -> Duration {
+        self.connection.rtt()
+    }
+
     /// Queues a frame; returns whether there was room.
     pub fn send(&self, frame: &Frame) -> bool {
         let Ok(body) = codec::encode(frame) else {
@@ -163,6 +189,7 @@
     let Some(body) = read_frame(stream).await? else {
         return Ok(false);
     };
+    reader.received.fetch_add(1, Ordering::Relaxed);
     match codec::decode(&body)? {
         Frame::Hello(_) => return Err(NetworkError::Refused("a second introduction")),
         Frame::Ping { sequence } => {
--- a/routing/src/admission/concurrency.rs
+++ b/routing/src/admission/concurrency.rs
@@ -17,13 +17,13 @@
     /// The highest bound.
     pub max: u32,
     /// The response of one step above which the bound falls.
-    pub target_response_ms: u64,
+    pub target_response_us: u64,
     /// The time over which responses are averaged before the bound changes.
     pub window_ms: u64,
-    /// The part of the bound that is kept when it falls, in thousandths.
-    pub decrease_permille: u32,
-    /// The part by which the bound rises while it is used up, in thousandths.
-    pub increase_permille: u32,
+    /// The part by which the bound falls at most at once, in thousandths.
+    pub max_decrease_permille: u32,
+    /// The part by which the bound rises at most at once, in thousandths.
+    pub max_increase_permille: u32,
 }
 
 impl Default for ConcurrencySettings {
@@ -32,18 +32,20 @@
             initial: 16,
             min: 2,
             max: 4096,
-            target_response_ms: 50,
+            target_response_us: 50_000,
             window_ms: 250,
-            decrease_permille: 900,
-            increase_permille: 50,
+            max_decrease_permille: 200,
+            max_increase_permille: 500,
         }
     }
 }
 
 /// A bound that follows the measured response.
 ///
-/// It rises while it is used up and the upstream responds within the target,
-/// and falls by a part as soon as the mean response of a window exceeds it.
+/// At the end of each window it is set to the work that was in flight times the
+/// square root of target over mean response. It starts from what was in flight
+/// and not from the last bound, since work that was admitted stays for a while
+/// and several windows would otherwise lower the bound for the same excess.
 #[derive(Debug)]
 pub(super) struct ConcurrencyBound {
     settings: ConcurrencySettings,
@@ -51,6 +53,7 @@
     window_end: Option<Instant>,
     samples: u32,
     total_response: Duration,
+    total_in_flight: u64,
     was_used_up: bool,
 }
 
@@ -64,6 +67,7 @@
             window_end: None,
             samples: 0,
             total_response: Duration::ZERO,
+            total_in_flight: 0,
             was_used_up: false,
         }
     }
@@ -82,6 +86,7 @@
         let window_end = *self.window_end.get_or_insert(now + window);
         self.samples += 1;
         self.total_response += response;
+        self.total_in_flight += in_flight as u64;
         self.was_used_up |= in_flight >= self.get();
         if now >= window_end {
             self.adjust();
@@ -90,19 +95,24 @@
     }
 
     fn adjust(&mut self) {
-        let mean = self.total_response / self.samples.max(1);
-        let target = Duration::from_millis(self.settings.target_response_ms);
-        if mean > target {
-            self.bound *= f64::from(self.settings.decrease_permille) / 1000.0;
+        let mean_s = self.total_response.as_secs_f64() / f64::from(self.samples.max(1));
+        let target_s = Duration::from_micros(self.settings.target_response_us).as_secs_f64();
+        let lowest = f64::from(self.settings.max_decrease_permille) / 1000.0;
+        let highest = f64::from(self.settings.max_increase_permille) / 1000.0;
+        let gradient = (target_s / mean_s.max(f64::MIN_POSITIVE)).sqrt();
+        let factor = gradient.clamp(1.0 - lowest, 1.0 + highest);
+        let in_flight = self.total_in_flight as f64 / f64::from(self.samples.max(1));
+        if factor < 1.0 {
+            self.bound = self.bound.min(in_flight * factor);
         } else if self.was_used_up {
-            let part = f64::from(self.settings.increase_permille) / 1000.0;
-            self.bound += (self.bound * part).max(1.0);
+            self.bound = self.bound.max(in_flight * factor);
         }
         let min = f64::from(self.settings.min);
         let max = f64::from(self.settings.max);
         self.bound = self.bound.clamp(min, max);
         self.samples = 0;
         self.total_response = Duration::ZERO;
+        self.total_in_flight = 0;
         self.was_used_up = false;
     }
 }
--- a/routing/src/choice/mod.rs
+++ b/routing/src/choice/mod.rs
@@ -7,7 +7,10 @@
 
 mod chooser;
 mod fleet;
-mod path;
+mod prefixes;
+mod refusals;
+mod speed;
+
 mod view;
 
 pub use self::chooser::ChooserSettings;
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,7 +4,12 @@
 //! actions; none performs input or output.
 
 pub mod admission;
+pub mod bound;
 pub mod choice;
 pub mod link;
+pub mod membership;
+pub mod retry;
 pub mod stream;
 pub mod timer;
+
+mod path;
--- /dev/null
+++ b/routing/src/retry/budget.rs
@@ -0,0 +1,119 @@
+//! The budget and the delays of retries.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jujubewall_types::id::AccountName;
+use jujubewall_types::id::Attempt;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+/// The units of budget that one retry costs.
+const RETRY_COST: u64 = 1_000;
+
+/// The settings of retries.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RetrySettings {
+    /// The retries allowed for a thousand first attempts.
+    pub budget_permille: u32,
+    /// The retries that may be saved up.
+    pub max_saved: u32,
+    /// The number of attempts of one request, the first included.
+    pub max_attempts: u32,
+    /// The mean delay before the first retry; each further one doubles it.
+    pub base_delay_ms: u64,
+    /// The longest mean delay.
+    pub max_delay_ms: u64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            budget_permille: 100,
+            max_saved: 10,
+            max_attempts: 4,
+            base_delay_ms: 5,
+            max_delay_ms: 500,
+        }
+    }
+}
+
+/// The reason that a request is not tried again.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum NoRetry {
+    /// The request was tried as often as allowed.
+    #[error("the request was tried as often as allowed")]
+    AttemptsUsedUp,
+    /// Retries already make up their share of traffic.
+    #[error("retries make up their whole share of traffic")]
+    BudgetUsedUp,
+}
+
+/// The budgets of one entry, one for each account.
+///
+/// An account whose requests are refused in great number thus uses up its own
+/// retries only.
+#[derive(Debug)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    rng: ChaCha8Rng,
+    saved: HashMap<AccountName, u64>,
+}
+
+impl RetryBudget {
+    /// Creates full budgets; entries use different seeds.
+    pub fn new(settings: RetrySettings, seed: u64) -> Self {
+        Self {
+            settings,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            saved: HashMap::new(),
+        }
+    }
+
+    /// Notes the first attempt of a request.
+    pub fn on_first_attempt(&mut self, account: &AccountName) {
+        let max = self.max_saved();
+        let earned = u64::from(self.settings.budget_permille);
+        if let Some(saved) = self.saved.get_mut(account) {
+            *saved = (*saved + earned).min(max);
+        } else {
+            self.saved.insert(account.clone(), max);
+        }
+    }
+
+    /// Takes one retry from an account's budget and returns the delay before it.
+    pub fn try_retry(
+        &mut self,
+        account: &AccountName,
+        failed: Attempt,
+    ) -> Result<Duration, NoRetry> {
+        if failed.0 >= self.settings.max_attempts {
+            return Err(NoRetry::AttemptsUsedUp);
+        }
+        let saved = self.saved.get_mut(account).ok_or(NoRetry::BudgetUsedUp)?;
+        *saved = saved.checked_sub(RETRY_COST).ok_or(NoRetry::BudgetUsedUp)?;
+        Ok(self.delay(failed))
+    }
+
+    /// Forgets accounts that are no longer configured.
+    pub fn retain_accounts(&mut self, is_configured: impl Fn(&AccountName) -> bool) {
+        self.saved.retain(|account, _| is_configured(account));
+    }
+
+    fn max_saved(&self) -> u64 {
+        u64::from(self.settings.max_saved) * RETRY_COST
+    }
+
+    /// Draws a delay between zero and twice the mean of this attempt.
+    fn delay(&mut self, failed: Attempt) -> Duration {
+        let doublings = failed.0.saturating_sub(1).min(16);
+        let mean_ms = self.settings.base_delay_ms << doublings;
+        let mean_ms = mean_ms.min(self.settings.max_delay_ms);
+        Duration::from_micros(self.rng.random_range(0..=2 * mean_ms * 1_000))
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -5,13 +5,19 @@
 //! time is the runtime's clock, which tests pause and advance.
 
 pub mod certificates;
+pub mod client;
+pub mod daemon;
 pub mod engine;
 pub mod host_list;
 pub mod http_server;
 pub mod key_value;
+pub mod members;
 pub mod model_fold;
+pub mod notes;
+pub mod ports;
 pub mod relay;
 pub mod service;
+pub mod site;
 pub mod stream_network;
 pub mod weight_store;
 
