routing, protocol, daemon: run calls that must not be repeated at most once

Cause: an agent sent each call as it came, so that a repeat of a key ran again, and an entry could only say that it knew nothing once the deadline had passed.

An agent now claims the key of a call by a compare-and-swap on a shard of its service's keys before it sends the call; all claims that wait go into one write, at most one in 40 ms for each agent. Calls without a key are claimed in the memory of the one process that they are addressed to, by its incarnation. begin_send decides right before the send, so that a process that was paused finds its deadline passed or the call cancelled. The entry asks the agent 500 ms before the deadline not to send the call, and says not_run only if the agent confirms it.

Ruled out: recording a lost reply as no effect and claiming anew (a key could stay claimed for nobody); forgetting ended calls by age alone (a late cancellation was told not_run; calls now carry a sequence of their entry); one record for each shard (it is rewritten whole with each write; it is now sealed at 32 KiB).

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -3,5 +3,6 @@
 pub mod actor;
 mod admissions;
 mod engine;
+pub mod orders;
 mod service;
 mod upstreams;
--- a/daemon/src/agent/actor.rs
+++ b/daemon/src/agent/actor.rs
@@ -26,7 +26,10 @@
 use crate::agent::admissions::Admissions;
 use crate::agent::admissions::Admitted;
 use crate::agent::engine;
-use crate::agent::service;
+use crate::agent::orders::ApplyServices;
+use crate::agent::orders::AreOrdersIdle;
+use crate::agent::orders::LeaveOrders;
+use crate::agent::orders::OrdersActor;
 use crate::agent::upstreams::Upstreams;
 use crate::alarm::Alarm;
 use crate::metrics::Metrics;
@@ -44,6 +47,8 @@
     pub metrics: Arc<Metrics>,
     /// The settings of the stages.
     pub settings: AgentSettings,
+    /// The actor of calls to plain services.
+    pub orders: ActorRef<OrdersActor>,
 }
 
 /// Owns the stages of an agent and the clients of its engines.
@@ -52,6 +57,7 @@
     metrics: Arc<Metrics>,
     streams: AgentStreams,
     upstreams: Upstreams,
+    orders: ActorRef<OrdersActor>,
     admissions: Admissions,
     used_costs: HashMap<StageKey, u64>,
     alarm: Alarm,
@@ -248,6 +254,7 @@
             network: args.network,
             metrics: args.metrics,
             upstreams: Upstreams::default(),
+            orders: args.orders,
             admissions: Admissions::default(),
             used_costs: HashMap::new(),
             alarm,
@@ -271,10 +278,8 @@
     type Reply = ();
 
     async fn handle(&mut self, received: CallReceived, _: &mut Context<Self, ()>) {
-        if let CallMessage::Call(call) = received.0 {
-            let service = self.upstreams.service(&call.upstream);
-            tokio::spawn(service::run_call(service, call, self.network.clone()));
-        }
+        // An actor that has stopped needs no messages.
+        let _ = self.orders.tell(received).send().await;
     }
 }
 
@@ -297,6 +302,8 @@
 
     async fn handle(&mut self, apply: ApplyConfiguration, _: &mut Context<Self, ()>) {
         self.upstreams.apply(&apply.0, self.network.own_address());
+        let configuration = Arc::clone(&apply.0);
+        let _ = self.orders.tell(ApplyServices(configuration)).send().await;
         self.admissions.apply(apply.0);
     }
 }
@@ -306,6 +313,7 @@
 
     async fn handle(&mut self, leave: Leave, context: &mut Context<Self, ()>) {
         self.admissions.drain();
+        let _ = self.orders.tell(LeaveOrders).send().await;
         let actions = self.streams.leave(Instant::now(), leave.grace_end);
         self.carry_out(actions, context.actor_ref());
     }
@@ -315,7 +323,8 @@
     type Reply = bool;
 
     async fn handle(&mut self, _: IsIdle, _: &mut Context<Self, bool>) -> bool {
-        self.streams.is_idle()
+        let is_idle = self.orders.ask(AreOrdersIdle).send().await;
+        self.streams.is_idle() && is_idle.unwrap_or(true)
     }
 }
 
--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jujubewall_protocol::call::CallMessage;
 use jujubewall_protocol::call::CallResult;
-use jujubewall_protocol::call::ServiceCall;
 use jujubewall_protocol::limit::LimitMessage;
 use jujubewall_protocol::stream::Route;
 use jujubewall_protocol::stream::StreamId;
@@ -18,6 +16,12 @@
 use jujubewall_routing::admission::LimitSettings;
 use jujubewall_routing::choice::ChoiceRequest;
 use jujubewall_routing::choice::PipelineChooser;
+use jujubewall_routing::order::action::EntryOrderAction;
+use jujubewall_routing::order::entry::AgentTarget;
+use jujubewall_routing::order::entry::EntryOrders;
+use jujubewall_routing::order::entry::NewCall;
+use jujubewall_routing::order::invariant::OrderInvariant;
+use jujubewall_routing::order::settings::EntryOrderSettings;
 use jujubewall_routing::stream::action::EntryAction;
 use jujubewall_routing::stream::action::Observation;
 use jujubewall_routing::stream::action::RouteNeed;
@@ -29,6 +33,7 @@
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::AccountName;
 use jujubewall_types::id::Attempt;
+use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::ModelName;
 use jujubewall_types::id::RequestId;
@@ -62,6 +67,8 @@
     pub network: Network,
     /// The name of this process.
     pub member: MemberName,
+    /// The incarnation of this process.
+    pub incarnation: Incarnation,
     /// The members.
     pub members: Members,
     /// The metrics.
@@ -82,6 +89,7 @@
     view: Arc<View>,
     sinks: HashMap<RequestId, Sink>,
     calls: PendingCalls,
+    orders: EntryOrders,
     limits: AccountLimits,
     is_draining: bool,
     alarm: Alarm,
@@ -145,7 +153,9 @@
     /// The address of the agent.
     pub agent_address: SocketAddr,
     /// The call.
-    pub call: Box<ServiceCall>,
+    pub call: Box<NewCall>,
+    /// When the caller gives up.
+    pub deadline: Instant,
 }
 
 /// The result of a call has arrived.
@@ -287,6 +297,16 @@
         }
     }
 
+    fn agent(&self, address: SocketAddr) -> Result<AgentTarget, Failure> {
+        let message = "the agent of the service is not known yet";
+        let incarnation = self.members.incarnation_at(address);
+        let incarnation = incarnation.ok_or(Failure::new(ErrorKind::NoUpstream, message));
+        Ok(AgentTarget {
+            address,
+            incarnation: incarnation?,
+        })
+    }
+
     fn check_running(&self) -> Result<(), Failure> {
         if !self.is_draining {
             return Ok(());
@@ -299,7 +319,33 @@
         for action in actions {
             self.carry_out_one(action, actor);
         }
-        self.alarm.set(self.streams.next_wakeup());
+        self.set_alarm();
+    }
+
+    fn set_alarm(&self) {
+        let wakeups = [self.streams.next_wakeup(), self.orders.next_wakeup()];
+        self.alarm.set(wakeups.into_iter().flatten().min());
+    }
+
+    fn carry_out_orders(&mut self, actions: Vec<EntryOrderAction>) {
+        for action in actions {
+            match action {
+                EntryOrderAction::Send {
+                    agent_address,
+                    message,
+                } => self.network.send(agent_address, message),
+                EntryOrderAction::Answer(result) => {
+                    self.limits.on_finished(Instant::now(), result.request);
+                    self.calls.finish(result);
+                }
+            }
+        }
+        let invariants = self.orders.invariants();
+        for invariant in OrderInvariant::ALL {
+            let violations = invariants.violations(invariant);
+            self.metrics.set_violations(invariant.as_str(), violations);
+        }
+        self.set_alarm();
     }
 
     fn carry_out_one(&mut self, action: EntryAction, actor: &ActorRef<Self>) {
@@ -429,6 +475,12 @@
                 }
             }
         });
+        let orders = EntryOrders::new(
+            EntryOrderSettings::default(),
+            args.member.clone(),
+            args.incarnation,
+            args.network.own_address(),
+        );
         let limits = AccountLimits::new(args.member, LimitSettings::default());
         tokio::spawn(tick_limits(limits.tick_interval(), actor.downgrade()));
         Ok(Self {
@@ -440,6 +492,7 @@
             view: Arc::default(),
             sinks: HashMap::new(),
             calls: PendingCalls::default(),
+            orders,
             limits,
             is_draining: false,
             alarm,
@@ -495,10 +548,12 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         self.check_running()?;
-        self.take_limits(Instant::now(), &start.call.account, start.call.request)?;
+        let now = Instant::now();
+        let agent = self.agent(start.agent_address)?;
+        self.take_limits(now, &start.call.account, start.call.request)?;
         let receiver = self.calls.start(start.call.request);
-        self.network
-            .send(start.agent_address, CallMessage::Call(*start.call));
+        let actions = self.orders.start(now, agent, *start.call, start.deadline);
+        self.carry_out_orders(actions);
         Ok(receiver)
     }
 }
@@ -507,8 +562,8 @@
     type Reply = ();
 
     async fn handle(&mut self, ended: CallEnded, _: &mut Context<Self, ()>) {
-        self.limits.on_finished(Instant::now(), ended.0.request);
-        self.calls.finish(ended.0);
+        let actions = self.orders.on_result(ended.0);
+        self.carry_out_orders(actions);
     }
 }
 
@@ -518,6 +573,8 @@
     async fn handle(&mut self, lost: PeerLost, context: &mut Context<Self, ()>) {
         let actions = self.streams.on_peer_lost(Instant::now(), lost.0);
         self.carry_out(actions, context.actor_ref());
+        let actions = self.orders.on_connection_lost(lost.0);
+        self.carry_out_orders(actions);
     }
 }
 
@@ -562,8 +619,11 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Wake, context: &mut Context<Self, ()>) {
-        let actions = self.streams.on_tick(Instant::now());
+        let now = Instant::now();
+        let actions = self.streams.on_tick(now);
         self.carry_out(actions, context.actor_ref());
+        let actions = self.orders.on_tick(now);
+        self.carry_out_orders(actions);
     }
 }
 
--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -17,9 +17,9 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use jujubewall_protocol::call::CallResult;
-use jujubewall_protocol::call::ServiceCall;
 use jujubewall_protocol::call::ServiceReply;
 use jujubewall_protocol::stream::Route;
+use jujubewall_routing::order::entry::NewCall;
 use jujubewall_types::config::ClientAccount;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
@@ -197,10 +197,10 @@
         let method = SmolStr::new(request.method.as_str());
         let content_type = content_type(&request.headers)?;
         let body = body.read().await?;
-        let call = ServiceCall {
+        let call = NewCall {
             request: id,
-            entry_address: self.own_address,
             account,
+            service,
             upstream: upstream.name.clone(),
             idempotency_key,
             idempotent: profile.idempotent,
@@ -208,11 +208,11 @@
             path,
             content_type,
             body,
-            deadline_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         let start = StartCall {
             agent_address: upstream.agent_address,
             call: Box::new(call),
+            deadline: Instant::now() + wait,
         };
         let result = self.actor.ask(start).send().await.map_err(actor_failure)?;
         let result = wait_for_result(id, wait, result).await;
--- a/daemon/src/membership.rs
+++ b/daemon/src/membership.rs
@@ -10,6 +10,7 @@
 use jujubewall_routing::membership::MemberView;
 use jujubewall_types::admin::MemberStatus;
 use jujubewall_types::admin::StatusAnswer;
+use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::member::MemberState;
@@ -46,6 +47,14 @@
             .collect()
     }
 
+    /// Returns the incarnation of the member that accepts connections at `address`.
+    pub fn incarnation_at(&self, address: SocketAddr) -> Option<Incarnation> {
+        let list = self.list.load();
+        let members = list.iter().map(|member| &member.record);
+        let members = members.filter(|record| record.peer_address == address);
+        members.map(|record| record.incarnation).max()
+    }
+
     /// Returns the address of a member.
     pub fn address_of(&self, name: &MemberName) -> Option<SocketAddr> {
         let list = self.list.load();
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -24,6 +24,8 @@
 use crate::agent::actor as agent;
 use crate::agent::actor::AgentActor;
 use crate::agent::actor::AgentArgs;
+use crate::agent::orders::OrdersActor;
+use crate::agent::orders::OrdersArgs;
 use crate::entry::actor as entry;
 use crate::entry::actor::EntryActor;
 use crate::entry::actor::EntryArgs;
@@ -205,6 +207,7 @@
 ) -> eyre::Result<RunningRole> {
     let args = EntryArgs {
         member: settings.member.clone(),
+        incarnation: shared.incarnation,
         network: shared.network.clone(),
         members: shared.members.clone(),
         metrics: Arc::clone(&shared.metrics),
@@ -246,7 +249,14 @@
 }
 
 fn start_agent(shared: &Shared) -> RunningRole {
+    let orders = OrdersArgs {
+        network: shared.network.clone(),
+        metrics: Arc::clone(&shared.metrics),
+        key_value: Arc::clone(&shared.service),
+        incarnation: shared.incarnation,
+    };
     let args = AgentArgs {
+        orders: OrdersActor::spawn_with_mailbox(orders, mailbox::bounded(MAILBOX_LEN)),
         network: shared.network.clone(),
         metrics: Arc::clone(&shared.metrics),
         settings: AgentSettings::default(),
--- a/daemon/src/process/shared.rs
+++ b/daemon/src/process/shared.rs
@@ -47,6 +47,8 @@
 pub struct Shared {
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// The incarnation with which the process started.
+    pub incarnation: Incarnation,
     /// The network.
     pub network: Network,
     /// The key-value service.
@@ -96,6 +98,7 @@
         let membership = MembershipActor::spawn_with_mailbox(args, mailbox::bounded(MAILBOX_LEN));
         let shared = Self {
             metrics,
+            incarnation: hello.incarnation,
             network,
             service,
             configuration,
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod link;
 pub mod membership;
+pub mod order;
 pub mod retry;
 pub mod stream;
 pub mod timer;
