--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of jujubewall, one subcommand each.
 
 mod membership;
+mod notes;
 mod throughput;
 
 use argh::FromArgs;
@@ -16,6 +17,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Notes(notes::NotesCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
 }
@@ -23,6 +25,7 @@
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Notes(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
     }
