control: bound a submission by its deadline, and write large notes side by side

A submission kept sending calls after its 8 s as long as none of them failed: a note with every item of the large fleet writes some 230 values, which took 23 s on a service that answers in 100 ms. No call is sent after the deadline now. Eight writes are under way at a time, so that such a note fits into it, and no more than 200 begin in a second, half of what the service handles. With one write at a time the new test fails with 'the submission ran out of time'.

--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -43,6 +43,7 @@
 use crate::store::reader::Loaded;
 use crate::store::reader::Reader;
 use crate::store::refusals::RefusalLog;
+use crate::store::writer::OUT_OF_TIME;
 use crate::store::writer::SwapResult;
 use crate::store::writer::Writer;
 
@@ -267,7 +268,7 @@
                 }
                 Err(error) => return Err(error.into()),
             };
-            let writer = Writer::new(&*self.service, deadline);
+            let writer = Writer::new(self.service.clone(), deadline);
             let written = writer.write_values(&proposal.values).await?;
             match writer
                 .swap_head(loaded.stored_at, &proposal.head_bytes)
@@ -333,5 +334,5 @@
 }
 
 fn timed_out() -> StoreError {
-    PlatformError::Unavailable("the submission ran out of time".to_owned()).into()
+    PlatformError::Unavailable(OUT_OF_TIME.to_owned()).into()
 }
--- a/control/src/store/writer.rs
+++ b/control/src/store/writer.rs
@@ -1,6 +1,7 @@
 //! Writes values and swaps the head, also when replies are lost.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use jujubewall_platform::key_value::KeyValue;
 use jujubewall_platform::key_value::Swap;
 use jujubewall_types::id::Revision;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use crate::keys;
@@ -21,6 +23,17 @@
 /// The longest pause before a call is sent again.
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
+/// The largest number of values that one submission writes at the same time.
+const MAX_CONCURRENT_WRITES: usize = 8;
+
+/// The time between two writes of one submission.
+///
+/// A note that writes hundreds of chunks leaves room for other writers.
+const WRITE_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Why a call is not sent any more.
+pub const OUT_OF_TIME: &str = "the submission ran out of time";
+
 /// How the swap of the head ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SwapResult {
@@ -42,14 +55,15 @@
 }
 
 /// Writes on behalf of one submission until its deadline.
-pub struct Writer<'a> {
-    service: &'a dyn KeyValue,
+#[derive(Clone)]
+pub struct Writer {
+    service: Arc<dyn KeyValue>,
     deadline: Instant,
 }
 
-impl<'a> Writer<'a> {
+impl Writer {
     /// Creates a writer that gives up at `deadline`.
-    pub fn new(service: &'a dyn KeyValue, deadline: Instant) -> Self {
+    pub fn new(service: Arc<dyn KeyValue>, deadline: Instant) -> Self {
         Self { service, deadline }
     }
 
@@ -59,8 +73,18 @@
         values: &[PendingValue],
     ) -> Result<Vec<WrittenKey>, StoreError> {
         let mut written = Vec::with_capacity(values.len());
+        let mut writes = JoinSet::new();
         for value in values {
-            written.push(self.write_value(value).await?);
+            if writes.len() >= MAX_CONCURRENT_WRITES {
+                written.extend(next_written(&mut writes).await?);
+            }
+            let own = self.clone();
+            let value = value.clone();
+            writes.spawn(async move { own.write_value(&value).await });
+            tokio::time::sleep(WRITE_INTERVAL).await;
+        }
+        while let Some(key) = next_written(&mut writes).await? {
+            written.push(key);
         }
         Ok(written)
     }
@@ -112,6 +136,9 @@
         expected: Option<Revision>,
         value: &Bytes,
     ) -> Result<Swap, PlatformError> {
+        if Instant::now() >= self.deadline {
+            return Err(PlatformError::Unavailable(OUT_OF_TIME.to_owned()));
+        }
         let swap = self
             .service
             .compare_and_swap(key, expected, value.clone(), None);
@@ -130,6 +157,17 @@
     }
 }
 
+/// Waits for one of the writes to end; returns `None` if there are none.
+async fn next_written(
+    writes: &mut JoinSet<Result<WrittenKey, StoreError>>,
+) -> Result<Option<WrittenKey>, StoreError> {
+    match writes.join_next().await {
+        None => Ok(None),
+        Some(Ok(result)) => result.map(Some),
+        Some(Err(error)) => Err(PlatformError::Unavailable(error.to_string()).into()),
+    }
+}
+
 /// Waits for a call at most [`CALL_TIMEOUT`]; a call that runs longer may have its effect.
 pub async fn call<T>(
     call: impl Future<Output = Result<T, PlatformError>>,
--- a/control/tests/test_store.rs
+++ b/control/tests/test_store.rs
@@ -46,6 +46,18 @@
     )
 }
 
+/// Builds a note with the items of the large fleet.
+fn fleet_note() -> ReleaseNote {
+    let models: Vec<Value> = (0..17)
+        .map(|n| model(&format!("m{n}"), 80, &["v1"]))
+        .collect();
+    let all: Vec<Value> = (0..2500).map(|n| account(&format!("a{n}"), 1)).collect();
+    let pinned = || assignment("m1", "v1", 0, 10);
+    let upstreams: Vec<Value> = (0..4100).map(|n| engine(n, pinned())).collect();
+    let items = json!({ "models": models, "accounts": all, "upstreams": upstreams });
+    note("n1", "trust", &items, &json!({}), &json!({}))
+}
+
 async fn entries(service: &FakeKeyValue) -> Vec<KeyValueEntry> {
     service.list("jujubewall/").await.unwrap()
 }
@@ -146,14 +158,7 @@
 async fn test_fleet_size_fits_and_one_change_rewrites_one_chunk() {
     let service = Arc::new(FakeKeyValue::new());
     let store = NoteStore::new(service.clone());
-    let models: Vec<Value> = (0..17)
-        .map(|n| model(&format!("m{n}"), 80, &["v1"]))
-        .collect();
-    let all: Vec<Value> = (0..2500).map(|n| account(&format!("a{n}"), 1)).collect();
-    let pinned = || assignment("m1", "v1", 0, 10);
-    let upstreams: Vec<Value> = (0..4100).map(|n| engine(n, pinned())).collect();
-    let items = json!({ "models": models, "accounts": all, "upstreams": upstreams });
-    accept(&store, &note("n1", "trust", &items, &json!({}), &json!({}))).await;
+    accept(&store, &fleet_note()).await;
     let largest = entries(&service)
         .await
         .into_iter()
@@ -212,3 +217,17 @@
     assert_eq!(service.peek(&orphan), None);
     NoteStore::new(service).load().await.unwrap();
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_a_large_note_is_accepted_by_a_slow_service_within_its_rate() {
+    let service = Arc::new(FakeKeyValue::new());
+    service.set_faults(|faults| {
+        faults.delay = Duration::from_millis(100);
+        faults.writes_per_s = Some(400);
+    });
+    let store = NoteStore::new(service.clone());
+    accept(&store, &fleet_note()).await;
+    let writes = service.counts().swaps;
+    let keys = entries(&service).await.len() as u64;
+    assert_eq!(writes, keys, "no write was refused");
+}
