daemon: prove answers over connections that have gone silent

A relay in front of each agent forgets the flows that it has seen, as a device in between would, while new flows work. The address that peers are told can now differ from the one that a process binds. The stalled answer goes on within 1 s, and no member is condemned.

--- a/daemon/src/network.rs
+++ b/daemon/src/network.rs
@@ -63,14 +63,21 @@
 
 impl Network {
     /// Binds the socket, starts accepting peers and returns the stream of events.
+    ///
+    /// Peers are told the address in `hello`; without a `bind_address` it is bound too.
     pub fn start(
         hello: Hello,
+        bind_address: Option<SocketAddr>,
         identity: Identity,
         metrics: Arc<Metrics>,
     ) -> Result<(Self, mpsc::Receiver<NetworkEvent>), NetworkError> {
         let (events, receiver) = mpsc::channel(EVENT_QUEUE_LEN);
-        let endpoint = dial::server_endpoint(hello.peer_address, &identity)?;
-        let own_address = endpoint.local_addr().map_err(NetworkError::Bind)?;
+        let bind_address = bind_address.unwrap_or(hello.peer_address);
+        let endpoint = dial::server_endpoint(bind_address, &identity)?;
+        let own_address = match hello.peer_address.port() {
+            0 => endpoint.local_addr().map_err(NetworkError::Bind)?,
+            _ => hello.peer_address,
+        };
         let hello = Hello {
             peer_address: own_address,
             ..hello
--- a/daemon/src/process/shared.rs
+++ b/daemon/src/process/shared.rs
@@ -77,8 +77,12 @@
         let metrics = Metrics::new();
         let hello = hello(settings);
         let identity = read_identity(settings)?;
-        let (network, network_events) =
-            Network::start(hello.clone(), identity, Arc::clone(&metrics))?;
+        let (network, network_events) = Network::start(
+            hello.clone(),
+            settings.peer_bind_address,
+            identity,
+            Arc::clone(&metrics),
+        )?;
         let service: Arc<dyn KeyValue> =
             Arc::new(HttpKeyValue::new(settings.platform.key_value_address));
         let configuration = Arc::new(ConfigHandle::new());
--- a/daemon/src/settings/document.rs
+++ b/daemon/src/settings/document.rs
@@ -32,6 +32,9 @@
     pub region: RegionName,
     /// The UDP address at which peers reach the process by QUIC.
     pub peer_address: SocketAddr,
+    /// The UDP address that the process binds, if something forwards `peer_address` to it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_bind_address: Option<SocketAddr>,
     /// The TCP address at which callers reach an entry by HTTP.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub caller_address: Option<SocketAddr>,
--- a/daemon/src/settings/shape.rs
+++ b/daemon/src/settings/shape.rs
@@ -42,6 +42,7 @@
     let failure_domain = object.required("failure_domain");
     let region = object.required("region");
     let listen = read_listen_addresses(&mut object, role, faults);
+    let peer_bind_address = object.optional("peer_bind_address");
     let tls = read_tls(object.object("tls"), faults);
     let platform = read_platform(object.object("platform"));
     let seed_peers = object.remotes("seed_peers");
@@ -58,6 +59,7 @@
         failure_domain: failure_domain?,
         region: region?,
         peer_address: listen.peer?,
+        peer_bind_address,
         caller_address: listen.caller,
         operator_address: listen.operator,
         metrics_address: listen.metrics?,
--- a/daemon/tests/test_failures.rs
+++ b/daemon/tests/test_failures.rs
@@ -13,8 +13,10 @@
 use jujubewall_testutils::fleet::completion;
 use jujubewall_testutils::key_value::Outage;
 use jujubewall_testutils::site::SiteShape;
+use jujubewall_testutils::site::TestSite;
 use tokio::time::Instant;
 
+const BINARY: &str = env!("CARGO_BIN_EXE_jujubewalld");
 const TOKENS: usize = 60;
 const STAGES: usize = 3;
 const PIPELINES: usize = 2;
@@ -22,18 +24,21 @@
 const STALL_TARGET: Duration = Duration::from_secs(1);
 const PROMPT: &str = "stray trolleys at the cargo apron";
 
-async fn start() -> Fleet {
+fn shape() -> SiteShape {
     let engine = EngineSettings {
         decode_token_layer: Duration::from_millis(2),
         ..EngineSettings::default()
     };
-    let shape = SiteShape {
+    SiteShape {
         pipelines: PIPELINES,
         stages: STAGES,
         engine,
         ..SiteShape::default()
-    };
-    Fleet::start(Path::new(env!("CARGO_BIN_EXE_jujubewalld")), shape).await
+    }
+}
+
+async fn start() -> Fleet {
+    Fleet::start(Path::new(BINARY), shape()).await
 }
 
 /// Reads one part of the answer.
@@ -152,3 +157,25 @@
     assert_eq!(fleet.site.engines[engine].fake.total_runs(), before);
     assert!(fleet.site.engines[other].fake.total_runs() > 0);
 }
+
+#[tokio::test]
+async fn test_answer_survives_connections_that_go_silent() {
+    let mut site = TestSite::start(shape()).await;
+    site.relay_agents().await;
+    let fleet = Fleet::start_at(Path::new(BINARY), site).await;
+    let mut stream = fleet.stream(0, PROMPT, TOKENS).await;
+    let mut text = part(&mut stream).await.expect("the answer has a start");
+    let engine = busy_engine(&fleet, 1).await;
+    fleet.site.relays()[engine].silence_open_flows();
+    let (more, stall) = rest(&mut stream).await;
+    text.push_str(&more);
+    assert_eq!(text, fleet.site.expected_text(PROMPT, TOKENS));
+    assert!(stall <= STALL_TARGET, "stalled for {stall:?}");
+    let operator = fleet.operator(0);
+    eventually("no member is condemned", async || {
+        let status = operator.get("/admin/v1/status").await;
+        let status = status.expect("the entry answers").json();
+        status["unreachable"].as_array().is_some_and(Vec::is_empty)
+    })
+    .await;
+}
--- a/testutils/src/fleet.rs
+++ b/testutils/src/fleet.rs
@@ -40,7 +40,15 @@
     ///
     /// Panics if a process does not start or the note is not accepted.
     pub async fn start(binary: &Path, shape: SiteShape) -> Self {
-        let site = TestSite::start(shape).await;
+        Self::start_at(binary, TestSite::start(shape).await).await
+    }
+
+    /// Starts every process at a site, and submits the site's note.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process does not start or the note is not accepted.
+    pub async fn start_at(binary: &Path, site: TestSite) -> Self {
         let spawn = |path: &PathBuf| DaemonProcess::spawn(binary, path);
         let agents: Vec<_> = site.agent_settings().iter().map(spawn).collect();
         let entries = ["entry-0", "entry-1"].map(|name| site.entry_settings(name));
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod service;
 pub mod site;
 pub mod stream_network;
+pub mod udp_relay;
 pub mod weight_store;
 
 mod platform_answer;
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -46,6 +46,7 @@
 use crate::model_fold::expected_answer;
 use crate::ports::free_address;
 use crate::service::FakeService;
+use crate::udp_relay::UdpRelay;
 use crate::weight_store::FakeWeightStore;
 
 /// The partner that owns everything at the site.
@@ -146,6 +147,7 @@
     directory: TempDir,
     certificates: TestCertificates,
     platform: [ServerHandle; 3],
+    relays: Vec<UdpRelay>,
 }
 
 impl TestSite {
@@ -182,6 +184,7 @@
             directory,
             certificates,
             platform,
+            relays: Vec::new(),
         }
     }
 
@@ -208,9 +211,13 @@
         let engines = self.engines.iter().map(|engine| &engine.upstream);
         engines
             .chain([&self.service.upstream])
-            .map(|upstream| {
+            .enumerate()
+            .map(|(index, upstream)| {
                 let member = format!("agent-{}", upstream.name);
                 let mut document = self.settings(&member, upstream.agent_address);
+                if let Some(relay) = self.relays.get(index) {
+                    document["peer_bind_address"] = json!(relay.target());
+                }
                 document["role"] = json!("agent");
                 document["host"] = json!(upstream.host);
                 document["failure_domain"] = json!(upstream.failure_domain);
@@ -219,6 +226,20 @@
             .collect()
     }
 
+    /// Puts a relay in front of every agent whose settings are written later.
+    pub async fn relay_agents(&mut self) {
+        let engines = self.engines.iter().map(|engine| &engine.upstream);
+        for upstream in engines.chain([&self.service.upstream]) {
+            let relay = UdpRelay::start(upstream.agent_address, free_address()).await;
+            self.relays.push(relay);
+        }
+    }
+
+    /// Returns the relays in front of the agents, in the agents' order.
+    pub fn relays(&self) -> &[UdpRelay] {
+        &self.relays
+    }
+
     /// Returns the note that adds the model, every upstream and the account.
     pub fn release_note(&self, id: &str) -> ReleaseNote {
         let engines = self.engines.iter().map(|engine| engine.upstream.clone());
