routing: share out at the entry what agents accept

Weights at agents cannot even out accounts whose prefixes meet at few engines, and a request that waits at one stage holds room at others. An entry gate now offers agents little more than they accept, shared over accounts by water-filling; retries after refusals have a budget of their own.

--- a/bench/src/throughput/world.rs
+++ b/bench/src/throughput/world.rs
@@ -11,6 +11,8 @@
 use jujubewall_routing::admission::AdmissionSettings;
 use jujubewall_routing::admission::ConcurrencySettings;
 use jujubewall_routing::admission::Decision;
+use jujubewall_routing::admission::EntryGate;
+use jujubewall_routing::admission::EntryGateSettings;
 use jujubewall_routing::admission::FairWeights;
 use jujubewall_routing::admission::Refusal;
 use jujubewall_routing::choice::CacheHint;
@@ -20,6 +22,7 @@
 use jujubewall_routing::choice::ReportedLoad;
 use jujubewall_routing::choice::StepSample;
 use jujubewall_routing::retry::RetryBudget;
+use jujubewall_routing::retry::RetryCause;
 use jujubewall_routing::retry::RetrySettings;
 use jujubewall_types::id::Attempt;
 use jujubewall_types::id::RequestId;
@@ -169,6 +172,7 @@
     policy: Policy,
     retries: RetryBudget,
     weights: FairWeights,
+    gate: EntryGate,
     is_lost: bool,
 }
 
@@ -274,6 +278,7 @@
                 policy: Policy::new(settings.policy, seed),
                 retries: RetryBudget::new(RetrySettings::default(), seed),
                 weights: FairWeights::new(),
+                gate: EntryGate::new(EntryGateSettings::default(), seed),
                 is_lost: false,
             }
         };
@@ -428,7 +433,13 @@
         self.entries[entry]
             .retries
             .on_first_attempt(&scenario::account(account));
-        self.choose(self.streams.len() - 1, 1);
+        let stream = self.streams.len() - 1;
+        let (now, name) = (self.now(), scenario::account(account));
+        if self.entries[entry].gate.admit(now, &name, 1).is_err() {
+            self.give_up(stream);
+            return;
+        }
+        self.choose(stream, 1);
     }
 
     fn is_current(&self, stream: usize, attempt: u32) -> bool {
@@ -554,8 +565,10 @@
     }
 
     fn start_prefill(&mut self, key: StageKey) {
+        let now = self.now();
         let known = &mut self.streams[key.stream];
         known.state = StreamState::Running;
+        self.entries[known.entry].gate.on_accepted(now);
         let prefix = known.prefix;
         let route = known.route.clone();
         let committed = known.generated;
@@ -814,12 +827,19 @@
         known.state = StreamState::Opening;
         let (entry, attempt) = (known.entry, known.attempt);
         let account = scenario::account(known.account);
-        match self.entries[entry].retries.try_retry(&account, failed) {
+        match self.entries[entry]
+            .retries
+            .try_retry(&account, failed, RetryCause::Refusal)
+        {
             Ok(delay) => {
                 self.measured.retries += 1;
                 self.after(micros(delay), Event::Choose { stream, attempt });
             }
-            Err(_) => self.give_up(stream),
+            Err(_) => {
+                let now = self.now();
+                self.entries[entry].gate.on_refused(now);
+                self.give_up(stream);
+            }
         }
     }
 
--- a/routing/src/admission/mod.rs
+++ b/routing/src/admission/mod.rs
@@ -6,6 +6,7 @@
 
 mod account_limits;
 mod concurrency;
+mod entry_gate;
 mod fair_queue;
 mod fair_weights;
 mod gate;
@@ -18,6 +19,8 @@
 pub use self::account_limits::LimitKind;
 pub use self::account_limits::LimitSettings;
 pub use self::concurrency::ConcurrencySettings;
+pub use self::entry_gate::EntryGate;
+pub use self::entry_gate::EntryGateSettings;
 pub use self::fair_weights::FairWeights;
 pub use self::gate::Admission;
 pub use self::gate::AdmissionSettings;
--- a/routing/src/bound/packing.rs
+++ b/routing/src/bound/packing.rs
@@ -206,6 +206,7 @@
             layers: engines[engine].layers,
             domain: self.domain(engine),
             cost_per_layer_s: self.prices[engine] * workload.seconds_per_layer(&engines[engine]),
+            cost_per_stage_s: 0.0,
         };
         let edges = indices.iter().map(edge).collect();
         (indices, edges)
--- a/routing/src/choice/chooser.rs
+++ b/routing/src/choice/chooser.rs
@@ -47,6 +47,8 @@
     /// The weight of the time on an idle pipeline beside that of the work in
     /// flight, in thousandths.
     pub latency_permille: u32,
+    /// The cost of each stage, in thousandths of a mean path.
+    pub stage_permille: u32,
     /// The load, in thousandths of other engines' load, that an engine may have
     /// more because it has the prompt's prefix cached.
     pub cached_permille: u32,
@@ -60,6 +62,7 @@
             crossing_us: 250,
             jitter_permille: 50,
             latency_permille: 300,
+            stage_permille: 0,
             cached_permille: 200,
             preferred_permille: 100,
         }
@@ -269,8 +272,10 @@
                 domain: engine.domain,
                 cost_per_layer_s: self.cost_per_layer_s(now, engine, request, typical_ratio)
                     * (1.0 + f64::from(jitter) / 1000.0),
+                cost_per_stage_s: 0.0,
             });
         }
+        self.add_stage_costs(&mut edges, request.layer_count);
         let links = AnswerLinks {
             chooser: self,
             tokens: f64::from(request.max_answer_tokens) + 1.0,
@@ -289,6 +294,16 @@
         Ok(hops.iter().map(stage).collect())
     }
 
+    /// Makes each stage cost a part of the mean path, so that paths stay short.
+    fn add_stage_costs(&self, edges: &mut [PathEdge], layer_count: u32) {
+        let total: f64 = edges.iter().map(|edge| edge.cost_per_layer_s).sum();
+        let mean_s = total / edges.len().max(1) as f64 * f64::from(layer_count);
+        let stage_s = mean_s * f64::from(self.settings.stage_permille) / 1000.0;
+        for edge in edges {
+            edge.cost_per_stage_s = stage_s;
+        }
+    }
+
     /// Returns what each layer adds to the cost of a path.
     ///
     /// The load of an engine counts for each layer alike, so paths are compared
--- a/routing/src/path.rs
+++ b/routing/src/path.rs
@@ -15,6 +15,8 @@
     pub(crate) domain: DomainIndex,
     /// The cost of each layer.
     pub(crate) cost_per_layer_s: f64,
+    /// The cost of a stage, whatever its layers.
+    pub(crate) cost_per_stage_s: f64,
 }
 
 /// A part of a path: an edge by its index and the layers that it runs.
@@ -141,7 +143,8 @@
                 break;
             }
             let layers = LayerRange::new(first, end);
-            let cost_s = arrival_cost_s + f64::from(layers.len()) * edge.cost_per_layer_s;
+            let stage_s = arrival_cost_s + edge.cost_per_stage_s;
+            let cost_s = stage_s + f64::from(layers.len()) * edge.cost_per_layer_s;
             let label = &mut self.labels[to * self.domains + edge.domain];
             if label.is_none_or(|known| cost_s < known.cost_s) {
                 *label = Some(Label {
--- a/routing/src/retry/budget.rs
+++ b/routing/src/retry/budget.rs
@@ -19,8 +19,10 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RetrySettings {
-    /// The retries allowed for a thousand first attempts.
-    pub budget_permille: u32,
+    /// The retries after a failure allowed for a thousand first attempts.
+    pub failure_permille: u32,
+    /// The retries after a refusal, when nothing had run, allowed for the same.
+    pub refusal_permille: u32,
     /// The retries that may be saved up.
     pub max_saved: u32,
     /// The number of attempts of one request, the first included.
@@ -34,7 +36,8 @@
 impl Default for RetrySettings {
     fn default() -> Self {
         Self {
-            budget_permille: 100,
+            failure_permille: 100,
+            refusal_permille: 500,
             max_saved: 10,
             max_attempts: 4,
             base_delay_ms: 5,
@@ -43,6 +46,22 @@
     }
 }
 
+/// Why an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryCause {
+    /// Something broke, and work may have been lost.
+    Failure,
+    /// An agent refused the attempt before anything had run.
+    Refusal,
+}
+
+/// The retries that an account has saved, in thousandths.
+#[derive(Clone, Copy, Debug)]
+struct Saved {
+    failures: u64,
+    refusals: u64,
+}
+
 /// The reason that a request is not tried again.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum NoRetry {
@@ -62,7 +81,7 @@
 pub struct RetryBudget {
     settings: RetrySettings,
     rng: ChaCha8Rng,
-    saved: HashMap<AccountName, u64>,
+    saved: HashMap<AccountName, Saved>,
 }
 
 impl RetryBudget {
@@ -77,13 +96,17 @@
 
     /// Notes the first attempt of a request.
     pub fn on_first_attempt(&mut self, account: &AccountName) {
-        let max = self.max_saved();
-        let earned = u64::from(self.settings.budget_permille);
-        if let Some(saved) = self.saved.get_mut(account) {
-            *saved = (*saved + earned).min(max);
-        } else {
-            self.saved.insert(account.clone(), max);
-        }
+        let max = u64::from(self.settings.max_saved) * RETRY_COST;
+        let full = Saved {
+            failures: max,
+            refusals: max,
+        };
+        let Some(saved) = self.saved.get_mut(account) else {
+            self.saved.insert(account.clone(), full);
+            return;
+        };
+        saved.failures = (saved.failures + u64::from(self.settings.failure_permille)).min(max);
+        saved.refusals = (saved.refusals + u64::from(self.settings.refusal_permille)).min(max);
     }
 
     /// Takes one retry from an account's budget and returns the delay before it.
@@ -91,12 +114,17 @@
         &mut self,
         account: &AccountName,
         failed: Attempt,
+        cause: RetryCause,
     ) -> Result<Duration, NoRetry> {
         if failed.0 >= self.settings.max_attempts {
             return Err(NoRetry::AttemptsUsedUp);
         }
         let saved = self.saved.get_mut(account).ok_or(NoRetry::BudgetUsedUp)?;
-        *saved = saved.checked_sub(RETRY_COST).ok_or(NoRetry::BudgetUsedUp)?;
+        let pool = match cause {
+            RetryCause::Failure => &mut saved.failures,
+            RetryCause::Refusal => &mut saved.refusals,
+        };
+        *pool = pool.checked_sub(RETRY_COST).ok_or(NoRetry::BudgetUsedUp)?;
         Ok(self.delay(failed))
     }
 
@@ -105,10 +133,6 @@
         self.saved.retain(|account, _| is_configured(account));
     }
 
-    fn max_saved(&self) -> u64 {
-        u64::from(self.settings.max_saved) * RETRY_COST
-    }
-
     /// Draws a delay between zero and twice the mean of this attempt.
     fn delay(&mut self, failed: Attempt) -> Duration {
         let doublings = failed.0.saturating_sub(1).min(16);
--- a/routing/src/retry/mod.rs
+++ b/routing/src/retry/mod.rs
@@ -8,4 +8,5 @@
 
 pub use self::budget::NoRetry;
 pub use self::budget::RetryBudget;
+pub use self::budget::RetryCause;
 pub use self::budget::RetrySettings;
