routing: life cycle of a process; leaving streams look again for a place

A stage that waits for admission is no longer given up after 16 questions, because admission answers by itself before the deadline. A leaving agent tells the entries of its streams again every second, so that a stream which found no other route moves once there is one; until then it goes on.

--- a/routing/src/stream/agent/handlers.rs
+++ b/routing/src/stream/agent/handlers.rs
@@ -1,6 +1,7 @@
 //! How an agent handles each message and deadline.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jujubewall_protocol::stream::CacheTransfer;
 use jujubewall_protocol::stream::GeneratedToken;
@@ -32,6 +33,9 @@
 use crate::stream::invariant::StreamInvariant;
 use crate::stream::payload;
 
+/// The time after which a leaving upstream's streams are told again.
+const LEAVING_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+
 impl AgentStreams {
     /// Handles one message.
     pub(super) fn handle(&mut self, now: Instant, from: SocketAddr, message: StreamMessage) {
@@ -289,11 +293,17 @@
         self.arm(now, key);
     }
 
-    /// Tells the entries of the stages that `is_leaving` names.
-    pub(super) fn tell_leaving(&mut self, now: Instant, is_leaving: impl Fn(&Stage) -> bool) {
-        for stage in self.stages.values().filter(|stage| is_leaving(stage)) {
+    /// Tells the entries of all stages whose upstream is leaving, and again later.
+    ///
+    /// An entry that found no other route for a stream looks for one again then.
+    pub(super) fn tell_leaving(&mut self, now: Instant) {
+        self.next_leaving_notice = None;
+        for stage in self.stages.values() {
             let grace_end = arena::grace_end(self.grace_end, &self.leaving_upstreams, stage);
-            let grace = grace_end.unwrap_or(now).saturating_duration_since(now);
+            let Some(grace_end) = grace_end.filter(|_| stage.phase == Phase::Running) else {
+                continue;
+            };
+            let grace = grace_end.saturating_duration_since(now);
             let leaving = StageLeaving {
                 id: stage.open.id,
                 stage: stage.open.stage,
@@ -301,6 +311,7 @@
             };
             let entry = stage.open.entry_address;
             self.fx.send(entry, StreamMessage::Leaving(leaving));
+            self.next_leaving_notice = Some(now + LEAVING_NOTICE_INTERVAL);
         }
     }
 }
--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -52,6 +52,7 @@
     timers: Timers<StageKey>,
     grace_end: Option<Instant>,
     leaving_upstreams: HashMap<UpstreamName, Instant>,
+    next_leaving_notice: Option<Instant>,
     waiting_bytes: u64,
     retained_bytes: u64,
     fx: Effects,
@@ -70,6 +71,7 @@
             timers: Timers::new(),
             grace_end: None,
             leaving_upstreams: HashMap::new(),
+            next_leaving_notice: None,
             waiting_bytes: 0,
             retained_bytes: 0,
             fx: Effects::new(own_address),
@@ -103,7 +105,8 @@
 
     /// Returns when [`Self::on_tick`] has something to do.
     pub fn next_wakeup(&self) -> Option<Instant> {
-        self.timers.next()
+        let notice = self.next_leaving_notice;
+        [self.timers.next(), notice].into_iter().flatten().min()
     }
 
     /// Handles a message from the process that accepts connections at `from`.
@@ -203,7 +206,7 @@
     /// Begins to leave: tells every entry, and refuses new streams.
     pub fn leave(&mut self, now: Instant, grace_end: Instant) -> Vec<AgentAction> {
         self.grace_end = Some(grace_end);
-        self.tell_leaving(now, |_| true);
+        self.tell_leaving(now);
         self.finish(now)
     }
 
@@ -215,7 +218,7 @@
         grace_end: Instant,
     ) -> Vec<AgentAction> {
         self.leaving_upstreams.insert(upstream.clone(), grace_end);
-        self.tell_leaving(now, |stage| stage.own().upstream == *upstream);
+        self.tell_leaving(now);
         self.finish(now)
     }
 
@@ -226,6 +229,9 @@
 
     /// Handles the passing of time.
     pub fn on_tick(&mut self, now: Instant) -> Vec<AgentAction> {
+        if self.next_leaving_notice.is_some_and(|due| now >= due) {
+            self.tell_leaving(now);
+        }
         while let Some(key) = self.timers.pop_due(now) {
             if let Some(stage) = self.stages.get_mut(key) {
                 stage.timer.clear();
--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -4,8 +4,10 @@
 
 use jujubewall_protocol::stream::GeneratedToken;
 use jujubewall_protocol::stream::Route;
+use jujubewall_protocol::stream::StageActivity;
 use jujubewall_protocol::stream::StageFailed;
 use jujubewall_protocol::stream::StageHeld;
+use jujubewall_protocol::stream::StageProgress;
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
@@ -52,7 +54,7 @@
             recover(now, stream, &[failed.stage], true, settings, fx);
         }
         StreamMessage::Progress(progress) => {
-            note_heard(stream, progress.stage);
+            note_heard(stream, &progress);
             probe::on_progress(now, stream, progress, settings, fx);
         }
         StreamMessage::Leaving(leaving) if usize::from(leaving.stage) < stream.route.len() => {
@@ -63,11 +65,11 @@
     }
 }
 
-fn note_heard(stream: &mut Stream, stage: u8) {
+fn note_heard(stream: &mut Stream, progress: &StageProgress) {
     if let Phase::Opening(opening) = &mut stream.phase
-        && let Some(is_heard) = opening.is_heard.get_mut(usize::from(stage))
+        && let Some(heard) = opening.heard.get_mut(usize::from(progress.stage))
     {
-        *is_heard = true;
+        *heard = Some(progress.activity);
     }
 }
 
@@ -285,7 +287,12 @@
     let is_missing = |&(_, held): &(usize, &Option<_>)| held.is_none();
     let missing = opening.held.iter().enumerate().filter(is_missing);
     let missing: SmallVec<[u8; 4]> = missing.map(|(index, _)| stage_index(index)).collect();
-    let is_lost = |stage: &u8| rounds >= MAX_OPEN_ROUNDS || !opening.is_heard[usize::from(*stage)];
+    let is_lost = |stage: &u8| match opening.heard[usize::from(*stage)] {
+        None => true,
+        // Admission answers by itself before the deadline.
+        Some(StageActivity::Queued) => false,
+        Some(_) => rounds >= MAX_OPEN_ROUNDS,
+    };
     let lost: SmallVec<[u8; 4]> = missing.iter().copied().filter(is_lost).collect();
     if rounds >= OPEN_ROUNDS && !lost.is_empty() {
         recover(now, stream, &lost, true, settings, fx);
@@ -301,7 +308,7 @@
     }
     opening.rounds += 1;
     opening.due = now + settings.open_timeout();
-    opening.is_heard.fill(false);
+    opening.heard.fill(None);
     recovery::send_quiesce(opening, fx);
     let resumes = recovery::is_resumable(stream, settings);
     stream.send_opens(
--- a/routing/src/stream/entry/recovery.rs
+++ b/routing/src/stream/entry/recovery.rs
@@ -132,7 +132,7 @@
     let source = moving.filter(|_| resumes);
     let opening = Opening {
         held: smallvec![None; stream.route.len()],
-        is_heard: smallvec![false; stream.route.len()],
+        heard: smallvec![None; stream.route.len()],
         source: source.and_then(|stage| move_source(stream, &old_route, stage)),
         old_route,
         due: now + settings.open_timeout(),
--- a/routing/src/stream/entry/stream.rs
+++ b/routing/src/stream/entry/stream.rs
@@ -10,6 +10,7 @@
 use jujubewall_protocol::stream::QuiesceStage;
 use jujubewall_protocol::stream::ResumeStage;
 use jujubewall_protocol::stream::Route;
+use jujubewall_protocol::stream::StageActivity;
 use jujubewall_protocol::stream::StageProgress;
 use jujubewall_protocol::stream::Step;
 use jujubewall_protocol::stream::StreamId;
@@ -52,8 +53,8 @@
 pub struct Opening {
     /// What each stage holds, as far as it has been told.
     pub held: SmallVec<[Option<HeldState>; 4]>,
-    /// Whether each stage has given any sign of life.
-    pub is_heard: SmallVec<[bool; 4]>,
+    /// What each stage said that it was doing since it was asked last.
+    pub heard: SmallVec<[Option<StageActivity>; 4]>,
     /// The stage that moves away from a leaving upstream.
     pub source: Option<MoveSource>,
     /// The route of the attempt before.
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -286,6 +286,22 @@
     assert_eq!(network.engine(4).total_runs(), 0);
 }
 
+/// A stream for which no other engine is left goes on, and moves once there is one.
+#[test]
+fn test_leaving_stage_without_replacement_is_not_cut_off() {
+    let mut network = started(settings());
+    network.kill(4);
+    run_to(&mut network, 2);
+    network.leave(1, Duration::from_millis(100));
+    run_to(&mut network, 20);
+    network.restart(4);
+    run_to(&mut network, 0);
+    assert_whole(&network);
+    assert!(longest_gap(&network) < Duration::from_millis(100));
+    assert!(network.engine(4).total_runs() > 0);
+    assert_eq!(doubled_runs(&network, 1) + doubled_runs(&network, 4), 0);
+}
+
 #[test]
 fn test_leaving_agent_takes_no_new_stream() {
     let mut network = StreamNetwork::new(settings(), Instant::now());
