daemon: refuse a call at once when no agent of its service is reachable

The entry sent the call to an agent that was known to be gone, and could only say unknown at the deadline. It now picks an upstream whose agent is a live member, and without one answers not_run with the time to come back. Found by test_order_without_an_agent_is_refused_at_once, which saw 504 unknown.

--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -299,11 +299,11 @@
 
     fn agent(&self, address: SocketAddr) -> Result<AgentTarget, Failure> {
         let message = "the agent of the service is not known yet";
-        let incarnation = self.members.incarnation_at(address);
-        let incarnation = incarnation.ok_or(Failure::new(ErrorKind::NoUpstream, message));
+        let record = self.members.at(address);
+        let record = record.ok_or_else(|| Failure::new(ErrorKind::NoUpstream, message))?;
         Ok(AgentTarget {
             address,
-            incarnation: incarnation?,
+            incarnation: record.incarnation,
         })
     }
 
--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -21,14 +21,18 @@
 use jujubewall_protocol::stream::Route;
 use jujubewall_routing::order::entry::NewCall;
 use jujubewall_types::config::ClientAccount;
+use jujubewall_types::config::ServiceProfile;
+use jujubewall_types::config::Upstream;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::ServiceName;
+use jujubewall_types::member::MemberState;
 use jujubewall_types::outcome::Outcome;
 use kameo::actor::ActorRef;
 use kameo::error::SendError;
 use serde::Serialize;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -45,6 +49,7 @@
 use crate::entry::reply;
 use crate::entry::reply::StreamEvents;
 use crate::entry::view::View;
+use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::server::answer;
 use crate::server::answer::Answer;
@@ -65,6 +70,9 @@
 /// The path below which plain services are reached by name.
 const SERVICES_PREFIX: &str = "/v1/services/";
 
+/// The time after which a call that found no agent may be repeated.
+const NO_AGENT_RETRY_MS: u64 = 1_000;
+
 /// The header that names the pipeline of an answer.
 const PIPELINE_HEADER: HeaderName = HeaderName::from_static("jujubewall-pipeline");
 
@@ -75,6 +83,8 @@
     pub actor: ActorRef<EntryActor>,
     /// The configuration in force.
     pub view: watch::Receiver<Arc<View>>,
+    /// The members as of their last change.
+    pub members: Members,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// The limits on bodies.
@@ -192,7 +202,7 @@
         let wait = credentials::deadline(&request.headers)?;
         let idempotency_key = credentials::idempotency_key(&request.headers)?;
         let (service, path) = service_path(&request.uri)?;
-        let (upstream, profile) = pick_service(&view, &service)?;
+        let (upstream, profile) = pick_service(&view, &self.members, &service)?;
         let id = RequestId(rand::random());
         let method = SmolStr::new(request.method.as_str());
         let content_type = content_type(&request.headers)?;
@@ -289,16 +299,12 @@
     Ok((service, path))
 }
 
+/// Picks an upstream of a service at random among those whose agent takes new work.
 fn pick_service<'a>(
     view: &'a View,
+    members: &Members,
     service: &ServiceName,
-) -> Result<
-    (
-        &'a jujubewall_types::config::Upstream,
-        &'a jujubewall_types::config::ServiceProfile,
-    ),
-    Failure,
-> {
+) -> Result<(&'a Upstream, &'a ServiceProfile), Failure> {
     let upstreams = view.upstreams_of(service);
     if upstreams.is_empty() {
         return Err(Failure::new(
@@ -306,9 +312,21 @@
             format!("no service is named {service}"),
         ));
     }
-    let index = rand::random_range(0..upstreams.len());
-    view.service(&upstreams[index])
-        .ok_or_else(|| Failure::new(ErrorKind::NoUpstream, "the service has no upstream"))
+    let usable: SmallVec<[_; 4]> = upstreams
+        .iter()
+        .filter_map(|name| view.service(name))
+        .filter(|(upstream, _)| {
+            members.state_at(upstream.agent_address) == Some(MemberState::Alive)
+        })
+        .collect();
+    if usable.is_empty() {
+        let failure = Failure::new(
+            ErrorKind::NoUpstream,
+            "no agent of the service is reachable",
+        );
+        return Err(failure.with_retry_after_ms(NO_AGENT_RETRY_MS));
+    }
+    Ok(usable[rand::random_range(0..usable.len())])
 }
 
 fn content_type(headers: &HeaderMap) -> Result<Option<SmolStr>, Failure> {
--- a/daemon/src/entry/operators.rs
+++ b/daemon/src/entry/operators.rs
@@ -249,12 +249,11 @@
     fn upstreams(&self) -> Answer {
         let view = Arc::clone(&self.view.borrow());
         let configuration = view.configuration();
-        let states = self.members.states();
         let upstreams = configuration
             .upstreams
             .values()
             .map(|upstream| UpstreamStatus {
-                agent_state: states.get(&upstream.item.agent_address).copied(),
+                agent_state: self.members.state_at(upstream.item.agent_address),
                 upstream: upstream.clone(),
                 in_flight: 0,
             });
--- a/daemon/src/entry/routes.rs
+++ b/daemon/src/entry/routes.rs
@@ -18,7 +18,6 @@
 
 /// Lists the engines that hold what the operator fixed for them.
 pub fn engine_views(view: &View, members: &Members) -> Vec<EngineView> {
-    let states = members.states();
     let engines = view.engines();
     engines
         .filter_map(|(upstream, profile, assignment)| {
@@ -32,7 +31,7 @@
                 layers: assignment.layers,
                 decode_token_layers_per_s: profile.decode_token_layers_per_s,
                 prefill_token_layers_per_s: profile.prefill_token_layers_per_s,
-                state: engine_state(states.get(&upstream.agent_address).copied()),
+                state: engine_state(members.state_at(upstream.agent_address)),
             })
         })
         .collect()
--- a/daemon/src/membership.rs
+++ b/daemon/src/membership.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use jujubewall_protocol::member::MemberRecord;
 use jujubewall_routing::membership::MemberView;
 use jujubewall_types::admin::MemberStatus;
 use jujubewall_types::admin::StatusAnswer;
-use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::member::MemberState;
@@ -20,46 +20,71 @@
 /// A handle on the list of members as of its last change.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
-    list: Arc<ArcSwap<Vec<MemberView>>>,
+    list: Arc<ArcSwap<MemberList>>,
+}
+
+/// The members with an index of their addresses.
+#[derive(Debug, Default)]
+struct MemberList {
+    members: Vec<MemberView>,
+    by_address: HashMap<SocketAddr, usize>,
+}
+
+impl MemberList {
+    fn new(members: Vec<MemberView>) -> Self {
+        let mut by_address: HashMap<SocketAddr, usize> = HashMap::new();
+        for (index, member) in members.iter().enumerate() {
+            let newest = by_address
+                .entry(member.record.peer_address)
+                .or_insert(index);
+            if members[*newest].record.incarnation < member.record.incarnation {
+                *newest = index;
+            }
+        }
+        Self {
+            members,
+            by_address,
+        }
+    }
 }
 
 impl Members {
     /// Replaces the list.
     pub fn replace(&self, members: Vec<MemberView>) {
-        self.list.store(Arc::new(members));
+        self.list.store(Arc::new(MemberList::new(members)));
     }
 
-    /// Returns the state of each member by its address.
-    pub fn states(&self) -> HashMap<SocketAddr, MemberState> {
+    /// Returns the newest member that accepts connections at `address`.
+    pub fn at(&self, address: SocketAddr) -> Option<MemberRecord> {
         let list = self.list.load();
-        list.iter()
-            .map(|member| (member.record.peer_address, member.record.state))
-            .collect()
+        let index = list.by_address.get(&address)?;
+        Some(list.members[*index].record.clone())
+    }
+
+    /// Returns the state of the member at `address`.
+    pub fn state_at(&self, address: SocketAddr) -> Option<MemberState> {
+        let list = self.list.load();
+        let index = list.by_address.get(&address)?;
+        Some(list.members[*index].record.state)
     }
 
     /// Returns the names of the entries that take part.
     pub fn live_entries(&self) -> Vec<MemberName> {
         let list = self.list.load();
-        list.iter()
+        list.members
+            .iter()
             .filter(|member| member.record.role == Role::Entry)
             .filter(|member| member.record.state != MemberState::Dead)
             .map(|member| member.record.member.clone())
             .collect()
     }
 
-    /// Returns the incarnation of the member that accepts connections at `address`.
-    pub fn incarnation_at(&self, address: SocketAddr) -> Option<Incarnation> {
-        let list = self.list.load();
-        let members = list.iter().map(|member| &member.record);
-        let members = members.filter(|record| record.peer_address == address);
-        members.map(|record| record.incarnation).max()
-    }
-
     /// Returns the address of a member.
     pub fn address_of(&self, name: &MemberName) -> Option<SocketAddr> {
         let list = self.list.load();
-        let member = list.iter().find(|member| member.record.member == *name);
-        member.map(|member| member.record.peer_address)
+        let mut members = list.members.iter();
+        let member = members.find(|member| member.record.member == *name)?;
+        Some(member.record.peer_address)
     }
 }
 
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -219,6 +219,7 @@
     let callers = Callers {
         actor: actor.clone(),
         view: view.clone(),
+        members: shared.members.clone(),
         metrics: Arc::clone(&shared.metrics),
         limits: limits::bodies(settings, settings.limits.max_body_bytes),
         own_address: shared.network.own_address(),
--- /dev/null
+++ b/daemon/tests/test_orders.rs
@@ -0,0 +1,148 @@
+//! Calls that must not be repeated, through real processes.
+
+use std::path::Path;
+use std::time::Duration;
+
+use hyper::Method;
+use jujubewall_testutils::client::HttpAnswer;
+use jujubewall_testutils::daemon::Signal;
+use jujubewall_testutils::daemon::eventually;
+use jujubewall_testutils::fleet::Fleet;
+use jujubewall_testutils::key_value::Outage;
+use jujubewall_testutils::site::SiteShape;
+use tokio::time::Instant;
+
+const PATH: &str = "/v1/services/orders/collect";
+const DEADLINE_MS: &str = "2000";
+/// The time after its deadline within which a caller has its answer.
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+
+async fn start() -> Fleet {
+    let binary = Path::new(env!("CARGO_BIN_EXE_jujubewalld"));
+    Fleet::start(binary, SiteShape::default()).await
+}
+
+async fn order(fleet: &Fleet, entry: usize, key: Option<&str>, body: &str) -> HttpAnswer {
+    let mut headers = vec![("jujubewall-deadline-ms", DEADLINE_MS)];
+    headers.extend(key.map(|key| ("idempotency-key", key)));
+    let caller = fleet.caller(entry);
+    let started = Instant::now();
+    let answer = caller
+        .send(Method::POST, PATH, &headers, body.to_owned())
+        .await;
+    assert!(started.elapsed() < Duration::from_secs(2) + ANSWER_MARGIN);
+    answer.expect("the entry answers")
+}
+
+fn outcome(answer: &HttpAnswer) -> &str {
+    answer.outcome.as_deref().unwrap_or("none")
+}
+
+#[tokio::test]
+async fn test_repeated_key_gets_the_recorded_result_at_any_entry() {
+    let fleet = start().await;
+    let first = order(&fleet, 0, Some("key-1"), "bay 1").await;
+    let second = order(&fleet, 1, Some("key-1"), "bay 1").await;
+    assert_eq!(
+        (outcome(&first), outcome(&second)),
+        ("completed", "completed")
+    );
+    assert_eq!(first.body, second.body);
+    assert_eq!(fleet.site.service.fake.runs(), 1);
+    let reused = order(&fleet, 1, Some("key-1"), "bay 2").await;
+    assert_eq!((reused.status, outcome(&reused)), (409, "not_run"));
+    assert_eq!(reused.error_code(), "key_reused");
+    assert_eq!(fleet.site.service.fake.runs(), 1);
+    fleet.stop().await;
+}
+
+#[tokio::test]
+async fn test_key_outlives_a_killed_agent() {
+    let mut fleet = start().await;
+    let binary = Path::new(env!("CARGO_BIN_EXE_jujubewalld"));
+    fleet
+        .site
+        .service
+        .fake
+        .set_faults(|faults| faults.lose_next_replies = 1);
+    let first = order(&fleet, 0, Some("key-2"), "bay 3").await;
+    assert_eq!(outcome(&first), "unknown");
+    let mut agent = fleet.agents.pop().expect("the service has an agent");
+    agent.signal(Signal::Kill);
+    assert!(!agent.wait().await);
+    fleet.agents.push(agent.restart(binary));
+    let agent = fleet.agents.last().expect("the service has an agent");
+    agent.wait_until_ready().await;
+    eventually("the entry knows the new process", async || {
+        let answer = order(&fleet, 0, None, "probe").await;
+        outcome(&answer) == "completed"
+    })
+    .await;
+    let repeated = order(&fleet, 1, Some("key-2"), "bay 3").await;
+    assert_ne!(outcome(&repeated), "not_run");
+    assert_eq!(fleet.site.service.fake.runs_of_body(b"bay 3"), 1);
+}
+
+#[tokio::test]
+async fn test_paused_agent_neither_doubles_nor_falsifies() {
+    let fleet = start().await;
+    let agent = fleet.agents.last().expect("the service has an agent");
+    agent.signal(Signal::Pause);
+    let told = order(&fleet, 0, Some("key-3"), "bay 4").await;
+    agent.signal(Signal::Resume);
+    let repeated = order(&fleet, 0, Some("key-3"), "bay 4").await;
+    let runs = fleet.site.service.fake.runs_of_body(b"bay 4");
+    assert!(runs <= 1, "the order ran {runs} times");
+    if outcome(&told) == "not_run" && outcome(&repeated) == "not_run" {
+        assert_eq!(runs, 0);
+    }
+    if outcome(&repeated) == "completed" {
+        assert_eq!(runs, 1);
+    }
+}
+
+#[tokio::test]
+async fn test_order_without_an_agent_is_refused_at_once() {
+    let mut fleet = start().await;
+    let mut agent = fleet.agents.pop().expect("the service has an agent");
+    agent.signal(Signal::Kill);
+    agent.wait().await;
+    eventually("the agent is known to be gone", async || {
+        let status = fleet.operator(0).get("/admin/v1/status").await;
+        let status = status.expect("the entry answers").json();
+        status["unreachable"]
+            .as_array()
+            .is_some_and(|gone| !gone.is_empty())
+    })
+    .await;
+    let started = Instant::now();
+    let answer = order(&fleet, 0, None, "bay 5").await;
+    assert_eq!((outcome(&answer), answer.status), ("not_run", 503));
+    assert!(answer.retry_after_s.is_some());
+    assert!(
+        started.elapsed() < ANSWER_MARGIN,
+        "the refusal is held back"
+    );
+    assert_eq!(fleet.site.service.fake.runs(), 0);
+}
+
+#[tokio::test]
+async fn test_outage_of_the_key_value_service_never_doubles_an_order() {
+    let fleet = start().await;
+    let first = order(&fleet, 0, Some("key-4"), "bay 6").await;
+    assert_eq!(outcome(&first), "completed");
+    let key_value = &fleet.site.key_value;
+    key_value.set_faults(|faults| faults.outage = Outage::Silent);
+    let during = order(&fleet, 1, Some("key-4"), "bay 6").await;
+    let fresh = order(&fleet, 1, Some("key-5"), "bay 7").await;
+    key_value.set_faults(|faults| faults.outage = Outage::None);
+    assert_eq!(fleet.site.service.fake.runs_of_body(b"bay 6"), 1);
+    let runs = fleet.site.service.fake.runs_of_body(b"bay 7");
+    let is_true = match outcome(&fresh) {
+        "completed" => runs == 1,
+        "not_run" => runs == 0,
+        _ => runs <= 1,
+    };
+    assert!(is_true, "{} after {runs} runs", outcome(&fresh));
+    assert_ne!(outcome(&during), "not_run", "the order has run before");
+}
--- a/testutils/src/daemon.rs
+++ b/testutils/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 pub struct DaemonProcess {
     child: Child,
     settings: Value,
+    settings_path: PathBuf,
 }
 
 impl DaemonProcess {
@@ -48,10 +50,21 @@
             .expect("the daemon can be started");
         Self {
             child,
+            settings_path: settings.to_owned(),
             settings: serde_json::from_str(&text).expect("the settings are JSON"),
         }
     }
 
+    /// Starts the same daemon again after it has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be started.
+    #[must_use]
+    pub fn restart(self, binary: &Path) -> Self {
+        Self::spawn(binary, &self.settings_path)
+    }
+
     /// Returns the address of one of the daemon's interfaces, such as `caller_address`.
     ///
     /// # Panics
