daemon: tell waiting calls that their agent was replaced; split the entry's actor

Messages, handlers and state each have a file. A call whose agent comes back with a higher incarnation is answered unknown at once instead of at its deadline.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -5,6 +5,8 @@
 mod calls;
 pub mod completion;
 mod credentials;
+mod handlers;
+pub mod messages;
 pub mod operators;
 mod reply;
 mod routes;
--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -5,11 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jujubewall_protocol::call::CallResult;
-use jujubewall_protocol::limit::LimitMessage;
-use jujubewall_protocol::stream::Route;
 use jujubewall_protocol::stream::StreamId;
-use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_protocol::stream::Token;
 use jujubewall_routing::admission::AccountLimits;
 use jujubewall_routing::admission::AddressedLimitMessage;
@@ -19,7 +15,6 @@
 use jujubewall_routing::order::action::EntryOrderAction;
 use jujubewall_routing::order::entry::AgentTarget;
 use jujubewall_routing::order::entry::EntryOrders;
-use jujubewall_routing::order::entry::NewCall;
 use jujubewall_routing::order::invariant::OrderInvariant;
 use jujubewall_routing::order::settings::EntryOrderSettings;
 use jujubewall_routing::stream::action::EntryAction;
@@ -35,23 +30,22 @@
 use jujubewall_types::id::Attempt;
 use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
-use jujubewall_types::id::ModelName;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::UpstreamName;
-use jujubewall_types::priority::Priority;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
 use kameo::error::Infallible;
-use kameo::message::Context;
-use kameo::message::Message as Handle;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::alarm::Alarm;
 use crate::entry::calls::PendingCalls;
+use crate::entry::messages::LimitTick;
+use crate::entry::messages::StartStream;
+use crate::entry::messages::StartedStream;
+use crate::entry::messages::Wake;
 use crate::entry::reply::StreamEvent;
 use crate::entry::routes;
 use crate::entry::view::View;
@@ -81,124 +75,30 @@
 
 /// Owns the streams and calls of an entry.
 pub struct EntryActor {
-    network: Network,
-    members: Members,
-    metrics: Arc<Metrics>,
-    streams: EntryStreams,
-    chooser: PipelineChooser,
-    view: Arc<View>,
-    sinks: HashMap<RequestId, Sink>,
-    calls: PendingCalls,
-    orders: EntryOrders,
-    limits: AccountLimits,
-    is_draining: bool,
-    alarm: Alarm,
+    pub(super) network: Network,
+    pub(super) members: Members,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) streams: EntryStreams,
+    pub(super) chooser: PipelineChooser,
+    pub(super) view: Arc<View>,
+    pub(super) sinks: HashMap<RequestId, Sink>,
+    pub(super) calls: PendingCalls,
+    pub(super) orders: EntryOrders,
+    pub(super) limits: AccountLimits,
+    pub(super) is_draining: bool,
+    pub(super) alarm: Alarm,
 }
 
 /// Where the events of a stream go.
-struct Sink {
-    events: mpsc::UnboundedSender<StreamEvent>,
-    started_at: Instant,
-    has_token: bool,
-    choice: ChoiceRequest,
+pub(super) struct Sink {
+    pub(super) events: mpsc::UnboundedSender<StreamEvent>,
+    pub(super) started_at: Instant,
+    pub(super) has_token: bool,
+    pub(super) choice: ChoiceRequest,
 }
 
-/// A caller's request for an answer.
-#[derive(Debug)]
-pub struct StartStream {
-    /// The account that pays.
-    pub account: AccountName,
-    /// The model.
-    pub model: ModelName,
-    /// The prompt.
-    pub prompt: Vec<Token>,
-    /// The number of tokens to generate.
-    pub max_answer_tokens: u32,
-    /// The priority.
-    pub priority: Priority,
-    /// When the caller gives up.
-    pub deadline: Instant,
-}
-
-/// A stream that has been started.
-#[derive(Debug)]
-pub struct StartedStream {
-    /// The request.
-    pub request: RequestId,
-    /// The pipeline that was chosen first.
-    pub route: Route,
-    /// What happens to it.
-    pub events: mpsc::UnboundedReceiver<StreamEvent>,
-}
-
-/// The caller of a stream has gone.
-#[derive(Debug)]
-pub struct CancelStream {
-    /// The request.
-    pub request: RequestId,
-}
-
-/// A message about a stream has arrived.
-#[derive(Debug)]
-pub struct StreamReceived {
-    /// The address at which the sender accepts connections.
-    pub from: SocketAddr,
-    /// The message.
-    pub message: StreamMessage,
-}
-
-/// A call that an agent is to run.
-#[derive(Debug)]
-pub struct StartCall {
-    /// The address of the agent.
-    pub agent_address: SocketAddr,
-    /// The call.
-    pub call: Box<NewCall>,
-    /// When the caller gives up.
-    pub deadline: Instant,
-}
-
-/// The result of a call has arrived.
-#[derive(Debug)]
-pub struct CallEnded(pub CallResult);
-
-/// A peer does not answer over a new connection either.
-#[derive(Debug)]
-pub struct PeerLost(pub SocketAddr);
-
-/// Another configuration is to be applied.
-#[derive(Debug)]
-pub struct ApplyView(pub Arc<View>);
-
-/// A message about the limits of accounts has arrived.
-#[derive(Debug)]
-pub struct LimitReceived {
-    /// The sender.
-    pub from: MemberName,
-    /// The message.
-    pub message: LimitMessage,
-}
-
-/// The period of the sharing of limits has passed.
-struct LimitTick;
-
-/// The states of the agents have changed.
-#[derive(Debug)]
-pub struct MembersChanged;
-
-/// Asks the entry to take no new work.
-#[derive(Debug)]
-pub struct Drain;
-
-/// Asks whether nothing is in progress.
-#[derive(Debug)]
-pub struct IsIdle;
-
-/// The alarm has rung.
-struct Wake;
-
 impl EntryActor {
-    fn start(
+    pub(super) fn start(
         &mut self,
         start: StartStream,
         actor: &ActorRef<Self>,
@@ -262,7 +162,7 @@
         })
     }
 
-    fn export_invariants(&self) {
+    pub(super) fn export_invariants(&self) {
         let invariants = self.streams.invariants();
         for invariant in StreamInvariant::ALL {
             let violations = invariants.violations(invariant);
@@ -270,12 +170,12 @@
         }
     }
 
-    fn update_engines(&mut self) {
+    pub(super) fn update_engines(&mut self) {
         let engines = routes::engine_views(&self.view, &self.members);
         self.chooser.set_engines(Instant::now(), &engines);
     }
 
-    fn take_limits(
+    pub(super) fn take_limits(
         &mut self,
         now: Instant,
         account: &AccountName,
@@ -289,7 +189,7 @@
             })
     }
 
-    fn send_limits(&self, messages: Vec<AddressedLimitMessage>) {
+    pub(super) fn send_limits(&self, messages: Vec<AddressedLimitMessage>) {
         for AddressedLimitMessage { to, message } in messages {
             if let Some(address) = self.members.address_of(&to) {
                 self.network.send(address, message);
@@ -297,7 +197,7 @@
         }
     }
 
-    fn agent(&self, address: SocketAddr) -> Result<AgentTarget, Failure> {
+    pub(super) fn agent(&self, address: SocketAddr) -> Result<AgentTarget, Failure> {
         let message = "the agent of the service is not known yet";
         let record = self.members.at(address);
         let record = record.ok_or_else(|| Failure::new(ErrorKind::NoUpstream, message))?;
@@ -307,7 +207,7 @@
         })
     }
 
-    fn check_running(&self) -> Result<(), Failure> {
+    pub(super) fn check_running(&self) -> Result<(), Failure> {
         if !self.is_draining {
             return Ok(());
         }
@@ -315,19 +215,19 @@
         Err(failure.with_retry_after_ms(DRAINING_RETRY_MS))
     }
 
-    fn carry_out(&mut self, actions: Vec<EntryAction>, actor: &ActorRef<Self>) {
+    pub(super) fn carry_out(&mut self, actions: Vec<EntryAction>, actor: &ActorRef<Self>) {
         for action in actions {
             self.carry_out_one(action, actor);
         }
         self.set_alarm();
     }
 
-    fn set_alarm(&self) {
+    pub(super) fn set_alarm(&self) {
         let wakeups = [self.streams.next_wakeup(), self.orders.next_wakeup()];
         self.alarm.set(wakeups.into_iter().flatten().min());
     }
 
-    fn carry_out_orders(&mut self, actions: Vec<EntryOrderAction>) {
+    pub(super) fn carry_out_orders(&mut self, actions: Vec<EntryOrderAction>) {
         for action in actions {
             match action {
                 EntryOrderAction::Send {
@@ -348,7 +248,7 @@
         self.set_alarm();
     }
 
-    fn carry_out_one(&mut self, action: EntryAction, actor: &ActorRef<Self>) {
+    pub(super) fn carry_out_one(&mut self, action: EntryAction, actor: &ActorRef<Self>) {
         match action {
             EntryAction::Send { to, message } => self.network.send(to, message),
             EntryAction::Deliver { request, tokens } => self.deliver(request, tokens),
@@ -365,7 +265,7 @@
         }
     }
 
-    fn deliver(&mut self, request: RequestId, tokens: SmallVec<[Token; 4]>) {
+    pub(super) fn deliver(&mut self, request: RequestId, tokens: SmallVec<[Token; 4]>) {
         let Some(sink) = self.sinks.get_mut(&request) else {
             return;
         };
@@ -378,7 +278,7 @@
         let _ = sink.events.send(StreamEvent::Tokens(tokens));
     }
 
-    fn end(&mut self, request: RequestId, event: StreamEvent) {
+    pub(super) fn end(&mut self, request: RequestId, event: StreamEvent) {
         self.limits.on_finished(Instant::now(), request);
         self.chooser
             .on_finished(Instant::now(), first_attempt(request));
@@ -388,7 +288,7 @@
         }
     }
 
-    fn repair(&mut self, need: &RouteNeed, actor: &ActorRef<Self>) {
+    pub(super) fn repair(&mut self, need: &RouteNeed, actor: &ActorRef<Self>) {
         let Some(sink) = self.sinks.get(&need.request) else {
             return;
         };
@@ -408,7 +308,7 @@
         self.carry_out(actions, actor);
     }
 
-    fn observe(&mut self, observation: &Observation) {
+    pub(super) fn observe(&mut self, observation: &Observation) {
         match observation {
             Observation::TokenGap { gap, .. } => observe(&self.metrics.token_gap, *gap),
             Observation::Recovered {
@@ -430,7 +330,12 @@
         }
     }
 
-    fn on_refused(&mut self, request: RequestId, upstream: &UpstreamName, failure: &Failure) {
+    pub(super) fn on_refused(
+        &mut self,
+        request: RequestId,
+        upstream: &UpstreamName,
+        failure: &Failure,
+    ) {
         let Some(sink) = self.sinks.get(&request) else {
             return;
         };
@@ -443,7 +348,7 @@
 /// The time after which a caller may ask another entry.
 const DRAINING_RETRY_MS: u64 = 1_000;
 
-fn first_attempt(request: RequestId) -> StreamId {
+pub(super) fn first_attempt(request: RequestId) -> StreamId {
     StreamId {
         request,
         attempt: Attempt(0),
@@ -500,155 +405,6 @@
     }
 }
 
-impl Handle<StartStream> for EntryActor {
-    type Reply = Result<StartedStream, Failure>;
-
-    async fn handle(
-        &mut self,
-        start: StartStream,
-        context: &mut Context<Self, Self::Reply>,
-    ) -> Self::Reply {
-        let actor = context.actor_ref().clone();
-        self.start(start, &actor)
-    }
-}
-
-impl Handle<CancelStream> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, cancel: CancelStream, context: &mut Context<Self, ()>) {
-        let now = Instant::now();
-        self.limits.on_finished(now, cancel.request);
-        self.chooser.on_finished(now, first_attempt(cancel.request));
-        if self.sinks.remove(&cancel.request).is_some() {
-            self.metrics.in_flight.dec();
-        }
-        let actions = self.streams.cancel(now, cancel.request);
-        self.carry_out(actions, context.actor_ref());
-    }
-}
-
-impl Handle<StreamReceived> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, received: StreamReceived, context: &mut Context<Self, ()>) {
-        let actions = self
-            .streams
-            .on_message(Instant::now(), received.from, received.message);
-        self.carry_out(actions, context.actor_ref());
-    }
-}
-
-impl Handle<StartCall> for EntryActor {
-    type Reply = Result<oneshot::Receiver<CallResult>, Failure>;
-
-    async fn handle(
-        &mut self,
-        start: StartCall,
-        _: &mut Context<Self, Self::Reply>,
-    ) -> Self::Reply {
-        self.check_running()?;
-        let now = Instant::now();
-        let agent = self.agent(start.agent_address)?;
-        self.take_limits(now, &start.call.account, start.call.request)?;
-        let receiver = self.calls.start(start.call.request);
-        let actions = self.orders.start(now, agent, *start.call, start.deadline);
-        self.carry_out_orders(actions);
-        Ok(receiver)
-    }
-}
-
-impl Handle<CallEnded> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, ended: CallEnded, _: &mut Context<Self, ()>) {
-        let actions = self.orders.on_result(ended.0);
-        self.carry_out_orders(actions);
-    }
-}
-
-impl Handle<PeerLost> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, lost: PeerLost, context: &mut Context<Self, ()>) {
-        let actions = self.streams.on_peer_lost(Instant::now(), lost.0);
-        self.carry_out(actions, context.actor_ref());
-        let actions = self.orders.on_connection_lost(lost.0);
-        self.carry_out_orders(actions);
-    }
-}
-
-impl Handle<ApplyView> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, apply: ApplyView, _: &mut Context<Self, ()>) {
-        self.view = apply.0;
-        self.limits
-            .set_accounts(Instant::now(), &self.view.account_limits());
-        self.update_engines();
-    }
-}
-
-impl Handle<MembersChanged> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: MembersChanged, _: &mut Context<Self, ()>) {
-        self.limits
-            .set_members(Instant::now(), &self.members.live_entries());
-        self.update_engines();
-    }
-}
-
-impl Handle<Drain> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Drain, _: &mut Context<Self, ()>) {
-        self.is_draining = true;
-    }
-}
-
-impl Handle<IsIdle> for EntryActor {
-    type Reply = bool;
-
-    async fn handle(&mut self, _: IsIdle, _: &mut Context<Self, bool>) -> bool {
-        self.sinks.is_empty() && self.calls.is_empty()
-    }
-}
-
-impl Handle<Wake> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: Wake, context: &mut Context<Self, ()>) {
-        let now = Instant::now();
-        let actions = self.streams.on_tick(now);
-        self.carry_out(actions, context.actor_ref());
-        let actions = self.orders.on_tick(now);
-        self.carry_out_orders(actions);
-    }
-}
-
-impl Handle<LimitReceived> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, received: LimitReceived, _: &mut Context<Self, ()>) {
-        let now = Instant::now();
-        let messages = self
-            .limits
-            .on_message(now, &received.from, received.message);
-        self.send_limits(messages);
-    }
-}
-
-impl Handle<LimitTick> for EntryActor {
-    type Reply = ();
-
-    async fn handle(&mut self, _: LimitTick, _: &mut Context<Self, ()>) {
-        let messages = self.limits.on_tick(Instant::now());
-        self.send_limits(messages);
-        self.export_invariants();
-    }
-}
-
 async fn tick_limits(period: Duration, actor: WeakActorRef<EntryActor>) {
     loop {
         tokio::time::sleep(period).await;
--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -39,13 +39,13 @@
 use tokio::time::timeout;
 
 use crate::entry::actor::EntryActor;
-use crate::entry::actor::StartCall;
-use crate::entry::actor::StartStream;
 use crate::entry::calls::unknown_result;
 use crate::entry::completion::AnswerHead;
 use crate::entry::completion::CompletionRequest;
 use crate::entry::completion::Form;
 use crate::entry::credentials;
+use crate::entry::messages::StartCall;
+use crate::entry::messages::StartStream;
 use crate::entry::reply;
 use crate::entry::reply::StreamEvents;
 use crate::entry::view::View;
--- a/daemon/src/entry/reply.rs
+++ b/daemon/src/entry/reply.rs
@@ -15,9 +15,9 @@
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 
-use crate::entry::actor::CancelStream;
 use crate::entry::actor::EntryActor;
 use crate::entry::completion::AnswerHead;
+use crate::entry::messages::CancelStream;
 use crate::server::answer;
 use crate::server::answer::Answer;
 use crate::server::sse;
--- a/daemon/src/membership/actor.rs
+++ b/daemon/src/membership/actor.rs
@@ -20,6 +20,7 @@
 use jujubewall_routing::membership::MembershipActions;
 use jujubewall_routing::membership::MembershipInvariant;
 use jujubewall_routing::membership::MembershipSettings;
+use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::Revision;
 use jujubewall_types::member::MemberState;
 use kameo::Actor;
@@ -48,6 +49,8 @@
 pub enum MembershipEvent {
     /// The list of members has changed.
     Changed,
+    /// The member at an address is alive with this incarnation.
+    Alive(SocketAddr, Incarnation),
     /// The member at an address is gone.
     Lost(SocketAddr),
     /// The platform lists this process's host as leaving.
@@ -146,8 +149,14 @@
     async fn on_changed(&mut self, change: &MemberChange) {
         let record = &change.record;
         info!("member {} is {}", record.member, record.state);
-        if record.state == MemberState::Dead {
-            self.tell(MembershipEvent::Lost(record.peer_address)).await;
+        let address = record.peer_address;
+        match record.state {
+            MemberState::Alive => {
+                let event = MembershipEvent::Alive(address, record.incarnation);
+                self.tell(event).await;
+            }
+            MemberState::Dead => self.tell(MembershipEvent::Lost(address)).await,
+            MemberState::Suspect | MemberState::Leaving => {}
         }
     }
 
--- a/daemon/src/process/dispatch.rs
+++ b/daemon/src/process/dispatch.rs
@@ -11,6 +11,7 @@
 use jujubewall_protocol::message::Message;
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_types::config::Configuration;
+use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use kameo::actor::ActorRef;
@@ -20,8 +21,8 @@
 
 use crate::agent::actor as agent;
 use crate::agent::actor::AgentActor;
-use crate::entry::actor as entry;
 use crate::entry::actor::EntryActor;
+use crate::entry::messages as entry;
 use crate::entry::view::View;
 use crate::membership::actor::MemberReceived;
 use crate::membership::actor::MembershipEvent;
@@ -80,6 +81,13 @@
         }
     }
 
+    async fn on_peer_alive(&self, peer: SocketAddr, incarnation: Incarnation) {
+        if let Self::Entry(actor) = self {
+            let alive = entry::PeerAlive { peer, incarnation };
+            let _ = actor.tell(alive).send().await;
+        }
+    }
+
     async fn on_members_changed(&self) {
         if let Self::Entry(actor) = self {
             let _ = actor.tell(entry::MembersChanged).send().await;
@@ -134,6 +142,9 @@
     while let Some(event) = events.recv().await {
         match event {
             MembershipEvent::Changed => role.on_members_changed().await,
+            MembershipEvent::Alive(peer, incarnation) => {
+                role.on_peer_alive(peer, incarnation).await;
+            }
             MembershipEvent::Lost(peer) => role.on_peer_lost(peer).await,
             MembershipEvent::OwnHostLeaving => {
                 role.on_own_host_leaving(Instant::now() + drain_grace).await;
