--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of jujubewall, one subcommand each.
 
+mod orders;
 mod throughput;
 
 use argh::FromArgs;
@@ -15,12 +16,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
 }
 
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
     }
 }
--- a/routing/src/order/key.rs
+++ b/routing/src/order/key.rs
@@ -5,10 +5,12 @@
 use jujubewall_types::digest::Digest;
 use jujubewall_types::id::AccountName;
 use jujubewall_types::id::ServiceName;
+use jujubewall_types::id::UpstreamName;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
+use twox_hash::XxHash64;
 
 /// The number of bytes of a digest that name a key.
 const KEY_BYTES: usize = 16;
@@ -48,6 +50,19 @@
         Self { service, shard }
     }
 
+    /// Returns the upstream whose agent should claim the keys of this shard.
+    ///
+    /// Any agent may claim any key. When the keys of a shard go to the same
+    /// one, its writes do not conflict with those of others.
+    pub fn preferred<'a>(
+        &self,
+        upstreams: impl IntoIterator<Item = &'a UpstreamName>,
+    ) -> Option<&'a UpstreamName> {
+        let seed = XxHash64::oneshot(0, self.prefix().as_bytes());
+        let rank = |upstream: &&UpstreamName| XxHash64::oneshot(seed, upstream.as_str().as_bytes());
+        upstreams.into_iter().max_by_key(rank)
+    }
+
     /// Returns the prefix of every key that the shard has in the key-value service.
     pub fn prefix(&self) -> SmolStr {
         format_smolstr!("orders/{}/{:03}/", self.service, self.shard)
