--- a/bench/src/throughput/world.rs
+++ b/bench/src/throughput/world.rs
@@ -827,19 +827,14 @@
         known.state = StreamState::Opening;
         let (entry, attempt) = (known.entry, known.attempt);
         let account = scenario::account(known.account);
-        match self.entries[entry]
-            .retries
-            .try_retry(&account, failed, RetryCause::Refusal)
-        {
-            Ok(delay) => {
-                self.measured.retries += 1;
-                self.after(micros(delay), Event::Choose { stream, attempt });
-            }
-            Err(_) => {
-                let now = self.now();
-                self.entries[entry].gate.on_refused(now);
-                self.give_up(stream);
-            }
+        let retries = &mut self.entries[entry].retries;
+        if let Ok(delay) = retries.try_retry(&account, failed, RetryCause::Refusal) {
+            self.measured.retries += 1;
+            self.after(micros(delay), Event::Choose { stream, attempt });
+        } else {
+            let now = self.now();
+            self.entries[entry].gate.on_refused(now);
+            self.give_up(stream);
         }
     }
 
