--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -82,8 +82,6 @@
     pub async fn start(checked: &CheckedSettings) -> eyre::Result<Self> {
         let settings = checked.settings();
         let (shared, events) = Shared::start(settings)?;
-        let (is_serving, serving) = watch::channel(true);
-        let monitoring = monitoring::start(settings, &shared.metrics, serving).await?;
         let role = match checked.role() {
             RoleSettings::Entry {
                 caller_address,
@@ -102,6 +100,9 @@
             role.actor(),
             drain_grace,
         ));
+        // A process that answers monitoring has bound all of its sockets.
+        let (is_serving, serving) = watch::channel(true);
+        let monitoring = monitoring::start(settings, &shared.metrics, serving).await?;
         info!("{} {} serves", settings.role, settings.member);
         Ok(Self {
             shared,
