--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod membership;
 mod notes;
+mod orders;
 mod throughput;
 
 use argh::FromArgs;
@@ -18,6 +19,7 @@
 #[argh(subcommand)]
 enum Command {
     Notes(notes::NotesCommand),
+    Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
 }
@@ -26,6 +28,7 @@
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Notes(command) => command.run(),
+        Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
     }
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -26,10 +26,10 @@
 use crate::agent::actor::AgentArgs;
 use crate::agent::orders::OrdersActor;
 use crate::agent::orders::OrdersArgs;
-use crate::entry::actor as entry;
 use crate::entry::actor::EntryActor;
 use crate::entry::actor::EntryArgs;
 use crate::entry::callers::Callers;
+use crate::entry::messages as entry;
 use crate::entry::operators::Operators;
 use crate::membership::actor::AnnounceLeaving;
 use crate::metrics::Metrics;
@@ -82,8 +82,6 @@
     pub async fn start(checked: &CheckedSettings) -> eyre::Result<Self> {
         let settings = checked.settings();
         let (shared, events) = Shared::start(settings)?;
-        let (is_serving, serving) = watch::channel(true);
-        let monitoring = monitoring::start(settings, &shared.metrics, serving).await?;
         let role = match checked.role() {
             RoleSettings::Entry {
                 caller_address,
@@ -102,6 +100,9 @@
             role.actor(),
             drain_grace,
         ));
+        // A process that answers monitoring has bound all of its sockets.
+        let (is_serving, serving) = watch::channel(true);
+        let monitoring = monitoring::start(settings, &shared.metrics, serving).await?;
         info!("{} {} serves", settings.role, settings.member);
         Ok(Self {
             shared,
@@ -219,6 +220,7 @@
     let callers = Callers {
         actor: actor.clone(),
         view: view.clone(),
+        members: shared.members.clone(),
         metrics: Arc::clone(&shared.metrics),
         limits: limits::bodies(settings, settings.limits.max_body_bytes),
         own_address: shared.network.own_address(),
