audit: name the operator in the answer

The trail is to say who submitted a note; the record had it, the answer named only the partner. The answer's sequence is the revision, and its doc says so.

--- a/cli/src/render/audit.rs
+++ b/cli/src/render/audit.rs
@@ -28,6 +28,7 @@
         sequence,
         unix_ms,
         partner,
+        submitted_by,
         note,
         ..
     } = record;
@@ -37,7 +38,10 @@
         NoteAnswer::Unknown { .. } => "unknown".to_owned(),
     };
     // Writing to a string cannot fail.
-    let _ = writeln!(text, "{sequence} {unix_ms} ms {partner} {note}: {result}");
+    let _ = writeln!(
+        text,
+        "{sequence} {unix_ms} ms {partner}/{submitted_by} {note}: {result}"
+    );
     if let NoteAnswer::Refused { clashes } = &record.answer {
         for clash in clashes {
             let _ = writeln!(text, "  {}: {}", clash.item, clash.message);
--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -169,8 +169,8 @@
     });
     let record = |sequence: u64, answer: Value, changes: Value| {
         json!({
-            "sequence": sequence, "unix_ms": 1000, "partner": "trust", "note": "note-7",
-            "note_digest": "00".repeat(32), "answer": answer, "changes": changes,
+            "sequence": sequence, "unix_ms": 1000, "partner": "trust",
+            "submitted_by": "key-0a1b2c3d", "note": "note-7", "note_digest": "00".repeat(32), "answer": answer, "changes": changes,
         })
     };
     let accepted = record(
--- a/types/src/admin.rs
+++ b/types/src/admin.rs
@@ -246,12 +246,14 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct AuditRecord {
-    /// The number of the record; numbers have no gaps until records are pruned.
+    /// The revision that an accepted note led to or that a refused one was evaluated against.
     pub sequence: u64,
     /// The time of the decision, in milliseconds since the Unix epoch.
     pub unix_ms: u64,
     /// The partner that submitted the note.
     pub partner: PartnerName,
+    /// The operator, as named by the key that was used.
+    pub submitted_by: SmolStr,
     /// The identifier of the note.
     pub note: NoteId,
     /// The digest of the note's content.
