--- a/control/src/shard.rs
+++ b/control/src/shard.rs
@@ -22,7 +22,7 @@
 
 /// Returns the number of shards of the items of `kind`.
 ///
-/// At 4,100 upstreams of about 450 bytes a chunk has some 14 KB.
+/// With 4,100 upstreams a chunk of upstreams has some 12 KB.
 pub const fn shard_count(kind: ItemKind) -> u16 {
     match kind {
         ItemKind::Model | ItemKind::Adapter => 16,
