--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod membership;
 mod orders;
+mod overhead;
 mod throughput;
 
 use argh::FromArgs;
@@ -20,6 +21,7 @@
     Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
+    Overhead(overhead::OverheadCommand),
 }
 
 fn main() -> eyre::Result<()> {
@@ -28,5 +30,6 @@
         Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
+        Command::Overhead(command) => command.run(),
     }
 }
