--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of jujubewall, one subcommand each.
 
 mod membership;
+mod notes;
 mod orders;
 mod overhead;
 mod throughput;
@@ -18,6 +19,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Notes(notes::NotesCommand),
     Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
@@ -27,6 +29,7 @@
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Notes(command) => command.run(),
         Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
