routing, daemon: let entries alone read the host list, more often

Every process read the list every 2 s: 600 calls/s at 1,200 processes, and new work went to a host that only the list names for up to 2 s after the list did, where 1 s is the target. Entries now read it every 500 ms, and so does a process that has not joined; others learn of a leaving host by its own word. A member whose host is listed as leaving is told at each reading, since one message can be lost, and acts on the first. Addresses that left the list are no longer kept as candidates.

--- a/daemon/src/membership/actor.rs
+++ b/daemon/src/membership/actor.rs
@@ -42,7 +42,7 @@
 use crate::network::Network;
 
 /// The time between two reads of the host list.
-const HOST_LIST_INTERVAL: Duration = Duration::from_secs(2);
+const HOST_LIST_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What the rest of the process is told about the members.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -112,6 +112,9 @@
 /// The period of membership has passed.
 struct Tick;
 
+/// Asks whether this process should read the host list.
+struct ReadsHostList;
+
 /// The host list has been read.
 struct HostsRead(Vec<HostRecord>);
 
@@ -220,20 +223,31 @@
     }
 }
 
+/// Reads the host list from time to time while it is this process's task.
 async fn read_hosts(host_list: Arc<dyn HostList>, actor: WeakActorRef<MembershipActor>) {
-    loop {
-        if let Ok(hosts) = host_list.hosts().await {
-            let Some(actor) = actor.upgrade() else {
-                return;
-            };
-            if actor.tell(HostsRead(hosts)).send().await.is_err() {
-                return;
-            }
+    while let Some(is_task) = ask_whether_to_read(&actor).await {
+        if is_task {
+            read_hosts_once(&*host_list, &actor).await;
         }
         sleep(HOST_LIST_INTERVAL).await;
     }
 }
 
+/// Returns `None` when the actor has stopped.
+async fn ask_whether_to_read(actor: &WeakActorRef<MembershipActor>) -> Option<bool> {
+    actor.upgrade()?.ask(ReadsHostList).send().await.ok()
+}
+
+async fn read_hosts_once(host_list: &dyn HostList, actor: &WeakActorRef<MembershipActor>) {
+    let Ok(hosts) = host_list.hosts().await else {
+        return;
+    };
+    if let Some(actor) = actor.upgrade() {
+        // The process stops if the actor has stopped.
+        let _ = actor.tell(HostsRead(hosts)).send().await;
+    }
+}
+
 impl Actor for MembershipActor {
     type Args = MembershipArgs;
     type Error = Infallible;
@@ -316,6 +330,14 @@
     }
 }
 
+impl Handle<ReadsHostList> for MembershipActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: ReadsHostList, _: &mut Context<Self, bool>) -> bool {
+        self.membership.reads_host_list()
+    }
+}
+
 impl Handle<HostsRead> for MembershipActor {
     type Reply = ();
 
@@ -328,13 +350,6 @@
                 is_leaving: host.state == HostState::Leaving,
             })
             .collect();
-        let own_address = self.network.own_address();
-        let others: Vec<_> = hosts
-            .iter()
-            .map(|host| host.peer_address)
-            .filter(|address| *address != own_address)
-            .collect();
-        self.membership.add_candidates(&others);
         let actions = self.membership.on_host_list(Instant::now(), &hosts);
         self.carry_out(actions).await;
     }
--- a/routing/src/membership/host_list.rs
+++ b/routing/src/membership/host_list.rs
@@ -1,10 +1,12 @@
 //! The word of the platform's host list, which lags behind the truth.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use jujubewall_protocol::member::MemberMessage;
 use jujubewall_protocol::member::MemberRecord;
 use jujubewall_types::member::MemberState;
+use jujubewall_types::member::Role;
 use tokio::time::Instant;
 
 use super::action::MembershipAction;
@@ -30,18 +32,27 @@
     /// process is told. A host that has left the list is no reason to give up a
     /// member that answers, but it ends the wait for one that does not.
     pub fn on_host_list(&mut self, now: Instant, hosts: &[ListedHost]) -> MembershipActions {
+        let is_live = |host: &&ListedHost| !host.is_leaving;
+        let live = hosts.iter().filter(is_live);
+        self.listed = live.map(|host| host.peer_address).collect();
+        let members = self.table.by_address();
         for host in hosts {
-            self.take_listed(host);
+            self.take_listed(host, &members);
         }
         self.take_unlisted(now, hosts);
         self.finish()
     }
 
-    fn take_listed(&mut self, host: &ListedHost) {
-        if !host.is_leaving {
-            self.candidates.insert(host.peer_address);
-        }
-        let Some(key) = self.table.find_address(host.peer_address) else {
+    /// Returns whether this process should read the host list.
+    ///
+    /// Entries do, since they choose where new work goes, and a process that
+    /// looks for the others. So the calls do not grow with the hosts.
+    pub fn reads_host_list(&self) -> bool {
+        !self.has_joined || self.own_record().role == Role::Entry
+    }
+
+    fn take_listed(&mut self, host: &ListedHost, members: &HashMap<SocketAddr, MemberKey>) {
+        let Some(key) = members.get(&host.peer_address).copied() else {
             return;
         };
         let entry = &mut self.table.entries[key];
@@ -51,15 +62,33 @@
         } else {
             Listing::Live
         };
-        if before == entry.effective_state() {
-            return;
+        let is_unaware = matches!(
+            entry.record.state,
+            MemberState::Alive | MemberState::Suspect
+        );
+        if host.is_leaving && is_unaware {
+            self.tell_host_leaving(key);
+        }
+        if before != self.table.entries[key].effective_state() {
+            self.tell_change(key, Some(before));
         }
+    }
+
+    /// Tells a member, again at each reading until it says itself that it leaves.
+    fn tell_host_leaving(&mut self, key: MemberKey) {
         if key == self.own {
-            self.actions.push(MembershipAction::OwnHostLeaving);
-        } else if host.is_leaving {
+            self.note_host_leaving();
+        } else {
             self.send_to(key, MemberMessage::HostLeaving);
         }
-        self.tell_change(key, Some(before));
+    }
+
+    /// Notes, once, that the platform lists this process's host as leaving.
+    pub(super) fn note_host_leaving(&mut self) {
+        if !self.is_host_leaving {
+            self.is_host_leaving = true;
+            self.actions.push(MembershipAction::OwnHostLeaving);
+        }
     }
 
     fn take_unlisted(&mut self, now: Instant, hosts: &[ListedHost]) {
@@ -74,7 +103,6 @@
             .collect();
         for key in gone {
             let entry = &self.table.entries[key];
-            self.candidates.remove(&entry.record.peer_address);
             if entry.suspicion.is_some() && entry.record.state != MemberState::Dead {
                 let claim = MemberRecord {
                     state: MemberState::Dead,
--- a/routing/src/membership/join.rs
+++ b/routing/src/membership/join.rs
@@ -88,6 +88,7 @@
             .collect();
         known.sort_unstable();
         let is_unknown = |address: &&SocketAddr| known.binary_search(address).is_err();
-        self.candidates.iter().filter(is_unknown).copied().collect()
+        let expected = self.candidates.union(&self.listed);
+        expected.filter(is_unknown).copied().collect()
     }
 }
--- a/routing/src/membership/machine.rs
+++ b/routing/src/membership/machine.rs
@@ -47,8 +47,11 @@
     pub(super) schedule: Schedule,
     /// Addresses at which other members may be.
     pub(super) candidates: BTreeSet<SocketAddr>,
+    /// The addresses that the platform listed as live when last read.
+    pub(super) listed: BTreeSet<SocketAddr>,
     pub(super) has_joined: bool,
     pub(super) is_link_suspect: bool,
+    pub(super) is_host_leaving: bool,
     /// The members that have to refute in time, and some that have done so.
     pub(super) suspects: Vec<MemberKey>,
     /// The place among the watched members of the next one to probe.
@@ -90,8 +93,10 @@
                 last_tick: now,
             },
             candidates: candidates.iter().copied().collect(),
+            listed: BTreeSet::new(),
             has_joined: false,
             is_link_suspect: false,
+            is_host_leaving: false,
             suspects: Vec::new(),
             probe_turn: 0,
             digest_turn: 0,
--- a/routing/src/membership/receive.rs
+++ b/routing/src/membership/receive.rs
@@ -9,7 +9,6 @@
 use jujubewall_types::member::MemberState;
 use tokio::time::Instant;
 
-use super::action::MembershipAction;
 use super::action::MembershipActions;
 use super::claim::supersedes;
 use super::digest::bucket_of;
@@ -70,7 +69,7 @@
                 }
                 self.merge_all(now, records, Spread::Yes);
             }
-            MemberMessage::HostLeaving => self.actions.push(MembershipAction::OwnHostLeaving),
+            MemberMessage::HostLeaving => self.note_host_leaving(),
         }
     }
 
--- a/routing/src/membership/table.rs
+++ b/routing/src/membership/table.rs
@@ -1,5 +1,6 @@
 //! The arena of members with its indices.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -46,12 +47,14 @@
         self.by_name.get(name).copied()
     }
 
-    /// Returns the member that was last known to accept connections at an address.
-    pub(super) fn find_address(&self, address: SocketAddr) -> Option<MemberKey> {
-        let is_there = |(_, entry): &(MemberKey, &Entry)| entry.record.peer_address == address;
-        let mut found = self.entries.iter().filter(is_there).collect::<Vec<_>>();
-        found.sort_by_key(|(_, entry)| entry.record.state);
-        found.first().map(|(key, _)| *key)
+    /// Returns the members by the address at which they accept connections.
+    ///
+    /// Of several that were known at one address, the most alive one counts.
+    pub(super) fn by_address(&self) -> HashMap<SocketAddr, MemberKey> {
+        let mut members: Vec<_> = self.entries.iter().collect();
+        members.sort_by_key(|(_, entry)| Reverse(entry.record.state));
+        let place = |(key, entry): (MemberKey, &Entry)| (entry.record.peer_address, key);
+        members.into_iter().map(place).collect()
     }
 
     /// Replaces the claim about a member.
--- a/routing/tests/test_membership.rs
+++ b/routing/tests/test_membership.rs
@@ -512,6 +512,11 @@
         message: MemberMessage::HostLeaving,
     };
     assert!(actions.contains(&told), "the member is told");
+    let actions = membership.on_host_list(now, &[listed(true)]);
+    assert!(
+        actions.contains(&told),
+        "the member is told until it answers"
+    );
     membership.on_host_list(now, &[listed(false)]);
     assert_eq!(
         state_of(&membership, 2),
