--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of jujubewall, one subcommand each.
 
+mod recovery;
 mod throughput;
 
 use argh::FromArgs;
@@ -15,12 +16,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Recovery(recovery::RecoveryCommand),
     Throughput(throughput::ThroughputCommand),
 }
 
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Recovery(command) => command.run(),
         Command::Throughput(command) => command.run(),
     }
 }
