--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -8,7 +8,6 @@
 mod retained;
 mod stage;
 mod token_log;
-mod transfer;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/routing/src/stream/agent/stage.rs
+++ b/routing/src/stream/agent/stage/mod.rs
@@ -1,10 +1,13 @@
 //! One stage of one request.
 
+mod output;
+mod phase;
+mod transfer;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use jujubewall_protocol::stream::Checkpoint;
-use jujubewall_protocol::stream::GeneratedToken;
 use jujubewall_protocol::stream::HeldState;
 use jujubewall_protocol::stream::KvCache;
 use jujubewall_protocol::stream::OpenStream;
@@ -14,8 +17,6 @@
 use jujubewall_protocol::stream::StageFailed;
 use jujubewall_protocol::stream::StageHeld;
 use jujubewall_protocol::stream::StageOutput;
-use jujubewall_protocol::stream::Step;
-use jujubewall_protocol::stream::StreamId;
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
@@ -30,57 +31,13 @@
 use crate::stream::agent::effects::Effects;
 use crate::stream::agent::retained::RetainedOutputs;
 use crate::stream::agent::retained::end_of;
-use crate::stream::agent::retained::starting_at;
+pub use crate::stream::agent::stage::phase::Phase;
+pub use crate::stream::agent::stage::phase::Settled;
+use crate::stream::agent::stage::transfer::Transfers;
 use crate::stream::agent::token_log::TokenLog;
-use crate::stream::agent::transfer::Transfers;
 use crate::stream::invariant::StreamInvariant;
-use crate::stream::payload;
 use crate::timer::TimerSlot;
 
-/// What a stage does next.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Phase {
-    /// It waits for the word of admission.
-    Admitting,
-    /// It waits for the engine to finish a step of an attempt that is over.
-    Settling(Settled),
-    /// It has told what it holds, and waits to be resumed.
-    Opened,
-    /// It waits for a KV cache.
-    AwaitingCache {
-        /// When it gives up.
-        until: Instant,
-    },
-    /// It waits for the engine to import a KV cache.
-    Importing,
-    /// It runs steps.
-    Running,
-    /// It has stopped in favour of another stage, and only gives its cache away.
-    Quiesced,
-    /// It can run nothing in this attempt.
-    Failed,
-    /// It waits for the engine before it is forgotten.
-    Ending,
-}
-
-/// What a stage does once its engine has finished the step of an earlier attempt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Settled {
-    /// It tells the entry what it holds.
-    Opened,
-    /// It begins from the first position.
-    Restarted,
-    /// It stops in favour of another stage.
-    Quiesced {
-        /// The later attempt.
-        id: StreamId,
-        /// The index of the other stage.
-        stage: u8,
-        /// The number of tokens that the entry knows.
-        known_tokens: u32,
-    },
-}
-
 /// A step that the engine computes.
 #[derive(Clone, Debug)]
 struct RunningStep {
@@ -344,31 +301,6 @@
         self.resend(resume.send_from, chunk_positions, fx);
     }
 
-    /// Sends output from `from` on again, unless the stage waits to be resumed.
-    pub fn resend_if_running(&self, from: u32, chunk_positions: u32, fx: &mut Effects) {
-        if self.phase == Phase::Running {
-            self.resend(from, chunk_positions, fx);
-        }
-    }
-
-    /// Sends output from `from` on again.
-    fn resend(&self, from: u32, chunk_positions: u32, fx: &mut Effects) {
-        if self.is_last() {
-            self.resend_tokens(from + 1, fx);
-            return;
-        }
-        for chunk in self.outputs.replay(from, chunk_positions) {
-            self.send_output(chunk, fx);
-        }
-    }
-
-    /// Sends the tokens that take `from` and later positions again.
-    pub fn resend_tokens(&self, from: u32, fx: &mut Effects) {
-        for (position, token) in self.tokens.starting_at(from) {
-            self.send_token(position, token, fx);
-        }
-    }
-
     /// Starts the next step if the engine is free and the step's input is there.
     pub fn advance(&mut self, now: Instant, timeout: impl Fn(u32) -> Duration, fx: &mut Effects) {
         if self.phase != Phase::Running || self.is_running() {
@@ -447,74 +379,6 @@
         running.map(|step| step.deadline)
     }
 
-    fn take_token(&mut self, output: &Bytes, is_current: bool, fx: &mut Effects) {
-        let Some(token) = payload::decode_token(output) else {
-            self.truncate(0);
-            self.fail("the engine's token is malformed", fx);
-            return;
-        };
-        if self.ran < self.open.known_tokens {
-            return;
-        }
-        self.tokens.push(self.ran, token);
-        if is_current {
-            self.send_token(self.ran, token, fx);
-        }
-    }
-
-    fn take_activations(
-        &mut self,
-        step: &RunningStep,
-        output: Bytes,
-        is_current: bool,
-        fx: &mut Effects,
-    ) {
-        if !payload::is_whole(&output, step.positions) {
-            self.truncate(0);
-            self.fail("the engine's activations are malformed", fx);
-            return;
-        }
-        let chunk = StageOutput {
-            first: step.first,
-            positions: step.positions,
-            payload: output,
-        };
-        self.outputs.push(chunk.clone());
-        if is_current && let Some(part) = starting_at(&chunk, self.send_from) {
-            self.send_output(part, fx);
-        }
-    }
-
-    fn send_output(&self, chunk: StageOutput, fx: &mut Effects) {
-        let Some(next) = self.next() else {
-            return;
-        };
-        let step = Step {
-            id: self.open.id,
-            stage: self.open.stage + 1,
-            first_position: Position(chunk.first),
-            positions: chunk.positions,
-            layers_done: self.own().layers.end,
-            payload: chunk.payload,
-        };
-        fx.send(next.agent_address, StreamMessage::Step(step));
-    }
-
-    fn send_token(&self, position: u32, token: u32, fx: &mut Effects) {
-        let generated = GeneratedToken {
-            id: self.open.id,
-            position: Position(position),
-            token,
-            layers_done: self.own().layers.end,
-        };
-        fx.send(self.open.entry_address, StreamMessage::Token(generated));
-        let end = self.open.prompt_tokens + self.open.max_answer_tokens;
-        if position + 1 < end {
-            let first = self.open.route[0].agent_address;
-            fx.send(first, StreamMessage::Token(generated));
-        }
-    }
-
     fn truncate(&mut self, keep: u32) {
         self.ran = self.ran.min(keep);
         self.transfers.truncate(keep);
