routing: move KV caches in parts

A cache above the limit of one frame could not be sent, so that its import timed out and the stream was replayed. The fake engine's caches are small, so that only the test of an agent meets several parts.

--- a/protocol/src/stream.rs
+++ b/protocol/src/stream.rs
@@ -255,12 +255,28 @@
     pub id: StreamId,
     /// The index of the stage.
     pub stage: u8,
-    /// The cache.
+    /// The cache, or the part of its content that the message carries.
     pub cache: KvCache,
+    /// Which part the message carries.
+    pub part: CachePart,
     /// The stage's newest output, which the next stage may still lack.
     pub output: Option<StageOutput>,
 }
 
+/// One of the messages that together carry a KV cache.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CachePart {
+    /// The place of the part.
+    pub index: u32,
+    /// The number of parts.
+    pub count: u32,
+}
+
+impl CachePart {
+    /// The only part of a cache that fits into one message.
+    pub const WHOLE: Self = Self { index: 0, count: 1 };
+}
+
 /// Consecutive positions of a stage's output.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StageOutput {
--- a/routing/src/stream/agent/handlers.rs
+++ b/routing/src/stream/agent/handlers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jujubewall_protocol::stream::CachePart;
 use jujubewall_protocol::stream::CacheTransfer;
 use jujubewall_protocol::stream::GeneratedToken;
 use jujubewall_protocol::stream::OpenStream;
@@ -30,6 +31,7 @@
 use crate::stream::agent::stage::Phase;
 use crate::stream::agent::stage::Settled;
 use crate::stream::agent::stage::Stage;
+use crate::stream::agent::stage::transfer::send_cache;
 use crate::stream::invariant::StreamInvariant;
 use crate::stream::payload;
 
@@ -53,9 +55,10 @@
             }
             StreamMessage::Quiesce(quiesce) => self.on_quiesce(now, &quiesce),
             StreamMessage::SendCache(order) => self.on_send_cache(now, order),
-            StreamMessage::Cache(transfer) => {
-                self.update_at(now, transfer.id, transfer.stage, |stage, fx| {
-                    stage.take_cache(*transfer, fx);
+            StreamMessage::Cache(part) => {
+                let until = now + self.settings.cache_timeout();
+                self.update_at(now, part.id, part.stage, |stage, fx| {
+                    stage.take_cache_part(*part, until, fx);
                 });
             }
             StreamMessage::Checkpoint(transfer) => self.on_checkpoint(now, *transfer),
@@ -231,14 +234,14 @@
             .flatten()
             .filter_map(|&key| self.stages.get(key));
         if let Some(copy) = stages.find_map(copy_of) {
-            let transfer = Box::new(CacheTransfer {
+            let transfer = CacheTransfer {
                 id: order.id,
                 stage: order.stage,
                 cache: copy.cache,
+                part: CachePart::WHOLE,
                 output: None,
-            });
-            self.fx
-                .send(order.to_address, StreamMessage::Cache(transfer));
+            };
+            send_cache(&transfer, order.to_address, &mut self.fx);
         }
     }
 
@@ -249,9 +252,11 @@
             stage.open.route.iter().any(|other| other.layers == layers)
         };
         if let Some(key) = self.find_where(transfer.id.request, is_holder) {
-            let cache = transfer.cache;
             self.update(now, key, |stage, _| {
-                stage.copy = Some(CacheCopy { attempt, cache });
+                if let Some(whole) = stage.incoming_copy.add(transfer) {
+                    let cache = whole.cache;
+                    stage.copy = Some(CacheCopy { attempt, cache });
+                }
             });
         }
     }
--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -1,6 +1,7 @@
 //! An agent's decisions about the stages that it runs.
 
 mod arena;
+mod cache_parts;
 mod closed;
 mod early;
 mod effects;
--- a/routing/src/stream/agent/stage/mod.rs
+++ b/routing/src/stream/agent/stage/mod.rs
@@ -2,7 +2,7 @@
 
 mod output;
 mod phase;
-mod transfer;
+pub mod transfer;
 
 use std::time::Duration;
 
@@ -27,6 +27,7 @@
 use crate::stream::action::AgentAction;
 use crate::stream::action::StageStep;
 use crate::stream::agent::StageKey;
+use crate::stream::agent::cache_parts::CacheAssembly;
 use crate::stream::agent::early::WaitingSteps;
 use crate::stream::agent::effects::Effects;
 use crate::stream::agent::retained::RetainedOutputs;
@@ -71,6 +72,8 @@
     pub outputs: RetainedOutputs,
     /// A copy of another stage's KV cache.
     pub copy: Option<CacheCopy>,
+    /// The parts of the next copy.
+    pub incoming_copy: CacheAssembly,
     /// The KV caches that the stage waits for or gives away.
     pub transfers: Transfers,
     /// When a message about the stage came last.
@@ -94,6 +97,7 @@
             waiting: WaitingSteps::default(),
             outputs: RetainedOutputs::default(),
             copy: None,
+            incoming_copy: CacheAssembly::default(),
             transfers: Transfers::default(),
             heard: now,
             timer: TimerSlot::default(),
--- a/routing/src/stream/agent/stage/transfer.rs
+++ b/routing/src/stream/agent/stage/transfer.rs
@@ -1,5 +1,8 @@
 //! How a stage's KV cache moves between engines.
 
+use std::net::SocketAddr;
+
+use jujubewall_protocol::stream::CachePart;
 use jujubewall_protocol::stream::CacheTransfer;
 use jujubewall_protocol::stream::KvCache;
 use jujubewall_protocol::stream::ResumeStage;
@@ -11,6 +14,8 @@
 use tokio::time::Instant;
 
 use crate::stream::action::AgentAction;
+use crate::stream::agent::cache_parts::CacheAssembly;
+use crate::stream::agent::cache_parts::split;
 use crate::stream::agent::effects::Effects;
 use crate::stream::agent::stage::Phase;
 use crate::stream::agent::stage::Stage;
@@ -19,6 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Transfers {
     early_cache: Option<CacheTransfer>,
+    incoming: CacheAssembly,
     import: Option<Import>,
     export: Option<Export>,
     copied: u32,
@@ -43,6 +49,7 @@
     /// Forgets what belongs to an earlier attempt.
     pub fn reopen(&mut self) {
         self.early_cache = None;
+        self.incoming.clear();
         self.import = None;
     }
 
@@ -66,8 +73,18 @@
         }
     }
 
+    /// Takes a part of a KV cache; each one that comes gives the others until `until`.
+    pub fn take_cache_part(&mut self, part: CacheTransfer, until: Instant, fx: &mut Effects) {
+        if let Phase::AwaitingCache { until: awaited } = &mut self.phase {
+            *awaited = until;
+        }
+        if let Some(transfer) = self.transfers.incoming.add(part) {
+            self.take_cache(transfer, fx);
+        }
+    }
+
     /// Gives a KV cache to the engine, or keeps it until it is awaited.
-    pub fn take_cache(&mut self, transfer: CacheTransfer, fx: &mut Effects) {
+    fn take_cache(&mut self, transfer: CacheTransfer, fx: &mut Effects) {
         match self.phase {
             Phase::Opened => self.transfers.early_cache = Some(transfer),
             Phase::AwaitingCache { .. } => self.import_cache(transfer, fx),
@@ -154,27 +171,41 @@
             return;
         };
         if let Some(order) = export.order {
-            let (id, stage) = (order.id, order.stage);
-            let transfer = Box::new(CacheTransfer {
-                id,
-                stage,
+            let transfer = CacheTransfer {
+                id: order.id,
+                stage: order.stage,
                 cache,
+                part: CachePart::WHOLE,
                 output: self.outputs.newest().cloned(),
-            });
-            fx.send(order.to_address, StreamMessage::Cache(transfer));
+            };
+            send_cache(&transfer, order.to_address, fx);
             self.phase = Phase::Ending;
         } else if export.attempt == self.ran_attempt() {
-            let transfer = Box::new(CacheTransfer {
-                id: StreamId {
-                    attempt: export.attempt,
-                    ..self.open.id
-                },
-                stage: self.open.stage,
-                cache,
-                output: None,
-            });
-            let holder = self.copy_holder().agent_address;
-            fx.send(holder, StreamMessage::Checkpoint(transfer));
+            self.send_copy(export.attempt, cache, fx);
+        }
+    }
+
+    fn send_copy(&self, attempt: Attempt, cache: KvCache, fx: &mut Effects) {
+        let transfer = CacheTransfer {
+            id: StreamId {
+                attempt,
+                ..self.open.id
+            },
+            stage: self.open.stage,
+            cache,
+            part: CachePart::WHOLE,
+            output: None,
+        };
+        let holder = self.copy_holder().agent_address;
+        for part in split(&transfer) {
+            fx.send(holder, StreamMessage::Checkpoint(Box::new(part)));
         }
     }
 }
+
+/// Sends a KV cache to the agent that is to import it.
+pub fn send_cache(transfer: &CacheTransfer, to: SocketAddr, fx: &mut Effects) {
+    for part in split(transfer) {
+        fx.send(to, StreamMessage::Cache(Box::new(part)));
+    }
+}
--- a/routing/tests/test_stream_agent.rs
+++ b/routing/tests/test_stream_agent.rs
@@ -6,7 +6,11 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
+use jujubewall_protocol::stream::CachePart;
+use jujubewall_protocol::stream::CacheTransfer;
+use jujubewall_protocol::stream::KvCache;
 use jujubewall_protocol::stream::OpenStream;
+use jujubewall_protocol::stream::ResumeStage;
 use jujubewall_protocol::stream::RouteStage;
 use jujubewall_protocol::stream::Step;
 use jujubewall_protocol::stream::StreamId;
@@ -185,6 +189,48 @@
     assert_eq!(agent.give(step(1, 0, 2)), [0]);
 }
 
+/// A cache of several parts is imported once all have come, whatever their order.
+#[test]
+fn test_cache_in_parts_is_imported_whole() {
+    let mut agent = Agent::new(AgentSettings::default());
+    let StreamMessage::Open(mut opened) = open(2) else {
+        unreachable!()
+    };
+    opened.resumes = true;
+    agent.give(StreamMessage::Open(opened));
+    let part = |index: u32| {
+        StreamMessage::Cache(Box::new(CacheTransfer {
+            id: id(2),
+            stage: 1,
+            cache: KvCache {
+                layers: LayerRange::new(2, 4),
+                positions: 2,
+                payload: Bytes::from(vec![u8::try_from(index).unwrap(); 2]),
+            },
+            part: CachePart { index, count: 3 },
+            output: None,
+        }))
+    };
+    agent.give(part(2));
+    agent.give(part(2));
+    agent.give(StreamMessage::Resume(ResumeStage {
+        id: id(2),
+        stage: 1,
+        keep: 2,
+        send_from: 2,
+        known_tokens: 3,
+        imports_cache: true,
+    }));
+    agent.give(part(0));
+    let actions = agent.streams.on_message(agent.now, address(1), part(1));
+    assert_matches!(&actions[..], [AgentAction::ImportCache { cache, .. }] => {
+        assert_eq!(cache.payload, [0, 0, 1, 1, 2, 2][..]);
+    });
+    let ticket = agent.ticket();
+    agent.streams.on_imported(agent.now, ticket, Ok(()));
+    assert_eq!(agent.give(step(2, 2, 1)), [2]);
+}
+
 #[test]
 fn test_engine_that_hangs_fails_the_stage_in_time() {
     let settings = AgentSettings::default();
