--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,8 @@
 //! Measurements of jujubewall, one subcommand each.
 
 mod recovery;
+mod membership;
+mod orders;
 mod throughput;
 
 use argh::FromArgs;
@@ -17,13 +19,17 @@
 #[argh(subcommand)]
 enum Command {
     Recovery(recovery::RecoveryCommand),
+    Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
+    Membership(membership::MembershipCommand),
 }
 
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Recovery(command) => command.run(),
+        Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
+        Command::Membership(command) => command.run(),
     }
 }
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -24,10 +24,12 @@
 use crate::agent::actor as agent;
 use crate::agent::actor::AgentActor;
 use crate::agent::actor::AgentArgs;
-use crate::entry::actor as entry;
+use crate::agent::orders::OrdersActor;
+use crate::agent::orders::OrdersArgs;
 use crate::entry::actor::EntryActor;
 use crate::entry::actor::EntryArgs;
 use crate::entry::callers::Callers;
+use crate::entry::messages as entry;
 use crate::entry::operators::Operators;
 use crate::membership::actor::AnnounceLeaving;
 use crate::metrics::Metrics;
@@ -80,9 +82,6 @@
     pub async fn start(checked: &CheckedSettings) -> eyre::Result<Self> {
         let settings = checked.settings();
         let (shared, events) = Shared::start(settings)?;
-        let (is_serving, serving) = watch::channel(true);
-        let monitoring =
-            monitoring::start(settings, &shared.metrics, &shared.configuration, serving).await?;
         let role = match checked.role() {
             RoleSettings::Entry {
                 caller_address,
@@ -101,6 +100,9 @@
             role.actor(),
             drain_grace,
         ));
+        // A process that answers monitoring has bound all of its sockets.
+        let (is_serving, serving) = watch::channel(true);
+        let monitoring = monitoring::start(settings, &shared.metrics, serving).await?;
         info!("{} {} serves", settings.role, settings.member);
         Ok(Self {
             shared,
@@ -205,6 +207,7 @@
 ) -> eyre::Result<RunningRole> {
     let args = EntryArgs {
         member: settings.member.clone(),
+        incarnation: shared.incarnation,
         network: shared.network.clone(),
         members: shared.members.clone(),
         metrics: Arc::clone(&shared.metrics),
@@ -217,6 +220,7 @@
     let callers = Callers {
         actor: actor.clone(),
         view: view.clone(),
+        members: shared.members.clone(),
         metrics: Arc::clone(&shared.metrics),
         limits: limits::bodies(settings, settings.limits.max_body_bytes),
         own_address: shared.network.own_address(),
@@ -246,7 +250,14 @@
 }
 
 fn start_agent(shared: &Shared) -> RunningRole {
+    let orders = OrdersArgs {
+        network: shared.network.clone(),
+        metrics: Arc::clone(&shared.metrics),
+        key_value: Arc::clone(&shared.service),
+        incarnation: shared.incarnation,
+    };
     let args = AgentArgs {
+        orders: OrdersActor::spawn_with_mailbox(orders, mailbox::bounded(MAILBOX_LEN)),
         network: shared.network.clone(),
         metrics: Arc::clone(&shared.metrics),
         settings: AgentSettings::default(),
--- a/daemon/src/process/shared.rs
+++ b/daemon/src/process/shared.rs
@@ -47,6 +47,8 @@
 pub struct Shared {
     /// The metrics.
     pub metrics: Arc<Metrics>,
+    /// The incarnation with which the process started.
+    pub incarnation: Incarnation,
     /// The network.
     pub network: Network,
     /// The key-value service.
@@ -75,8 +77,12 @@
         let metrics = Metrics::new();
         let hello = hello(settings);
         let identity = read_identity(settings)?;
-        let (network, network_events) =
-            Network::start(hello.clone(), identity, Arc::clone(&metrics))?;
+        let (network, network_events) = Network::start(
+            hello.clone(),
+            settings.peer_bind_address,
+            identity,
+            Arc::clone(&metrics),
+        )?;
         let service: Arc<dyn KeyValue> =
             Arc::new(HttpKeyValue::new(settings.platform.key_value_address));
         let configuration = Arc::new(ConfigHandle::new());
@@ -96,6 +102,7 @@
         let membership = MembershipActor::spawn_with_mailbox(args, mailbox::bounded(MAILBOX_LEN));
         let shared = Self {
             metrics,
+            incarnation: hello.incarnation,
             network,
             service,
             configuration,
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod lifecycle;
 pub mod link;
 pub mod membership;
+pub mod order;
 pub mod retry;
 pub mod stream;
 pub mod timer;
--- a/routing/src/membership/machine.rs
+++ b/routing/src/membership/machine.rs
@@ -5,6 +5,7 @@
 
 use jujubewall_protocol::member::MemberMessage;
 use jujubewall_protocol::member::MemberRecord;
+use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::member::MemberState;
 use rand::SeedableRng as _;
@@ -48,6 +49,8 @@
     pub(super) candidates: BTreeSet<SocketAddr>,
     pub(super) has_joined: bool,
     pub(super) is_link_suspect: bool,
+    /// The members that have to refute in time, and some that have done so.
+    pub(super) suspects: Vec<MemberKey>,
     /// The place among the watched members of the next one to probe.
     pub(super) probe_turn: usize,
     /// The place among the neighbours of the next one to compare digests with.
@@ -89,6 +92,7 @@
             candidates: candidates.iter().copied().collect(),
             has_joined: false,
             is_link_suspect: false,
+            suspects: Vec::new(),
             probe_turn: 0,
             digest_turn: 0,
             invariants: MembershipInvariants::default(),
@@ -138,6 +142,12 @@
         })
     }
 
+    /// Returns the state of a member on which work is routed.
+    pub fn state_of(&self, member: &MemberName) -> Option<MemberState> {
+        let key = self.table.find(member)?;
+        Some(self.table.entries[key].effective_state())
+    }
+
     /// Returns whether this process's own link is thought to be at fault.
     pub const fn is_link_suspect(&self) -> bool {
         self.is_link_suspect
