routing: give a busy engine three times its slowest recent step

With a fixed limit of 400 ms, an engine with a deep batch would have been taken for a hanging one, and its streams moved to engines that are as busy. The limit follows the slowest recent step, at most 5 s; it stays 400 ms for an engine that answers in time. Also tested: a stream that recovers delays no other.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,8 @@
 //! Measurements of jujubewall, one subcommand each.
 
-mod recovery;
 mod membership;
 mod orders;
+mod recovery;
 mod throughput;
 
 use argh::FromArgs;
--- a/routing/src/stream/agent/arena.rs
+++ b/routing/src/stream/agent/arena.rs
@@ -43,13 +43,25 @@
         let waiting_before = stage.waiting.bytes();
         let retained_before = stage.retained_bytes();
         change(stage, &mut self.fx);
-        let timeout = |positions| self.settings.step_timeout(positions);
+        let (settings, times) = (&self.settings, &self.step_times);
+        let upstream = stage.own().upstream.clone();
+        let timeout = |positions| times.timeout(&upstream, settings.step_timeout(positions));
         stage.advance(now, timeout, &mut self.fx);
         self.waiting_bytes = self.waiting_bytes - waiting_before + stage.waiting.bytes();
         self.retained_bytes = self.retained_bytes - retained_before + stage.retained_bytes();
         self.arm(now, key);
     }
 
+    /// Notes the time that the engine took for a stage's step.
+    pub(super) fn record_step_time(&mut self, now: Instant, key: StageKey) {
+        if let Some(stage) = self.stages.get(key)
+            && let Some(begun_at) = stage.step_begun_at()
+        {
+            let time = now.saturating_duration_since(begun_at);
+            self.step_times.record(&stage.own().upstream, time);
+        }
+    }
+
     /// Changes the stage that a message is about, if it is known.
     pub(super) fn update_at(
         &mut self,
--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -8,6 +8,7 @@
 mod handlers;
 mod retained;
 mod stage;
+mod step_times;
 mod token_log;
 
 use std::collections::HashMap;
@@ -32,6 +33,7 @@
 use crate::stream::agent::effects::Effects;
 use crate::stream::agent::stage::Phase;
 use crate::stream::agent::stage::Stage;
+use crate::stream::agent::step_times::StepTimes;
 use crate::stream::invariant::StreamInvariants;
 use crate::stream::settings::AgentSettings;
 use crate::timer::Timers;
@@ -50,6 +52,7 @@
     unopened: UnopenedSteps,
     closed: ClosedStreams,
     timers: Timers<StageKey>,
+    step_times: StepTimes,
     grace_end: Option<Instant>,
     leaving_upstreams: HashMap<UpstreamName, Instant>,
     next_leaving_notice: Option<Instant>,
@@ -69,6 +72,7 @@
             unopened: UnopenedSteps::new(max_unopened, settings.early_bytes),
             closed: ClosedStreams::new(settings.max_closed_streams as usize),
             timers: Timers::new(),
+            step_times: StepTimes::default(),
             grace_end: None,
             leaving_upstreams: HashMap::new(),
             next_leaving_notice: None,
@@ -158,6 +162,7 @@
         ticket: StageKey,
         result: Result<Bytes, StageError>,
     ) -> Vec<AgentAction> {
+        self.record_step_time(now, ticket);
         self.update(now, ticket, |stage, fx| {
             match result {
                 Ok(output) => stage.step_done(output, fx),
--- a/routing/src/stream/agent/stage/mod.rs
+++ b/routing/src/stream/agent/stage/mod.rs
@@ -47,6 +47,7 @@
     positions: u32,
     /// The tokens of a first stage's step.
     tokens: Bytes,
+    begun_at: Instant,
     deadline: Instant,
 }
 
@@ -323,6 +324,7 @@
             } else {
                 Bytes::new()
             },
+            begun_at: now,
             deadline: now + timeout(input.positions),
         });
         let step = self.engine_step(input);
@@ -376,6 +378,11 @@
         }
     }
 
+    /// Returns when the engine began the step that it computes.
+    pub fn step_begun_at(&self) -> Option<Instant> {
+        self.running.as_ref().map(|step| step.begun_at)
+    }
+
     /// Returns when the engine is to have finished the step that it computes.
     pub fn step_deadline(&self) -> Option<Instant> {
         let is_timed = self.phase == Phase::Running;
--- a/routing/tests/test_stream_agent.rs
+++ b/routing/tests/test_stream_agent.rs
@@ -231,6 +231,19 @@
     assert_eq!(agent.give(step(2, 2, 1)), [2]);
 }
 
+#[test]
+fn test_engine_that_is_slow_for_all_is_waited_for() {
+    let settings = AgentSettings::default();
+    let mut agent = Agent::new(settings);
+    agent.give(open(1));
+    agent.give(step(1, 0, 2));
+    agent.now += Duration::from_millis(settings.step_timeout_ms);
+    agent.finish_step(2);
+    agent.give(step(1, 2, 1));
+    agent.now += settings.step_timeout(1) * 2;
+    assert_eq!(agent.streams.on_tick(agent.now), []);
+}
+
 #[test]
 fn test_engine_that_hangs_fails_the_stage_in_time() {
     let settings = AgentSettings::default();
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -312,6 +312,28 @@
     assert_eq!(network.engine(1).total_runs(), 0);
 }
 
+#[test]
+fn test_one_requests_recovery_does_not_delay_another() {
+    let other = RequestId(8);
+    let mut network = started(settings());
+    network.start(
+        0,
+        other,
+        (0..PROMPT_TOKENS).collect(),
+        ANSWER_TOKENS,
+        &[3, 4, 5],
+    );
+    run_to(&mut network, 10);
+    network.freeze(1);
+    network.run(MAX_STALL / 2, |_| false);
+    let times = &network.answers()[&other].times;
+    let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps.max() < Some(Duration::from_millis(40)));
+    network.run(LONG, StreamNetwork::is_done);
+    assert_whole(&network);
+    assert!(network.is_consistent(other));
+}
+
 #[test]
 fn test_cancel_lets_every_agent_forget() {
     let mut network = started(settings());
