routing: check what comes with a moved cache before it is kept

A part that holds no whole record for each position, or that ends beyond the largest position, came from a faulty peer and could have ended the process.

--- a/routing/src/stream/agent/retained.rs
+++ b/routing/src/stream/agent/retained.rs
@@ -16,7 +16,7 @@
 
 /// Returns the position after the last one of `output`.
 pub const fn end_of(output: &StageOutput) -> u32 {
-    output.first + output.positions
+    output.first.saturating_add(output.positions)
 }
 
 /// Returns the part of `output` from `from` on, unless nothing is left.
--- a/routing/src/stream/agent/stage/mod.rs
+++ b/routing/src/stream/agent/stage/mod.rs
@@ -37,6 +37,7 @@
 use crate::stream::agent::stage::transfer::Transfers;
 use crate::stream::agent::token_log::TokenLog;
 use crate::stream::invariant::StreamInvariant;
+use crate::stream::payload;
 use crate::timer::TimerSlot;
 
 /// A step that the engine computes.
@@ -290,7 +291,10 @@
     pub fn set_ran(&mut self, positions: u32, output: Option<StageOutput>) {
         self.truncate(0);
         self.ran = positions;
-        if let Some(output) = output.filter(|output| end_of(output) == positions) {
+        let fits = |output: &StageOutput| {
+            end_of(output) == positions && payload::is_whole(&output.payload, output.positions)
+        };
+        if let Some(output) = output.filter(fits) {
             self.outputs.push(output);
         }
     }
