--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod notes;
 mod orders;
 mod overhead;
+mod recovery;
 mod throughput;
 
 use argh::FromArgs;
@@ -20,6 +21,7 @@
 #[argh(subcommand)]
 enum Command {
     Notes(notes::NotesCommand),
+    Recovery(recovery::RecoveryCommand),
     Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
@@ -30,6 +32,7 @@
     let arguments: Arguments = argh::from_env();
     match arguments.command {
         Command::Notes(command) => command.run(),
+        Command::Recovery(command) => command.run(),
         Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
