routing: write a shard that has just conflicted before the others

A shard that waited for its turn after a conflict found its content old again: at 100 calls/s over three agents without a preferred one, 3,010 of about 4,470 writes conflicted and 2,095 of 6,000 calls were refused. It now goes first, for at most three conflicts in a row.

--- a/bench/src/orders/report.rs
+++ b/bench/src/orders/report.rs
@@ -6,6 +6,8 @@
 /// The waits of calls, in milliseconds of the paused clock.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Waits {
+    /// The number of calls.
+    pub count: u64,
     /// The median.
     pub p50_ms: u64,
     /// The 95th percentile.
@@ -18,6 +20,7 @@
     /// Reads the waits from a histogram of milliseconds.
     pub fn new(histogram: &Histogram<u64>) -> Self {
         Self {
+            count: histogram.len(),
             p50_ms: histogram.value_at_quantile(0.5),
             p95_ms: histogram.value_at_quantile(0.95),
             max_ms: histogram.max(),
--- a/routing/src/order/ledger.rs
+++ b/routing/src/order/ledger.rs
@@ -262,6 +262,9 @@
         let is_due = |shard: &ShardKey| self.shards[*shard].is_writable(now);
         let mut due: Vec<ShardKey> = self.shards.keys().filter(is_due).collect();
         due.sort_unstable();
+        if let Some(urgent) = due.iter().find(|shard| self.shards[**shard].is_urgent()) {
+            return Some(*urgent);
+        }
         let after_last = due.iter().find(|shard| Some(**shard) > self.last_served);
         after_last.or(due.first()).copied()
     }
--- a/routing/src/order/ledger/queue.rs
+++ b/routing/src/order/ledger/queue.rs
@@ -25,6 +25,9 @@
 use crate::order::shard::is_claimable;
 use crate::order::shard::read_segment;
 
+/// The number of conflicts in a row after which a shard waits for its turn.
+const MAX_URGENT_CONFLICTS: u32 = 3;
+
 /// One shard with the entries that wait for it.
 #[derive(Debug)]
 pub struct ShardQueue {
@@ -33,6 +36,8 @@
     pub pending: Vec<LedgerEntry>,
     /// Entries of which only the content tells whether they were written.
     unresolved: Vec<LedgerEntry>,
+    /// The number of writes in a row that found another revision.
+    conflicts_in_row: u32,
     phase: Phase,
 }
 
@@ -42,6 +47,7 @@
             name,
             pending: Vec::new(),
             unresolved: Vec::new(),
+            conflicts_in_row: 0,
             phase: Phase::Unloaded { load_at: None },
         }
     }
@@ -90,6 +96,13 @@
         !self.is_loading_next() && self.due_at(now).is_some_and(|at| at <= now)
     }
 
+    /// Returns whether a write is due that should not wait for other shards.
+    ///
+    /// After a conflict the content is the newest one, and gets old again soon.
+    pub const fn is_urgent(&self) -> bool {
+        0 < self.conflicts_in_row && self.conflicts_in_row <= MAX_URGENT_CONFLICTS
+    }
+
     /// Returns the instant before which a failed shard is left alone.
     pub const fn retry_at(&self) -> Option<Instant> {
         match &self.phase {
@@ -187,6 +200,7 @@
         let Some((mut content, write)) = self.take_write() else {
             return;
         };
+        self.conflicts_in_row = 0;
         match write.goal {
             WriteGoal::Append {
                 head,
@@ -216,6 +230,7 @@
         let Some((mut content, write)) = self.take_write() else {
             return;
         };
+        self.conflicts_in_row += 1;
         match write.goal {
             WriteGoal::Append { entries, .. } => {
                 let replaced = adopt_head(&mut content, found);
