--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measurements of jujubewall, one subcommand each.
 
+mod membership;
 mod orders;
 mod throughput;
 
@@ -18,6 +19,7 @@
 enum Command {
     Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
+    Membership(membership::MembershipCommand),
 }
 
 fn main() -> eyre::Result<()> {
@@ -25,5 +27,6 @@
     match arguments.command {
         Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
+        Command::Membership(command) => command.run(),
     }
 }
--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -4,10 +4,11 @@
 
 use jujubewall_protocol::stream::GeneratedToken;
 use jujubewall_protocol::stream::Route;
+use jujubewall_protocol::stream::StageActivity;
 use jujubewall_protocol::stream::StageFailed;
 use jujubewall_protocol::stream::StageHeld;
+use jujubewall_protocol::stream::StageProgress;
 use jujubewall_protocol::stream::StreamMessage;
-use jujubewall_protocol::stream::Token;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use smallvec::SmallVec;
@@ -20,6 +21,7 @@
 use crate::stream::entry::recovery;
 use crate::stream::entry::recovery::fail;
 use crate::stream::entry::recovery::recover;
+use crate::stream::entry::stream::Committed;
 use crate::stream::entry::stream::Phase;
 use crate::stream::entry::stream::Stream;
 use crate::stream::entry::stream::stage_index;
@@ -52,7 +54,7 @@
             recover(now, stream, &[failed.stage], true, settings, fx);
         }
         StreamMessage::Progress(progress) => {
-            note_heard(stream, progress.stage);
+            note_heard(stream, &progress);
             probe::on_progress(now, stream, progress, settings, fx);
         }
         StreamMessage::Leaving(leaving) if usize::from(leaving.stage) < stream.route.len() => {
@@ -63,11 +65,11 @@
     }
 }
 
-fn note_heard(stream: &mut Stream, stage: u8) {
+fn note_heard(stream: &mut Stream, progress: &StageProgress) {
     if let Phase::Opening(opening) = &mut stream.phase
-        && let Some(is_heard) = opening.is_heard.get_mut(usize::from(stage))
+        && let Some(heard) = opening.heard.get_mut(usize::from(progress.stage))
     {
-        *is_heard = true;
+        *heard = Some(progress.activity);
     }
 }
 
@@ -113,17 +115,20 @@
     if told.held.attempt.next() != stream.attempt {
         return;
     }
-    let adopted = (stream.known_tokens() - stream.attempt_known) as usize;
-    let left = (stream.total_tokens() - stream.known_tokens()) as usize;
-    let tokens = told.tokens.iter().skip(adopted).take(left);
-    let tokens: SmallVec<[Token; 4]> = tokens.copied().collect();
-    if tokens.is_empty() {
+    let (known, total) = (stream.known_tokens(), stream.total_tokens());
+    let mut committed = Committed::default();
+    for (position, &token) in (stream.attempt_known..total).zip(&told.tokens) {
+        if position >= known {
+            committed.push(position, token);
+        }
+    }
+    if committed.tokens.is_empty() {
         return;
     }
-    stream.tokens.extend_from_slice(&tokens);
+    stream.tokens.extend_from_slice(&committed.tokens);
     stream.lineage.extend_start(stream.known_tokens());
     stream.last_token = now;
-    deliver(stream, tokens, fx);
+    deliver(stream, committed, fx);
     if stream.is_whole() {
         finish(stream, fx);
     }
@@ -173,15 +178,18 @@
     let is_whole =
         generated.id == stream.stream_id() && generated.layers_done == stream.request.layer_count;
     fx.check(StreamInvariant::TokenOfWholePipeline, is_whole);
-    let tokens = stream.commit(generated);
-    if !is_whole || tokens.is_empty() {
+    if !is_whole {
+        return;
+    }
+    let committed = stream.commit(generated);
+    if committed.tokens.is_empty() {
         return;
     }
     note_gap(now, stream, fx);
     if let Phase::Running(watch) = &mut stream.phase {
         watch.progressed(now + settings.stall());
     }
-    deliver(stream, tokens, fx);
+    deliver(stream, committed, fx);
     if stream.is_whole() {
         finish(stream, fx);
     }
@@ -206,13 +214,16 @@
     }
 }
 
-fn deliver(stream: &mut Stream, tokens: SmallVec<[Token; 4]>, fx: &mut Effects) {
-    let request = stream.id();
-    let prompt = stream.total_tokens() - stream.request.max_answer_tokens;
-    stream.delivered += u32::try_from(tokens.len()).unwrap_or(u32::MAX);
-    let is_in_order = prompt + stream.delivered == stream.known_tokens();
-    fx.check(StreamInvariant::DeliveredInOrder, is_in_order);
-    fx.push(EntryAction::Deliver { request, tokens });
+fn deliver(stream: &mut Stream, committed: Committed, fx: &mut Effects) {
+    for position in committed.positions {
+        let is_in_order = position == stream.next_delivered();
+        fx.check(StreamInvariant::DeliveredInOrder, is_in_order);
+        stream.delivered += 1;
+    }
+    fx.push(EntryAction::Deliver {
+        request: stream.id(),
+        tokens: committed.tokens,
+    });
 }
 
 fn finish(stream: &mut Stream, fx: &mut Effects) {
@@ -276,7 +287,12 @@
     let is_missing = |&(_, held): &(usize, &Option<_>)| held.is_none();
     let missing = opening.held.iter().enumerate().filter(is_missing);
     let missing: SmallVec<[u8; 4]> = missing.map(|(index, _)| stage_index(index)).collect();
-    let is_lost = |stage: &u8| rounds >= MAX_OPEN_ROUNDS || !opening.is_heard[usize::from(*stage)];
+    let is_lost = |stage: &u8| match opening.heard[usize::from(*stage)] {
+        None => true,
+        // Admission answers by itself before the deadline.
+        Some(StageActivity::Queued) => false,
+        Some(_) => rounds >= MAX_OPEN_ROUNDS,
+    };
     let lost: SmallVec<[u8; 4]> = missing.iter().copied().filter(is_lost).collect();
     if rounds >= OPEN_ROUNDS && !lost.is_empty() {
         recover(now, stream, &lost, true, settings, fx);
@@ -292,7 +308,7 @@
     }
     opening.rounds += 1;
     opening.due = now + settings.open_timeout();
-    opening.is_heard.fill(false);
+    opening.heard.fill(None);
     recovery::send_quiesce(opening, fx);
     let resumes = recovery::is_resumable(stream, settings);
     stream.send_opens(
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -82,7 +82,7 @@
         assert_eq!(doubled_runs(&network, agent), 0);
         let runs = network.engine(agent).runs_of_request(REQUEST);
         assert_eq!(runs, u64::from((PROMPT_TOKENS + ANSWER_TOKENS - 1) * 2));
-        network.run(LONG, |_| false);
+        network.run(MAX_STALL, |_| false);
         assert_eq!(network.stage_count(agent), 0);
         assert_eq!(network.engine(agent).live_requests(), 0);
     }
@@ -204,6 +204,19 @@
     }
 }
 
+/// Stage 1 has run on tokens that nobody who is left knows, so that others are generated.
+#[test]
+fn test_work_on_tokens_that_were_lost_is_forgotten() {
+    let mut network = started(settings());
+    run_to(&mut network, 10);
+    network.cut(2, None);
+    network.run(Duration::from_millis(100), |_| false);
+    network.kill(0);
+    network.kill(2);
+    run_to(&mut network, 0);
+    assert_whole(&network);
+}
+
 #[test]
 fn test_no_replacement_fails_at_once_with_advice() {
     let mut settings = settings();
@@ -273,6 +286,22 @@
     assert_eq!(network.engine(4).total_runs(), 0);
 }
 
+/// A stream for which no other engine is left goes on, and moves once there is one.
+#[test]
+fn test_leaving_stage_without_replacement_is_not_cut_off() {
+    let mut network = started(settings());
+    network.kill(4);
+    run_to(&mut network, 2);
+    network.leave(1, Duration::from_millis(100));
+    run_to(&mut network, 20);
+    network.restart(4);
+    run_to(&mut network, 0);
+    assert_whole(&network);
+    assert!(longest_gap(&network) < Duration::from_millis(100));
+    assert!(network.engine(4).total_runs() > 0);
+    assert_eq!(doubled_runs(&network, 1) + doubled_runs(&network, 4), 0);
+}
+
 #[test]
 fn test_leaving_agent_takes_no_new_stream() {
     let mut network = StreamNetwork::new(settings(), Instant::now());
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod daemon;
 pub mod engine;
+pub mod fleet;
 pub mod host_list;
 pub mod http_server;
 pub mod key_value;
@@ -19,6 +20,7 @@
 pub mod service;
 pub mod site;
 pub mod stream_network;
+pub mod udp_relay;
 pub mod weight_store;
 
 mod platform_answer;
