--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -20,11 +20,15 @@
 use jujubewall_protocol::call::ServiceReply;
 use jujubewall_protocol::stream::Route;
 use jujubewall_routing::order::entry::NewCall;
+use jujubewall_routing::order::key::KeyDigest;
+use jujubewall_routing::order::key::ShardName;
+use jujubewall_routing::order::settings::AgentOrderSettings;
 use jujubewall_types::config::ClientAccount;
 use jujubewall_types::config::ServiceProfile;
 use jujubewall_types::config::Upstream;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
+use jujubewall_types::id::AccountName;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::ServiceName;
 use jujubewall_types::member::MemberState;
@@ -202,7 +206,10 @@
         let wait = credentials::deadline(&request.headers)?;
         let idempotency_key = credentials::idempotency_key(&request.headers)?;
         let (service, path) = service_path(&request.uri)?;
-        let (upstream, profile) = pick_service(&view, &self.members, &service)?;
+        let key_shard = idempotency_key
+            .as_deref()
+            .map(|key| key_shard(&account, &service, key));
+        let (upstream, profile) = pick_service(&view, &self.members, &service, key_shard)?;
         let id = RequestId(rand::random());
         let method = SmolStr::new(request.method.as_str());
         let content_type = content_type(&request.headers)?;
@@ -304,6 +311,7 @@
     view: &'a View,
     members: &Members,
     service: &ServiceName,
+    key_shard: Option<ShardName>,
 ) -> Result<(&'a Upstream, &'a ServiceProfile), Failure> {
     let upstreams = view.upstreams_of(service);
     if upstreams.is_empty() {
@@ -326,7 +334,22 @@
         );
         return Err(failure.with_retry_after_ms(NO_AGENT_RETRY_MS));
     }
-    Ok(usable[rand::random_range(0..usable.len())])
+    // Keys of one shard are claimed by one agent as long as it can be reached.
+    let names = usable.iter().map(|(upstream, _)| &upstream.name);
+    let preferred = key_shard.and_then(|shard| shard.preferred(names));
+    let preferred = usable
+        .iter()
+        .find(|(upstream, _)| Some(&upstream.name) == preferred);
+    Ok(preferred.map_or_else(
+        || usable[rand::random_range(0..usable.len())],
+        |found| *found,
+    ))
+}
+
+fn key_shard(account: &AccountName, service: &ServiceName, key: &str) -> ShardName {
+    let shards = AgentOrderSettings::default().shards;
+    let shard = KeyDigest::new(account, key).shard(shards);
+    ShardName::new(service.clone(), shard)
 }
 
 fn content_type(headers: &HeaderMap) -> Result<Option<SmolStr>, Failure> {
