routing: keep the entry gate stable and resume broken streams at once

The gate cut its offer to what was accepted in one step, so an outage left it near zero; it now loses a tenth at most in 100 ms, remembers the offer that was refused, and grows fast well below it. Streams that lost a stage are admitted beyond the bound, since the caller has part of the answer.

--- a/routing/src/admission/concurrency.rs
+++ b/routing/src/admission/concurrency.rs
@@ -29,7 +29,7 @@
 impl Default for ConcurrencySettings {
     fn default() -> Self {
         Self {
-            initial: 16,
+            initial: 64,
             min: 2,
             max: 4096,
             target_response_us: 50_000,
--- a/routing/src/admission/entry_gate.rs
+++ b/routing/src/admission/entry_gate.rs
@@ -18,8 +18,10 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EntryGateSettings {
-    /// The time in which half of what was measured is forgotten.
+    /// The time in which half of what agents accepted is forgotten.
     pub half_life_ms: u64,
+    /// The time in which half of what accounts asked for is forgotten.
+    pub demand_half_life_ms: u64,
     /// The part of requests that agents may refuse while the offer grows, in
     /// thousandths.
     pub tolerated_permille: u32,
@@ -36,6 +38,7 @@
     fn default() -> Self {
         Self {
             half_life_ms: 1_000,
+            demand_half_life_ms: 5_000,
             tolerated_permille: 20,
             excess_permille: 100,
             floor_per_s: 2,
@@ -100,15 +103,23 @@
     refused: DecayingRate,
     /// The rate at which requests are offered to agents.
     offered_per_s: f64,
+    /// The offer of which agents last refused too much.
+    ceiling_per_s: f64,
     level: Option<(Instant, f64)>,
 }
 
 /// The time for which the fair level is used again.
 const LEVEL_LIFETIME: Duration = Duration::from_millis(100);
 /// The factor by which the offer grows in that time while little is refused.
-const OFFER_GROWTH: f64 = 1.03;
+const OFFER_GROWTH: f64 = 1.01;
+/// The factor by which the offer grows in that time well below the ceiling.
+const FAST_OFFER_GROWTH: f64 = 1.15;
 /// The factor by which the offer shrinks in that time while too much is refused.
 const OFFER_DECAY: f64 = 0.99;
+/// The part of the offer that is kept at least in that time.
+const OFFER_CUT: f64 = 0.9;
+/// The part of the ceiling up to which the offer grows fast.
+const NEAR_CEILING: f64 = 0.9;
 /// The offer beyond what all accounts ask for, above which it stops growing.
 const MAX_OFFER_TO_DEMAND: f64 = 1.2;
 
@@ -122,6 +133,7 @@
             accepted: DecayingRate::new(),
             refused: DecayingRate::new(),
             offered_per_s: f64::INFINITY,
+            ceiling_per_s: f64::INFINITY,
             level: None,
         }
     }
@@ -160,9 +172,13 @@
         Duration::from_millis(self.settings.half_life_ms.max(1))
     }
 
+    fn demand_half_life(&self) -> Duration {
+        Duration::from_millis(self.settings.demand_half_life_ms.max(1))
+    }
+
     /// Counts a request, and returns the rate at which its account asks.
     fn note_demand(&mut self, now: Instant, account: &AccountName, weight: u32) -> f64 {
-        let half_life = self.half_life();
+        let half_life = self.demand_half_life();
         if !self.demands.contains_key(account) {
             let rate = DecayingRate::new();
             self.demands
@@ -193,14 +209,23 @@
     fn adjust_offer(&mut self, now: Instant) {
         let half_life = self.half_life();
         let demand = self.demands.values();
-        let asked: f64 = demand.map(|known| known.rate.per_s(now, half_life)).sum();
+        let demand_half_life = self.demand_half_life();
+        let asked: f64 = demand
+            .map(|known| known.rate.per_s(now, demand_half_life))
+            .sum();
         let accepted = self.accepted.per_s(now, half_life);
         let refused = self.refused.per_s(now, half_life / 4);
         let part = refused / (accepted + refused).max(f64::MIN_POSITIVE);
+        let is_below_ceiling = self.offered_per_s < self.ceiling_per_s * NEAR_CEILING;
         let offered = if part > f64::from(self.settings.excess_permille) / 1000.0 {
-            self.offered_per_s.min(accepted)
+            let cut = self.offered_per_s.min(asked * MAX_OFFER_TO_DEMAND) * OFFER_CUT;
+            self.ceiling_per_s = accepted.max(cut);
+            self.ceiling_per_s
         } else if part > f64::from(self.settings.tolerated_permille) / 1000.0 {
+            self.ceiling_per_s = self.offered_per_s;
             self.offered_per_s * OFFER_DECAY
+        } else if is_below_ceiling {
+            self.offered_per_s * FAST_OFFER_GROWTH
         } else {
             self.offered_per_s * OFFER_GROWTH
         };
@@ -209,7 +234,7 @@
     }
 
     fn compute_level(&mut self, now: Instant) -> f64 {
-        let half_life = self.half_life();
+        let half_life = self.demand_half_life();
         self.demands
             .retain(|_, demand| demand.rate.count_at(now, half_life) > 0.01);
         self.adjust_offer(now);
--- a/routing/src/admission/gate.rs
+++ b/routing/src/admission/gate.rs
@@ -92,11 +92,15 @@
     }
 
     /// Decides at once whether work starts, waits or is refused.
+    ///
+    /// A resumed stream starts even beyond the bound, since its caller already
+    /// has part of the answer; new work then waits until the bound is kept again.
     pub fn offer(&mut self, now: Instant, request: AdmissionRequest<I>) -> Decision {
         if let Some(refusal) = self.refusal(now, &request) {
             return Decision::Refuse(refusal);
         }
-        if self.queue.len() == 0 && self.has_room() {
+        let is_idle = self.queue.len() == 0 && self.has_room();
+        if is_idle || request.is_resumed {
             let AdmissionRequest {
                 id,
                 account,
@@ -200,6 +204,9 @@
         if self.is_draining {
             return Some(self.refuse(RefusalReason::Draining, Duration::ZERO));
         }
+        if request.is_resumed {
+            return None;
+        }
         let wait = self.expected_wait(request);
         if now + wait >= request.deadline {
             return Some(self.refuse(RefusalReason::DeadlineUnreachable, wait));
--- a/routing/src/admission/request.rs
+++ b/routing/src/admission/request.rs
@@ -18,6 +18,8 @@
     pub priority: Priority,
     /// The work that the request asks for at most, in token-layers or calls.
     pub cost: u64,
+    /// Whether part of the answer was already given, by an attempt that broke.
+    pub is_resumed: bool,
     /// The time at which the caller gives up.
     pub deadline: Instant,
 }
