routing: share account limits by grants, and test admission at random

Half of a limit is split evenly and needs no message; the other half is granted by demand. A lowered grant stays reserved until it is confirmed or has lapsed, so entries together never exceed the limit; with fewer requests allowed than entries, each entry may have one. Sending every entry's demand to every other was dropped, as it grows with the square of the entries.

--- a/routing/src/admission/mod.rs
+++ b/routing/src/admission/mod.rs
@@ -10,6 +10,7 @@
 mod fair_queue;
 mod fair_weights;
 mod gate;
+mod limit_sharing;
 mod request;
 
 pub use self::account_limits::AccountLimit;
--- /dev/null
+++ b/routing/tests/test_account_limits.rs
@@ -0,0 +1,201 @@
+//! Entries together keep the limits of accounts, without losing any of them.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use jujubewall_protocol::limit::LimitMessage;
+use jujubewall_routing::admission::AccountLimit;
+use jujubewall_routing::admission::AccountLimits;
+use jujubewall_routing::admission::LimitExceeded;
+use jujubewall_routing::admission::LimitKind;
+use jujubewall_routing::admission::LimitSettings;
+use jujubewall_types::id::AccountName;
+use jujubewall_types::id::MemberName;
+use jujubewall_types::id::RequestId;
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const STEP: Duration = Duration::from_millis(50);
+const STEPS_PER_ROUND: usize = 5;
+
+fn account() -> AccountName {
+    AccountName::new("account").unwrap()
+}
+
+fn member(index: usize) -> MemberName {
+    MemberName::new(format!("entry-{index}")).unwrap()
+}
+
+/// Entries with messages between them that may be lost or late.
+struct Fleet {
+    now: Instant,
+    entries: Vec<AccountLimits>,
+    messages: Vec<(usize, MemberName, MemberName, LimitMessage)>,
+    running: Vec<(usize, RequestId)>,
+    started: u64,
+    step: usize,
+}
+
+impl Fleet {
+    fn new(count: usize, max_in_flight: u32, requests_per_s: u32) -> Self {
+        let now = Instant::now();
+        let members: Vec<MemberName> = (0..count).map(member).collect();
+        let limit = AccountLimit {
+            account: account(),
+            requests_per_s,
+            max_in_flight,
+        };
+        let entry = |name: &MemberName| {
+            let mut limits = AccountLimits::new(name.clone(), LimitSettings::default());
+            limits.set_members(now, &members);
+            limits.set_accounts(now, std::slice::from_ref(&limit));
+            limits
+        };
+        let entries = members.iter().map(entry).collect();
+        Self {
+            now,
+            entries,
+            messages: vec![],
+            running: vec![],
+            started: 0,
+            step: 0,
+        }
+    }
+
+    fn start(&mut self, entry: usize) -> Result<(), LimitExceeded> {
+        let id = RequestId(u128::from(self.started) + 1);
+        self.entries[entry].try_start(self.now, &account(), id)?;
+        self.started += 1;
+        self.running.push((entry, id));
+        Ok(())
+    }
+
+    fn finish(&mut self, index: usize) {
+        let (entry, id) = self.running.swap_remove(index % self.running.len());
+        self.entries[entry].on_finished(self.now, id);
+        self.entries[entry].on_finished(self.now, id);
+    }
+
+    /// Moves time on, and delivers what is due; every tenth message may be lost.
+    fn advance(&mut self, loses: bool) {
+        self.now += STEP;
+        self.step += 1;
+        if self.step.is_multiple_of(STEPS_PER_ROUND) {
+            for entry in 0..self.entries.len() {
+                let sent = self.entries[entry].on_tick(self.now);
+                self.send(entry, sent);
+            }
+        }
+        let due = self
+            .messages
+            .extract_if(.., |message| message.0 <= self.step);
+        for (_, from, to, message) in due.collect::<Vec<_>>() {
+            let Some(index) = (0..self.entries.len()).find(|&i| member(i) == to) else {
+                continue;
+            };
+            if loses && (self.step + index).is_multiple_of(10) {
+                continue;
+            }
+            let sent = self.entries[index].on_message(self.now, &from, message);
+            self.send(index, sent);
+        }
+    }
+
+    fn send(
+        &mut self,
+        entry: usize,
+        sent: Vec<jujubewall_routing::admission::AddressedLimitMessage>,
+    ) {
+        for (index, message) in sent.into_iter().enumerate() {
+            let due = self.step + (entry + index) % 2;
+            self.messages
+                .push((due, member(entry), message.to, message.message));
+        }
+    }
+
+    fn in_flight(&self) -> u32 {
+        self.entries
+            .iter()
+            .map(|entry| entry.in_flight(&account()))
+            .sum()
+    }
+}
+
+#[test]
+fn test_lone_entry_gets_the_whole_limit() {
+    let mut fleet = Fleet::new(1, 10, 1_000);
+    let mut last = Ok(());
+    for _ in 0..200 {
+        last = last.and(fleet.start(0));
+        fleet.advance(false);
+    }
+    assert_matches!(
+        last,
+        Err(LimitExceeded {
+            limit: LimitKind::InFlight,
+            ..
+        })
+    );
+    for _ in 0..200 {
+        let _ = fleet.start(0);
+        fleet.advance(false);
+    }
+    assert_eq!(fleet.in_flight(), 10);
+}
+
+#[test]
+fn test_limit_moves_to_the_entry_that_needs_it() {
+    let mut fleet = Fleet::new(5, 100, 100_000);
+    for _ in 0..400 {
+        let _ = fleet.start(3);
+        fleet.advance(false);
+    }
+    // Four entries keep their even part of a tenth each.
+    assert!(fleet.in_flight() >= 60, "{}", fleet.in_flight());
+    let running = fleet.running.len();
+    (0..running).for_each(|_| fleet.finish(0));
+    for _ in 0..400 {
+        let _ = fleet.start(1);
+        fleet.advance(false);
+    }
+    assert!(fleet.in_flight() >= 60, "{}", fleet.in_flight());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn test_random_entries_never_exceed_limits_nor_leak_them(
+        count in 1_usize..8,
+        max_in_flight in 1_u32..60,
+        requests_per_s in 5_u32..200,
+        actions in prop::collection::vec((0_usize..8, 0_u8..4, any::<usize>()), 50..600),
+        loses in any::<bool>(),
+    ) {
+        let mut fleet = Fleet::new(count, max_in_flight, requests_per_s);
+        let begun = fleet.now;
+        for (entry, kind, pick) in actions {
+            match kind {
+                0 | 1 => drop(fleet.start(entry % count)),
+                2 if !fleet.running.is_empty() => fleet.finish(pick),
+                _ => fleet.advance(loses),
+            }
+            let bound = max_in_flight.max(u32::try_from(count).unwrap());
+            prop_assert!(fleet.in_flight() <= bound, "{} of {bound}", fleet.in_flight());
+            let elapsed_s = (fleet.now - begun).as_secs_f64();
+            let burst = f64::from(requests_per_s) + count as f64;
+            let allowed = elapsed_s * f64::from(requests_per_s) + burst;
+            prop_assert!(fleet.started as f64 <= allowed, "{} of {allowed}", fleet.started);
+        }
+        while !fleet.running.is_empty() {
+            fleet.finish(0);
+        }
+        prop_assert_eq!(fleet.in_flight(), 0);
+        for _ in 0..80 {
+            fleet.advance(false);
+        }
+        for entry in 0..count {
+            prop_assert!(fleet.start(entry).is_ok(), "entry {entry} kept nothing");
+        }
+    }
+}
