--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,7 @@
 //! Measurements of jujubewall, one subcommand each.
 
+mod fit;
+mod slopes;
 mod throughput;
 
 use argh::FromArgs;
@@ -15,12 +17,14 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Slopes(slopes::SlopesCommand),
     Throughput(throughput::ThroughputCommand),
 }
 
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Slopes(command) => command.run(),
         Command::Throughput(command) => command.run(),
     }
 }
