--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,10 +1,12 @@
 //! Measurements of jujubewall, one subcommand each.
 
+mod fit;
 mod membership;
 mod notes;
 mod orders;
 mod overhead;
 mod recovery;
+mod slopes;
 mod throughput;
 
 use argh::FromArgs;
@@ -23,6 +25,7 @@
     Notes(notes::NotesCommand),
     Recovery(recovery::RecoveryCommand),
     Orders(orders::OrdersCommand),
+    Slopes(slopes::SlopesCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
     Overhead(overhead::OverheadCommand),
@@ -34,6 +37,7 @@
         Command::Notes(command) => command.run(),
         Command::Recovery(command) => command.run(),
         Command::Orders(command) => command.run(),
+        Command::Slopes(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
         Command::Overhead(command) => command.run(),
--- a/bench/src/overhead.rs
+++ b/bench/src/overhead.rs
@@ -118,7 +118,11 @@
 
 /// Creates a histogram of nanoseconds.
 fn histogram() -> eyre::Result<Histogram<u64>> {
-    Ok(Histogram::new_with_bounds(1, MAX_TIME_NS, SIGNIFICANT_DIGITS)?)
+    Ok(Histogram::new_with_bounds(
+        1,
+        MAX_TIME_NS,
+        SIGNIFICANT_DIGITS,
+    )?)
 }
 
 /// Records the time since `started`.
