--- a/bench/src/notes/member.rs
+++ b/bench/src/notes/member.rs
@@ -83,7 +83,7 @@
     ) -> Result<Self> {
         let hello = hello(index, domain)?;
         let identity = identity(&hello, certificates)?;
-        let (network, received) = Network::start(hello.clone(), identity, Metrics::new())?;
+        let (network, received) = Network::start(hello.clone(), None, identity, Metrics::new())?;
         let peer = Peer {
             member: hello.member,
             failure_domain: hello.failure_domain,
