routing: ask for the members from a new socket after silence

An address that has not answered within the reconnect period is now dialled anew. Dialling at each question was ruled out, as it would end a slow handshake every 500 ms.

--- a/routing/src/membership/host_list.rs
+++ b/routing/src/membership/host_list.rs
@@ -35,6 +35,9 @@
         let is_live = |host: &&ListedHost| !host.is_leaving;
         let live = hosts.iter().filter(is_live);
         self.listed = live.map(|host| host.peer_address).collect();
+        let (candidates, listed) = (&self.candidates, &self.listed);
+        self.asked
+            .retain(|address, _| candidates.contains(address) || listed.contains(address));
         let members = self.table.by_address();
         for host in hosts {
             self.take_listed(host, &members);
--- a/routing/src/membership/join.rs
+++ b/routing/src/membership/join.rs
@@ -7,6 +7,7 @@
 use rand::RngExt as _;
 use tokio::time::Instant;
 
+use super::action::MembershipAction;
 use super::entry::Entry;
 use super::machine::Membership;
 use super::table::MemberKey;
@@ -25,12 +26,12 @@
 
 impl Membership {
     /// Asks a few addresses for the members, until one has answered.
-    pub(super) fn join(&mut self) {
+    pub(super) fn join(&mut self, now: Instant) {
         let mut addresses = self.unknown_addresses();
         for _ in 0..JOIN_FANOUT.min(addresses.len()) {
             let place = self.rng.random_range(0..addresses.len());
             let address = addresses.swap_remove(place);
-            self.request_table(address);
+            self.request_table(now, address);
         }
     }
 
@@ -49,7 +50,7 @@
         match lost[self.rng.random_range(0..lost.len())] {
             Lost::Member(key) if !self.probes.awaits(key) => self.probe(now, key),
             Lost::Member(_) => {}
-            Lost::Address(address) => self.request_table(address),
+            Lost::Address(address) => self.request_table(now, address),
         }
     }
 
@@ -73,7 +74,14 @@
         }
     }
 
-    fn request_table(&mut self, address: SocketAddr) {
+    /// Asks an address for the members, from a new socket if it has been silent.
+    fn request_table(&mut self, now: Instant, address: SocketAddr) {
+        let silent_since = *self.asked.entry(address).or_insert(now);
+        if silent_since + self.settings.reconnect_period <= now {
+            self.asked.insert(address, now);
+            let to = address;
+            self.actions.push(MembershipAction::Redial { to });
+        }
         let record = Box::new(self.own_record().clone());
         self.send(address, MemberMessage::TableRequest { record });
     }
--- a/routing/src/membership/machine.rs
+++ b/routing/src/membership/machine.rs
@@ -1,5 +1,6 @@
 //! The state of membership and its interface.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -49,6 +50,8 @@
     pub(super) candidates: BTreeSet<SocketAddr>,
     /// The addresses that the platform listed as live when last read.
     pub(super) listed: BTreeSet<SocketAddr>,
+    /// When the addresses that have not answered yet were asked for the members.
+    pub(super) asked: BTreeMap<SocketAddr, Instant>,
     pub(super) has_joined: bool,
     pub(super) is_link_suspect: bool,
     pub(super) is_host_leaving: bool,
@@ -94,6 +97,7 @@
             },
             candidates: candidates.iter().copied().collect(),
             listed: BTreeSet::new(),
+            asked: BTreeMap::new(),
             has_joined: false,
             is_link_suspect: false,
             is_host_leaving: false,
--- a/routing/src/membership/receive.rs
+++ b/routing/src/membership/receive.rs
@@ -57,6 +57,7 @@
             MemberMessage::Table { records } => {
                 self.merge_all(now, records, Spread::No);
                 self.has_joined = true;
+                self.asked.remove(&from.peer_address);
             }
             MemberMessage::Digest { buckets } => self.answer_digest(from, &buckets),
             MemberMessage::Difference {
--- a/routing/src/membership/tick.rs
+++ b/routing/src/membership/tick.rs
@@ -31,7 +31,7 @@
         }
         if now >= self.schedule.join && !self.has_joined {
             self.schedule.join = now + self.settings.join_period;
-            self.join();
+            self.join(now);
         }
         if now >= self.schedule.digest {
             self.schedule.digest = now + self.settings.digest_period;
--- a/routing/tests/test_membership.rs
+++ b/routing/tests/test_membership.rs
@@ -375,6 +375,14 @@
     lines.join("\n")
 }
 
+#[test]
+fn test_members_join_over_connections_that_went_silent() {
+    let mut network = MemberNetwork::new(settings(2, 1, 0), Instant::now());
+    network.silence(0, 1);
+    let time = network.run_until(SETTLED_WITHIN, MemberNetwork::is_settled);
+    assert!(time.is_some(), "{}", describe(&network));
+}
+
 #[test]
 fn test_idle_load_does_not_grow_with_the_fleet() {
     let load = |members| {
