--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,7 +1,10 @@
 //! Measurements of jujubewall, one subcommand each.
 
 mod membership;
+mod notes;
 mod orders;
+mod overhead;
+mod recovery;
 mod throughput;
 
 use argh::FromArgs;
@@ -17,16 +20,22 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Notes(notes::NotesCommand),
+    Recovery(recovery::RecoveryCommand),
     Orders(orders::OrdersCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
+    Overhead(overhead::OverheadCommand),
 }
 
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Notes(command) => command.run(),
+        Command::Recovery(command) => command.run(),
         Command::Orders(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
+        Command::Overhead(command) => command.run(),
     }
 }
