--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -199,6 +199,7 @@
     let gap = now.saturating_duration_since(stream.last_token);
     let request = stream.id();
     stream.last_token = now;
+    stream.losses = 0;
     if let Some(stall) = stream.stall.take() {
         stream.excluded.clear();
         fx.observe(Observation::Recovered {
--- a/routing/src/stream/entry/recovery.rs
+++ b/routing/src/stream/entry/recovery.rs
@@ -54,7 +54,8 @@
     if excludes {
         exclude(stream, lost, fx);
     }
-    if stream.attempt.0 >= settings.max_attempts {
+    stream.losses += 1;
+    if stream.losses >= settings.max_attempts {
         let failure = Failure::new(ErrorKind::StreamLost, "too many stages were lost");
         fail(stream, failure, settings, fx);
         return;
--- a/routing/src/stream/entry/stream.rs
+++ b/routing/src/stream/entry/stream.rs
@@ -177,6 +177,8 @@
     pub mean_gap: Option<Duration>,
     /// When the last token came.
     pub last_token: Instant,
+    /// The number of times that a stage was lost since the last token.
+    pub losses: u32,
     /// The stall that the current attempt is to end.
     pub stall: Option<Stall>,
     /// The stage that was replaced last because its input did not arrive.
@@ -203,6 +205,7 @@
             delivered: 0,
             mean_gap: None,
             last_token: now,
+            losses: 0,
             stall: None,
             last_starved: None,
             has_run: false,
--- a/routing/src/stream/settings.rs
+++ b/routing/src/stream/settings.rs
@@ -34,7 +34,7 @@
     pub route_timeout_ms: u64,
     /// The number of repairs without progress after which a stage counts as lost.
     pub max_repairs: u32,
-    /// The number of attempts after which a request fails.
+    /// The number of attempts without a new token after which a request fails.
     pub max_attempts: u32,
     /// The advice that a failed request carries.
     pub retry_after_ms: u64,
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -204,6 +204,20 @@
     }
 }
 
+#[test]
+fn test_stage_lost_again_and_again() {
+    let mut network = started(settings());
+    for round in 1..20 {
+        run_to(&mut network, 2 * round);
+        let (dying, spare) = if round % 2 == 1 { (1, 4) } else { (4, 1) };
+        network.restart(spare);
+        network.kill(dying);
+    }
+    run_to(&mut network, 0);
+    assert_whole(&network);
+    assert_eq!(doubled_runs(&network, 0) + doubled_runs(&network, 2), 0);
+}
+
 /// Stage 1 has run on tokens that nobody who is left knows, so that others are generated.
 #[test]
 fn test_work_on_tokens_that_were_lost_is_forgotten() {
