--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,12 @@
 //! Measurements of jujubewall, one subcommand each.
 
+mod fit;
 mod membership;
+mod notes;
 mod orders;
+mod overhead;
 mod recovery;
+mod slopes;
 mod throughput;
 
 use argh::FromArgs;
@@ -18,18 +22,24 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Notes(notes::NotesCommand),
     Recovery(recovery::RecoveryCommand),
     Orders(orders::OrdersCommand),
+    Slopes(slopes::SlopesCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
+    Overhead(overhead::OverheadCommand),
 }
 
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Notes(command) => command.run(),
         Command::Recovery(command) => command.run(),
         Command::Orders(command) => command.run(),
+        Command::Slopes(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
+        Command::Overhead(command) => command.run(),
     }
 }
--- a/daemon/src/agent/admissions.rs
+++ b/daemon/src/agent/admissions.rs
@@ -55,6 +55,7 @@
             weight: self.weight_of(open),
             priority: open.priority,
             cost: positions * u64::from(stage.layers.len()),
+            is_resumed: open.known_tokens > open.prompt_tokens,
             deadline: now + Duration::from_millis(open.deadline_ms),
         };
         self.upstreams.insert(ticket, stage.upstream.clone());
--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -9,6 +9,8 @@
 use jujubewall_protocol::stream::Token;
 use jujubewall_routing::admission::AccountLimits;
 use jujubewall_routing::admission::AddressedLimitMessage;
+use jujubewall_routing::admission::EntryGate;
+use jujubewall_routing::admission::EntryGateSettings;
 use jujubewall_routing::admission::LimitSettings;
 use jujubewall_routing::choice::ChoiceRequest;
 use jujubewall_routing::choice::PipelineChooser;
@@ -17,6 +19,9 @@
 use jujubewall_routing::order::entry::EntryOrders;
 use jujubewall_routing::order::invariant::OrderInvariant;
 use jujubewall_routing::order::settings::EntryOrderSettings;
+use jujubewall_routing::retry::RetryBudget;
+use jujubewall_routing::retry::RetryCause;
+use jujubewall_routing::retry::RetrySettings;
 use jujubewall_routing::stream::action::EntryAction;
 use jujubewall_routing::stream::action::Observation;
 use jujubewall_routing::stream::action::RouteNeed;
@@ -43,6 +48,7 @@
 use crate::alarm::Alarm;
 use crate::entry::calls::PendingCalls;
 use crate::entry::messages::LimitTick;
+use crate::entry::messages::RetryRoute;
 use crate::entry::messages::StartStream;
 use crate::entry::messages::StartedStream;
 use crate::entry::messages::Wake;
@@ -85,6 +91,8 @@
     pub(super) calls: PendingCalls,
     pub(super) orders: EntryOrders,
     pub(super) limits: AccountLimits,
+    pub(super) gate: EntryGate,
+    pub(super) retries: RetryBudget,
     pub(super) is_draining: bool,
     pub(super) alarm: Alarm,
 }
@@ -94,6 +102,8 @@
     pub(super) events: mpsc::UnboundedSender<StreamEvent>,
     pub(super) started_at: Instant,
     pub(super) has_token: bool,
+    pub(super) refusal: Option<Failure>,
+    pub(super) refused_attempts: u32,
     pub(super) choice: ChoiceRequest,
 }
 
@@ -124,6 +134,7 @@
             max_answer_tokens: start.max_answer_tokens,
             exclude: SmallVec::new(),
         };
+        self.offer(now, &choice.account)?;
         let route = self
             .chooser
             .choose(now, &choice)
@@ -149,6 +160,8 @@
             events,
             started_at: now,
             has_token: false,
+            refusal: None,
+            refused_attempts: 0,
             choice,
         };
         self.sinks.insert(request, sink);
@@ -175,6 +188,17 @@
         self.chooser.set_engines(Instant::now(), &engines);
     }
 
+    /// Refuses at once what the agents would refuse anyway.
+    pub(super) fn offer(&mut self, now: Instant, account: &AccountName) -> Result<(), Failure> {
+        let weight = self.view.account(account).map_or(1, |known| known.weight);
+        self.gate.admit(now, account, weight).map_err(|refusal| {
+            Failure::new(refusal.reason.kind(), "the fleet has no room now")
+                .with_retry_after_ms(refusal.retry_after_ms)
+        })?;
+        self.retries.on_first_attempt(account);
+        Ok(())
+    }
+
     pub(super) fn take_limits(
         &mut self,
         now: Instant,
@@ -260,7 +284,7 @@
                 self.metrics.count_failed(failure.kind);
                 self.end(request, StreamEvent::Failed(failure));
             }
-            EntryAction::NeedRoute(need) => self.repair(&need, actor),
+            EntryAction::NeedRoute(need) => self.need_route(need, actor),
             EntryAction::Observe(observation) => self.observe(&observation),
         }
     }
@@ -271,6 +295,7 @@
         };
         if !sink.has_token {
             sink.has_token = true;
+            self.gate.on_accepted(Instant::now());
             observe(&self.metrics.first_token, sink.started_at.elapsed());
         }
         self.metrics.tokens.inc_by(tokens.len() as u64);
@@ -288,6 +313,31 @@
         }
     }
 
+    /// Finds another route, after a refusal only within the budget of retries.
+    pub(super) fn need_route(&mut self, need: Box<RouteNeed>, actor: &ActorRef<Self>) {
+        let Some(sink) = self.sinks.get_mut(&need.request) else {
+            return;
+        };
+        let Some(refusal) = sink.refusal.take() else {
+            self.repair(&need, actor);
+            return;
+        };
+        sink.refused_attempts += 1;
+        let failed = Attempt(sink.refused_attempts);
+        let account = &sink.choice.account;
+        let delay = self.retries.try_retry(account, failed, RetryCause::Refusal);
+        if let Ok(delay) = delay {
+            let retry = actor.tell(RetryRoute(need));
+            retry.send_after(delay);
+            return;
+        }
+        let now = Instant::now();
+        self.gate.on_refused(now);
+        let actions = self.streams.on_route(now, need.request, Err(refusal));
+        self.carry_out(actions, actor);
+    }
+
+    /// Finds another route now.
     pub(super) fn repair(&mut self, need: &RouteNeed, actor: &ActorRef<Self>) {
         let Some(sink) = self.sinks.get(&need.request) else {
             return;
@@ -336,9 +386,10 @@
         upstream: &UpstreamName,
         failure: &Failure,
     ) {
-        let Some(sink) = self.sinks.get(&request) else {
+        let Some(sink) = self.sinks.get_mut(&request) else {
             return;
         };
+        sink.refusal = Some(failure.clone());
         let retry_after = Duration::from_millis(failure.retry_after_ms.unwrap_or_default());
         self.chooser
             .on_refused(Instant::now(), upstream, &sink.choice.account, retry_after);
@@ -399,6 +450,8 @@
             calls: PendingCalls::default(),
             orders,
             limits,
+            gate: EntryGate::new(EntryGateSettings::default(), rand::random()),
+            retries: RetryBudget::new(RetrySettings::default(), rand::random()),
             is_draining: false,
             alarm,
         })
--- a/daemon/src/entry/messages.rs
+++ b/daemon/src/entry/messages.rs
@@ -9,6 +9,7 @@
 use jujubewall_protocol::stream::StreamMessage;
 use jujubewall_protocol::stream::Token;
 use jujubewall_routing::order::entry::NewCall;
+use jujubewall_routing::stream::action::RouteNeed;
 use jujubewall_types::id::AccountName;
 use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
@@ -121,5 +122,8 @@
 #[derive(Debug)]
 pub struct IsIdle;
 
+/// The delay before a refused stream looks for another route has passed.
+pub(super) struct RetryRoute(pub(super) Box<RouteNeed>);
+
 /// The alarm has rung.
 pub(super) struct Wake;
