routing: ask an agent with a higher incarnation instead of giving its calls up

A running process raises its incarnation when it refutes that it does not answer, and the entry took that for a replacement and told unknown. It now asks; a process that was replaced answers unknown itself.

--- a/routing/src/order/entry.rs
+++ b/routing/src/order/entry.rs
@@ -181,24 +181,22 @@
         actions
     }
 
-    /// Handles that an agent's process was replaced by one that started with `incarnation`.
+    /// Handles that an agent is alive with `incarnation`, which is higher than that of some calls.
     ///
-    /// Nobody can tell any more whether the older process sent its calls.
+    /// A running process can raise its incarnation, so that the agent is asked
+    /// what became of the calls; one that has been replaced answers `unknown`.
     pub fn on_agent_replaced(
         &mut self,
         agent_address: SocketAddr,
         incarnation: Incarnation,
     ) -> Vec<EntryOrderAction> {
-        let is_orphaned = |call: &&Waiting| {
+        let is_older = |call: &&Waiting| {
             call.agent_address == agent_address && call.cancel.agent_incarnation < incarnation
         };
-        let orphaned = self.calls.values().filter(is_orphaned);
-        let requests: Vec<RequestId> = orphaned.map(|call| call.cancel.request).collect();
-        let message = "the agent was replaced while the call was in progress";
-        let results = requests
-            .into_iter()
-            .map(|request| failed(request, ErrorKind::OutcomeUnknown, message));
-        results.filter_map(|result| self.answer(result)).collect()
+        let older = self.calls.values().filter(is_older);
+        let actions: Vec<_> = older.map(Waiting::cancel_action).collect();
+        self.counters.cancels += actions.len() as u64;
+        actions
     }
 
     /// Handles what is due.
--- a/routing/tests/test_orders.rs
+++ b/routing/tests/test_orders.rs
@@ -238,10 +238,15 @@
     assert_eq!(told(&world, asked).0, Outcome::Unknown);
     let replaced = world.submit(0, 1, None, "third");
     world.network.clear();
+    world.restart_agent(1);
+    let begin = world.now();
     let address = agent_address(1);
     world.on_entry(0, |orders| {
         orders.on_agent_replaced(address, Incarnation(2))
     });
+    world.deliver(0);
+    world.deliver(0);
+    assert_eq!(world.now(), begin);
     assert_eq!(told(&world, replaced).0, Outcome::Unknown);
     world.check_truth();
 }
