--- a/daemon/src/entry/handlers.rs
+++ b/daemon/src/entry/handlers.rs
@@ -19,6 +19,7 @@
 use crate::entry::messages::MembersChanged;
 use crate::entry::messages::PeerAlive;
 use crate::entry::messages::PeerLost;
+use crate::entry::messages::RetryRoute;
 use crate::entry::messages::StartCall;
 use crate::entry::messages::StartStream;
 use crate::entry::messages::StartedStream;
@@ -149,6 +150,14 @@
     }
 }
 
+impl Handle<RetryRoute> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, retry: RetryRoute, context: &mut Context<Self, ()>) {
+        self.repair(&retry.0, context.actor_ref());
+    }
+}
+
 impl Handle<Wake> for EntryActor {
     type Reply = ();
 
