daemon: withdrawn upstreams finish what is in progress; life cycle as types

An agent dropped the client of an engine as soon as a note withdrew it, so that the next step of a live stream failed. The client now stays for the grace time, the stages are told to move, and entries hear of leaving members from membership too. Violations seen by control reach the metrics. Tests: a note that withdraws a busy engine cuts off nothing and gives it no new work; a note is in force everywhere within 2 s though the service is lost right after acceptance.

--- a/daemon/src/agent/actor.rs
+++ b/daemon/src/agent/actor.rs
@@ -47,6 +47,8 @@
     pub metrics: Arc<Metrics>,
     /// The settings of the stages.
     pub settings: AgentSettings,
+    /// The time that stages of a withdrawn engine have to end or move.
+    pub drain_grace: Duration,
     /// The actor of calls to plain services.
     pub orders: ActorRef<OrdersActor>,
 }
@@ -57,6 +59,7 @@
     metrics: Arc<Metrics>,
     streams: AgentStreams,
     upstreams: Upstreams,
+    drain_grace: Duration,
     orders: ActorRef<OrdersActor>,
     admissions: Admissions,
     used_costs: HashMap<StageKey, u64>,
@@ -254,6 +257,7 @@
             network: args.network,
             metrics: args.metrics,
             upstreams: Upstreams::default(),
+            drain_grace: args.drain_grace,
             orders: args.orders,
             admissions: Admissions::default(),
             used_costs: HashMap::new(),
@@ -300,8 +304,19 @@
 impl Handle<ApplyConfiguration> for AgentActor {
     type Reply = ();
 
-    async fn handle(&mut self, apply: ApplyConfiguration, _: &mut Context<Self, ()>) {
-        self.upstreams.apply(&apply.0, self.network.own_address());
+    async fn handle(&mut self, apply: ApplyConfiguration, context: &mut Context<Self, ()>) {
+        let now = Instant::now();
+        let grace_end = now + self.drain_grace;
+        let changes = self
+            .upstreams
+            .apply(&apply.0, self.network.own_address(), grace_end);
+        for engine in &changes.added {
+            self.streams.return_upstream(engine);
+        }
+        for engine in &changes.withdrawn {
+            let actions = self.streams.leave_upstream(now, engine, grace_end);
+            self.carry_out(actions, context.actor_ref());
+        }
         let configuration = Arc::clone(&apply.0);
         let _ = self.orders.tell(ApplyServices(configuration)).send().await;
         self.admissions.apply(apply.0);
--- a/daemon/src/agent/orders.rs
+++ b/daemon/src/agent/orders.rs
@@ -205,7 +205,9 @@
     type Reply = ();
 
     async fn handle(&mut self, apply: ApplyServices, _: &mut Context<Self, ()>) {
-        self.upstreams.apply(&apply.0, self.network.own_address());
+        let now = Instant::now();
+        self.upstreams
+            .apply(&apply.0, self.network.own_address(), now);
     }
 }
 
--- a/daemon/src/entry/handlers.rs
+++ b/daemon/src/entry/handlers.rs
@@ -18,6 +18,7 @@
 use crate::entry::messages::LimitTick;
 use crate::entry::messages::MembersChanged;
 use crate::entry::messages::PeerAlive;
+use crate::entry::messages::PeerLeaving;
 use crate::entry::messages::PeerLost;
 use crate::entry::messages::RetryRoute;
 use crate::entry::messages::StartCall;
@@ -113,6 +114,18 @@
     }
 }
 
+impl Handle<PeerLeaving> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, leaving: PeerLeaving, context: &mut Context<Self, ()>) {
+        let now = Instant::now();
+        let actions = self
+            .streams
+            .on_peer_leaving(now, leaving.peer, leaving.grace_end);
+        self.carry_out(actions, context.actor_ref());
+    }
+}
+
 impl Handle<ApplyView> for EntryActor {
     type Reply = ();
 
--- a/daemon/src/entry/messages.rs
+++ b/daemon/src/entry/messages.rs
@@ -94,6 +94,15 @@
     pub incarnation: Incarnation,
 }
 
+/// A peer takes no new work, and finishes what is in progress until `grace_end`.
+#[derive(Debug)]
+pub struct PeerLeaving {
+    /// The address at which the peer accepts connections.
+    pub peer: SocketAddr,
+    /// When its streams have to have ended or moved.
+    pub grace_end: Instant,
+}
+
 /// Another configuration is to be applied.
 #[derive(Debug)]
 pub struct ApplyView(pub Arc<View>);
--- a/daemon/src/membership/actor.rs
+++ b/daemon/src/membership/actor.rs
@@ -51,6 +51,8 @@
     Changed,
     /// The member at an address is alive with this incarnation.
     Alive(SocketAddr, Incarnation),
+    /// The member at an address takes no new work.
+    Leaving(SocketAddr),
     /// The member at an address is gone.
     Lost(SocketAddr),
     /// The platform lists this process's host as leaving.
@@ -159,7 +161,8 @@
                 self.tell(event).await;
             }
             MemberState::Dead => self.tell(MembershipEvent::Lost(address)).await,
-            MemberState::Suspect | MemberState::Leaving => {}
+            MemberState::Leaving => self.tell(MembershipEvent::Leaving(address)).await,
+            MemberState::Suspect => {}
         }
     }
 
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -12,12 +12,18 @@
 use jujubewall_control::store::NoteStore;
 use jujubewall_routing::choice::ChooserSettings;
 use jujubewall_routing::choice::PipelineChooser;
+use jujubewall_routing::lifecycle;
+use jujubewall_routing::lifecycle::DrainStep;
+use jujubewall_routing::lifecycle::Draining;
+use jujubewall_routing::lifecycle::Lifecycle;
+use jujubewall_routing::lifecycle::Stopped;
 use jujubewall_routing::stream::settings::AgentSettings;
 use jujubewall_routing::stream::settings::EntrySettings;
 use kameo::actor::ActorRef;
 use kameo::actor::Spawn as _;
 use kameo::mailbox;
 use log::info;
+use log::warn;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -53,6 +59,7 @@
     role: RunningRole,
     monitoring: Listener,
     is_serving: watch::Sender<bool>,
+    lifecycle: Lifecycle<lifecycle::Running>,
     drain_grace: Duration,
 }
 
@@ -87,7 +94,7 @@
                 caller_address,
                 operator_address,
             } => start_entry(&shared, settings, caller_address, operator_address).await?,
-            RoleSettings::Agent => start_agent(&shared),
+            RoleSettings::Agent => start_agent(&shared, settings),
         };
         let drain_grace = Duration::from_millis(settings.limits.drain_grace_ms);
         tokio::spawn(dispatch::network_events(
@@ -109,6 +116,7 @@
             role,
             monitoring,
             is_serving,
+            lifecycle: Lifecycle::new(),
             drain_grace,
         })
     }
@@ -160,9 +168,9 @@
     pub async fn stop(self) {
         info!("the process drains");
         let _ = self.is_serving.send(false);
-        let grace_end = Instant::now() + self.drain_grace;
+        let draining = self.lifecycle.drain(Instant::now(), self.drain_grace);
         let _ = self.shared.membership.tell(AnnounceLeaving).send().await;
-        match self.role {
+        let stopped = match self.role {
             RunningRole::Entry {
                 actor,
                 callers,
@@ -171,18 +179,22 @@
                 let _ = actor.tell(entry::Drain).send().await;
                 callers.drain(self.drain_grace).await;
                 operators.drain(self.drain_grace).await;
-                wait_until_idle(grace_end, async || {
+                wait_until_idle(draining, async || {
                     actor.ask(entry::IsIdle).send().await.unwrap_or(true)
                 })
-                .await;
+                .await
             }
             RunningRole::Agent { actor } => {
+                let grace_end = draining.grace_end();
                 let _ = actor.tell(agent::Leave { grace_end }).send().await;
-                wait_until_idle(grace_end, async || {
+                wait_until_idle(draining, async || {
                     actor.ask(agent::IsIdle).send().await.unwrap_or(true)
                 })
-                .await;
+                .await
             }
+        };
+        if stopped.cut_off() > 0 {
+            warn!("the grace time has ended with work in progress");
         }
         self.shared.network.shut_down().await;
         self.monitoring.drain(DRAIN_POLL_INTERVAL).await;
@@ -190,10 +202,15 @@
     }
 }
 
-async fn wait_until_idle(grace_end: Instant, is_idle: impl AsyncFn() -> bool) {
-    while Instant::now() < grace_end {
-        if is_idle().await {
-            return;
+async fn wait_until_idle(
+    mut draining: Lifecycle<Draining>,
+    is_idle: impl AsyncFn() -> bool,
+) -> Lifecycle<Stopped> {
+    loop {
+        let in_progress = usize::from(!is_idle().await);
+        match draining.step(Instant::now(), in_progress) {
+            DrainStep::Wait(waiting) => draining = waiting,
+            DrainStep::Stop(stopped) => return stopped,
         }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
@@ -249,7 +266,7 @@
     })
 }
 
-fn start_agent(shared: &Shared) -> RunningRole {
+fn start_agent(shared: &Shared, settings: &Settings) -> RunningRole {
     let orders = OrdersArgs {
         network: shared.network.clone(),
         metrics: Arc::clone(&shared.metrics),
@@ -261,6 +278,7 @@
         network: shared.network.clone(),
         metrics: Arc::clone(&shared.metrics),
         settings: AgentSettings::default(),
+        drain_grace: Duration::from_millis(settings.limits.drain_grace_ms),
     };
     let actor = AgentActor::spawn_with_mailbox(args, mailbox::bounded(MAILBOX_LEN));
     tokio::spawn(dispatch::agent_configurations(
--- a/daemon/src/process/dispatch.rs
+++ b/daemon/src/process/dispatch.rs
@@ -88,6 +88,13 @@
         }
     }
 
+    async fn on_peer_leaving(&self, peer: SocketAddr, grace_end: Instant) {
+        if let Self::Entry(actor) = self {
+            let leaving = entry::PeerLeaving { peer, grace_end };
+            let _ = actor.tell(leaving).send().await;
+        }
+    }
+
     async fn on_members_changed(&self) {
         if let Self::Entry(actor) = self {
             let _ = actor.tell(entry::MembersChanged).send().await;
@@ -145,6 +152,10 @@
             MembershipEvent::Alive(peer, incarnation) => {
                 role.on_peer_alive(peer, incarnation).await;
             }
+            MembershipEvent::Leaving(peer) => {
+                role.on_peer_leaving(peer, Instant::now() + drain_grace)
+                    .await;
+            }
             MembershipEvent::Lost(peer) => role.on_peer_lost(peer).await,
             MembershipEvent::OwnHostLeaving => {
                 role.on_own_host_leaving(Instant::now() + drain_grace).await;
--- a/daemon/src/process/monitoring.rs
+++ b/daemon/src/process/monitoring.rs
@@ -5,6 +5,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use jujubewall_control::invariant::Invariant;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use tokio::sync::watch;
@@ -47,7 +48,12 @@
 fn answer_path(path: &str, metrics: &Metrics, is_ready: bool) -> Answer {
     let text = |status, text: &str| answer::text(status, TEXT_TYPE, text.to_owned());
     match path {
-        "/metrics" => answer::text(StatusCode::OK, METRICS_TYPE, metrics.encode()),
+        "/metrics" => {
+            for invariant in Invariant::ALL {
+                metrics.set_violations(invariant.label(), invariant.violations());
+            }
+            answer::text(StatusCode::OK, METRICS_TYPE, metrics.encode())
+        }
         "/healthz" => text(StatusCode::OK, "alive\n"),
         "/readyz" if is_ready => text(StatusCode::OK, "ready\n"),
         "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
--- a/daemon/tests/test_failures.rs
+++ b/daemon/tests/test_failures.rs
@@ -10,10 +10,13 @@
 use jujubewall_testutils::engine::EngineSettings;
 use jujubewall_testutils::fleet::COMPLETIONS;
 use jujubewall_testutils::fleet::Fleet;
+use jujubewall_testutils::fleet::NOTES;
 use jujubewall_testutils::fleet::completion;
 use jujubewall_testutils::key_value::Outage;
+use jujubewall_testutils::site::PARTNER;
 use jujubewall_testutils::site::SiteShape;
 use jujubewall_testutils::site::TestSite;
+use serde_json::json;
 use tokio::time::Instant;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_jujubewalld");
@@ -22,6 +25,8 @@
 const PIPELINES: usize = 2;
 /// The stall that a caller may see after a failure, as the design states it.
 const STALL_TARGET: Duration = Duration::from_secs(1);
+/// The time within which a note is in force everywhere, as the design states it.
+const IN_FORCE_TARGET: Duration = Duration::from_secs(2);
 const PROMPT: &str = "stray trolleys at the cargo apron";
 
 fn shape() -> SiteShape {
@@ -179,3 +184,63 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn test_withdrawn_upstream_cuts_off_no_answer() {
+    let fleet = start().await;
+    let mut stream = fleet.stream(0, PROMPT, TOKENS).await;
+    let mut text = part(&mut stream).await.expect("the answer has a start");
+    let engine = busy_engine(&fleet, 1).await;
+    let withdrawn = &fleet.site.engines[engine].upstream.name;
+    let note = json!({
+        "id": "withdraw",
+        "partner": PARTNER,
+        "withdrawn": { "upstreams": [withdrawn] },
+    });
+    let answer = fleet.operator(1).post(NOTES, &note).await;
+    let answer = answer.expect("the entry answers").json();
+    assert_eq!(answer["result"], "accepted", "{answer}");
+    let (more, _) = rest(&mut stream).await;
+    text.push_str(&more);
+    assert_eq!(text, fleet.site.expected_text(PROMPT, TOKENS));
+    eventually("the note is in force", async || {
+        let status = fleet.operator(0).get("/admin/v1/status").await;
+        let status = status.expect("the entry answers").json();
+        status["head"] == 2 && status["is_in_force"] == true
+    })
+    .await;
+    let before = fleet.site.engines[engine].fake.total_runs();
+    let body = completion("after the withdrawal", 8, false);
+    let answer = fleet.caller(0).post(COMPLETIONS, &body).await;
+    assert_eq!(answer.expect("the entry answers").status, 200);
+    assert_eq!(fleet.site.engines[engine].fake.total_runs(), before);
+}
+
+#[tokio::test]
+async fn test_note_is_in_force_everywhere_though_the_service_is_lost_right_after() {
+    let fleet = start().await;
+    let note = json!({
+        "id": "later",
+        "partner": PARTNER,
+        "added": { "models": [{
+            "name": "other", "layer_count": 2, "active_version": "v1",
+            "versions": [{ "name": "v1", "layer_bytes": 1 }],
+            "max_prompt_tokens": 8, "max_answer_tokens": 8,
+        }] },
+    });
+    let key_value = &fleet.site.key_value;
+    key_value.set_faults(|faults| faults.silent_watches = true);
+    let answer = fleet.operator(1).post(NOTES, &note).await;
+    let accepted_at = Instant::now();
+    key_value.set_faults(|faults| faults.outage = Outage::Silent);
+    let answer = answer.expect("the entry answers").json();
+    assert_eq!(answer["result"], "accepted", "{answer}");
+    eventually("the note is in force", async || {
+        let status = fleet.operator(0).get("/admin/v1/status").await;
+        let status = status.expect("the entry answers").json();
+        status["head"] == 2 && status["is_in_force"] == true
+    })
+    .await;
+    let took = accepted_at.elapsed();
+    assert!(took <= IN_FORCE_TARGET, "in force after {took:?}");
+}
