--- a/bench/src/orders/run.rs
+++ b/bench/src/orders/run.rs
@@ -380,6 +380,9 @@
     fn report(self, elapsed: Duration) -> eyre::Result<RunReport> {
         let counters: Vec<_> = self.agents.iter().map(AgentOrders::counters).collect();
         let sum = |count: fn(&AgentOrderCounters) -> u64| counters.iter().map(count).sum::<u64>();
+        let completed = self.told[0].completed + self.told[1].completed;
+        let runs = u64::from(self.service.runs());
+        eyre::ensure!(completed == runs, "{completed} calls completed, {runs} ran");
         let elapsed_s = elapsed.as_secs_f64();
         let recovery = self.back_at.zip(self.outage_end());
         let recovery_ms = recovery.map(|(back, end)| (back - end).as_millis());
@@ -389,7 +392,7 @@
             has_key: self.load.has_key,
             told: self.told[0],
             told_in_outage: self.told[1],
-            service_runs: u64::from(self.service.runs()),
+            service_runs: runs,
             writes_per_s: sum(|counters| counters.writes) as f64 / elapsed_s,
             max_writes_in_1_s: self.writes_by_s.values().copied().max().unwrap_or(0),
             write_bytes_per_s: self.write_bytes as f64 / elapsed_s,
