--- a/routing/src/membership/receive.rs
+++ b/routing/src/membership/receive.rs
@@ -9,7 +9,6 @@
 use jujubewall_types::member::MemberState;
 use tokio::time::Instant;
 
-use super::action::MembershipAction;
 use super::action::MembershipActions;
 use super::claim::supersedes;
 use super::digest::bucket_of;
@@ -58,6 +57,7 @@
             MemberMessage::Table { records } => {
                 self.merge_all(now, records, Spread::No);
                 self.has_joined = true;
+                self.asked.remove(&from.peer_address);
             }
             MemberMessage::Digest { buckets } => self.answer_digest(from, &buckets),
             MemberMessage::Difference {
@@ -70,7 +70,7 @@
                 }
                 self.merge_all(now, records, Spread::Yes);
             }
-            MemberMessage::HostLeaving => self.actions.push(MembershipAction::OwnHostLeaving),
+            MemberMessage::HostLeaving => self.note_host_leaving(),
         }
     }
 
--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -204,6 +204,20 @@
     }
 }
 
+#[test]
+fn test_stage_lost_again_and_again() {
+    let mut network = started(settings());
+    for round in 1..20 {
+        run_to(&mut network, 2 * round);
+        let (dying, spare) = if round % 2 == 1 { (1, 4) } else { (4, 1) };
+        network.restart(spare);
+        network.kill(dying);
+    }
+    run_to(&mut network, 0);
+    assert_whole(&network);
+    assert_eq!(doubled_runs(&network, 0) + doubled_runs(&network, 2), 0);
+}
+
 /// Stage 1 has run on tokens that nobody who is left knows, so that others are generated.
 #[test]
 fn test_work_on_tokens_that_were_lost_is_forgotten() {
@@ -312,6 +326,28 @@
     assert_eq!(network.engine(1).total_runs(), 0);
 }
 
+#[test]
+fn test_one_requests_recovery_does_not_delay_another() {
+    let other = RequestId(8);
+    let mut network = started(settings());
+    network.start(
+        0,
+        other,
+        (0..PROMPT_TOKENS).collect(),
+        ANSWER_TOKENS,
+        &[3, 4, 5],
+    );
+    run_to(&mut network, 10);
+    network.freeze(1);
+    network.run(MAX_STALL / 2, |_| false);
+    let times = &network.answers()[&other].times;
+    let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps.max() < Some(Duration::from_millis(40)));
+    network.run(LONG, StreamNetwork::is_done);
+    assert_whole(&network);
+    assert!(network.is_consistent(other));
+}
+
 #[test]
 fn test_cancel_lets_every_agent_forget() {
     let mut network = started(settings());
