routing: test that a claim which takes effect late is given back

A lost reply that is taken as no effect passed every other test: the late claim stayed for nobody, so that repeats of the key were told unknown. With that fault planted this test fails.

--- a/routing/tests/test_orders.rs
+++ b/routing/tests/test_orders.rs
@@ -78,6 +78,41 @@
     world.check_truth();
 }
 
+#[test]
+fn test_claim_that_takes_effect_late_is_given_back() {
+    let mut world = world();
+    world.key_value.set_faults(|faults| {
+        faults.delay_next_effects = 1;
+        faults.effect_delay = 4 * DEADLINE;
+    });
+    let refused = world.submit(0, 0, Some("k"), "body");
+    world.deliver(0);
+    while world.key_value.counts().swaps == 0 {
+        world.run_io(0, 0);
+        world.tick();
+    }
+    world.run_io(0, 0);
+    let outage = Outage::Refusing;
+    world.key_value.set_faults(|faults| faults.outage = outage);
+    for _ in 0..60 {
+        world.deliver(0);
+        world.run_io(0, 0);
+        world.advance(DEADLINE / 10);
+    }
+    world
+        .key_value
+        .set_faults(|faults| faults.outage = Outage::None);
+    world.settle();
+    world.advance(Duration::from_secs(1));
+    world.settle();
+    let repeat = world.submit(0, 1, Some("k"), "body");
+    world.settle();
+    let expected = (Outcome::NotRun, Some(ErrorKind::PlatformUnavailable));
+    assert_eq!(told(&world, refused), expected);
+    assert_eq!(told(&world, repeat).0, Outcome::Completed);
+    world.check_truth();
+}
+
 #[test]
 fn test_outage_refuses_calls_with_a_key_at_once_and_runs_the_others() {
     let mut world = world();
