--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,6 +6,12 @@
 pub mod admission;
 pub mod bound;
 pub mod choice;
+pub mod lifecycle;
+pub mod link;
+pub mod membership;
+pub mod order;
 pub mod retry;
+pub mod stream;
+pub mod timer;
 
 mod path;
--- /dev/null
+++ b/testutils/src/ports.rs
@@ -0,0 +1,45 @@
+//! Ports for processes that are told their addresses before they start.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::process;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+/// The first port that is given out.
+const FIRST_PORT: u32 = 10_000;
+
+/// The number of ports, which ends below those that the system gives to outgoing connections.
+const PORT_COUNT: u32 = 22_000;
+
+static GIVEN_OUT: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address that is free for TCP and UDP.
+///
+/// Every test process has a host part of its own, made from its identifier, so
+/// that no two of them and no outgoing connection can take one another's ports
+/// between the choice of an address and its use. No port is given out twice by
+/// one test process.
+///
+/// # Panics
+///
+/// Panics if every port is taken.
+pub fn free_address() -> SocketAddr {
+    for _ in 0..PORT_COUNT {
+        let index = GIVEN_OUT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let port = u16::try_from(FIRST_PORT + index).unwrap_or_default();
+        let address = SocketAddr::from((own_host(), port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free");
+}
+
+/// Returns the loopback address of this process, which is never 127.0.0.x.
+fn own_host() -> Ipv4Addr {
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | high, middle, low)
+}
