--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -22,10 +22,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Slopes(slopes::SlopesCommand),
     Notes(notes::NotesCommand),
     Recovery(recovery::RecoveryCommand),
     Orders(orders::OrdersCommand),
-    Slopes(slopes::SlopesCommand),
     Throughput(throughput::ThroughputCommand),
     Membership(membership::MembershipCommand),
     Overhead(overhead::OverheadCommand),
@@ -34,10 +34,10 @@
 fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     match arguments.command {
+        Command::Slopes(command) => command.run(),
         Command::Notes(command) => command.run(),
         Command::Recovery(command) => command.run(),
         Command::Orders(command) => command.run(),
-        Command::Slopes(command) => command.run(),
         Command::Throughput(command) => command.run(),
         Command::Membership(command) => command.run(),
         Command::Overhead(command) => command.run(),
