--- a/daemon/src/agent/admissions.rs
+++ b/daemon/src/agent/admissions.rs
@@ -54,7 +54,6 @@
             account: open.account.clone(),
             weight: self.weight_of(open),
             priority: open.priority,
-            is_resumed: open.known_tokens > open.prompt_tokens,
             cost: positions * u64::from(stage.layers.len()),
             is_resumed: open.known_tokens > open.prompt_tokens,
             deadline: now + Duration::from_millis(open.deadline_ms),
