daemon: carry out the plan at agents and write it at entries

Cause: the planner, the plan's writer and the reconciler were decisions that no process carried out, so that engines held only what a note fixed for them.

Change: an actor at each agent owns the reconciler: it reads the plan, asks its engines for their status, fetches weights, drains by asking the stages, and sends each order right after its release. Agents report what their engines hold to every live entry, on change and every ten seconds. An actor at each entry keeps the reports; the first three entries by name plan after a change and every five seconds, and pass on to each agent the part of a newer plan that is about its engines. Entries route to what is reported, and to what the operator fixed only until a report has come. An entry does not plan until every live agent has reported or fifteen seconds have passed, since a plan from partial knowledge would move engines for nothing.

Ruled out: a watch of the plan by each agent, which would read the whole plan from the key-value service 1,200 times for each change; planning by every entry, for the same reason.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -3,6 +3,8 @@
 pub mod actor;
 mod admissions;
 mod engine;
+mod holdings;
 pub mod orders;
+pub mod plan;
 mod service;
 mod upstreams;
--- a/daemon/src/agent/actor.rs
+++ b/daemon/src/agent/actor.rs
@@ -15,7 +15,9 @@
 use jujubewall_routing::stream::agent::StageKey;
 use jujubewall_routing::stream::invariant::StreamInvariant;
 use jujubewall_routing::stream::settings::AgentSettings;
+use jujubewall_types::config::Assignment;
 use jujubewall_types::config::Configuration;
+use jujubewall_types::id::UpstreamName;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::error::Infallible;
@@ -91,6 +93,15 @@
 #[derive(Debug)]
 pub struct IsIdle;
 
+/// Asks whether a stage runs layers of an assignment at an engine.
+#[derive(Debug)]
+pub struct UsesAssignment {
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// The assignment.
+    pub assignment: Assignment,
+}
+
 /// The alarm has rung.
 struct Wake;
 
@@ -328,6 +339,14 @@
     }
 }
 
+impl Handle<UsesAssignment> for AgentActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, asked: UsesAssignment, _: &mut Context<Self, bool>) -> bool {
+        self.streams.uses(&asked.upstream, &asked.assignment)
+    }
+}
+
 impl Handle<Wake> for AgentActor {
     type Reply = ();
 
--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -47,6 +47,7 @@
 
 use crate::alarm::Alarm;
 use crate::entry::calls::PendingCalls;
+use crate::entry::holdings::FleetHoldings;
 use crate::entry::messages::LimitTick;
 use crate::entry::messages::RetryRoute;
 use crate::entry::messages::StartStream;
@@ -71,6 +72,8 @@
     pub incarnation: Incarnation,
     /// The members.
     pub members: Members,
+    /// What the engines hold.
+    pub holdings: FleetHoldings,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// The settings of the streams.
@@ -83,6 +86,7 @@
 pub struct EntryActor {
     pub(super) network: Network,
     pub(super) members: Members,
+    pub(super) holdings: FleetHoldings,
     pub(super) metrics: Arc<Metrics>,
     pub(super) streams: EntryStreams,
     pub(super) chooser: PipelineChooser,
@@ -184,7 +188,7 @@
     }
 
     pub(super) fn update_engines(&mut self) {
-        let engines = routes::engine_views(&self.view, &self.members);
+        let engines = routes::engine_views(&self.view, &self.members, &self.holdings);
         self.chooser.set_engines(Instant::now(), &engines);
     }
 
@@ -443,6 +447,7 @@
             streams: EntryStreams::new(args.network.own_address(), args.settings),
             network: args.network,
             members: args.members,
+            holdings: args.holdings,
             metrics: args.metrics,
             chooser: args.chooser,
             view: Arc::default(),
--- a/daemon/src/entry/handlers.rs
+++ b/daemon/src/entry/handlers.rs
@@ -13,6 +13,7 @@
 use crate::entry::messages::CallEnded;
 use crate::entry::messages::CancelStream;
 use crate::entry::messages::Drain;
+use crate::entry::messages::HoldingsChanged;
 use crate::entry::messages::IsIdle;
 use crate::entry::messages::LimitReceived;
 use crate::entry::messages::LimitTick;
@@ -134,6 +135,14 @@
     }
 }
 
+impl Handle<HoldingsChanged> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: HoldingsChanged, _: &mut Context<Self, ()>) {
+        self.update_engines();
+    }
+}
+
 impl Handle<Drain> for EntryActor {
     type Reply = ();
 
--- a/daemon/src/entry/messages.rs
+++ b/daemon/src/entry/messages.rs
@@ -114,6 +114,10 @@
 #[derive(Debug)]
 pub struct MembersChanged;
 
+/// What engines hold has changed.
+#[derive(Debug)]
+pub struct HoldingsChanged;
+
 /// Asks the entry to take no new work.
 #[derive(Debug)]
 pub struct Drain;
--- a/daemon/src/entry/routes.rs
+++ b/daemon/src/entry/routes.rs
@@ -1,48 +1,72 @@
 //! What the entry tells the pipeline chooser.
 
+use jujubewall_control::plan::document::Assignments;
 use jujubewall_protocol::stream::Route;
 use jujubewall_routing::choice::ChoiceRequest;
 use jujubewall_routing::choice::EngineState;
 use jujubewall_routing::choice::EngineView;
 use jujubewall_routing::choice::NoPipeline;
 use jujubewall_routing::stream::action::RouteNeed;
+use jujubewall_types::config::Assignment;
+use jujubewall_types::config::EngineProfile;
+use jujubewall_types::config::Upstream;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 use jujubewall_types::member::MemberState;
 
+use crate::entry::holdings::FleetHoldings;
 use crate::entry::view::View;
 use crate::membership::Members;
 
 /// The time after which a request that found no pipeline may be repeated.
 const NO_PIPELINE_RETRY_MS: u64 = 1_000;
 
-/// Lists the engines that hold what the operator fixed for them.
-pub fn engine_views(view: &View, members: &Members) -> Vec<EngineView> {
-    let engines = view.engines();
-    engines
-        .filter_map(|(upstream, profile, assignment)| {
-            let assignment = assignment?;
-            Some(EngineView {
-                upstream: upstream.name.clone(),
-                agent_address: upstream.agent_address,
-                failure_domain: upstream.failure_domain.clone(),
-                model: assignment.model.clone(),
-                version: assignment.version.clone(),
-                layers: assignment.layers,
-                decode_token_layers_per_s: profile.decode_token_layers_per_s,
-                prefill_token_layers_per_s: profile.prefill_token_layers_per_s,
-                state: engine_state(members.state_at(upstream.agent_address)),
-            })
-        })
-        .collect()
+/// Lists each assignment that an engine has loaded and gives work.
+///
+/// Until its agent has reported, an engine is taken to hold what the operator
+/// fixed for it.
+pub fn engine_views(view: &View, members: &Members, holdings: &FleetHoldings) -> Vec<EngineView> {
+    let mut views = Vec::new();
+    for (upstream, profile, fixed) in view.engines() {
+        let agent = members.state_at(upstream.agent_address);
+        let reported = holdings.of(upstream);
+        let is_reachable = reported.as_ref().is_none_or(|held| held.is_reachable);
+        let state = engine_state(agent, is_reachable);
+        let held: Assignments = match &reported {
+            Some(reported) => reported.usable().cloned().collect(),
+            None => fixed.into_iter().cloned().collect(),
+        };
+        let held = held.into_iter();
+        views.extend(held.map(|held| engine_view(upstream, profile, held, state)));
+    }
+    views
+}
+
+fn engine_view(
+    upstream: &Upstream,
+    profile: &EngineProfile,
+    held: Assignment,
+    state: EngineState,
+) -> EngineView {
+    EngineView {
+        upstream: upstream.name.clone(),
+        agent_address: upstream.agent_address,
+        failure_domain: upstream.failure_domain.clone(),
+        model: held.model,
+        version: held.version,
+        layers: held.layers,
+        decode_token_layers_per_s: profile.decode_token_layers_per_s,
+        prefill_token_layers_per_s: profile.prefill_token_layers_per_s,
+        state,
+    }
 }
 
-/// Judges an engine by its agent; one that is not a member yet is tried.
-fn engine_state(agent: Option<MemberState>) -> EngineState {
+/// Judges an engine by its agent; one whose agent is not a member yet is tried.
+fn engine_state(agent: Option<MemberState>, is_reachable: bool) -> EngineState {
     match agent {
-        None | Some(MemberState::Alive) => EngineState::Usable,
-        Some(MemberState::Suspect | MemberState::Dead) => EngineState::Suspect,
         Some(MemberState::Leaving) => EngineState::Leaving,
+        None | Some(MemberState::Alive) if is_reachable => EngineState::Usable,
+        _ => EngineState::Suspect,
     }
 }
 
--- a/daemon/src/membership.rs
+++ b/daemon/src/membership.rs
@@ -79,6 +79,21 @@
             .collect()
     }
 
+    /// Returns the addresses of the entries that are not known to be gone or leaving.
+    pub fn entry_addresses(&self) -> Vec<SocketAddr> {
+        let list = self.list.load();
+        let is_live = |member: &&MemberView| {
+            let state = member.record.state;
+            matches!(state, MemberState::Alive | MemberState::Suspect)
+        };
+        list.members
+            .iter()
+            .filter(|member| member.record.role == Role::Entry)
+            .filter(is_live)
+            .map(|member| member.record.peer_address)
+            .collect()
+    }
+
     /// Returns the address of a member.
     pub fn address_of(&self, name: &MemberName) -> Option<SocketAddr> {
         let list = self.list.load();
--- a/daemon/src/network/lane.rs
+++ b/daemon/src/network/lane.rs
@@ -43,7 +43,9 @@
         };
         match **message {
             Message::Stream(_) | Message::Call(_) => Self::Data,
-            Message::Member(_) | Message::Config(_) | Message::Limit(_) => Self::Control,
+            Message::Member(_) | Message::Config(_) | Message::Limit(_) | Message::Report(_) => {
+                Self::Control
+            }
         }
     }
 }
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use jujubewall_control::store::NoteStore;
+use jujubewall_platform::http_weight_store::HttpWeightStore;
 use jujubewall_routing::choice::ChooserSettings;
 use jujubewall_routing::choice::PipelineChooser;
 use jujubewall_routing::stream::settings::AgentSettings;
@@ -26,11 +27,16 @@
 use crate::agent::actor::AgentArgs;
 use crate::agent::orders::OrdersActor;
 use crate::agent::orders::OrdersArgs;
+use crate::agent::plan::PlanActor;
+use crate::agent::plan::PlanArgs;
 use crate::entry::actor::EntryActor;
 use crate::entry::actor::EntryArgs;
 use crate::entry::callers::Callers;
+use crate::entry::holdings::FleetHoldings;
 use crate::entry::messages as entry;
 use crate::entry::operators::Operators;
+use crate::entry::planner::PlannerActor;
+use crate::entry::planner::PlannerArgs;
 use crate::membership::actor::AnnounceLeaving;
 use crate::metrics::Metrics;
 use crate::network::actor::RoundTrip;
@@ -60,19 +66,21 @@
 enum RunningRole {
     Entry {
         actor: ActorRef<EntryActor>,
+        planner: ActorRef<PlannerActor>,
         callers: Listener,
         operators: Listener,
     },
     Agent {
         actor: ActorRef<AgentActor>,
+        plans: ActorRef<PlanActor>,
     },
 }
 
 impl RunningRole {
     fn actor(&self) -> RoleActor {
         match self {
-            Self::Entry { actor, .. } => RoleActor::Entry(actor.clone()),
-            Self::Agent { actor } => RoleActor::Agent(actor.clone()),
+            Self::Entry { actor, planner, .. } => RoleActor::Entry(actor.clone(), planner.clone()),
+            Self::Agent { actor, plans } => RoleActor::Agent(actor.clone(), plans.clone()),
         }
     }
 }
@@ -87,7 +95,7 @@
                 caller_address,
                 operator_address,
             } => start_entry(&shared, settings, caller_address, operator_address).await?,
-            RoleSettings::Agent => start_agent(&shared),
+            RoleSettings::Agent => start_agent(&shared, settings),
         };
         let drain_grace = Duration::from_millis(settings.limits.drain_grace_ms);
         tokio::spawn(dispatch::network_events(
@@ -167,6 +175,7 @@
                 actor,
                 callers,
                 operators,
+                ..
             } => {
                 let _ = actor.tell(entry::Drain).send().await;
                 callers.drain(self.drain_grace).await;
@@ -176,7 +185,7 @@
                 })
                 .await;
             }
-            RunningRole::Agent { actor } => {
+            RunningRole::Agent { actor, .. } => {
                 let _ = actor.tell(agent::Leave { grace_end }).send().await;
                 wait_until_idle(grace_end, async || {
                     actor.ask(agent::IsIdle).send().await.unwrap_or(true)
@@ -205,18 +214,34 @@
     caller_address: SocketAddr,
     operator_address: SocketAddr,
 ) -> eyre::Result<RunningRole> {
+    let holdings = FleetHoldings::default();
     let args = EntryArgs {
         member: settings.member.clone(),
         incarnation: shared.incarnation,
         network: shared.network.clone(),
         members: shared.members.clone(),
+        holdings: holdings.clone(),
         metrics: Arc::clone(&shared.metrics),
         settings: EntrySettings::default(),
         chooser: PipelineChooser::new(ChooserSettings::default(), rand::random()),
     };
     let actor = EntryActor::spawn_with_mailbox(args, mailbox::bounded(MAILBOX_LEN));
+    let planner = PlannerArgs {
+        network: shared.network.clone(),
+        member: settings.member.clone(),
+        members: shared.members.clone(),
+        holdings,
+        key_value: Arc::clone(&shared.service),
+        entry: actor.clone(),
+    };
+    let planner = PlannerActor::spawn_with_mailbox(planner, mailbox::bounded(MAILBOX_LEN));
     let (views, view) = watch::channel(Arc::default());
-    tokio::spawn(dispatch::views(shared.clone(), views, actor.clone()));
+    tokio::spawn(dispatch::views(
+        shared.clone(),
+        views,
+        actor.clone(),
+        planner.clone(),
+    ));
     let callers = Callers {
         actor: actor.clone(),
         view: view.clone(),
@@ -240,6 +265,7 @@
     let operator_socket = limits::bind(operator_address).await?;
     Ok(RunningRole::Entry {
         actor,
+        planner,
         callers: Listener::start(caller_socket, connections, move |request| {
             callers.handle(request)
         })?,
@@ -249,7 +275,7 @@
     })
 }
 
-fn start_agent(shared: &Shared) -> RunningRole {
+fn start_agent(shared: &Shared, settings: &Settings) -> RunningRole {
     let orders = OrdersArgs {
         network: shared.network.clone(),
         metrics: Arc::clone(&shared.metrics),
@@ -263,9 +289,20 @@
         settings: AgentSettings::default(),
     };
     let actor = AgentActor::spawn_with_mailbox(args, mailbox::bounded(MAILBOX_LEN));
+    let weight_store = HttpWeightStore::new(settings.platform.weight_store_address);
+    let plans = PlanArgs {
+        network: shared.network.clone(),
+        members: shared.members.clone(),
+        key_value: Arc::clone(&shared.service),
+        weight_store: Arc::new(weight_store),
+        incarnation: shared.incarnation,
+        agent: actor.clone(),
+    };
+    let plans = PlanActor::spawn_with_mailbox(plans, mailbox::bounded(MAILBOX_LEN));
     tokio::spawn(dispatch::agent_configurations(
         shared.clone(),
         actor.clone(),
+        plans.clone(),
     ));
-    RunningRole::Agent { actor }
+    RunningRole::Agent { actor, plans }
 }
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod limit;
 pub mod member;
 pub mod message;
+pub mod report;
 pub mod stream;
--- a/protocol/src/message.rs
+++ b/protocol/src/message.rs
@@ -7,6 +7,7 @@
 use crate::config::ConfigMessage;
 use crate::limit::LimitMessage;
 use crate::member::MemberMessage;
+use crate::report::ReportMessage;
 use crate::stream::StreamMessage;
 
 /// Any message between two processes of the system.
@@ -22,6 +23,8 @@
     Config(ConfigMessage),
     /// A message about the limits of accounts.
     Limit(LimitMessage),
+    /// A message about what engines hold and are to hold.
+    Report(ReportMessage),
 }
 
 impl From<StreamMessage> for Message {
@@ -53,3 +56,9 @@
         Self::Limit(message)
     }
 }
+
+impl From<ReportMessage> for Message {
+    fn from(message: ReportMessage) -> Self {
+        Self::Report(message)
+    }
+}
--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -18,6 +18,7 @@
 use jujubewall_protocol::stream::KvCache;
 use jujubewall_protocol::stream::StageFailed;
 use jujubewall_protocol::stream::StreamMessage;
+use jujubewall_types::config::Assignment;
 use jujubewall_types::error::Failure;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::UpstreamName;
@@ -107,6 +108,18 @@
         self.stages.is_empty()
     }
 
+    /// Returns whether a stage runs layers of `assignment` at `upstream`.
+    pub fn uses(&self, upstream: &UpstreamName, assignment: &Assignment) -> bool {
+        self.stages.values().any(|stage| {
+            let own = stage.own();
+            own.upstream == *upstream
+                && stage.open.model == assignment.model
+                && stage.open.version == assignment.version
+                && own.layers.first < assignment.layers.end
+                && assignment.layers.first < own.layers.end
+        })
+    }
+
     /// Returns when [`Self::on_tick`] has something to do.
     pub fn next_wakeup(&self) -> Option<Instant> {
         let notice = self.next_leaving_notice;
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -128,6 +128,16 @@
         self.state().live_requests()
     }
 
+    /// Returns the assignments that are loaded.
+    pub fn loaded(&self) -> Vec<Assignment> {
+        self.state().status().loaded
+    }
+
+    /// Returns every order that has arrived, oldest first, also those that were refused.
+    pub fn orders(&self) -> Vec<EngineOrder> {
+        self.state().orders().to_vec()
+    }
+
     fn state(&self) -> MutexGuard<'_, EngineState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/testutils/src/engine/state.rs
+++ b/testutils/src/engine/state.rs
@@ -47,6 +47,7 @@
     loads: LoadHistory,
     runs: HashMap<(RequestId, Position, u32), u32>,
     total_runs: u64,
+    orders: Vec<EngineOrder>,
 }
 
 impl Default for EngineState {
@@ -62,6 +63,7 @@
             loads: LoadHistory::default(),
             runs: HashMap::new(),
             total_runs: 0,
+            orders: Vec::new(),
         }
     }
 }
@@ -77,7 +79,7 @@
         self.loaded.retain(|loaded| loaded != assignment);
     }
 
-    /// Forgets all but the counts of runs.
+    /// Forgets all but the counts of runs and the orders.
     pub(super) fn forget(&mut self) {
         let forgotten = Self::default();
         self.fencing = forgotten.fencing;
@@ -92,6 +94,7 @@
         settings: &EngineSettings,
         order: &EngineOrder,
     ) -> Result<(), UpstreamError> {
+        self.orders.push(order.clone());
         if settings.checks_fencing && order.fencing < self.fencing {
             return Err(UpstreamError::Fenced);
         }
@@ -253,6 +256,10 @@
         }
     }
 
+    pub(super) fn orders(&self) -> &[EngineOrder] {
+        &self.orders
+    }
+
     pub(super) fn live_requests(&self) -> usize {
         self.caches.len()
     }
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -100,6 +100,10 @@
     pub stages: usize,
     /// The number of layers of the model.
     pub layer_count: u32,
+    /// The number of engines beside those of the pipelines, which hold nothing at first.
+    pub spare_engines: usize,
+    /// Whether the note fixes what the pipelines' engines hold, which then hold it at once.
+    pub has_fixed_assignments: bool,
     /// The properties of every engine.
     pub engine: EngineSettings,
 }
@@ -110,6 +114,8 @@
             pipelines: 1,
             stages: 3,
             layer_count: 12,
+            spare_engines: 0,
+            has_fixed_assignments: true,
             engine: EngineSettings::default(),
         }
     }
@@ -139,7 +145,7 @@
     pub host_list: FakeHostList,
     /// The weight store.
     pub weight_store: FakeWeightStore,
-    /// The engines, pipeline by pipeline in the order of their layers.
+    /// The engines, pipeline by pipeline in the order of their layers, then the spare ones.
     pub engines: Vec<SiteUpstream<FakeEngine>>,
     /// The plain service.
     pub service: SiteUpstream<FakeService>,
@@ -166,7 +172,7 @@
             weight_store.serve(listener().await),
         ];
         let mut engines = Vec::new();
-        for index in 0..shape.pipelines * shape.stages {
+        for index in 0..shape.pipelines * shape.stages + shape.spare_engines {
             engines.push(start_engine(&shape, index, &weight_store).await);
         }
         let service = start_service(engines.len()).await;
@@ -337,14 +343,17 @@
     index: usize,
     weight_store: &FakeWeightStore,
 ) -> SiteUpstream<FakeEngine> {
-    let assignment = Assignment {
+    let is_fixed = shape.has_fixed_assignments && index < shape.pipelines * shape.stages;
+    let assignment = is_fixed.then(|| Assignment {
         model: name(MODEL, ModelName::new),
         version: name(VERSION, VersionName::new),
         layers: stage_layers(shape, index % shape.stages),
-    };
+    });
     let weight_store = Arc::new(weight_store.clone());
     let fake = FakeEngine::new(shape.engine.clone()).with_weight_store(weight_store);
-    fake.hold(assignment.clone());
+    if let Some(assignment) = &assignment {
+        fake.hold(assignment.clone());
+    }
     let server = fake.serve(listener().await);
     let profile = EngineProfile {
         accelerator: name("small", AcceleratorName::new),
@@ -352,7 +361,7 @@
         max_layers: shape.engine.max_layers,
         decode_token_layers_per_s: TOKEN_LAYERS_PER_S,
         prefill_token_layers_per_s: TOKEN_LAYERS_PER_S,
-        assignment: Some(assignment),
+        assignment,
     };
     SiteUpstream {
         fake,
