control: give no plan entry to an engine that was never seen

Cause: an engine whose agent was not live got an entry that holds nothing. An agent that started after the first plan would have dropped what its engine held already, and loaded it again after the next plan.

Change: such an engine gets an entry only once its agent has reported.

Test: test_an_engine_that_was_never_seen_has_no_entry failed without the change and passes with it; the other 5 tests of test_plan and the 2 of test_reconcile pass.

--- a/control/src/plan/rollout.rs
+++ b/control/src/plan/rollout.rs
@@ -87,6 +87,10 @@
 
     fn plan_engine(&mut self, name: &'a UpstreamName, previous: &Plan) {
         let engine = &self.input.engines[name];
+        if !engine.is_live() && !previous.engines.contains_key(name) {
+            // What it holds is unknown, so that an empty entry would empty it.
+            return;
+        }
         let target = self.targets.get(name);
         let hold = if engine.is_live() {
             self.hold(engine, target)
--- a/control/tests/test_plan.rs
+++ b/control/tests/test_plan.rs
@@ -18,12 +18,14 @@
 use jujubewall_control::plan::writer::PlanWriter;
 use jujubewall_platform::key_value::KeyValue;
 use jujubewall_testutils::key_value::FakeKeyValue;
+use jujubewall_types::config::Assignment;
 use jujubewall_types::config::Model;
 use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::id::ModelName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::id::UpstreamName;
 use jujubewall_types::id::VersionName;
+use jujubewall_types::layer::LayerRange;
 use proptest::prelude::*;
 use smallvec::smallvec;
 
@@ -355,3 +357,30 @@
         encoded.len()
     );
 }
+
+/// An agent that starts later must not drop what its engine already holds.
+#[test]
+fn test_an_engine_that_was_never_seen_has_no_entry() {
+    let mut absent = engine((8, 1_000, 0));
+    absent.report.presence = Presence::Lost;
+    absent.fixed = Some(Assignment {
+        model: model_name(0),
+        version: version(1),
+        layers: LayerRange::new(0, 8),
+    });
+    let mut input = PlanInput {
+        revision: Revision(1),
+        models: BTreeMap::from([(model_name(0), model(0, 8))]),
+        engines: BTreeMap::from([
+            (engine_name(0), absent),
+            (engine_name(1), engine((8, 1_000, 1))),
+        ]),
+    };
+    let before = plan(&input, &Plan::default(), &SETTINGS);
+    assert!(!before.engines.contains_key(&engine_name(0)));
+    assert_eq!(before.hold(&engine_name(1)).len(), 1);
+    let seen = input.engines.get_mut(&engine_name(0)).unwrap();
+    seen.report.presence = Presence::Live;
+    let after = plan(&input, &before, &SETTINGS);
+    assert_eq!(after.hold(&engine_name(0)).len(), 1);
+}
