daemon: serve from another version until the active one is whole

Cause: while engines change to another version, requests asked for the active one only and failed until a whole pipeline of it was loaded, although the plan keeps the old one for them.

Change: the entry takes the first version that is whole, the active one first; the version stays the same for the whole stream, as before.

Test: test_answers_go_on_while_the_version_changes, with real processes.

--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -37,6 +37,7 @@
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::UpstreamName;
+use jujubewall_types::id::VersionName;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
@@ -128,7 +129,8 @@
         let prompt_tokens = u32::try_from(start.prompt.len()).unwrap_or(u32::MAX);
         check_tokens("prompt", prompt_tokens, model.max_prompt_tokens)?;
         check_tokens("answer", start.max_answer_tokens, model.max_answer_tokens)?;
-        let choice = ChoiceRequest {
+        let versions: SmallVec<[VersionName; 2]> = model.versions_by_preference().collect();
+        let mut choice = ChoiceRequest {
             model: start.model.clone(),
             version: model.active_version.clone(),
             layer_count: model.layer_count,
@@ -139,9 +141,7 @@
             exclude: SmallVec::new(),
         };
         self.offer(now, &choice.account)?;
-        let route = self
-            .chooser
-            .choose(now, &choice)
+        let route = routes::choose_version(&mut self.chooser, now, &mut choice, versions)
             .map_err(|reason| routes::no_pipeline(&reason))?;
         let request = RequestId(rand::random());
         self.take_limits(now, &choice.account, request)?;
--- a/daemon/src/entry/routes.rs
+++ b/daemon/src/entry/routes.rs
@@ -6,13 +6,16 @@
 use jujubewall_routing::choice::EngineState;
 use jujubewall_routing::choice::EngineView;
 use jujubewall_routing::choice::NoPipeline;
+use jujubewall_routing::choice::PipelineChooser;
 use jujubewall_routing::stream::action::RouteNeed;
 use jujubewall_types::config::Assignment;
 use jujubewall_types::config::EngineProfile;
 use jujubewall_types::config::Upstream;
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
+use jujubewall_types::id::VersionName;
 use jujubewall_types::member::MemberState;
+use tokio::time::Instant;
 
 use crate::entry::holdings::FleetHoldings;
 use crate::entry::view::View;
@@ -70,6 +73,29 @@
     }
 }
 
+/// Chooses a pipeline of the first version that is whole, and notes the version in `choice`.
+///
+/// While engines change to another version, an older one serves until the new
+/// one is whole. A version whose engines only refuse work is not passed over.
+pub fn choose_version(
+    chooser: &mut PipelineChooser,
+    now: Instant,
+    choice: &mut ChoiceRequest,
+    versions: impl IntoIterator<Item = VersionName>,
+) -> Result<Route, NoPipeline> {
+    let mut first_reason = None;
+    for version in versions {
+        choice.version = version;
+        match chooser.choose(now, choice) {
+            Err(reason @ (NoPipeline::NotLoaded { .. } | NoPipeline::LayerMissing { .. })) => {
+                first_reason.get_or_insert(reason);
+            }
+            chosen => return chosen,
+        }
+    }
+    Err(first_reason.unwrap_or(NoPipeline::LayerMissing { layer: 0 }))
+}
+
 /// Adapts the first choice to a repair: the engines to avoid are excluded.
 pub fn repair_request(first: &ChoiceRequest, need: &RouteNeed) -> ChoiceRequest {
     ChoiceRequest {
--- a/daemon/tests/test_plan.rs
+++ b/daemon/tests/test_plan.rs
@@ -9,17 +9,21 @@
 use jujubewall_testutils::engine::EngineSettings;
 use jujubewall_testutils::fleet::COMPLETIONS;
 use jujubewall_testutils::fleet::Fleet;
+use jujubewall_testutils::fleet::NOTES;
 use jujubewall_testutils::fleet::completion;
 use jujubewall_testutils::site::SiteShape;
+use jujubewall_testutils::site::VERSION;
 use jujubewall_types::id::FencingNumber;
 use jujubewall_types::layer::LayerRange;
+use serde_json::json;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_jujubewalld");
 const TOKENS: usize = 8;
+const NEW_VERSION: &str = "v2";
 const PROMPT: &str = "which cart goes to bay 4";
 
-/// Starts three engines, which can hold the model together, and spare ones.
-async fn start(spare_engines: usize) -> Fleet {
+/// Starts three engines for each pipeline, which can hold the model together, and spare ones.
+async fn start(pipelines: usize, spare_engines: usize) -> Fleet {
     let engine = EngineSettings {
         max_layers: 4,
         checks_fencing: false,
@@ -27,6 +31,7 @@
     };
     let shape = SiteShape {
         has_fixed_assignments: false,
+        pipelines,
         spare_engines,
         engine,
         ..SiteShape::default()
@@ -97,7 +102,7 @@
 
 #[tokio::test]
 async fn test_planned_engines_serve_and_cover_a_lost_agent() {
-    let fleet = start(1).await;
+    let fleet = start(1, 1).await;
     let (twins, single) = twins_and_single(&fleet);
     let lost = layers(&fleet, single);
     fleet.agents[single].signal(Signal::Kill);
@@ -111,7 +116,7 @@
 
 #[tokio::test]
 async fn test_layers_of_a_dead_engine_behind_a_live_agent_are_covered() {
-    let fleet = start(1).await;
+    let fleet = start(1, 1).await;
     let (twins, single) = twins_and_single(&fleet);
     let lost = layers(&fleet, single);
     fleet.site.engines[single].fake.kill();
@@ -125,7 +130,7 @@
 
 #[tokio::test]
 async fn test_woken_agent_gives_no_order_with_an_older_number() {
-    let fleet = start(2).await;
+    let fleet = start(1, 2).await;
     let ([paused, _], single) = twins_and_single(&fleet);
     let lost = layers(&fleet, single);
     fleet.agents[paused].signal(Signal::Pause);
@@ -152,3 +157,37 @@
     answer_at_every_entry(&fleet).await;
     check_numbers_rise(&fleet);
 }
+
+#[tokio::test]
+async fn test_answers_go_on_while_the_version_changes() {
+    let fleet = start(2, 0).await;
+    let note = json!(fleet.site.version_note("second", NEW_VERSION));
+    let answer = fleet.operator(0).post(NOTES, &note).await;
+    let answer = answer.expect("the entry answers").json();
+    assert_eq!(answer["result"], "accepted", "{answer}");
+    let expected =
+        [VERSION, NEW_VERSION].map(|version| fleet.site.expected_text_in(version, PROMPT, TOKENS));
+    let body = completion(PROMPT, TOKENS, false);
+    let caller = fleet.caller(1);
+    eventually("every engine holds the new version only", async || {
+        let answer = caller.post(COMPLETIONS, &body).await;
+        let answer = answer.expect("the entry answers");
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+        let text = answer.json()["choices"][0]["text"].clone();
+        assert!(expected.iter().any(|version| text == *version), "{text}");
+        engines(&fleet).all(|engine| {
+            let loaded = fleet.site.engines[engine].fake.loaded();
+            !loaded.is_empty()
+                && loaded
+                    .iter()
+                    .all(|held| held.version.as_str() == NEW_VERSION)
+        })
+    })
+    .await;
+    eventually("an answer of the new version", async || {
+        let answer = caller.post(COMPLETIONS, &body).await;
+        answer.is_ok_and(|answer| answer.json()["choices"][0]["text"] == expected[1])
+    })
+    .await;
+    check_numbers_rise(&fleet);
+}
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -264,12 +264,37 @@
         }
     }
 
+    /// Returns the note that makes another version of the model the active one.
+    pub fn version_note(&self, id: &str, version: &str) -> ReleaseNote {
+        let mut model = self.model();
+        model.active_version = name(version, VersionName::new);
+        model.versions.push(ModelVersion {
+            name: model.active_version.clone(),
+            layer_bytes: LAYER_BYTES,
+        });
+        ReleaseNote {
+            id: name(id, NoteId::new),
+            partner: name(PARTNER, PartnerName::new),
+            added: NoteItems::default(),
+            changed: NoteItems {
+                models: vec![model],
+                ..NoteItems::default()
+            },
+            withdrawn: NoteNames::default(),
+        }
+    }
+
     /// Computes the answer to `prompt` without any engine.
     pub fn expected_text(&self, prompt: &str, tokens: usize) -> String {
+        self.expected_text_in(VERSION, prompt, tokens)
+    }
+
+    /// Computes the answer of one version to `prompt` without any engine.
+    pub fn expected_text_in(&self, version: &str, prompt: &str, tokens: usize) -> String {
         let prompt: Vec<Token> = prompt.bytes().map(Token::from).collect();
         let answer = expected_answer(
             &name(MODEL, ModelName::new),
-            &name(VERSION, VersionName::new),
+            &name(version, VersionName::new),
             self.shape.layer_count,
             &prompt,
             tokens,
--- a/types/src/config.rs
+++ b/types/src/config.rs
@@ -51,6 +51,15 @@
     pub max_answer_tokens: u32,
 }
 
+impl Model {
+    /// Returns the versions that requests may use, the active one first.
+    pub fn versions_by_preference(&self) -> impl Iterator<Item = VersionName> {
+        let others = self.versions.iter().map(|version| &version.name);
+        let others = others.filter(|version| **version != self.active_version);
+        [&self.active_version].into_iter().chain(others).cloned()
+    }
+}
+
 /// An adapter that refines one model.
 #[derive(Clone, Debug, Deserialize, Eq, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
