--- a/daemon/src/entry/planner.rs
+++ b/daemon/src/entry/planner.rs
@@ -93,6 +93,10 @@
     agents: BTreeMap<SocketAddr, Vec<UpstreamName>>,
     started_at: Instant,
     due: Instant,
+    /// When the plan is made again even from the same input.
+    recheck_at: Instant,
+    /// The input of the last step, unless it has failed.
+    planned_for: Option<PlanInput>,
     is_stepping: bool,
     have_holdings_changed: bool,
     in_force: Option<WrittenPlan>,
@@ -127,12 +131,19 @@
         if now < self.due || self.is_stepping {
             return;
         }
-        self.due = now + RECHECK_INTERVAL + jittered_delay();
+        let recheck_at = now + RECHECK_INTERVAL + jittered_delay();
+        self.due = recheck_at;
         if !self.is_planner() || !self.is_informed(now) {
             return;
         }
-        self.is_stepping = true;
         let input = self.input();
+        if now < self.recheck_at && self.planned_for.as_ref() == Some(&input) {
+            self.due = self.recheck_at;
+            return;
+        }
+        self.is_stepping = true;
+        self.recheck_at = recheck_at;
+        self.planned_for = Some(input.clone());
         let writer = Arc::clone(&self.writer);
         let actor = actor.clone();
         tokio::spawn(async move {
@@ -276,6 +287,8 @@
             agents: BTreeMap::new(),
             started_at: now,
             due: now,
+            recheck_at: now,
+            planned_for: None,
             is_stepping: false,
             have_holdings_changed: false,
             in_force: None,
@@ -334,9 +347,15 @@
                 info!("plan {} is written", plan.fencing());
                 self.on_plan(plan);
             }
-            Ok(PlanStep::Overtaken) => self.plan_soon(),
+            Ok(PlanStep::Overtaken) => {
+                self.planned_for = None;
+                self.plan_soon();
+            }
             // The next look at what is due plans again.
-            Err(error) => warn!("planning fails: {error}"),
+            Err(error) => {
+                self.planned_for = None;
+                warn!("planning fails: {error}");
+            }
         }
     }
 }
