--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -37,6 +37,7 @@
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::RequestId;
 use jujubewall_types::id::UpstreamName;
+use jujubewall_types::id::VersionName;
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::actor::WeakActorRef;
@@ -47,6 +48,7 @@
 
 use crate::alarm::Alarm;
 use crate::entry::calls::PendingCalls;
+use crate::entry::holdings::FleetHoldings;
 use crate::entry::messages::LimitTick;
 use crate::entry::messages::RetryRoute;
 use crate::entry::messages::StartStream;
@@ -71,6 +73,8 @@
     pub incarnation: Incarnation,
     /// The members.
     pub members: Members,
+    /// What the engines hold.
+    pub holdings: FleetHoldings,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// The settings of the streams.
@@ -83,6 +87,7 @@
 pub struct EntryActor {
     pub(super) network: Network,
     pub(super) members: Members,
+    pub(super) holdings: FleetHoldings,
     pub(super) metrics: Arc<Metrics>,
     pub(super) streams: EntryStreams,
     pub(super) chooser: PipelineChooser,
@@ -124,7 +129,8 @@
         let prompt_tokens = u32::try_from(start.prompt.len()).unwrap_or(u32::MAX);
         check_tokens("prompt", prompt_tokens, model.max_prompt_tokens)?;
         check_tokens("answer", start.max_answer_tokens, model.max_answer_tokens)?;
-        let choice = ChoiceRequest {
+        let versions: SmallVec<[VersionName; 2]> = model.versions_by_preference().collect();
+        let mut choice = ChoiceRequest {
             model: start.model.clone(),
             version: model.active_version.clone(),
             layer_count: model.layer_count,
@@ -135,9 +141,7 @@
             exclude: SmallVec::new(),
         };
         self.offer(now, &choice.account)?;
-        let route = self
-            .chooser
-            .choose(now, &choice)
+        let route = routes::choose_version(&mut self.chooser, now, &mut choice, versions)
             .map_err(|reason| routes::no_pipeline(&reason))?;
         let request = RequestId(rand::random());
         self.take_limits(now, &choice.account, request)?;
@@ -184,7 +188,7 @@
     }
 
     pub(super) fn update_engines(&mut self) {
-        let engines = routes::engine_views(&self.view, &self.members);
+        let engines = routes::engine_views(&self.view, &self.members, &self.holdings);
         self.chooser.set_engines(Instant::now(), &engines);
     }
 
@@ -443,6 +447,7 @@
             streams: EntryStreams::new(args.network.own_address(), args.settings),
             network: args.network,
             members: args.members,
+            holdings: args.holdings,
             metrics: args.metrics,
             chooser: args.chooser,
             view: Arc::default(),
