--- a/daemon/src/agent/plan.rs
+++ b/daemon/src/agent/plan.rs
@@ -412,7 +412,7 @@
 
     async fn handle(&mut self, apply: ApplyEngines, _: &mut Context<Self, ()>) {
         let own_address = self.network.own_address();
-        self.upstreams.apply(&apply.0, own_address);
+        self.upstreams.apply(&apply.0, own_address, Instant::now());
         let upstreams = apply.0.upstreams.iter();
         let engines = upstreams.filter_map(|(name, owned)| match &owned.item.kind {
             UpstreamKind::Engine(profile) if owned.item.agent_address == own_address => {
--- a/daemon/src/process/dispatch.rs
+++ b/daemon/src/process/dispatch.rs
@@ -119,7 +119,7 @@
     }
 
     async fn on_peer_leaving(&self, peer: SocketAddr, grace_end: Instant) {
-        if let Self::Entry(actor) = self {
+        if let Self::Entry(actor, _) = self {
             let leaving = entry::PeerLeaving { peer, grace_end };
             let _ = actor.tell(leaving).send().await;
         }
