--- a/bench/src/slopes/mod.rs
+++ b/bench/src/slopes/mod.rs
@@ -1,6 +1,8 @@
 //! The growth of cost with the size of the fleet.
 
 mod load;
+mod state;
+mod streams;
 
 use argh::FromArgs;
 use serde::Serialize;
@@ -26,9 +28,13 @@
 impl SlopesCommand {
     /// Measures and prints the slopes.
     pub fn run(self) -> eyre::Result<()> {
+        // Memory is measured first, while little has been freed.
+        let mut fits = state::measure()?;
+        fits.extend(streams::measure()?);
+        fits.extend(load::measure()?);
         let slopes = Slopes {
             clock: "wall clock, one thread",
-            slopes: load::measure()?,
+            slopes: fits,
         };
         let text = if self.json {
             serde_json::to_string(&slopes)?
