--- a/daemon/src/entry/handlers.rs
+++ b/daemon/src/entry/handlers.rs
@@ -142,8 +142,11 @@
     type Reply = ();
 
     async fn handle(&mut self, _: MembersChanged, _: &mut Context<Self, ()>) {
-        self.limits
-            .set_members(Instant::now(), &self.members.live_entries());
+        let now = Instant::now();
+        let entries = self.members.live_entries();
+        let entry_count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+        self.chooser.set_entry_count(now, entry_count);
+        self.limits.set_members(now, &entries);
         self.update_engines();
     }
 }
