daemon: test that a version is not dropped under a stream that uses it

Cause: planting the fault that a drained assignment counts as idle at once was noticed by no test.

Change: the test of the change of a version holds a long stream on the old one.

--- a/daemon/tests/test_plan.rs
+++ b/daemon/tests/test_plan.rs
@@ -1,6 +1,7 @@
 //! Planned engines with real processes.
 
 use std::path::Path;
+use std::time::Duration;
 
 use jujubewall_control::plan::writer::PLAN_KEY;
 use jujubewall_platform::key_value::KeyValue as _;
@@ -19,6 +20,8 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_jujubewalld");
 const TOKENS: usize = 8;
+/// The length of an answer that lasts longer than engines take to begin to change.
+const MANY_TOKENS: usize = 150;
 const NEW_VERSION: &str = "v2";
 const PROMPT: &str = "which cart goes to bay 4";
 
@@ -27,6 +30,7 @@
     let engine = EngineSettings {
         max_layers: 4,
         checks_fencing: false,
+        decode_token_layer: Duration::from_millis(2),
         ..EngineSettings::default()
     };
     let shape = SiteShape {
@@ -161,6 +165,7 @@
 #[tokio::test]
 async fn test_answers_go_on_while_the_version_changes() {
     let fleet = start(2, 0).await;
+    let mut stream = fleet.stream(0, PROMPT, MANY_TOKENS).await;
     let note = json!(fleet.site.version_note("second", NEW_VERSION));
     let answer = fleet.operator(0).post(NOTES, &note).await;
     let answer = answer.expect("the entry answers").json();
@@ -189,5 +194,8 @@
         answer.is_ok_and(|answer| answer.json()["choices"][0]["text"] == expected[1])
     })
     .await;
+    // A version is not dropped under a stream that uses it.
+    let text = stream.text().await.expect("the old answer is whole");
+    assert_eq!(text, fleet.site.expected_text(PROMPT, MANY_TOKENS));
     check_numbers_rise(&fleet);
 }
