daemon: give a service the caller's time; prove a kill in the middle of an order

A call of a plain service was given up after two seconds as unknown, however long the caller waited. The agent now passes the call's deadline on. Ticks and wake-ups of actors are written once.

--- a/bench/src/orders/run.rs
+++ b/bench/src/orders/run.rs
@@ -422,6 +422,7 @@
         content_type: call.content_type,
         request_id: format_smolstr!("{}", call.request),
         body: call.body,
+        reply_timeout: None,
     }
 }
 
--- a/daemon/src/agent/actor.rs
+++ b/daemon/src/agent/actor.rs
@@ -253,16 +253,7 @@
     type Error = Infallible;
 
     async fn on_start(args: AgentArgs, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        let target = actor.downgrade();
-        let alarm = Alarm::start(move || {
-            let target = target.upgrade();
-            async move {
-                match target {
-                    Some(target) => target.tell(Wake).send().await.is_ok(),
-                    None => false,
-                }
-            }
-        });
+        let alarm = Alarm::start_for(&actor, || Wake);
         Ok(Self {
             streams: AgentStreams::new(args.network.own_address(), args.settings),
             network: args.network,
--- a/daemon/src/agent/orders.rs
+++ b/daemon/src/agent/orders.rs
@@ -148,16 +148,7 @@
     type Error = Infallible;
 
     async fn on_start(args: OrdersArgs, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        let target = actor.downgrade();
-        let alarm = Alarm::start(move || {
-            let target = target.upgrade();
-            async move {
-                match target {
-                    Some(target) => target.tell(Wake).send().await.is_ok(),
-                    None => false,
-                }
-            }
-        });
+        let alarm = Alarm::start_for(&actor, || Wake);
         let identity = AgentIdentity {
             incarnation: args.incarnation,
             claimer: ClaimerId(rand::random()),
--- a/daemon/src/agent/plan.rs
+++ b/daemon/src/agent/plan.rs
@@ -32,21 +32,19 @@
 use jujubewall_upstream::error::UpstreamError;
 use kameo::Actor;
 use kameo::actor::ActorRef;
-use kameo::actor::WeakActorRef;
 use kameo::error::Infallible;
 use kameo::message::Context;
 use kameo::message::Message as Handle;
 use log::info;
 use log::warn;
 use tokio::time::Instant;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use tokio::time::sleep;
 
 use crate::agent::actor::AgentActor;
 use crate::agent::actor::UsesAssignment;
 use crate::agent::holdings::Holdings;
 use crate::agent::upstreams::Upstreams;
+use crate::alarm::tick;
 use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::network::Network;
@@ -361,26 +359,12 @@
     });
 }
 
-async fn tick(actor: WeakActorRef<PlanActor>) {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let Some(actor) = actor.upgrade() else {
-            return;
-        };
-        if actor.tell(Tick).send().await.is_err() {
-            return;
-        }
-    }
-}
-
 impl Actor for PlanActor {
     type Args = PlanArgs;
     type Error = Infallible;
 
     async fn on_start(args: PlanArgs, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        tokio::spawn(tick(actor.downgrade()));
+        tokio::spawn(tick(TICK, actor.downgrade(), || Tick));
         let now = Instant::now();
         let writer = PlanWriter::new(args.key_value, PlanSettings::default());
         Ok(Self {
--- a/daemon/src/agent/service.rs
+++ b/daemon/src/agent/service.rs
@@ -1,6 +1,7 @@
 //! Calls of plain services.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use jujubewall_protocol::call::ServiceCall;
 use jujubewall_upstream::error::UpstreamError;
@@ -29,5 +30,6 @@
         content_type: call.content_type,
         request_id: format_smolstr!("{}", call.request),
         body: call.body,
+        reply_timeout: Some(Duration::from_millis(call.deadline_ms)),
     }
 }
--- a/daemon/src/alarm.rs
+++ b/daemon/src/alarm.rs
@@ -1,9 +1,16 @@
 //! Wake-ups for actors whose decisions depend on the passing of time.
 
 use std::future::Future;
+use std::time::Duration;
 
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use kameo::actor::WeakActorRef;
+use kameo::message::Message;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 use tokio::time::sleep_until;
 
 /// A wake-up that an actor sets for itself.
@@ -26,6 +33,24 @@
         Self { at }
     }
 
+    /// Starts the task that sends a message to an actor at each set instant.
+    pub fn start_for<A, M>(actor: &ActorRef<A>, message: fn() -> M) -> Self
+    where
+        A: Actor + Message<M>,
+        M: Send + 'static,
+    {
+        let target = actor.downgrade();
+        Self::start(move || {
+            let target = target.upgrade();
+            async move {
+                match target {
+                    Some(target) => target.tell(message()).send().await.is_ok(),
+                    None => false,
+                }
+            }
+        })
+    }
+
     /// Sets or clears the instant of the next wake-up.
     pub fn set(&self, at: Option<Instant>) {
         self.at.send_if_modified(|current| {
@@ -36,6 +61,25 @@
     }
 }
 
+/// Sends a message to an actor in each period, until the actor is gone.
+pub async fn tick<A, M>(period: Duration, actor: WeakActorRef<A>, message: fn() -> M)
+where
+    A: Actor + Message<M>,
+    M: Send + 'static,
+{
+    let mut ticks = interval(period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(actor) = actor.upgrade() else {
+            return;
+        };
+        if actor.tell(message()).send().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn run<R, F>(mut set: watch::Receiver<Option<Instant>>, ring: R)
 where
     R: Fn() -> F + Send + 'static,
--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -40,13 +40,13 @@
 use jujubewall_types::id::VersionName;
 use kameo::Actor;
 use kameo::actor::ActorRef;
-use kameo::actor::WeakActorRef;
 use kameo::error::Infallible;
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::alarm::Alarm;
+use crate::alarm::tick;
 use crate::entry::calls::PendingCalls;
 use crate::entry::holdings::FleetHoldings;
 use crate::entry::messages::LimitTick;
@@ -425,16 +425,7 @@
     type Error = Infallible;
 
     async fn on_start(args: EntryArgs, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        let target = actor.downgrade();
-        let alarm = Alarm::start(move || {
-            let target = target.upgrade();
-            async move {
-                match target {
-                    Some(target) => target.tell(Wake).send().await.is_ok(),
-                    None => false,
-                }
-            }
-        });
+        let alarm = Alarm::start_for(&actor, || Wake);
         let orders = EntryOrders::new(
             EntryOrderSettings::default(),
             args.member.clone(),
@@ -442,7 +433,9 @@
             args.network.own_address(),
         );
         let limits = AccountLimits::new(args.member, LimitSettings::default());
-        tokio::spawn(tick_limits(limits.tick_interval(), actor.downgrade()));
+        tokio::spawn(tick(limits.tick_interval(), actor.downgrade(), || {
+            LimitTick
+        }));
         Ok(Self {
             streams: EntryStreams::new(args.network.own_address(), args.settings),
             network: args.network,
@@ -462,15 +455,3 @@
         })
     }
 }
-
-async fn tick_limits(period: Duration, actor: WeakActorRef<EntryActor>) {
-    loop {
-        tokio::time::sleep(period).await;
-        let Some(actor) = actor.upgrade() else {
-            return;
-        };
-        if actor.tell(LimitTick).send().await.is_err() {
-            return;
-        }
-    }
-}
--- a/daemon/src/entry/planner.rs
+++ b/daemon/src/entry/planner.rs
@@ -29,16 +29,14 @@
 use jujubewall_types::member::MemberState;
 use kameo::Actor;
 use kameo::actor::ActorRef;
-use kameo::actor::WeakActorRef;
 use kameo::error::Infallible;
 use kameo::message::Context;
 use kameo::message::Message as Handle;
 use log::info;
 use log::warn;
 use tokio::time::Instant;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 
+use crate::alarm::tick;
 use crate::entry::actor::EntryActor;
 use crate::entry::holdings::FleetHoldings;
 use crate::entry::messages::HoldingsChanged;
@@ -254,26 +252,12 @@
     Duration::from_millis(MIN_DELAY_MS + jitter_ms)
 }
 
-async fn tick(actor: WeakActorRef<PlannerActor>) {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let Some(actor) = actor.upgrade() else {
-            return;
-        };
-        if actor.tell(Tick).send().await.is_err() {
-            return;
-        }
-    }
-}
-
 impl Actor for PlannerActor {
     type Args = PlannerArgs;
     type Error = Infallible;
 
     async fn on_start(args: PlannerArgs, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        tokio::spawn(tick(actor.downgrade()));
+        tokio::spawn(tick(TICK, actor.downgrade(), || Tick));
         let now = Instant::now();
         let writer = PlanWriter::new(args.key_value, PlanSettings::default());
         Ok(Self {
--- a/daemon/src/membership/actor.rs
+++ b/daemon/src/membership/actor.rs
@@ -33,10 +33,9 @@
 use log::warn;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use tokio::time::sleep;
 
+use crate::alarm::tick;
 use crate::membership::Members;
 use crate::metrics::Metrics;
 use crate::network::Network;
@@ -212,20 +211,6 @@
     }
 }
 
-async fn tick(period: Duration, actor: WeakActorRef<MembershipActor>) {
-    let mut ticks = interval(period);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let Some(actor) = actor.upgrade() else {
-            return;
-        };
-        if actor.tell(Tick).send().await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Reads the host list from time to time while it is this process's task.
 async fn read_hosts(host_list: Arc<dyn HostList>, actor: WeakActorRef<MembershipActor>) {
     while let Some(is_task) = ask_whether_to_read(&actor).await {
@@ -257,7 +242,7 @@
 
     async fn on_start(args: MembershipArgs, actor: ActorRef<Self>) -> Result<Self, Infallible> {
         let settings = MembershipSettings::default();
-        tokio::spawn(tick(settings.tick, actor.downgrade()));
+        tokio::spawn(tick(settings.tick, actor.downgrade(), || Tick));
         tokio::spawn(read_hosts(args.host_list, actor.downgrade()));
         let membership = Membership::new(
             args.own,
--- a/daemon/src/network/actor.rs
+++ b/daemon/src/network/actor.rs
@@ -331,16 +331,7 @@
     type Error = Infallible;
 
     async fn on_start(mut state: Self, actor: ActorRef<Self>) -> Result<Self, Infallible> {
-        let target = actor.downgrade();
-        state.alarm = Some(Alarm::start(move || {
-            let target = target.upgrade();
-            async move {
-                match target {
-                    Some(target) => target.tell(Wake).send().await.is_ok(),
-                    None => false,
-                }
-            }
-        }));
+        state.alarm = Some(Alarm::start_for(&actor, || Wake));
         tokio::spawn(accept_peers(
             state.server.clone(),
             state.own.clone(),
--- a/daemon/tests/test_orders.rs
+++ b/daemon/tests/test_orders.rs
@@ -146,3 +146,49 @@
     assert!(is_true, "{} after {runs} runs", outcome(&fresh));
     assert_ne!(outcome(&during), "not_run", "the order has run before");
 }
+
+#[tokio::test]
+async fn test_agent_killed_in_the_middle_of_an_order_never_doubles_it() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_jujubewalld"));
+    let mut fleet = start().await;
+    let service = fleet.site.service.fake.clone();
+    service.set_faults(|faults| faults.delay = Duration::from_secs(1));
+    let mut agent = fleet.agents.pop().expect("the service has an agent");
+    let running = order(&fleet, 0, Some("key-6"), "bay 8");
+    let kill = async {
+        eventually("the order runs", async || {
+            service.runs_of_body(b"bay 8") == 1
+        })
+        .await;
+        agent.signal(Signal::Kill);
+        agent.wait().await;
+    };
+    let (told, ()) = tokio::join!(running, kill);
+    assert_eq!(outcome(&told), "unknown");
+    service.set_faults(|faults| faults.delay = Duration::ZERO);
+    let agent = agent.restart(binary);
+    agent.wait_until_ready().await;
+    fleet.agents.push(agent);
+    eventually("the entry knows the new process", async || {
+        let answer = order(&fleet, 1, None, "probe").await;
+        outcome(&answer) == "completed"
+    })
+    .await;
+    let repeated = order(&fleet, 1, Some("key-6"), "bay 8").await;
+    assert_eq!(outcome(&repeated), "unknown");
+    assert_eq!(service.runs_of_body(b"bay 8"), 1);
+}
+
+#[tokio::test]
+async fn test_slow_service_is_given_the_callers_time() {
+    let fleet = start().await;
+    let service = &fleet.site.service.fake;
+    service.set_faults(|faults| faults.delay = Duration::from_secs(3));
+    let headers = [("jujubewall-deadline-ms", "8000")];
+    let answer = fleet
+        .caller(0)
+        .send(Method::POST, PATH, &headers, "bay 9")
+        .await
+        .expect("the entry answers");
+    assert_eq!((outcome(&answer), answer.status), ("completed", 200));
+}
--- a/testutils/src/service.rs
+++ b/testutils/src/service.rs
@@ -159,6 +159,7 @@
         content_type: header(CONTENT_TYPE.as_str()),
         request_id: header(REQUEST_ID_HEADER).unwrap_or_default(),
         body: request.body().clone(),
+        reply_timeout: None,
     }
 }
 
--- a/upstream/src/http_service.rs
+++ b/upstream/src/http_service.rs
@@ -40,8 +40,10 @@
 #[async_trait]
 impl Service for HttpService {
     async fn call(&self, request: ServiceRequest) -> Result<ServiceResponse, UpstreamError> {
+        let own_timeout = self.client.deadlines().reply;
+        let reply_timeout = request.reply_timeout.unwrap_or(own_timeout);
         let request = build_request(request).map_err(|error| unsendable(&error))?;
-        let response = self.client.call(request).await?;
+        let response = self.client.call_within(request, reply_timeout).await?;
         read_response(&response)
     }
 }
--- a/upstream/src/service.rs
+++ b/upstream/src/service.rs
@@ -1,5 +1,7 @@
 //! Plain services.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use smol_str::SmolStr;
@@ -19,6 +21,8 @@
     pub request_id: SmolStr,
     /// The body.
     pub body: Bytes,
+    /// The time within which the reply is of use; without one the client's own applies.
+    pub reply_timeout: Option<Duration>,
 }
 
 /// A plain service's answer.
--- a/upstream/tests/test_http_upstream.rs
+++ b/upstream/tests/test_http_upstream.rs
@@ -49,6 +49,7 @@
         content_type: Some("application/json".into()),
         request_id: id.into(),
         body: Bytes::copy_from_slice(id.as_bytes()),
+        reply_timeout: None,
     }
 }
 
