bench, cli: fit lines and ask about notes in one place

Three copies of a least-squares line become one, which also gives the residual. Fewer than four sizes are now an error instead of a line without meaning.

--- a/bench/src/fit.rs
+++ b/bench/src/fit.rs
@@ -56,6 +56,11 @@
             points,
         })
     }
+
+    /// Returns the cost that the line gives for `size`.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
 }
 
 /// Returns the intercept and the slope.
--- a/bench/src/membership.rs
+++ b/bench/src/membership.rs
@@ -4,13 +4,11 @@
 //! simulated clock, so the times are those of the protocol and the bytes those
 //! of the encoded messages, without what QUIC adds.
 
-mod fit;
 mod report;
 mod sample;
 
 use argh::FromArgs;
 
-use crate::membership::fit::Line;
 use crate::membership::report::MembershipReport;
 use crate::membership::sample::Sample;
 use crate::membership::sample::measure;
@@ -45,7 +43,7 @@
         }
         let measure = |size: &usize| measure(*size, self.seed, self.events);
         let samples: Vec<Sample> = sizes.iter().map(measure).collect();
-        let report = MembershipReport::new(samples);
+        let report = MembershipReport::new(samples)?;
         if self.json {
             println!("{}", serde_json::to_string_pretty(&report)?);
         } else {
@@ -54,9 +52,3 @@
         Ok(())
     }
 }
-
-/// Fits a line to one figure of every sample.
-fn fit(samples: &[Sample], figure: impl Fn(&Sample) -> f64) -> Line {
-    let point = |sample: &Sample| (sample.members as f64, figure(sample));
-    Line::fit(&samples.iter().map(point).collect::<Vec<_>>())
-}
--- a/bench/src/membership/report.rs
+++ b/bench/src/membership/report.rs
@@ -4,8 +4,8 @@
 
 use serde::Serialize;
 
-use crate::membership::fit;
-use crate::membership::fit::Line;
+use crate::fit::Fit;
+use crate::fit::Point;
 use crate::membership::sample::Sample;
 
 /// The size of the fleet for which the slopes are worked out.
@@ -17,24 +17,38 @@
     /// What was measured.
     pub samples: Vec<Sample>,
     /// Messages that each idle member sends in a second, by members.
-    pub idle_messages_per_s: Line,
+    pub idle_messages_per_s: Fit,
     /// Bytes that each idle member sends in a second, by members.
-    pub idle_sent_bytes_per_s: Line,
+    pub idle_sent_bytes_per_s: Fit,
     /// Bytes that the busiest idle member receives in a second, by members.
-    pub idle_max_received_bytes_per_s: Line,
+    pub idle_max_received_bytes_per_s: Fit,
 }
 
 impl MembershipReport {
     /// Creates the report.
-    pub fn new(samples: Vec<Sample>) -> Self {
-        Self {
-            idle_messages_per_s: fit(&samples, |sample| sample.idle_messages_per_s),
-            idle_sent_bytes_per_s: fit(&samples, |sample| sample.idle_sent_bytes_per_s),
-            idle_max_received_bytes_per_s: fit(&samples, |sample| {
-                sample.idle_max_received_bytes_per_s
-            }),
+    pub fn new(samples: Vec<Sample>) -> eyre::Result<Self> {
+        let fit = |name, unit, figure: fn(&Sample) -> f64| {
+            let point = |sample: &Sample| Point {
+                size: sample.members as f64,
+                cost: figure(sample),
+            };
+            Fit::new(name, "members", unit, samples.iter().map(point).collect())
+        };
+        let messages = fit("messages sent", "messages/s", |sample| {
+            sample.idle_messages_per_s
+        })?;
+        let sent = fit("bytes sent", "bytes/s", |sample| {
+            sample.idle_sent_bytes_per_s
+        })?;
+        let received = fit("most bytes received", "bytes/s", |sample| {
+            sample.idle_max_received_bytes_per_s
+        })?;
+        Ok(Self {
             samples,
-        }
+            idle_messages_per_s: messages,
+            idle_sent_bytes_per_s: sent,
+            idle_max_received_bytes_per_s: received,
+        })
     }
 }
 
@@ -43,13 +57,9 @@
         for sample in &self.samples {
             write_sample(f, sample)?;
         }
-        write_line(f, "messages sent/s", &self.idle_messages_per_s)?;
-        write_line(f, "bytes sent/s", &self.idle_sent_bytes_per_s)?;
-        write_line(
-            f,
-            "max bytes received/s",
-            &self.idle_max_received_bytes_per_s,
-        )
+        write_line(f, &self.idle_messages_per_s)?;
+        write_line(f, &self.idle_sent_bytes_per_s)?;
+        write_line(f, &self.idle_max_received_bytes_per_s)
     }
 }
 
@@ -83,11 +93,11 @@
     )
 }
 
-fn write_line(f: &mut fmt::Formatter<'_>, name: &str, line: &Line) -> fmt::Result {
+fn write_line(f: &mut fmt::Formatter<'_>, line: &Fit) -> fmt::Result {
     let at_fleet = line.at(FLEET_MEMBERS);
     writeln!(
         f,
-        "{name}: {:.3} + {:.6} per member, {at_fleet:.1} at {FLEET_MEMBERS}",
-        line.offset, line.slope
+        "{}: {:.3} + {:.6} per member, {at_fleet:.1} {} at {FLEET_MEMBERS}",
+        line.name, line.intercept, line.slope, line.cost_unit
     )
 }
--- a/bench/src/notes/measure.rs
+++ b/bench/src/notes/measure.rs
@@ -84,7 +84,7 @@
         let fleet_configuration = self.measure_point(FLEET_CONFIGURATION_NODES, FLEET).await?;
         Ok(Report {
             service_delay_ms: self.service_delay_ms,
-            projection: Projection::new(&points),
+            projection: Projection::new(&points)?,
             points,
             fleet_configuration: Some(fleet_configuration),
         })
--- a/bench/src/notes/report.rs
+++ b/bench/src/notes/report.rs
@@ -2,6 +2,8 @@
 
 use serde::Serialize;
 
+use crate::fit;
+use crate::fit::Fit;
 use crate::notes::trial::Cost;
 use crate::notes::trial::Quantiles;
 
@@ -46,58 +48,21 @@
     pub per_change: Cost,
 }
 
-/// A straight line through the points.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Line {
-    /// The value at zero.
-    pub intercept: f64,
-    /// The change of the value for each unit.
-    pub slope: f64,
-}
-
-impl Line {
-    /// Fits a line by least squares.
-    pub fn fit(points: &[(f64, f64)]) -> Self {
-        let count = points.len() as f64;
-        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
-        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
-        let covariance: f64 = points
-            .iter()
-            .map(|(x, y)| (x - mean_x) * (y - mean_y))
-            .sum();
-        let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-        let slope = if variance > 0.0 {
-            covariance / variance
-        } else {
-            0.0
-        };
-        Self {
-            intercept: mean_y - slope * mean_x,
-            slope,
-        }
-    }
-
-    /// Returns the value at `x`.
-    pub fn at(&self, x: f64) -> f64 {
-        self.intercept + self.slope * x
-    }
-}
-
 /// What the points give for the whole fleet.
 #[derive(Clone, Debug, Serialize)]
 pub struct Projection {
     /// The nodes.
     pub nodes: f64,
     /// The 99th percentile of the time to in force, by the number of nodes.
-    pub in_force_p99_ms: Line,
+    pub in_force_p99_ms: Fit,
     /// Its value for the fleet.
     pub projected_in_force_p99_ms: f64,
     /// The same with the service lost right after acceptance.
-    pub in_force_service_lost_p99_ms: Line,
+    pub in_force_service_lost_p99_ms: Fit,
     /// Its value for the fleet.
     pub projected_in_force_service_lost_p99_ms: f64,
     /// Reads of the service in an idle second, by the number of nodes.
-    pub idle_reads_per_s: Line,
+    pub idle_reads_per_s: Fit,
     /// Its value for the fleet, scaled to its failure domains.
     pub projected_reads_per_s: f64,
     /// The share of the service's reads.
@@ -107,9 +72,9 @@
     /// The share of the service's writes.
     pub projected_write_share: f64,
     /// Bytes that a node sends in an idle second, by the number of nodes.
-    pub idle_bytes_per_node_per_s: Line,
+    pub idle_bytes_per_node_per_s: Fit,
     /// Bytes that a node sends for one change, by the number of nodes.
-    pub bytes_per_node_per_change: Line,
+    pub bytes_per_node_per_change: Fit,
     /// The bytes that a node sends a second, with all changes of a day.
     pub projected_bytes_per_node_per_s: f64,
 }
@@ -129,28 +94,43 @@
 
 impl Projection {
     /// Projects from `points`.
-    pub fn new(points: &[Point]) -> Self {
-        let line = |value: &dyn Fn(&Point) -> f64| {
-            let pairs: Vec<_> = points.iter().map(|p| (p.nodes as f64, value(p))).collect();
-            Line::fit(&pairs)
+    pub fn new(points: &[Point]) -> eyre::Result<Self> {
+        let line = |name, unit, value: fn(&Point) -> f64| {
+            let measured = |point: &Point| fit::Point {
+                size: point.nodes as f64,
+                cost: value(point),
+            };
+            Fit::new(name, "nodes", unit, points.iter().map(measured).collect())
         };
         let changes_per_s = PROJECTED_CHANGES_PER_DAY / SECONDS_PER_DAY;
         let domains = points
             .first()
             .map_or(1.0, |point| point.failure_domains as f64);
-        let in_force = line(&|point| point.in_force.p99_ms);
-        let service_lost = line(&|point| point.in_force_service_lost.p99_ms);
-        let reads = line(&|point| point.idle_per_s.service_reads);
-        let reads_per_change = line(&|point| point.per_change.service_reads);
-        let writes_per_change = line(&|point| point.per_change.service_writes);
-        let bytes = line(&|point| point.idle_per_s.bytes_per_node);
-        let bytes_per_change = line(&|point| point.per_change.bytes_per_node);
+        let in_force = line("in force, p99", "ms", |point| point.in_force.p99_ms)?;
+        let service_lost = line("in force with the service lost, p99", "ms", |point| {
+            point.in_force_service_lost.p99_ms
+        })?;
+        let reads = line("idle reads", "reads/s", |point| {
+            point.idle_per_s.service_reads
+        })?;
+        let reads_per_change = line("reads for a change", "reads", |point| {
+            point.per_change.service_reads
+        })?;
+        let writes_per_change = line("writes for a change", "writes", |point| {
+            point.per_change.service_writes
+        })?;
+        let bytes = line("idle bytes of a node", "bytes/s", |point| {
+            point.idle_per_s.bytes_per_node
+        })?;
+        let bytes_per_change = line("bytes of a node for a change", "bytes", |point| {
+            point.per_change.bytes_per_node
+        })?;
         let idle_reads = reads.at(PROJECTED_NODES) / domains * PROJECTED_DOMAINS;
         let change_reads = reads_per_change.at(PROJECTED_NODES) / domains * PROJECTED_DOMAINS;
         let projected_reads_per_s = idle_reads + change_reads * changes_per_s;
         let projected_writes_per_s = writes_per_change.at(PROJECTED_NODES) * changes_per_s;
         let change_bytes = bytes_per_change.at(PROJECTED_NODES) * changes_per_s;
-        Self {
+        Ok(Self {
             nodes: PROJECTED_NODES,
             projected_in_force_p99_ms: in_force.at(PROJECTED_NODES),
             in_force_p99_ms: in_force,
@@ -164,6 +144,6 @@
             projected_bytes_per_node_per_s: bytes.at(PROJECTED_NODES) + change_bytes,
             idle_bytes_per_node_per_s: bytes,
             bytes_per_node_per_change: bytes_per_change,
-        }
+        })
     }
 }
--- a/cli/src/commands/note_diff.rs
+++ b/cli/src/commands/note_diff.rs
@@ -4,13 +4,9 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use jujubewall_types::admin::NOTE_CHECK_PATH;
-use jujubewall_types::admin::NoteCheckAnswer;
 use jujubewall_types::error::ErrorKind;
-use jujubewall_types::error::Failure;
 
-use crate::client::Client;
-use crate::commands::note_file::read_note;
+use crate::commands::note_file::check_note;
 use crate::exit::CommandFailure;
 use crate::print::Format;
 use crate::print::print;
@@ -39,7 +35,9 @@
     pub async fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         let told = |failure| CommandFailure::new(failure, format);
-        let answer = self.check().await.map_err(told)?;
+        let answer = check_note(&self.file, self.entry, self.key_file.as_deref())
+            .await
+            .map_err(told)?;
         let is_refused = !answer.clashes.is_empty();
         print(&DiffReport(answer), format).map_err(told)?;
         if is_refused {
@@ -47,12 +45,4 @@
         }
         Ok(())
     }
-
-    async fn check(&self) -> Result<NoteCheckAnswer, Failure> {
-        let note = read_note(&self.file)?;
-        let client = Client::new(self.entry, self.key_file.as_deref())?;
-        client
-            .post(NOTE_CHECK_PATH, &note, ErrorKind::NoUpstream)
-            .await
-    }
 }
