daemon: name the prefix of a prompt to the chooser; shorten the start of a stream

The chooser's prefix affinity, which the throughput bench measures, had no input in the daemon. A prompt's first 64 tokens, in whole blocks of 16, now name its prefix.

--- a/daemon/src/entry/actor.rs
+++ b/daemon/src/entry/actor.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jujubewall_protocol::stream::Route;
 use jujubewall_protocol::stream::StreamId;
 use jujubewall_protocol::stream::Token;
 use jujubewall_routing::admission::AccountLimits;
@@ -113,6 +114,7 @@
 }
 
 impl EntryActor {
+    /// Starts a stream, or says at once why it is refused.
     pub(super) fn start(
         &mut self,
         start: StartStream,
@@ -120,46 +122,59 @@
     ) -> Result<StartedStream, Failure> {
         self.check_running()?;
         let now = Instant::now();
+        let (mut choice, versions) = self.first_choice(&start)?;
+        self.offer(now, &choice.account)?;
+        let route = routes::choose_version(&mut self.chooser, now, &mut choice, versions)
+            .map_err(|reason| routes::no_pipeline(&reason))?;
+        let request = RequestId(rand::random());
+        self.take_limits(now, &choice.account, request)?;
+        self.chooser
+            .on_started(now, first_attempt(request), &choice, &route);
+        let stream = stream_request(request, start, &choice, route.clone());
+        let events = self.add_sink(now, request, choice);
+        let actions = self.streams.start(now, stream);
+        self.carry_out(actions, actor);
+        Ok(StartedStream {
+            request,
+            route,
+            events,
+        })
+    }
+
+    /// Checks a request against its model, and says what a pipeline has to offer.
+    fn first_choice(
+        &self,
+        start: &StartStream,
+    ) -> Result<(ChoiceRequest, SmallVec<[VersionName; 2]>), Failure> {
         let model = self.view.model(&start.model).ok_or_else(|| {
-            Failure::new(
-                ErrorKind::UnknownModel,
-                format!("no model is named {}", start.model),
-            )
+            let message = format!("no model is named {}", start.model);
+            Failure::new(ErrorKind::UnknownModel, message)
         })?;
         let prompt_tokens = u32::try_from(start.prompt.len()).unwrap_or(u32::MAX);
         check_tokens("prompt", prompt_tokens, model.max_prompt_tokens)?;
         check_tokens("answer", start.max_answer_tokens, model.max_answer_tokens)?;
-        let versions: SmallVec<[VersionName; 2]> = model.versions_by_preference().collect();
-        let mut choice = ChoiceRequest {
+        let choice = ChoiceRequest {
             model: start.model.clone(),
             version: model.active_version.clone(),
             layer_count: model.layer_count,
             account: start.account.clone(),
-            prefix_hash: None,
+            prefix_hash: routes::prefix_hash(&start.prompt),
             prompt_tokens,
             max_answer_tokens: start.max_answer_tokens,
             exclude: SmallVec::new(),
         };
-        self.offer(now, &choice.account)?;
-        let route = routes::choose_version(&mut self.chooser, now, &mut choice, versions)
-            .map_err(|reason| routes::no_pipeline(&reason))?;
-        let request = RequestId(rand::random());
-        self.take_limits(now, &choice.account, request)?;
-        self.chooser
-            .on_started(now, first_attempt(request), &choice, &route);
+        Ok((choice, model.versions_by_preference().collect()))
+    }
+
+    /// Notes where the events of a stream go, and returns where they arrive.
+    fn add_sink(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        choice: ChoiceRequest,
+    ) -> mpsc::UnboundedReceiver<StreamEvent> {
+        // The number of events is bounded by the length of the answer.
         let (events, receiver) = mpsc::unbounded_channel();
-        let stream = StreamRequest {
-            request,
-            account: start.account,
-            model: start.model,
-            version: choice.version.clone(),
-            layer_count: choice.layer_count,
-            priority: start.priority,
-            prompt: start.prompt,
-            max_answer_tokens: start.max_answer_tokens,
-            deadline: start.deadline,
-            route: route.clone(),
-        };
         let sink = Sink {
             events,
             started_at: now,
@@ -170,13 +185,7 @@
         };
         self.sinks.insert(request, sink);
         self.metrics.in_flight.inc();
-        let actions = self.streams.start(now, stream);
-        self.carry_out(actions, actor);
-        Ok(StartedStream {
-            request,
-            route,
-            events: receiver,
-        })
+        receiver
     }
 
     pub(super) fn export_invariants(&self) {
@@ -410,6 +419,26 @@
     }
 }
 
+fn stream_request(
+    request: RequestId,
+    start: StartStream,
+    choice: &ChoiceRequest,
+    route: Route,
+) -> StreamRequest {
+    StreamRequest {
+        request,
+        account: start.account,
+        model: start.model,
+        version: choice.version.clone(),
+        layer_count: choice.layer_count,
+        priority: start.priority,
+        prompt: start.prompt,
+        max_answer_tokens: start.max_answer_tokens,
+        deadline: start.deadline,
+        route,
+    }
+}
+
 fn check_tokens(what: &str, tokens: u32, max: u32) -> Result<(), Failure> {
     if tokens <= max {
         return Ok(());
--- a/daemon/src/entry/routes.rs
+++ b/daemon/src/entry/routes.rs
@@ -2,6 +2,7 @@
 
 use jujubewall_control::plan::document::Assignments;
 use jujubewall_protocol::stream::Route;
+use jujubewall_protocol::stream::Token;
 use jujubewall_routing::choice::ChoiceRequest;
 use jujubewall_routing::choice::EngineState;
 use jujubewall_routing::choice::EngineView;
@@ -16,11 +17,18 @@
 use jujubewall_types::id::VersionName;
 use jujubewall_types::member::MemberState;
 use tokio::time::Instant;
+use twox_hash::XxHash64;
 
 use crate::entry::holdings::FleetHoldings;
 use crate::entry::view::View;
 use crate::membership::Members;
 
+/// The number of tokens in a block of an engine's prefix cache.
+const PREFIX_BLOCK_TOKENS: usize = 16;
+
+/// The number of first tokens by which prompts are taken to share a prefix.
+const PREFIX_TOKENS: usize = 64;
+
 /// The time after which a request that found no pipeline may be repeated.
 const NO_PIPELINE_RETRY_MS: u64 = 1_000;
 
@@ -96,6 +104,22 @@
     Err(first_reason.unwrap_or(NoPipeline::LayerMissing { layer: 0 }))
 }
 
+/// Hashes the part of a prompt that an engine's prefix cache is likely to share.
+///
+/// A prompt that is shorter than one block of such caches shares nothing.
+pub fn prefix_hash(prompt: &[Token]) -> Option<u64> {
+    let blocks = prompt.len().min(PREFIX_TOKENS) / PREFIX_BLOCK_TOKENS;
+    let prefix = &prompt[..blocks * PREFIX_BLOCK_TOKENS];
+    if prefix.is_empty() {
+        return None;
+    }
+    let bytes: Vec<u8> = prefix
+        .iter()
+        .flat_map(|token| token.to_le_bytes())
+        .collect();
+    Some(XxHash64::oneshot(0, &bytes))
+}
+
 /// Adapts the first choice to a repair: the engines to avoid are excluded.
 pub fn repair_request(first: &ChoiceRequest, need: &RouteNeed) -> ChoiceRequest {
     ChoiceRequest {
