--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -96,7 +96,8 @@
         if status.is_success() {
             return read_answer(&content);
         }
-        Err(read_failure(status, &content))
+        // The result of a refused note has an error status, but is no error document.
+        read_answer(&content).map_err(|_| read_failure(status, &content))
     }
 
     fn request(
