--- a/bench/src/membership/sample.rs
+++ b/bench/src/membership/sample.rs
@@ -54,7 +54,7 @@
     pub suspected_everywhere: Times,
     /// The time after a crash until every member holds the crashed one for dead.
     pub dead_everywhere: Times,
-    /// The time after a member's word until every member knows that it leaves.
+    /// The time from a member's announcement until every member knows that it leaves.
     pub leaving_everywhere: Times,
     /// The time after the loss of a failure domain until the others know it.
     pub domain_loss_known_ms: u64,
--- a/bench/src/orders/run.rs
+++ b/bench/src/orders/run.rs
@@ -198,7 +198,7 @@
             method: "POST".into(),
             path: "/orders".into(),
             content_type: Some("application/json".into()),
-            body: Bytes::from(format!("{{\"bay\":{index}}}")),
+            body: Bytes::from(format!("{{\"item\":{index}}}")),
         };
         let target = AgentTarget {
             address: agent_address(agent),
--- a/control/src/plan/reconcile/machine.rs
+++ b/control/src/plan/reconcile/machine.rs
@@ -146,7 +146,7 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Handles the word that a drained assignment has no work left.
+    /// Handles the report that a drained assignment has no work left.
     pub fn on_idle(
         &mut self,
         now: Instant,
--- a/control/tests/test_merge.rs
+++ b/control/tests/test_merge.rs
@@ -16,16 +16,16 @@
 use serde_json::Value;
 use serde_json::json;
 
-/// The Trust has a model and an engine; the Bureau has an engine with the Trust's model.
+/// One partner has a model and an engine; the other has an engine with the first one's model.
 fn shared_pool() -> Configuration {
     let pinned = assignment("assistant", "v1", 0, 20);
     let trust = json!({
         "models": [model("assistant", 40, &["v1", "v2"])],
-        "accounts": [account("attendants", 1)],
+        "accounts": [account("alpha", 1)],
         "upstreams": [engine(1, pinned.clone()), service(2, "orders", false)],
     });
     let bureau = json!({
-        "adapters": [adapter("choir", "assistant")],
+        "adapters": [adapter("tuned", "assistant")],
         "upstreams": [engine(3, pinned)],
     });
     let first = note("n1", "trust", &trust, &json!({}), &json!({}));
@@ -52,7 +52,7 @@
 fn test_accepted_notes_raise_the_revision() {
     let configuration = shared_pool();
     assert_eq!(configuration.revision, Revision(2));
-    let change = json!({ "accounts": [account("attendants", 7)] });
+    let change = json!({ "accounts": [account("alpha", 7)] });
     let withdrawn = json!({ "upstreams": ["u1"] });
     let note = note("n3", "trust", &json!({}), &change, &withdrawn);
     let next = apply(&configuration, &note).unwrap();
@@ -68,10 +68,10 @@
         "bureau",
         &json!({}),
         &change,
-        &json!({ "accounts": ["attendants"] }),
+        &json!({ "accounts": ["alpha"] }),
     );
     let expected = "model assistant: the item belongs to another partner (owner trust)\n\
-                    account attendants: the item belongs to another partner (owner trust)";
+                    account alpha: the item belongs to another partner (owner trust)";
     assert_eq!(text(&clashes), expected);
 }
 
@@ -83,7 +83,7 @@
         &json!({}),
         &json!({ "models": ["assistant"] }),
     );
-    let expected = "model assistant: adapter choir of partner bureau refers to model assistant\n\
+    let expected = "model assistant: adapter tuned of partner bureau refers to model assistant\n\
                     model assistant: upstream u1 of partner trust refers to model assistant\n\
                     model assistant: upstream u3 of partner bureau refers to model assistant";
     assert_eq!(text(&clashes), expected);
@@ -115,17 +115,16 @@
 
 #[test]
 fn test_every_reason_is_listed() {
-    let mut zero = account("stewards", 0);
+    let mut zero = account("sigma", 0);
     zero["max_in_flight"] = json!(0);
     let mut empty = model("seating", 0, &["v1"]);
     empty["active_version"] = json!("v9");
-    let clashes =
-        added(&json!({ "accounts": [zero, account("attendants", 1)], "models": [empty] }));
-    let expected = "account attendants: the item exists already (owner trust)\n\
+    let clashes = added(&json!({ "accounts": [zero, account("alpha", 1)], "models": [empty] }));
+    let expected = "account alpha: the item exists already (owner trust)\n\
                     model seating: field layer_count: must be above 0\n\
                     model seating: field active_version: must be one of the versions\n\
-                    account stewards: field weight: must be above 0\n\
-                    account stewards: field max_in_flight: must be above 0";
+                    account sigma: field weight: must be above 0\n\
+                    account sigma: field max_in_flight: must be above 0";
     assert_eq!(text(&clashes), expected);
 }
 
@@ -165,8 +164,8 @@
 
 #[test]
 fn test_shared_values_must_agree() {
-    let mut same_key = account("stewards", 1);
-    same_key["key_digests"] = account("attendants", 1)["key_digests"].clone();
+    let mut same_key = account("sigma", 1);
+    same_key["key_digests"] = account("alpha", 1)["key_digests"].clone();
     let clashes = added(&json!({ "accounts": [same_key] }));
     assert_matches!(
         &clashes[..],
@@ -188,7 +187,7 @@
 
 #[test]
 fn test_a_note_names_an_item_once() {
-    let twice = json!({ "accounts": [account("stewards", 1), account("stewards", 2)] });
+    let twice = json!({ "accounts": [account("sigma", 1), account("sigma", 2)] });
     let clashes = added(&twice);
     assert_matches!(
         &clashes[0],
@@ -201,7 +200,7 @@
         "bureau",
         &json!({}),
         &json!({}),
-        &json!({ "accounts": ["stewards"] }),
+        &json!({ "accounts": ["sigma"] }),
     );
     assert_matches!(
         &missing[0],
--- a/daemon/examples/quickstart.rs
+++ b/daemon/examples/quickstart.rs
@@ -87,7 +87,7 @@
 async fn stream_answer(site: &TestSite, entry: &Running) -> eyre::Result<()> {
     let address = entry.caller_address().ok_or_else(no_address)?;
     let caller = HttpUser::new(address, ACCOUNT_KEY);
-    let prompt = "Shift handover for the arrivals hall:";
+    let prompt = "Once upon a time";
     let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": TOKENS, "stream": true });
     let mut stream = caller
         .stream("/v1/completions", &body)
@@ -140,13 +140,13 @@
             Method::POST,
             "/v1/services/orders/collect",
             &headers,
-            "bay 4",
+            "order 4",
         )
         .await?;
     let outcome = answer.outcome.unwrap_or_default();
     println!("order: status {}, outcome {outcome}", answer.status);
     ensure!(
-        site.service.fake.runs_of_body(b"bay 4") == 1,
+        site.service.fake.runs_of_body(b"order 4") == 1,
         "the order did not run once"
     );
     Ok(())
--- a/daemon/tests/test_end_to_end.rs
+++ b/daemon/tests/test_end_to_end.rs
@@ -32,7 +32,7 @@
 async fn test_answer_is_right_at_every_entry_whole_and_streamed() {
     let fleet = start(SiteShape::default()).await;
     for entry in 0..2 {
-        let prompt = format!("shift handover for entry {entry}");
+        let prompt = format!("a prompt for entry {entry}");
         let expected = fleet.site.expected_text(&prompt, TOKENS);
         let caller = fleet.caller(entry);
         let whole = caller
@@ -58,16 +58,16 @@
     let answer = caller
         .send(
             Method::POST,
-            "/v1/services/orders/collect?bay=4",
+            "/v1/services/orders/collect?item=4",
             &[],
-            "bay 4",
+            "order 4",
         )
         .await
         .expect("the entry answers");
     assert_eq!(answer.status, 200, "{:?}", answer.body);
     assert_eq!(answer.outcome.as_deref(), Some("completed"));
-    assert_eq!(&answer.body[..], b"bay 4");
-    assert_eq!(fleet.site.service.fake.runs_of_body(b"bay 4"), 1);
+    assert_eq!(&answer.body[..], b"order 4");
+    assert_eq!(fleet.site.service.fake.runs_of_body(b"order 4"), 1);
     fleet.stop().await;
 }
 
--- a/daemon/tests/test_failures.rs
+++ b/daemon/tests/test_failures.rs
@@ -27,7 +27,7 @@
 const STALL_TARGET: Duration = Duration::from_secs(1);
 /// The time within which a note is in force everywhere, as the design states it.
 const IN_FORCE_TARGET: Duration = Duration::from_secs(2);
-const PROMPT: &str = "stray trolleys at the cargo apron";
+const PROMPT: &str = "a prompt of some length";
 
 fn shape() -> SiteShape {
     let engine = EngineSettings {
--- a/daemon/tests/test_orders.rs
+++ b/daemon/tests/test_orders.rs
@@ -41,15 +41,15 @@
 #[tokio::test]
 async fn test_repeated_key_gets_the_recorded_result_at_any_entry() {
     let fleet = start().await;
-    let first = order(&fleet, 0, Some("key-1"), "bay 1").await;
-    let second = order(&fleet, 1, Some("key-1"), "bay 1").await;
+    let first = order(&fleet, 0, Some("key-1"), "order 1").await;
+    let second = order(&fleet, 1, Some("key-1"), "order 1").await;
     assert_eq!(
         (outcome(&first), outcome(&second)),
         ("completed", "completed")
     );
     assert_eq!(first.body, second.body);
     assert_eq!(fleet.site.service.fake.runs(), 1);
-    let reused = order(&fleet, 1, Some("key-1"), "bay 2").await;
+    let reused = order(&fleet, 1, Some("key-1"), "order 2").await;
     assert_eq!((reused.status, outcome(&reused)), (409, "not_run"));
     assert_eq!(reused.error_code(), "key_reused");
     assert_eq!(fleet.site.service.fake.runs(), 1);
@@ -65,7 +65,7 @@
         .service
         .fake
         .set_faults(|faults| faults.lose_next_replies = 1);
-    let first = order(&fleet, 0, Some("key-2"), "bay 3").await;
+    let first = order(&fleet, 0, Some("key-2"), "order 3").await;
     assert_eq!(outcome(&first), "unknown");
     let mut agent = fleet.agents.pop().expect("the service has an agent");
     agent.signal(Signal::Kill);
@@ -78,9 +78,9 @@
         outcome(&answer) == "completed"
     })
     .await;
-    let repeated = order(&fleet, 1, Some("key-2"), "bay 3").await;
+    let repeated = order(&fleet, 1, Some("key-2"), "order 3").await;
     assert_ne!(outcome(&repeated), "not_run");
-    assert_eq!(fleet.site.service.fake.runs_of_body(b"bay 3"), 1);
+    assert_eq!(fleet.site.service.fake.runs_of_body(b"order 3"), 1);
 }
 
 #[tokio::test]
@@ -88,10 +88,10 @@
     let fleet = start().await;
     let agent = fleet.agents.last().expect("the service has an agent");
     agent.signal(Signal::Pause);
-    let told = order(&fleet, 0, Some("key-3"), "bay 4").await;
+    let told = order(&fleet, 0, Some("key-3"), "order 4").await;
     agent.signal(Signal::Resume);
-    let repeated = order(&fleet, 0, Some("key-3"), "bay 4").await;
-    let runs = fleet.site.service.fake.runs_of_body(b"bay 4");
+    let repeated = order(&fleet, 0, Some("key-3"), "order 4").await;
+    let runs = fleet.site.service.fake.runs_of_body(b"order 4");
     assert!(runs <= 1, "the order ran {runs} times");
     if outcome(&told) == "not_run" && outcome(&repeated) == "not_run" {
         assert_eq!(runs, 0);
@@ -116,7 +116,7 @@
     })
     .await;
     let started = Instant::now();
-    let answer = order(&fleet, 0, None, "bay 5").await;
+    let answer = order(&fleet, 0, None, "order 5").await;
     assert_eq!((outcome(&answer), answer.status), ("not_run", 503));
     assert!(answer.retry_after_s.is_some());
     assert!(
@@ -129,15 +129,15 @@
 #[tokio::test]
 async fn test_outage_of_the_key_value_service_never_doubles_an_order() {
     let fleet = start().await;
-    let first = order(&fleet, 0, Some("key-4"), "bay 6").await;
+    let first = order(&fleet, 0, Some("key-4"), "order 6").await;
     assert_eq!(outcome(&first), "completed");
     let key_value = &fleet.site.key_value;
     key_value.set_faults(|faults| faults.outage = Outage::Silent);
-    let during = order(&fleet, 1, Some("key-4"), "bay 6").await;
-    let fresh = order(&fleet, 1, Some("key-5"), "bay 7").await;
+    let during = order(&fleet, 1, Some("key-4"), "order 6").await;
+    let fresh = order(&fleet, 1, Some("key-5"), "order 7").await;
     key_value.set_faults(|faults| faults.outage = Outage::None);
-    assert_eq!(fleet.site.service.fake.runs_of_body(b"bay 6"), 1);
-    let runs = fleet.site.service.fake.runs_of_body(b"bay 7");
+    assert_eq!(fleet.site.service.fake.runs_of_body(b"order 6"), 1);
+    let runs = fleet.site.service.fake.runs_of_body(b"order 7");
     let is_true = match outcome(&fresh) {
         "completed" => runs == 1,
         "not_run" => runs == 0,
@@ -154,10 +154,10 @@
     let service = fleet.site.service.fake.clone();
     service.set_faults(|faults| faults.delay = Duration::from_secs(1));
     let mut agent = fleet.agents.pop().expect("the service has an agent");
-    let running = order(&fleet, 0, Some("key-6"), "bay 8");
+    let running = order(&fleet, 0, Some("key-6"), "order 8");
     let kill = async {
         eventually("the order runs", async || {
-            service.runs_of_body(b"bay 8") == 1
+            service.runs_of_body(b"order 8") == 1
         })
         .await;
         agent.signal(Signal::Kill);
@@ -174,9 +174,9 @@
         outcome(&answer) == "completed"
     })
     .await;
-    let repeated = order(&fleet, 1, Some("key-6"), "bay 8").await;
+    let repeated = order(&fleet, 1, Some("key-6"), "order 8").await;
     assert_eq!(outcome(&repeated), "unknown");
-    assert_eq!(service.runs_of_body(b"bay 8"), 1);
+    assert_eq!(service.runs_of_body(b"order 8"), 1);
 }
 
 #[tokio::test]
@@ -187,7 +187,7 @@
     let headers = [("jujubewall-deadline-ms", "8000")];
     let answer = fleet
         .caller(0)
-        .send(Method::POST, PATH, &headers, "bay 9")
+        .send(Method::POST, PATH, &headers, "order 9")
         .await
         .expect("the entry answers");
     assert_eq!((outcome(&answer), answer.status), ("completed", 200));
--- a/daemon/tests/test_plan.rs
+++ b/daemon/tests/test_plan.rs
@@ -23,7 +23,7 @@
 /// The length of an answer that lasts longer than engines take to begin to change.
 const MANY_TOKENS: usize = 150;
 const NEW_VERSION: &str = "v2";
-const PROMPT: &str = "which cart goes to bay 4";
+const PROMPT: &str = "a prompt of some length";
 
 /// Starts three engines for each pipeline, which can hold the model together, and spare ones.
 async fn start(pipelines: usize, spare_engines: usize) -> Fleet {
--- a/protocol/src/stream.rs
+++ b/protocol/src/stream.rs
@@ -299,7 +299,7 @@
     pub payload: Bytes,
 }
 
-/// The word that a stage's upstream is leaving.
+/// The announcement that a stage's upstream is leaving.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StageLeaving {
     /// The stream.
--- a/routing/src/membership/host_list.rs
+++ b/routing/src/membership/host_list.rs
@@ -1,4 +1,4 @@
-//! The word of the platform's host list, which lags behind the truth.
+//! The platform's host list as a source, which lags behind the actual state.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/routing/src/membership/mod.rs
+++ b/routing/src/membership/mod.rs
@@ -7,7 +7,7 @@
 //! suspicion by raising its incarnation. Claims spread along the same rings,
 //! and digests close the gaps that lost messages leave.
 //!
-//! The sources are ranked: a member's own heartbeat, its word that it leaves,
+//! The sources are ranked: a member's own heartbeat, its announcement that it leaves,
 //! the platform's host list, the configured seed addresses.
 
 mod action;
--- a/routing/src/membership/outbox.rs
+++ b/routing/src/membership/outbox.rs
@@ -9,7 +9,7 @@
 /// The number of times that a claim is pushed to every watched member.
 const PUSHES: u8 = 1;
 
-/// The number of times that the word of a leaving member is pushed.
+/// The number of times that the announcement of a leaving member is pushed.
 const URGENT_PUSHES: u8 = 2;
 
 /// The number of times that a claim rides on a probe or its answer.
--- a/routing/src/order/invariant.rs
+++ b/routing/src/order/invariant.rs
@@ -9,7 +9,7 @@
     BegunOnce,
     /// A call that must not be repeated is begun only after its key was claimed for it.
     BegunWithClaim,
-    /// A call that was begun ends `not_run` only by the upstream's own word.
+    /// A call that was begun ends `not_run` only by the upstream's own answer.
     NotRunIsTrue,
     /// A caller is answered once.
     AnsweredOnce,
--- a/routing/src/order/mod.rs
+++ b/routing/src/order/mod.rs
@@ -5,7 +5,7 @@
 //! idempotency key is claimed by a compare-and-swap in the key-value service
 //! before it is sent; a call without one is claimed in the memory of its
 //! agent's process. `not_run` is told only by an agent that has not begun to
-//! send the call and never will, or that has the upstream's own word.
+//! send the call and never will, or that has the upstream's own answer.
 
 pub mod action;
 pub mod agent;
--- a/routing/src/stream/agent/mod.rs
+++ b/routing/src/stream/agent/mod.rs
@@ -137,7 +137,7 @@
         self.finish(now)
     }
 
-    /// Handles the word of admission that a stage may run.
+    /// Handles the decision of admission that a stage may run.
     pub fn on_admitted(&mut self, now: Instant, ticket: StageKey) -> Vec<AgentAction> {
         self.update(now, ticket, |stage, fx| {
             if stage.phase == Phase::Admitting {
@@ -147,7 +147,7 @@
         self.finish(now)
     }
 
-    /// Handles the word of admission that a stage may not run.
+    /// Handles the decision of admission that a stage may not run.
     pub fn on_refused(
         &mut self,
         now: Instant,
@@ -240,7 +240,7 @@
         self.finish(now)
     }
 
-    /// Takes back the word that an upstream is leaving.
+    /// Takes back the announcement that an upstream is leaving.
     pub fn return_upstream(&mut self, upstream: &UpstreamName) {
         self.leaving_upstreams.remove(upstream);
     }
--- a/routing/src/stream/agent/stage/mod.rs
+++ b/routing/src/stream/agent/stage/mod.rs
@@ -268,7 +268,7 @@
         }
     }
 
-    /// Handles the word of admission.
+    /// Handles the decision of admission.
     pub fn admitted(&mut self, now: Instant, fx: &mut Effects) {
         if self.open.resumes {
             self.phase = Phase::Opened;
--- a/routing/src/stream/agent/stage/phase.rs
+++ b/routing/src/stream/agent/stage/phase.rs
@@ -6,7 +6,7 @@
 /// What a stage does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
-    /// It waits for the word of admission.
+    /// It waits for the decision of admission.
     Admitting,
     /// It waits for the engine to finish a step of an attempt that is over.
     Settling(Settled),
--- a/routing/src/stream/entry/mod.rs
+++ b/routing/src/stream/entry/mod.rs
@@ -154,7 +154,7 @@
         self.fx.take_actions()
     }
 
-    /// Handles the word of membership that a process is gone.
+    /// Handles the report of membership that a process is gone.
     pub fn on_peer_lost(&mut self, now: Instant, peer: SocketAddr) -> Vec<EntryAction> {
         for request in self.requests_through(peer) {
             if let Some(stream) = self.streams.get_mut(&request) {
@@ -166,7 +166,7 @@
         self.fx.take_actions()
     }
 
-    /// Handles the word of membership that a process is leaving.
+    /// Handles the report of membership that a process is leaving.
     pub fn on_peer_leaving(
         &mut self,
         now: Instant,
--- a/routing/tests/test_membership.rs
+++ b/routing/tests/test_membership.rs
@@ -31,7 +31,7 @@
 /// The time within which a failed member is declared dead everywhere.
 const DEAD_WITHIN: Duration = Duration::from_secs(6);
 
-/// The time within which the word of a leaving member is everywhere.
+/// The time within which the announcement of a leaving member is everywhere.
 const LEAVING_WITHIN: Duration = Duration::from_secs(1);
 
 /// The time within which everything is repaired once the faults have ended.
@@ -226,7 +226,7 @@
         prop_assert!(dead.is_some(), "{}", describe(&network));
     }
 
-    /// The word of a leaving member is everywhere within the stated bound, and
+    /// The announcement of a leaving member is everywhere within the stated bound, and
     /// stays when the member is gone.
     #[test]
     fn test_random_leaving_spreads_in_time(
--- a/testutils/src/engine/batch.rs
+++ b/testutils/src/engine/batch.rs
@@ -26,7 +26,7 @@
     /// Tells every step that it has run.
     pub(super) fn finish(self) {
         for step in self.steps {
-            // A step whose caller has gone away needs no word.
+            // A step whose caller has gone away needs no reply.
             let _ = step.done.send(());
         }
     }
--- a/testutils/src/members.rs
+++ b/testutils/src/members.rs
@@ -184,7 +184,7 @@
         Some(self.now - start)
     }
 
-    /// Stops a member without a word.
+    /// Stops a member without an announcement.
     pub fn crash(&mut self, index: usize) {
         self.members[index].is_running = false;
         let address = self.members[index].hello.peer_address;
