cli: show what an entry answers in one place

The commands status, audit and upstreams each fetched and printed alike. Their options stay apart, since the argument library cannot share them.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod settings_check;
 mod settings_schema;
+mod show;
 mod status;
 mod upstreams;
 
--- a/cli/src/commands/audit.rs
+++ b/cli/src/commands/audit.rs
@@ -6,12 +6,9 @@
 use argh::FromArgs;
 use jujubewall_types::admin::AUDIT_PATH;
 use jujubewall_types::admin::AuditAnswer;
-use jujubewall_types::error::Failure;
 
-use crate::client::Client;
+use crate::commands::show::show;
 use crate::exit::CommandFailure;
-use crate::print::Format;
-use crate::print::print;
 
 /// Shows who changed the configuration, when and how.
 #[derive(Debug, FromArgs)]
@@ -37,16 +34,7 @@
 impl AuditCommand {
     /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
-        let format = Format::from_switch(self.json);
-        self.fetch()
-            .await
-            .and_then(|answer| print(&answer, format))
-            .map_err(|failure| CommandFailure::new(failure, format))
-    }
-
-    async fn fetch(&self) -> Result<AuditAnswer, Failure> {
-        let client = Client::new(self.entry, self.key_file.as_deref())?;
         let path = format!("{AUDIT_PATH}?from={}&limit={}", self.from, self.limit);
-        client.get(&path).await
+        show::<AuditAnswer>(&path, self.entry, self.key_file.as_deref(), self.json).await
     }
 }
--- a/cli/src/commands/upstreams.rs
+++ b/cli/src/commands/upstreams.rs
@@ -6,12 +6,9 @@
 use argh::FromArgs;
 use jujubewall_types::admin::UPSTREAMS_PATH;
 use jujubewall_types::admin::UpstreamsAnswer;
-use jujubewall_types::error::Failure;
 
-use crate::client::Client;
+use crate::commands::show::show;
 use crate::exit::CommandFailure;
-use crate::print::Format;
-use crate::print::print;
 
 /// Shows the upstreams in force.
 #[derive(Debug, FromArgs)]
@@ -31,15 +28,12 @@
 impl UpstreamsCommand {
     /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
-        let format = Format::from_switch(self.json);
-        self.fetch()
-            .await
-            .and_then(|answer| print(&answer, format))
-            .map_err(|failure| CommandFailure::new(failure, format))
-    }
-
-    async fn fetch(&self) -> Result<UpstreamsAnswer, Failure> {
-        let client = Client::new(self.entry, self.key_file.as_deref())?;
-        client.get(UPSTREAMS_PATH).await
+        show::<UpstreamsAnswer>(
+            UPSTREAMS_PATH,
+            self.entry,
+            self.key_file.as_deref(),
+            self.json,
+        )
+        .await
     }
 }
