daemon: export the plan's invariant once

Monitoring already exports every invariant of control when the metrics are read; the plan's actor did it again ten times a second. Two writers of one counter could also have counted a violation twice.

--- a/daemon/src/agent/plan.rs
+++ b/daemon/src/agent/plan.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jujubewall_control::invariant::Invariant;
 use jujubewall_control::plan::document::Plan;
 use jujubewall_control::plan::reconcile::ReconcileSettings;
 use jujubewall_control::plan::reconcile::Reconciler;
@@ -46,7 +45,6 @@
 use crate::agent::upstreams::Upstreams;
 use crate::alarm::tick;
 use crate::membership::Members;
-use crate::metrics::Metrics;
 use crate::network::Network;
 
 /// The time between two ticks, several of which fit into the pause threshold.
@@ -68,8 +66,6 @@
 pub struct PlanArgs {
     /// The network.
     pub network: Network,
-    /// The metrics.
-    pub metrics: Arc<Metrics>,
     /// The members, among which are the entries that are told what engines hold.
     pub members: Members,
     /// The key-value service, which holds the plan.
@@ -85,7 +81,6 @@
 /// Owns the reconciler of an agent.
 pub struct PlanActor {
     network: Network,
-    metrics: Arc<Metrics>,
     members: Members,
     writer: Arc<PlanWriter>,
     weight_store: Arc<dyn WeightStore>,
@@ -369,7 +364,6 @@
         let writer = PlanWriter::new(args.key_value, PlanSettings::default());
         Ok(Self {
             network: args.network,
-            metrics: args.metrics,
             members: args.members,
             writer: Arc::new(writer),
             weight_store: args.weight_store,
@@ -456,8 +450,5 @@
         self.carry_out(actions, context.actor_ref());
         self.poll_drains(now, context.actor_ref());
         self.report(now);
-        let invariant = Invariant::OrderNumberRises;
-        let violations = invariant.violations();
-        self.metrics.set_violations(invariant.label(), violations);
     }
 }
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -310,7 +310,6 @@
     let weight_store = HttpWeightStore::new(settings.platform.weight_store_address);
     let plans = PlanArgs {
         network: shared.network.clone(),
-        metrics: Arc::clone(&shared.metrics),
         members: shared.members.clone(),
         key_value: Arc::clone(&shared.service),
         weight_store: Arc::new(weight_store),
