--- a/bench/src/orders/run.rs
+++ b/bench/src/orders/run.rs
@@ -13,7 +13,6 @@
 use jujubewall_platform::key_value::KeyValueEntry;
 use jujubewall_platform::key_value::Swap;
 use jujubewall_protocol::call::CallResult;
-use jujubewall_protocol::call::ServiceCall;
 use jujubewall_routing::order::action::AgentOrderAction;
 use jujubewall_routing::order::action::EntryOrderAction;
 use jujubewall_routing::order::action::ShardKey;
@@ -31,6 +30,7 @@
 use jujubewall_testutils::key_value::FakeKeyValue;
 use jujubewall_testutils::key_value::Outage;
 use jujubewall_testutils::service::FakeService;
+use jujubewall_testutils::service::request_of_call;
 use jujubewall_types::id::AccountName;
 use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
@@ -40,7 +40,6 @@
 use jujubewall_types::outcome::Outcome;
 use jujubewall_upstream::error::UpstreamError;
 use jujubewall_upstream::service::Service as _;
-use jujubewall_upstream::service::ServiceRequest;
 use jujubewall_upstream::service::ServiceResponse;
 use smol_str::format_smolstr;
 use tokio::sync::mpsc;
@@ -349,7 +348,7 @@
         };
         let service = self.service.clone();
         tell(self.sender.clone(), async move {
-            Event::Served(agent, request, service.call(service_request(call)).await)
+            Event::Served(agent, request, service.call(request_of_call(call)).await)
         });
     }
 
@@ -415,17 +414,6 @@
     });
 }
 
-fn service_request(call: ServiceCall) -> ServiceRequest {
-    ServiceRequest {
-        method: call.method,
-        path: call.path,
-        content_type: call.content_type,
-        request_id: format_smolstr!("{}", call.request),
-        body: call.body,
-        reply_timeout: None,
-    }
-}
-
 fn agent_address(index: usize) -> SocketAddr {
     let port = u16::try_from(index + 1).unwrap_or(u16::MAX);
     SocketAddr::from(([127, 0, 0, 1], port))
--- a/routing/tests/order_world/mod.rs
+++ b/routing/tests/order_world/mod.rs
@@ -28,6 +28,7 @@
 use jujubewall_routing::order::settings::EntryOrderSettings;
 use jujubewall_testutils::key_value::FakeKeyValue;
 use jujubewall_testutils::service::FakeService;
+use jujubewall_testutils::service::request_of_call;
 use jujubewall_types::id::AccountName;
 use jujubewall_types::id::Incarnation;
 use jujubewall_types::id::MemberName;
@@ -38,7 +39,6 @@
 use jujubewall_types::outcome::Outcome;
 use jujubewall_upstream::error::UpstreamError;
 use jujubewall_upstream::service::Service;
-use jujubewall_upstream::service::ServiceRequest;
 use jujubewall_upstream::service::ServiceResponse;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
@@ -332,7 +332,7 @@
                 }
                 Io::Send(call) => {
                     let request = call.request;
-                    let result = self.service.call(service_request(*call)).await;
+                    let result = self.service.call(request_of_call(*call)).await;
                     Some(Io::Served(request, result))
                 }
                 Io::Loaded(..) | Io::Written(..) | Io::Begin(_) | Io::Served(..) => None,
@@ -482,14 +482,3 @@
 fn address(first: u16, index: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], first + u16::try_from(index).unwrap()))
 }
-
-fn service_request(call: ServiceCall) -> ServiceRequest {
-    ServiceRequest {
-        method: call.method,
-        path: call.path,
-        content_type: call.content_type,
-        request_id: format_smolstr!("{}", call.request),
-        body: call.body,
-        reply_timeout: None,
-    }
-}
--- a/testutils/src/service.rs
+++ b/testutils/src/service.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
+use jujubewall_protocol::call::ServiceCall;
 use jujubewall_types::outcome::Outcome;
 use jujubewall_upstream::error::UpstreamError;
 use jujubewall_upstream::service::Service;
@@ -22,6 +23,7 @@
 use jujubewall_upstream::wire::OUTCOME_HEADER;
 use jujubewall_upstream::wire::REQUEST_ID_HEADER;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -178,3 +180,15 @@
         .body(Bytes::from(error.to_string()))
         .expect("the reply is valid")
 }
+
+/// Builds the request that an agent sends to a plain service for a call.
+pub fn request_of_call(call: ServiceCall) -> ServiceRequest {
+    ServiceRequest {
+        method: call.method,
+        path: call.path,
+        content_type: call.content_type,
+        request_id: format_smolstr!("{}", call.request),
+        body: call.body,
+        reply_timeout: None,
+    }
+}
