--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod item;
 pub mod keys;
 pub mod merge;
+pub mod placement;
 pub mod plan;
 pub mod proposal;
 pub mod shard;
--- /dev/null
+++ b/control/src/placement.rs
@@ -0,0 +1,328 @@
+//! Which engine of a fleet holds which layers.
+//!
+//! The engines of a failure domain hold one whole copy of the model together,
+//! each as many layers as its memory allows beside an equal amount of context.
+//! So a path stays inside its domain, where links are wide, and the loss of a
+//! domain or of an engine leaves whole copies elsewhere. Domains too small for a
+//! copy are joined.
+//!
+//! The decision needs no memory of its own: it follows from what the engines
+//! hold. An engine never gives up layers that the others do not hold, so a plan
+//! from a stale view, or made twice, does no harm.
+//!
+//! Ways that were weighed are in `docs/design/platform.md`.
+
+use std::collections::BTreeMap;
+
+use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::id::FailureDomainName;
+use jujubewall_types::layer::LayerRange;
+use smol_str::SmolStr;
+
+use crate::plan::Share;
+use crate::plan::split;
+
+/// The part of an engine's memory that weights may take, so that some context
+/// fits even after it has taken over layers of lost neighbours.
+const MAX_WEIGHT_SHARE: f64 = 0.8;
+
+/// The memory of a domain, in copies of the model, from which it holds one.
+const MIN_COPIES_OF_MEMORY: f64 = 1.35;
+
+/// An engine as the placement sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlacedEngine {
+    /// The identifier of its life.
+    pub id: SmolStr,
+    /// The failure domain.
+    pub failure_domain: FailureDomainName,
+    /// The memory for weights and context.
+    pub memory_mb: f64,
+    /// The layers that it holds, or will hold when its order is done.
+    pub layers: Option<LayerRange>,
+    /// Whether an order is being carried out.
+    pub is_busy: bool,
+}
+
+/// A change of the layers that an engine holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Placement {
+    /// The identifier of the engine's life.
+    pub id: SmolStr,
+    /// The layers that it has to hold.
+    pub layers: LayerRange,
+}
+
+/// Returns the changes that bring every group of engines nearer to a whole copy.
+///
+/// `engines` are those that can be given work.
+pub fn place(spec: &EngineSpec, engines: &[PlacedEngine]) -> Vec<Placement> {
+    let mut changes = Vec::new();
+    for mut group in groups(spec, engines) {
+        // Engines with much memory next to each other take over for each other.
+        group.sort_by(|a, b| {
+            let by_memory = b.memory_mb.total_cmp(&a.memory_mb);
+            by_memory.then_with(|| a.id.cmp(&b.id))
+        });
+        Group {
+            spec,
+            engines: group,
+        }
+        .place(&mut changes);
+    }
+    changes
+}
+
+/// Returns the engines by domain, with domains that are too small joined.
+fn groups<'a>(spec: &EngineSpec, engines: &'a [PlacedEngine]) -> Vec<Vec<&'a PlacedEngine>> {
+    let mut domains: BTreeMap<&FailureDomainName, Vec<&PlacedEngine>> = BTreeMap::new();
+    for engine in engines {
+        domains
+            .entry(&engine.failure_domain)
+            .or_default()
+            .push(engine);
+    }
+    let needed_mb = MIN_COPIES_OF_MEMORY * spec.layer_mb * f64::from(spec.layer_count);
+    let memory_mb =
+        |group: &[&PlacedEngine]| -> f64 { group.iter().map(|engine| engine.memory_mb).sum() };
+    let (mut groups, mut small): (Vec<_>, Vec<_>) = domains
+        .into_values()
+        .partition(|group| memory_mb(group) >= needed_mb);
+    let joined: Vec<&PlacedEngine> = small.drain(..).flatten().collect();
+    if joined.is_empty() {
+        return groups;
+    }
+    if memory_mb(&joined) >= needed_mb || groups.is_empty() {
+        groups.push(joined);
+    } else if let Some(group) = groups.first_mut() {
+        group.extend(joined);
+    }
+    groups
+}
+
+/// The engines that hold one copy together.
+struct Group<'a> {
+    spec: &'a EngineSpec,
+    engines: Vec<&'a PlacedEngine>,
+}
+
+impl Group<'_> {
+    fn place(&self, changes: &mut Vec<Placement>) {
+        let holds_any = self.engines.iter().any(|engine| engine.layers.is_some());
+        if !holds_any {
+            self.split_all(changes);
+            return;
+        }
+        let empty: Vec<&PlacedEngine> = self
+            .engines
+            .iter()
+            .filter(|engine| engine.layers.is_none() && !engine.is_busy)
+            .copied()
+            .collect();
+        let holes = self.holes();
+        if empty.is_empty() {
+            for hole in holes {
+                self.extend_neighbours(hole, changes);
+            }
+        } else if holes.is_empty() {
+            self.relieve(&empty, changes);
+        } else {
+            self.fill(&holes, &empty, changes);
+        }
+    }
+
+    /// Gives every engine its part of a copy, by memory.
+    fn split_all(&self, changes: &mut Vec<Placement>) {
+        let whole = LayerRange::new(0, self.spec.layer_count);
+        self.split_among(whole, &self.engines, changes);
+    }
+
+    /// Splits a range of layers by memory. Returns whether it fits.
+    fn split_among(
+        &self,
+        layers: LayerRange,
+        engines: &[&PlacedEngine],
+        changes: &mut Vec<Placement>,
+    ) -> bool {
+        let shares: Vec<Share> = engines
+            .iter()
+            .map(|engine| Share {
+                max_layers: self.max_layers(engine),
+                rate: memory_weight(engine),
+            })
+            .collect();
+        let Some(ranges) = split(layers, &shares) else {
+            return false;
+        };
+        for (engine, range) in engines.iter().zip(ranges) {
+            if !range.is_empty() {
+                changes.push(Placement {
+                    id: engine.id.clone(),
+                    layers: range,
+                });
+            }
+        }
+        true
+    }
+
+    /// Returns the number of layers that an engine may hold.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn max_layers(&self, engine: &PlacedEngine) -> u32 {
+        (MAX_WEIGHT_SHARE * engine.memory_mb / self.spec.layer_mb) as u32
+    }
+
+    /// Returns the ranges that no engine holds.
+    fn holes(&self) -> Vec<LayerRange> {
+        let mut held: Vec<LayerRange> = self
+            .engines
+            .iter()
+            .filter_map(|engine| engine.layers)
+            .collect();
+        held.sort_unstable();
+        let mut holes = Vec::new();
+        let mut next = 0;
+        for range in held {
+            if range.first > next {
+                holes.push(LayerRange::new(next, range.first));
+            }
+            next = next.max(range.end);
+        }
+        if next < self.spec.layer_count {
+            holes.push(LayerRange::new(next, self.spec.layer_count));
+        }
+        holes
+    }
+
+    /// Fills holes with engines that hold nothing, and the rest with neighbours.
+    fn fill(&self, holes: &[LayerRange], empty: &[&PlacedEngine], changes: &mut Vec<Placement>) {
+        let mut free = empty.to_vec();
+        for &hole in holes {
+            let mut taken = Vec::new();
+            let mut room = 0;
+            while room < hole.len()
+                && let Some(engine) = free.pop()
+            {
+                room += self.max_layers(engine);
+                taken.push(engine);
+            }
+            if self.split_among(hole, &taken, changes) {
+                continue;
+            }
+            // The engines hold the middle, and the neighbours meet them.
+            let spare = hole.len() - room;
+            let before = spare / 2;
+            let middle = LayerRange::new(hole.first + before, hole.end - (spare - before));
+            self.split_among(middle, &taken, changes);
+            self.extend_neighbours(LayerRange::new(hole.first, middle.first), changes);
+            self.extend_neighbours(LayerRange::new(middle.end, hole.end), changes);
+        }
+    }
+
+    /// Lets the engines beside a hole hold its layers as well, as far as they can.
+    fn extend_neighbours(&self, hole: LayerRange, changes: &mut Vec<Placement>) {
+        if hole.is_empty() {
+            return;
+        }
+        let before = self.neighbour(|layers| layers.end == hole.first);
+        let after = self.neighbour(|layers| layers.first == hole.end);
+        let room = |neighbour: Option<(&PlacedEngine, LayerRange)>| {
+            neighbour.map_or(0, |(engine, layers)| {
+                self.max_layers(engine).saturating_sub(layers.len())
+            })
+        };
+        let (room_before, room_after) = (room(before), room(after));
+        let half = hole.len().div_ceil(2);
+        let by_before = room_before.min(half.max(hole.len().saturating_sub(room_after)));
+        let by_after = room_after.min(hole.len() - by_before);
+        if let Some((engine, layers)) = before.filter(|_| by_before > 0) {
+            changes.push(Placement {
+                id: engine.id.clone(),
+                layers: LayerRange::new(layers.first, layers.end + by_before),
+            });
+        }
+        if let Some((engine, layers)) = after.filter(|_| by_after > 0) {
+            changes.push(Placement {
+                id: engine.id.clone(),
+                layers: LayerRange::new(layers.first - by_after, layers.end),
+            });
+        }
+    }
+
+    /// Returns the engine with the most room among those whose layers fit.
+    fn neighbour(&self, fits: impl Fn(LayerRange) -> bool) -> Option<(&PlacedEngine, LayerRange)> {
+        let engines = self.engines.iter();
+        engines
+            .filter(|engine| !engine.is_busy)
+            .filter_map(|engine| Some((*engine, engine.layers?)))
+            .filter(|(_, layers)| fits(*layers))
+            .max_by_key(|(engine, layers)| self.max_layers(engine).saturating_sub(layers.len()))
+    }
+
+    /// Gives engines that hold nothing the layers with the least room for context.
+    fn relieve(&self, empty: &[&PlacedEngine], changes: &mut Vec<Placement>) {
+        let mut room = self.context_room();
+        let total_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
+        for engine in empty {
+            let share = engine.memory_mb / total_mb * f64::from(self.spec.layer_count);
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let wanted = (share.round() as u32).max(1);
+            let len = wanted
+                .min(self.max_layers(engine))
+                .min(self.spec.layer_count);
+            if len == 0 {
+                continue;
+            }
+            let layers = tightest(&room, len);
+            let added_mb = self.free_mb(engine, layers.len()) / f64::from(layers.len());
+            for layer in layers.first..layers.end {
+                room[layer as usize] += added_mb;
+            }
+            changes.push(Placement {
+                id: engine.id.clone(),
+                layers,
+            });
+        }
+    }
+
+    /// Returns the memory for context that each layer has, over all engines.
+    fn context_room(&self) -> Vec<f64> {
+        let mut room = vec![0.0; self.spec.layer_count as usize];
+        for engine in &self.engines {
+            let Some(layers) = engine.layers else {
+                continue;
+            };
+            let mb = self.free_mb(engine, layers.len()) / f64::from(layers.len());
+            for layer in layers.first..layers.end.min(self.spec.layer_count) {
+                room[layer as usize] += mb;
+            }
+        }
+        room
+    }
+
+    fn free_mb(&self, engine: &PlacedEngine, layers: u32) -> f64 {
+        (engine.memory_mb - f64::from(layers) * self.spec.layer_mb).max(0.0)
+    }
+}
+
+/// Returns an engine's memory as a weight for splitting layers.
+///
+/// The weight is large beside the number of layers, so that rounding does not
+/// matter.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn memory_weight(engine: &PlacedEngine) -> u64 {
+    (engine.memory_mb.max(0.0) * 1_000.0) as u64
+}
+
+/// Returns the range of `len` layers whose layers have the least room together.
+fn tightest(room: &[f64], len: u32) -> LayerRange {
+    let len = len as usize;
+    let sums = room
+        .windows(len)
+        .enumerate()
+        .map(|(first, window)| (window.iter().sum::<f64>(), first));
+    let first = sums
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map_or(0, |(_, first)| first);
+    let bound = |layer: usize| u32::try_from(layer).unwrap_or(u32::MAX);
+    LayerRange::new(bound(first), bound(first + len))
+}
--- a/control/src/plan.rs
+++ b/control/src/plan.rs
@@ -17,3 +17,6 @@
 mod split;
 mod targets;
 pub mod writer;
+
+pub(crate) use split::Share;
+pub(crate) use split::split;
--- a/control/src/plan/split.rs
+++ b/control/src/plan/split.rs
@@ -4,18 +4,18 @@
 
 /// What an engine can take of a stretch of layers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct Share {
+pub(crate) struct Share {
     /// The number of layers that fit into its memory.
-    pub(super) max_layers: u32,
+    pub(crate) max_layers: u32,
     /// The number of token-layers that it computes a second.
-    pub(super) rate: u64,
+    pub(crate) rate: u64,
 }
 
 /// Splits `layers` among `shares` so that the slowest part is as fast as it can be.
 ///
 /// Returns one range for each share, in order; a range may be empty. Returns
 /// `None` if the layers do not fit.
-pub(super) fn split(layers: LayerRange, shares: &[Share]) -> Option<Vec<LayerRange>> {
+pub(crate) fn split(layers: LayerRange, shares: &[Share]) -> Option<Vec<LayerRange>> {
     let wanted = u64::from(layers.len());
     let capacity: u64 = shares.iter().map(|share| u64::from(share.max_layers)).sum();
     if capacity < wanted {
--- /dev/null
+++ b/daemon/src/gateway.rs
@@ -0,0 +1,157 @@
+//! The gateway: an entry for fleets whose engines pass activations themselves.
+//!
+//! It takes clients' requests, chooses the path or the upstream of each, and
+//! passes the answer on. All decisions are in `jujubewall_routing::fleet` and
+//! `jujubewall_control::placement`; this module holds the sockets around them.
+//! One thread serves everything, since a host gives the process a fifth of a
+//! core, and shared state needs no locks.
+
+mod answer;
+mod body;
+mod call;
+mod clients;
+mod followers;
+mod logging;
+mod metrics;
+mod monitoring;
+mod peers;
+mod planner;
+mod probe;
+mod request;
+mod run;
+mod state;
+mod stream;
+mod upstreams;
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr as _;
+use jujubewall_platform::site::settings::SiteSettings;
+use jujubewall_routing::lifecycle::DrainStep;
+use jujubewall_routing::lifecycle::Lifecycle;
+use log::error;
+use log::info;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::gateway::state::Gateway;
+
+/// The time for which a draining process still accepts connections: the balancer
+/// asks for readiness once a second and needs two misses.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_400);
+
+/// The time before the kill at which a draining process stops by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(250);
+
+/// The time between two looks at whether a draining process is idle.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The time between two looks at whether the settings file has changed, which may
+/// happen without a signal.
+const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Serves until the process is told to stop.
+pub fn run() -> eyre::Result<()> {
+    let path = SiteSettings::path()?;
+    let settings = SiteSettings::read(&path)?;
+    logging::start()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, serve(&path, settings))
+}
+
+async fn serve(path: &Path, settings: SiteSettings) -> eyre::Result<()> {
+    let clients = bind(settings.client_address).await?;
+    let ready = bind(settings.ready_address).await?;
+    let metrics = bind(settings.metrics_address).await?;
+    let peer_calls = bind(settings.peer_address).await?;
+    let peer_socket = UdpSocket::bind(settings.peer_address)
+        .await
+        .wrap_err_with(|| format!("cannot bind UDP {}", settings.peer_address))?;
+    info!(
+        "event=start member={} domain={} clients={} store={}",
+        settings.member, settings.failure_domain, settings.client_address, settings.store_address
+    );
+    let gateway = Gateway::new(settings);
+    followers::start(&gateway);
+    peers::start(&gateway, peer_socket);
+    probe::start(&gateway);
+    planner::start(&gateway);
+    monitoring::start(&gateway, ready);
+    monitoring::start(&gateway, metrics);
+    monitoring::start(&gateway, peer_calls);
+    let listening = clients::start(&gateway, clients);
+    spawn_local(reload_settings(Rc::clone(&gateway), path.to_owned()));
+    wait_for_stop().await?;
+    drain(&gateway, &listening).await;
+    Ok(())
+}
+
+async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot bind {address}"))
+}
+
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Lets requests in progress end, and clients move elsewhere.
+async fn drain(gateway: &Rc<Gateway>, listening: &clients::Listening) {
+    let grace = Duration::from_millis(gateway.settings().bounds.grace_ms());
+    let started = Instant::now();
+    let mut draining = Lifecycle::new().drain(started, grace.saturating_sub(STOP_MARGIN));
+    info!("event=drain in_flight={}", gateway.in_flight());
+    gateway.begin_drain();
+    planner::resign(gateway).await;
+    sleep(BALANCER_NOTICE.min(grace / 2)).await;
+    listening.stop();
+    loop {
+        sleep(DRAIN_POLL_INTERVAL).await;
+        match draining.step(Instant::now(), gateway.in_flight()) {
+            DrainStep::Wait(waiting) => draining = waiting,
+            DrainStep::Stop(stopped) => {
+                info!("event=stop cut_off={}", stopped.cut_off());
+                logging::flush();
+                return;
+            }
+        }
+    }
+}
+
+/// Takes over settings that change while the process runs.
+async fn reload_settings(gateway: Rc<Gateway>, path: std::path::PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(failure) => {
+            error!("event=no_reload reason=\"{failure}\"");
+            return;
+        }
+    };
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = sleep(SETTINGS_POLL_INTERVAL) => {}
+        }
+        match SiteSettings::read(&path) {
+            Ok(settings) => gateway.apply_settings(settings),
+            Err(failure) => error!("event=reload_refused reason=\"{failure}\""),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/answer.rs
@@ -0,0 +1,77 @@
+//! Answers of the gateway's own, and the heads of answers that it passes on.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::header::PROXY_AUTHENTICATE;
+use hyper::header::PROXY_AUTHORIZATION;
+use hyper::header::RETRY_AFTER;
+use hyper::header::TE;
+use hyper::header::TRAILER;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::header::UPGRADE;
+
+use crate::gateway::body::ReplyBody;
+
+/// An answer to a client.
+pub type Reply = Response<ReplyBody>;
+
+/// The header with the time for which an idle connection is kept.
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 10] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    CONTENT_LENGTH,
+];
+
+/// Removes the headers that concern one connection only, also those that the
+/// sender names as such. Lengths are set anew by the library.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .collect();
+    for name in named.iter().chain(&CONNECTION_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+/// Answers with a status and a reason of the gateway's own.
+pub fn own(status: StatusCode, reason: &'static str) -> Reply {
+    let body = format!("{{\"error\":\"{reason}\"}}\n");
+    let mut reply = Response::new(ReplyBody::whole(Bytes::from(body)));
+    *reply.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, json);
+    reply
+}
+
+/// Answers that a request has not run, and when to come back.
+pub fn not_run(reason: &'static str, come_back_after: Duration) -> Reply {
+    let mut reply = own(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let seconds = format!("{:.3}", come_back_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::try_from(seconds) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
--- /dev/null
+++ b/daemon/src/gateway/followers.rs
@@ -0,0 +1,336 @@
+//! Following the store: the operator's configuration and the upstreams' entries.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujubewall_platform::error::PlatformError;
+use jujubewall_platform::site::CONFIG_KEY;
+use jujubewall_platform::site::INSTANCE_PREFIX;
+use jujubewall_platform::site::config::decode_config;
+use jujubewall_platform::site::registry::decode_instance;
+use jujubewall_platform::site::store::Item;
+use jujubewall_platform::site::store::ItemChange;
+use jujubewall_platform::site::store::Watched;
+use jujubewall_types::fleet::Instance;
+use jujubewall_types::fleet::InstanceState;
+use jujubewall_types::id::Revision;
+use log::info;
+use log::warn;
+use smol_str::SmolStr;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::gateway::state::Gateway;
+use crate::gateway::state::StoreLink;
+
+/// The time for which a watch waits. Together with the time for its answer it is
+/// shorter than the bounds within which drains and configurations take effect.
+const WATCH_WAIT: Duration = Duration::from_millis(800);
+
+/// The pause after a watch that returned changes, which joins changes that come
+/// in quick succession into one call.
+const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+
+/// The pauses after failed calls.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
+
+/// The time after the store's return within which upstreams that it forgot write
+/// their entries again, by the platform's protocol.
+const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+
+/// What follows the items under one prefix.
+trait Follower {
+    /// Returns the prefix.
+    fn prefix(&self) -> &'static str;
+    /// Takes over all items.
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>);
+    /// Takes over one change.
+    fn on_change(&self, gateway: &Gateway, change: ItemChange);
+}
+
+/// Starts to follow the store.
+pub fn start(gateway: &Rc<Gateway>) {
+    spawn_local(follow(Rc::clone(gateway), ConfigFollower));
+    spawn_local(follow(Rc::clone(gateway), InstanceFollower::default()));
+    spawn_local(forget_missing(Rc::clone(gateway)));
+}
+
+async fn follow(gateway: Rc<Gateway>, follower: impl Follower + 'static) {
+    let mut pause = MIN_RETRY_PAUSE;
+    let mut position: Option<Revision> = None;
+    loop {
+        let result = match position {
+            None => list(&gateway, &follower).await.map(Some),
+            Some(after) => watch(&gateway, &follower, after).await,
+        };
+        match result {
+            Ok(next) => {
+                position = next;
+                pause = MIN_RETRY_PAUSE;
+            }
+            Err(failure) => {
+                let is_down = !matches!(failure, PlatformError::RateLimited);
+                if is_down {
+                    note_store(&gateway, false);
+                }
+                warn!(
+                    "event=store_call_failed prefix={} reason=\"{failure}\"",
+                    follower.prefix()
+                );
+                gateway.metrics.count("store_call_failed");
+                sleep(pause).await;
+                pause = (pause * 2).min(MAX_RETRY_PAUSE);
+            }
+        }
+    }
+}
+
+async fn list(gateway: &Gateway, follower: &impl Follower) -> Result<Revision, PlatformError> {
+    let list = gateway.store().list(follower.prefix()).await?;
+    note_store(gateway, true);
+    follower.on_list(gateway, list.items);
+    Ok(list.watch_from)
+}
+
+/// Waits for changes; returns where to go on, or `None` to list anew.
+async fn watch(
+    gateway: &Gateway,
+    follower: &impl Follower,
+    after: Revision,
+) -> Result<Option<Revision>, PlatformError> {
+    let store = gateway.store();
+    match store.watch(follower.prefix(), after, WATCH_WAIT).await? {
+        Watched::Changes(changes, next) => {
+            note_store(gateway, true);
+            let has_changes = !changes.is_empty();
+            for change in changes {
+                follower.on_change(gateway, change);
+            }
+            if has_changes {
+                sleep(CHANGE_PAUSE).await;
+            }
+            Ok(Some(next))
+        }
+        Watched::HistoryLost => {
+            info!(
+                "event=history_lost prefix={} after={after}",
+                follower.prefix()
+            );
+            Ok(None)
+        }
+    }
+}
+
+fn note_store(gateway: &Gateway, answered: bool) {
+    if gateway.note_store(answered) {
+        gateway.absences.on_store_return();
+    }
+}
+
+/// Follows the operator's configuration.
+struct ConfigFollower;
+
+impl Follower for ConfigFollower {
+    fn prefix(&self) -> &'static str {
+        CONFIG_KEY
+    }
+
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>) {
+        for item in items {
+            self.on_change(gateway, ItemChange::Written(item));
+        }
+    }
+
+    fn on_change(&self, gateway: &Gateway, change: ItemChange) {
+        let ItemChange::Written(item) = change else {
+            return;
+        };
+        if item.key != CONFIG_KEY {
+            return;
+        }
+        match decode_config(&item.value) {
+            Ok(config) => gateway.apply_config(config, "store"),
+            Err(failure) => {
+                warn!(
+                    "event=config_unreadable revision={} reason=\"{failure}\"",
+                    item.revision
+                );
+                gateway.metrics.count("config_unreadable");
+            }
+        }
+    }
+}
+
+/// Follows the upstreams' entries.
+#[derive(Default)]
+struct InstanceFollower;
+
+impl Follower for InstanceFollower {
+    fn prefix(&self) -> &'static str {
+        INSTANCE_PREFIX
+    }
+
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>) {
+        let instances = items
+            .iter()
+            .filter_map(|item| decode(gateway, item))
+            .collect();
+        replace_instances(gateway, instances, "store");
+    }
+
+    fn on_change(&self, gateway: &Gateway, change: ItemChange) {
+        match change {
+            ItemChange::Written(item) => match decode(gateway, &item) {
+                Some(instance) => upsert(gateway, instance),
+                None => forget_key(gateway, &item.key),
+            },
+            ItemChange::Removed(key) => forget_key(gateway, &key),
+        }
+    }
+}
+
+fn decode(gateway: &Gateway, item: &Item) -> Option<Instance> {
+    match decode_instance(&item.key, &item.value) {
+        Ok(instance) => Some(instance),
+        Err(failure) => {
+            warn!(
+                "event=entry_unreadable key={} revision={} reason=\"{failure}\"",
+                item.key, item.revision
+            );
+            gateway.metrics.count("entry_unreadable");
+            None
+        }
+    }
+}
+
+/// Takes over all upstreams' entries.
+pub fn replace_instances(gateway: &Gateway, instances: Vec<Instance>, source: &str) {
+    let ids: HashSet<SmolStr> = instances
+        .iter()
+        .map(|instance| instance.id.clone())
+        .collect();
+    for instance in instances {
+        upsert(gateway, instance);
+    }
+    let missing: Vec<SmolStr> = gateway
+        .instances()
+        .iter()
+        .filter(|(_, tracked)| !ids.contains(&tracked.instance.id))
+        .map(|(_, tracked)| tracked.instance.id.clone())
+        .collect();
+    if !gateway.is_synced() {
+        info!("event=instances count={} source={source}", ids.len());
+    }
+    for id in missing {
+        forget(gateway, &id);
+    }
+    gateway.set_synced();
+}
+
+fn upsert(gateway: &Gateway, instance: Instance) {
+    gateway.absences.on_present(&instance.id);
+    let is_change = gateway
+        .instances()
+        .by_id(&instance.id)
+        .is_none_or(|known| known.instance != instance);
+    if !is_change {
+        return;
+    }
+    info!(
+        "event=upstream id={} service={} address={} state={} layers={} orders={} born={}",
+        instance.id,
+        instance.service,
+        instance.address,
+        match instance.state {
+            InstanceState::Ready => "ready",
+            InstanceState::Draining => "draining",
+        },
+        instance
+            .layers
+            .map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
+        instance.order_count,
+        instance.born_unix_ms
+    );
+    gateway.instances_mut().upsert(instance, Instant::now());
+}
+
+fn forget_key(gateway: &Gateway, key: &str) {
+    if let Some(id) = key.strip_prefix(INSTANCE_PREFIX) {
+        forget(gateway, id);
+    }
+}
+
+/// Forgets an upstream, at once or when the time to write its entry again has passed.
+fn forget(gateway: &Gateway, id: &str) {
+    if gateway.absences.is_awaited(id) {
+        return;
+    }
+    if let Some(gone) = gateway.instances_mut().remove(id) {
+        info!("event=upstream_gone id={id} address={}", gone.address);
+    }
+}
+
+/// Upstreams whose entries are missing after the store was away.
+#[derive(Default)]
+pub struct Absences {
+    grace_end: Cell<Option<Instant>>,
+    missing: std::cell::RefCell<HashMap<SmolStr, Instant>>,
+}
+
+impl Absences {
+    /// Gives upstreams time to write their entries again.
+    fn on_store_return(&self) {
+        self.grace_end.set(Some(Instant::now() + RETURN_GRACE));
+    }
+
+    fn on_present(&self, id: &str) {
+        self.missing.borrow_mut().remove(id);
+    }
+
+    /// Returns whether a missing entry may still be written again.
+    fn is_awaited(&self, id: &str) -> bool {
+        let Some(grace_end) = self.grace_end.get() else {
+            return false;
+        };
+        if Instant::now() >= grace_end {
+            return false;
+        }
+        self.missing
+            .borrow_mut()
+            .insert(SmolStr::new(id), grace_end);
+        true
+    }
+
+    /// Returns the upstreams whose time has passed.
+    fn take_overdue(&self) -> Vec<SmolStr> {
+        let now = Instant::now();
+        let mut missing = self.missing.borrow_mut();
+        let overdue: Vec<SmolStr> = missing
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &overdue {
+            missing.remove(id);
+        }
+        overdue
+    }
+}
+
+/// Forgets upstreams that have not written their entries again in time.
+async fn forget_missing(gateway: Rc<Gateway>) {
+    loop {
+        sleep(MIN_RETRY_PAUSE).await;
+        if gateway.store_link() != StoreLink::Up {
+            continue;
+        }
+        for id in gateway.absences.take_overdue() {
+            forget(&gateway, &id);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/logging.rs
@@ -0,0 +1,118 @@
+//! Structured log lines on standard output that never delay a request.
+//!
+//! Lines go through a bounded queue to a thread that writes them. When the queue
+//! is full, lines are dropped and counted, and the count is written later.
+
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use log::LevelFilter;
+use log::Log;
+use log::Metadata;
+use log::Record;
+
+/// The number of lines that wait to be written; a line is about 200 bytes.
+const QUEUED_LINES: usize = 4_096;
+
+/// The time for which a stopping process waits for its last lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// The largest number of lines that are written with one call.
+const BATCH_LINES: usize = 64;
+
+/// The lines that were dropped and not yet reported.
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// The lines that wait to be written.
+static WAITING_LINES: AtomicU64 = AtomicU64::new(0);
+
+struct QueueLogger {
+    lines: SyncSender<String>,
+}
+
+/// Starts to log.
+pub fn start() -> eyre::Result<()> {
+    let (lines, queue) = sync_channel(QUEUED_LINES);
+    std::thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&queue))?;
+    log::set_boxed_logger(Box::new(QueueLogger { lines }))?;
+    log::set_max_level(LevelFilter::Info);
+    Ok(())
+}
+
+/// Waits a short time until the lines so far are written.
+pub fn flush() {
+    let step = FLUSH_TIMEOUT / 20;
+    for _ in 0..20 {
+        if WAITING_LINES.load(Ordering::Relaxed) == 0 {
+            return;
+        }
+        std::thread::sleep(step);
+    }
+}
+
+impl Log for QueueLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target().starts_with("jujubewall")
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let time = SystemTime::now().duration_since(UNIX_EPOCH);
+        let time = time.unwrap_or_default();
+        let mut line = String::with_capacity(192);
+        let _ = writeln!(
+            line,
+            "time={}.{:03} level={} {}",
+            time.as_secs(),
+            time.subsec_millis(),
+            record.level(),
+            record.args()
+        );
+        WAITING_LINES.fetch_add(1, Ordering::Relaxed);
+        match self.lines.try_send(line) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                WAITING_LINES.fetch_sub(1, Ordering::Relaxed);
+                DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    fn flush(&self) {
+        flush();
+    }
+}
+
+fn write_lines(queue: &Receiver<String>) {
+    let mut output = std::io::stdout().lock();
+    while let Ok(mut text) = queue.recv() {
+        let mut lines = 1;
+        while lines < BATCH_LINES
+            && let Ok(line) = queue.try_recv()
+        {
+            text.push_str(&line);
+            lines += 1;
+        }
+        let dropped = DROPPED_LINES.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let _ = writeln!(text, "level=WARN event=log_lines_dropped count={dropped}");
+        }
+        // A reader that has gone cannot be told of its own absence.
+        let _ = output.write_all(text.as_bytes());
+        let _ = output.flush();
+        WAITING_LINES.fetch_sub(lines as u64, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters and times of the gateway.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::metrics::observe;
+use crate::metrics::times;
+
+/// A label with the kind of an event.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct EventLabel {
+    event: &'static str,
+}
+
+/// The metrics of a gateway.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    outcomes: Family<EventLabel, Counter>,
+    events: Family<EventLabel, Counter>,
+    answer_time: Histogram,
+    first_event_time: Histogram,
+    /// Requests in progress.
+    pub in_flight: Gauge,
+    /// The version of the configuration in force.
+    pub config_version: Gauge,
+}
+
+impl GatewayMetrics {
+    /// Creates and registers the metrics.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("jujubewall_gateway"),
+            outcomes: Family::default(),
+            events: Family::default(),
+            answer_time: times(),
+            first_event_time: times(),
+            in_flight: Gauge::default(),
+            config_version: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests that ended, by outcome",
+            self.outcomes.clone(),
+        );
+        registry.register(
+            "events",
+            "Repeated sends, suspicions, orders and lost dependencies",
+            self.events.clone(),
+        );
+        registry.register(
+            "answer_seconds",
+            "Time from a request to the end of its answer",
+            self.answer_time.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time from a request to the first event of its stream",
+            self.first_event_time.clone(),
+        );
+        registry.register("in_flight", "Requests in progress", self.in_flight.clone());
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            self.config_version.clone(),
+        );
+    }
+
+    /// Counts a request that ended.
+    pub fn count_outcome(&self, outcome: &'static str, time: Duration) {
+        let label = EventLabel { event: outcome };
+        self.outcomes.get_or_create(&label).inc();
+        observe(&self.answer_time, time);
+    }
+
+    /// Records the time to the first event of a stream.
+    pub fn observe_first_event(&self, time: Duration) {
+        observe(&self.first_event_time, time);
+    }
+
+    /// Counts an event.
+    pub fn count(&self, event: &'static str) {
+        self.events.get_or_create(&EventLabel { event }).inc();
+    }
+
+    /// Writes all metrics in the text format of the `OpenMetrics` specification.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/monitoring.rs
@@ -0,0 +1,86 @@
+//! Readiness, metrics, and what peers ask for.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use jujubewall_platform::site::READY_PATH;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::gateway::answer;
+use crate::gateway::answer::Reply;
+use crate::gateway::body::ReplyBody;
+use crate::gateway::peers;
+use crate::gateway::state::Gateway;
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// The time for which an unused connection is kept, several times the interval
+/// at which the balancer asks.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The time to wait after a failed accept, such as for want of file descriptors.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Starts to answer on a socket.
+pub fn start(gateway: &Rc<Gateway>, socket: TcpListener) {
+    spawn_local(accept_loop(Rc::clone(gateway), socket));
+}
+
+async fn accept_loop(gateway: Rc<Gateway>, socket: TcpListener) {
+    loop {
+        let stream = match socket.accept().await {
+            Ok((stream, _)) => stream,
+            Err(failure) => {
+                warn!("event=accept_failed reason=\"{failure}\"");
+                sleep(ACCEPT_RETRY_INTERVAL).await;
+                continue;
+            }
+        };
+        let gateway = Rc::clone(&gateway);
+        spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let reply = reply(&gateway, request.uri().path());
+                async move { Ok::<_, Infallible>(reply) }
+            });
+            // The asker notices a broken connection itself.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn reply(gateway: &Gateway, path: &str) -> Reply {
+    match path {
+        READY_PATH if gateway.is_ready() => answer::own(StatusCode::OK, "none"),
+        READY_PATH => answer::own(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        METRICS_PATH => whole(Bytes::from(gateway.metrics.encode())),
+        peers::CONFIG_PATH => peers::config_document(gateway).map_or_else(missing, whole),
+        peers::INSTANCES_PATH => peers::instances_document(gateway).map_or_else(missing, whole),
+        _ => missing(),
+    }
+}
+
+fn whole(bytes: Bytes) -> Reply {
+    Response::new(ReplyBody::whole(bytes))
+}
+
+fn missing() -> Reply {
+    answer::own(StatusCode::NOT_FOUND, "not here")
+}
--- /dev/null
+++ b/daemon/src/gateway/planner.rs
@@ -0,0 +1,404 @@
+//! Placing the layers: the gateway that holds the lease gives the orders.
+//!
+//! The lease only keeps gateways from doing the same work. Every order names the
+//! count of orders that its engine has begun, so that a second planner, or an
+//! order that is carried out late, changes nothing that a newer order has set.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use jujubewall_control::placement::PlacedEngine;
+use jujubewall_control::placement::Placement;
+use jujubewall_control::placement::place;
+use jujubewall_platform::error::PlatformError;
+use jujubewall_platform::key_value::LeaseId;
+use jujubewall_platform::site::order::ORDER_PATH;
+use jujubewall_platform::site::order::OrderAnswer;
+use jujubewall_platform::site::order::order_answer;
+use jujubewall_platform::site::order::place_order;
+use jujubewall_platform::site::store::WriteOutcome;
+use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::fleet::EngineState;
+use jujubewall_types::fleet::InstanceState;
+use jujubewall_types::id::Revision;
+use jujubewall_types::id::ServiceName;
+use jujubewall_types::layer::LayerRange;
+use log::info;
+use log::warn;
+use smol_str::SmolStr;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::gateway::probe;
+use crate::gateway::state::Gateway;
+use crate::gateway::state::StoreLink;
+use crate::gateway::upstreams::Connection;
+
+/// The key whose lease shows who plans.
+const PLANNER_KEY: &str = "jujubewall/planner";
+
+/// The time after which another gateway takes over from a silent planner; several
+/// renewals fit into it.
+const LEASE_TTL: Duration = Duration::from_millis(2_000);
+
+/// The time between two renewals, or attempts to take over.
+const LEASE_INTERVAL: Duration = Duration::from_millis(600);
+
+/// The time between two looks at the placement.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time for which the engines have to stay the same before a fleet that holds
+/// nothing is planned; engines register within about a second of each other.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
+
+/// The time that an engine's answer to an order may take.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The time after which an engine that should have done an order is asked for its
+/// state, beside the time that its load takes.
+const ORDER_GRACE: Duration = Duration::from_millis(800);
+
+/// The factor on the time of a load, since loads at once share the weight store.
+const SHARED_LOAD_FACTOR: f64 = 2.0;
+
+/// An order whose effect has not been seen yet.
+#[derive(Clone, Debug)]
+struct OpenOrder {
+    born_unix_ms: u64,
+    layers: LayerRange,
+    ask_at: Instant,
+    is_asking: bool,
+}
+
+/// What the planner remembers between two looks.
+#[derive(Default)]
+pub struct PlannerState {
+    is_planner: Cell<bool>,
+    lease: Cell<Option<LeaseId>>,
+    /// The open orders by the identifier of the engine's life.
+    open: RefCell<HashMap<SmolStr, OpenOrder>>,
+    /// Counts of orders that are newer than the engines' entries.
+    counts: RefCell<HashMap<SmolStr, (u64, u64)>>,
+}
+
+/// Starts to plan whenever this gateway holds the lease.
+pub fn start(gateway: &Rc<Gateway>) {
+    spawn_local(hold_lease(Rc::clone(gateway)));
+    spawn_local(plan_loop(Rc::clone(gateway)));
+}
+
+/// Gives the lease up, so that another gateway takes over at once.
+pub async fn resign(gateway: &Gateway) {
+    set_planner(gateway, false);
+    if let Some(lease) = gateway.planner.lease.take()
+        && let Err(failure) = gateway.store().end_lease(lease).await
+    {
+        info!("event=lease_not_ended reason=\"{failure}\"");
+    }
+}
+
+fn set_planner(gateway: &Gateway, is_planner: bool) {
+    if gateway.planner.is_planner.replace(is_planner) != is_planner {
+        info!("event=planner holds={is_planner}");
+        gateway
+            .metrics
+            .count(if is_planner { "plans" } else { "plans_no_more" });
+        if is_planner {
+            gateway.planner.open.borrow_mut().clear();
+        }
+    }
+}
+
+async fn hold_lease(gateway: Rc<Gateway>) {
+    loop {
+        if gateway.is_draining() {
+            return;
+        }
+        match gateway.planner.lease.get() {
+            Some(lease) => renew(&gateway, lease).await,
+            None => take_over(&gateway).await,
+        }
+        sleep(LEASE_INTERVAL).await;
+    }
+}
+
+async fn renew(gateway: &Gateway, lease: LeaseId) {
+    match gateway.store().keep_alive(lease).await {
+        Ok(()) => {}
+        Err(PlatformError::LeaseLapsed) => {
+            gateway.planner.lease.set(None);
+            set_planner(gateway, false);
+        }
+        // The store being away takes the lease from nobody: orders are safe
+        // without it, and nobody else can take over.
+        Err(failure) => info!("event=lease_not_renewed reason=\"{failure}\""),
+    }
+}
+
+async fn take_over(gateway: &Gateway) {
+    let store = gateway.store();
+    match store.get(PLANNER_KEY).await {
+        Ok(None) => {}
+        Ok(Some(_)) => return,
+        Err(failure) => {
+            info!("event=planner_unknown reason=\"{failure}\"");
+            return;
+        }
+    }
+    let shortest = Duration::from_millis(gateway.settings().min_lease_ttl_ms);
+    let lease = match store.grant_lease(LEASE_TTL.max(shortest)).await {
+        Ok(lease) => lease,
+        Err(failure) => {
+            info!("event=lease_refused reason=\"{failure}\"");
+            return;
+        }
+    };
+    let member = Bytes::from(gateway.settings().member.as_str().to_owned());
+    let outcome = store
+        .write_if(PLANNER_KEY, Revision(0), member, lease)
+        .await;
+    match outcome {
+        Ok(WriteOutcome::Done(_)) => {
+            gateway.planner.lease.set(Some(lease));
+            set_planner(gateway, true);
+        }
+        Ok(WriteOutcome::Conflict) => {}
+        // If the write was done, the key lapses with its lease.
+        Err(failure) => info!("event=planner_unknown reason=\"{failure}\""),
+    }
+}
+
+async fn plan_loop(gateway: Rc<Gateway>) {
+    let mut settled = Settled::default();
+    loop {
+        sleep(PLAN_INTERVAL).await;
+        if !gateway.planner.is_planner.get() {
+            continue;
+        }
+        let Some(routes) = gateway.routes() else {
+            continue;
+        };
+        for service in &routes.config().services {
+            if let Some(spec) = &service.engine {
+                plan(&gateway, &service.name, spec, &mut settled);
+            }
+        }
+    }
+}
+
+/// Notes since when the same engines are there.
+#[derive(Default)]
+struct Settled {
+    engines: HashMap<ServiceName, (usize, Instant)>,
+}
+
+impl Settled {
+    fn since(&mut self, service: &ServiceName, count: usize) -> Instant {
+        let now = Instant::now();
+        let known = self.engines.entry(service.clone()).or_insert((count, now));
+        if known.0 != count {
+            *known = (count, now);
+        }
+        known.1
+    }
+}
+
+fn plan(gateway: &Rc<Gateway>, service: &ServiceName, spec: &EngineSpec, settled: &mut Settled) {
+    settle_open_orders(gateway);
+    let engines = engines(gateway, service, spec);
+    let since = settled.since(service, engines.len());
+    let is_empty = engines.iter().all(|engine| engine.layers.is_none());
+    if is_empty && since.elapsed() < SETTLE_TIME {
+        return;
+    }
+    for placement in place(spec, &engines) {
+        order(gateway, spec, placement);
+    }
+}
+
+/// Returns the engines that may hold layers, with those that they are to hold.
+fn engines(gateway: &Gateway, service: &ServiceName, spec: &EngineSpec) -> Vec<PlacedEngine> {
+    let open = gateway.planner.open.borrow();
+    let instances = gateway.instances();
+    instances
+        .of_service(service)
+        .filter(|(_, tracked)| tracked.is_usable())
+        .filter_map(|(_, tracked)| {
+            let instance = &tracked.instance;
+            let accelerator = spec.accelerator(instance.accelerator.as_deref()?)?;
+            let order = open
+                .get(&instance.id)
+                .filter(|order| order.born_unix_ms == instance.born_unix_ms);
+            Some(PlacedEngine {
+                id: instance.id.clone(),
+                failure_domain: instance.failure_domain.clone(),
+                memory_mb: accelerator.memory_mb,
+                layers: order.map_or(instance.layers, |order| Some(order.layers)),
+                is_busy: order.is_some(),
+            })
+        })
+        .collect()
+}
+
+/// Closes orders whose effect shows, and asks engines about overdue ones.
+fn settle_open_orders(gateway: &Rc<Gateway>) {
+    let now = Instant::now();
+    let mut overdue: Vec<(SmolStr, SocketAddr)> = Vec::new();
+    {
+        let instances = gateway.instances();
+        let mut open = gateway.planner.open.borrow_mut();
+        open.retain(|id, order| {
+            let Some(tracked) = instances.by_id(id) else {
+                return false;
+            };
+            let instance = &tracked.instance;
+            if instance.born_unix_ms != order.born_unix_ms {
+                return false;
+            }
+            if instance.layers == Some(order.layers) {
+                return false;
+            }
+            if order.ask_at <= now && !order.is_asking {
+                order.is_asking = true;
+                overdue.push((id.clone(), instance.address));
+            }
+            true
+        });
+    }
+    for (id, address) in overdue {
+        let gateway = Rc::clone(gateway);
+        spawn_local(async move {
+            let report = probe::ask_report(address).await;
+            on_report(&gateway, &id, report);
+        });
+    }
+}
+
+/// Takes over an engine's state after an order of which nothing was seen.
+fn on_report(gateway: &Gateway, id: &str, report: Option<EngineState>) {
+    let mut open = gateway.planner.open.borrow_mut();
+    let Some(order) = open.get_mut(id) else {
+        return;
+    };
+    order.is_asking = false;
+    order.ask_at = Instant::now() + ORDER_GRACE;
+    let Some(report) = report else {
+        return;
+    };
+    gateway
+        .planner
+        .counts
+        .borrow_mut()
+        .insert(SmolStr::new(id), (report.born_unix_ms, report.order_count));
+    if report.is_busy {
+        return;
+    }
+    info!(
+        "event=order_settled id={id} wanted={} holds={} orders={}",
+        order.layers,
+        report
+            .layers
+            .map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
+        report.order_count
+    );
+    let layers = report.layers;
+    open.remove(id);
+    drop(open);
+    gateway.instances_mut().set_layers(id, layers);
+}
+
+/// Gives an order.
+fn order(gateway: &Rc<Gateway>, spec: &EngineSpec, placement: Placement) {
+    let target = gateway.instances().by_id(&placement.id).map(|tracked| {
+        let instance = &tracked.instance;
+        let is_ready = instance.state == InstanceState::Ready;
+        (
+            instance.address,
+            instance.born_unix_ms,
+            instance.order_count,
+            instance.layers,
+            is_ready,
+        )
+    });
+    let Some((address, born, entry_count, holds, true)) = target else {
+        return;
+    };
+    let counted = gateway.planner.counts.borrow().get(&placement.id).copied();
+    let count = match counted {
+        Some((known_born, count)) if known_born == born => count.max(entry_count),
+        _ => entry_count,
+    };
+    let added = placement.layers.len() - overlap(placement.layers, holds);
+    let load = Duration::from_secs_f64(
+        SHARED_LOAD_FACTOR * spec.load_s * f64::from(added) / f64::from(spec.layer_count),
+    );
+    gateway.planner.open.borrow_mut().insert(
+        placement.id.clone(),
+        OpenOrder {
+            born_unix_ms: born,
+            layers: placement.layers,
+            ask_at: Instant::now() + load + ORDER_GRACE,
+            is_asking: false,
+        },
+    );
+    gateway.metrics.count("order");
+    let gateway = Rc::clone(gateway);
+    spawn_local(async move {
+        let answer = send_order(address, &placement, count).await;
+        info!(
+            "event=order id={} layers={} expected={count} answer={answer:?} store={}",
+            placement.id,
+            placement.layers,
+            gateway.store_link() == StoreLink::Up
+        );
+        let is_done = matches!(answer, Some(OrderAnswer::Begun | OrderAnswer::Holds));
+        if !is_done {
+            let mut open = gateway.planner.open.borrow_mut();
+            if let Some(order) = open.get_mut(&placement.id) {
+                order.ask_at = Instant::now();
+            }
+        }
+    });
+}
+
+/// Returns the number of layers that two ranges share.
+fn overlap(a: LayerRange, b: Option<LayerRange>) -> u32 {
+    b.map_or(0, |b| {
+        LayerRange::new(a.first.max(b.first), a.end.min(b.end)).len()
+    })
+}
+
+async fn send_order(address: SocketAddr, placement: &Placement, count: u64) -> Option<OrderAnswer> {
+    let body = place_order(placement.layers, count);
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = ORDER_PATH.parse().ok()?;
+    let fields = request.headers_mut();
+    fields.insert(HOST, HeaderValue::try_from(address.to_string()).ok()?);
+    fields.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let exchange = async {
+        let mut connection = Connection::open(address).await.ok()?;
+        let answer = connection.send(request).await.ok()?;
+        Some(order_answer(answer.status()))
+    };
+    match timeout(ORDER_TIMEOUT, exchange).await {
+        Ok(answer) => answer,
+        Err(_) => {
+            warn!("event=order_unanswered id={}", placement.id);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/run.rs
@@ -0,0 +1,416 @@
+//! One run of a stream on one path.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use jujubewall_platform::site::headers;
+use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::Work;
+use jujubewall_routing::fleet::layer_path::LayerPath;
+use jujubewall_routing::fleet::layer_path::NoPath;
+use jujubewall_routing::fleet::layer_path::StreamNeed;
+use jujubewall_routing::fleet::layer_path::choose_path;
+use jujubewall_routing::fleet::layer_path::part_work;
+use jujubewall_routing::fleet::silence;
+use jujubewall_routing::fleet::silence::SilenceStep;
+use jujubewall_routing::fleet::silence::SilentStream;
+use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::fleet::EngineState;
+use jujubewall_types::layer::LayerRange;
+use log::info;
+use log::warn;
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::gateway::probe;
+use crate::gateway::request::ClientRequest;
+use crate::gateway::state::Gateway;
+use crate::gateway::upstreams::Connection;
+use crate::gateway::upstreams::SendFault;
+
+/// The tokens that one event of a stream holds at least.
+const TOKENS_PER_EVENT: f64 = 2.0;
+
+/// The time between two questions to the first engine of a silent path.
+const ASK_INTERVAL: Duration = Duration::from_millis(350);
+
+/// The largest answer of a failed run that is kept to be passed on.
+const MAX_FAILURE_BYTES: usize = 256 * 1024;
+
+/// Why a run ended without completing its stream.
+pub enum RunFault {
+    /// There is no path, so nothing was sent.
+    NoPath(NoPath),
+    /// There is no time left, so nothing was sent.
+    NoTime,
+    /// The first engine took no connection.
+    NotConnected(InstanceKey),
+    /// An engine stated that the request did not run; the one at fault, if named.
+    NotRun(Option<InstanceKey>),
+    /// The run broke off; the engine at fault, if known.
+    Broken(Option<InstanceKey>),
+    /// The engine ran the request and answered with a failure.
+    Failed(FailedAnswer),
+}
+
+/// An engine's own failure.
+pub struct FailedAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The work of a run, counted while it exists.
+struct CountedWork {
+    gateway: Rc<Gateway>,
+    parts: SmallVec<[(InstanceKey, Work); 16]>,
+}
+
+impl CountedWork {
+    fn new(gateway: &Rc<Gateway>, path: &LayerPath, need: &StreamNeed) -> Self {
+        let parts: SmallVec<[(InstanceKey, Work); 16]> = path
+            .parts
+            .iter()
+            .map(|part| (part.instance, part_work(need, part)))
+            .collect();
+        let mut instances = gateway.instances_mut();
+        for (key, work) in &parts {
+            instances.begin_work(*key, work);
+        }
+        drop(instances);
+        Self {
+            gateway: Rc::clone(gateway),
+            parts,
+        }
+    }
+}
+
+impl Drop for CountedWork {
+    fn drop(&mut self) {
+        let mut instances = self.gateway.instances_mut();
+        for (key, work) in &self.parts {
+            instances.end_work(*key, work);
+        }
+    }
+}
+
+/// A run that has been sent to its first engine.
+pub struct Run {
+    work: CountedWork,
+    first: InstanceKey,
+    first_address: SocketAddr,
+    request_id: SmolStr,
+    expected_gap: Duration,
+    has_begun: bool,
+    connection: Option<Connection>,
+    body: Option<Incoming>,
+    /// The head of the answer.
+    pub headers: HeaderMap,
+}
+
+/// What a run gives next.
+pub enum RunStep {
+    /// Bytes of the stream.
+    Bytes(Bytes),
+    /// The stream ended as complete.
+    End,
+}
+
+impl Run {
+    /// Chooses a path and sends the request to its first engine.
+    pub async fn start(
+        gateway: &Rc<Gateway>,
+        request: &ClientRequest,
+        spec: &EngineSpec,
+        last_event_id: Option<u64>,
+        excluded: &[InstanceKey],
+    ) -> Result<Self, RunFault> {
+        let left = request.time_left().ok_or(RunFault::NoTime)?;
+        let need = need_after(request, spec, last_event_id);
+        let chosen = choose(gateway, request, spec, &need, excluded)?;
+        let mut run = Self {
+            work: CountedWork::new(gateway, &chosen.path, &need),
+            first: chosen.first,
+            first_address: chosen.first_address,
+            request_id: request.id.clone(),
+            expected_gap: Duration::from_secs_f64(
+                TOKENS_PER_EVENT * chosen.path.token_ms / 1_000.0,
+            ),
+            has_begun: false,
+            connection: None,
+            body: None,
+            headers: HeaderMap::new(),
+        };
+        let build = || {
+            let mut upstream = request.for_upstream(&chosen.first_id, left);
+            let fields = upstream.headers_mut();
+            let hops = chosen.hops.iter().copied();
+            fields.insert(headers::PATH, headers::path_value(hops));
+            if let Some(id) = last_event_id {
+                fields.insert(headers::LAST_EVENT_ID, id.into());
+            }
+            upstream
+        };
+        let answer = run.send(build).await?;
+        run.accept(answer).await
+    }
+
+    /// Sends the request over a kept connection, or over a new one.
+    async fn send(
+        &mut self,
+        build: impl Fn() -> Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, RunFault> {
+        let kept = self.work.gateway.connections.take(self.first);
+        if let Some(mut connection) = kept {
+            let answer = self.with_patience(connection.send(build())).await?;
+            self.connection = Some(connection);
+            match answer {
+                Ok(answer) => return Ok(answer),
+                Err(SendFault::Lost) => return Err(RunFault::Broken(Some(self.first))),
+                // The upstream closed the connection as it was taken.
+                Err(SendFault::NotConnected) => {}
+            }
+        }
+        let mut connection = self.connect().await?;
+        let answer = self.with_patience(connection.send(build())).await?;
+        self.connection = Some(connection);
+        answer.map_err(|fault| match fault {
+            SendFault::NotConnected => RunFault::NotConnected(self.first),
+            SendFault::Lost => RunFault::Broken(Some(self.first)),
+        })
+    }
+
+    async fn connect(&self) -> Result<Connection, RunFault> {
+        Connection::open(self.first_address).await.map_err(|_| {
+            probe::suspect(&self.work.gateway, self.first, "takes no connection");
+            RunFault::NotConnected(self.first)
+        })
+    }
+
+    /// Checks the head of the answer.
+    async fn accept(mut self, answer: Response<Incoming>) -> Result<Self, RunFault> {
+        let (head, body) = answer.into_parts();
+        if headers::says_not_run(head.status, &head.headers) {
+            return Err(RunFault::NotRun(
+                self.note_faulty(&head.headers, head.status),
+            ));
+        }
+        let is_own = headers::request_id(&head.headers).is_some_and(|id| id == self.request_id)
+            && head.headers.contains_key(headers::RESPONSE_STAMP);
+        if !is_own {
+            warn!(
+                "event=foreign_answer id={} upstream={} status={}",
+                self.request_id, self.first_address, head.status
+            );
+            return Err(RunFault::Broken(Some(self.first)));
+        }
+        if head.status.is_success() {
+            self.headers = head.headers;
+            self.body = Some(body);
+            return Ok(self);
+        }
+        let body = Limited::new(body, MAX_FAILURE_BYTES).collect().await;
+        match body {
+            Ok(body) => Err(RunFault::Failed(FailedAnswer {
+                status: head.status,
+                headers: head.headers,
+                body: body.to_bytes(),
+            })),
+            Err(_) => Err(RunFault::Broken(Some(self.first))),
+        }
+    }
+
+    /// Suspects the engine that a refusal names.
+    fn note_faulty(&self, fields: &HeaderMap, status: StatusCode) -> Option<InstanceKey> {
+        let gateway = &self.work.gateway;
+        let address = headers::faulty_upstream(fields).unwrap_or(self.first_address);
+        let faulty = gateway.instances().at_address(address);
+        info!(
+            "event=not_run id={} status={status} faulty={address}",
+            self.request_id
+        );
+        if let Some(faulty) = faulty {
+            probe::suspect(gateway, faulty, "a path was refused because of it");
+        }
+        faulty
+    }
+
+    /// Waits for the next bytes of the stream.
+    pub async fn next(&mut self) -> Result<RunStep, RunFault> {
+        let Some(mut body) = self.body.take() else {
+            return Ok(RunStep::End);
+        };
+        loop {
+            let frame = self.with_patience(body.frame()).await?;
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(bytes) = frame.into_data() else {
+                        continue;
+                    };
+                    self.has_begun = true;
+                    self.body = Some(body);
+                    return Ok(RunStep::Bytes(bytes));
+                }
+                Some(Err(_)) => {
+                    return Err(RunFault::Broken(self.lost_part().or(Some(self.first))));
+                }
+                None => {
+                    if let Some(connection) = self.connection.take() {
+                        self.work.gateway.connections.put(self.first, connection);
+                    }
+                    return Ok(RunStep::End);
+                }
+            }
+        }
+    }
+
+    /// Waits for `future`, and looks into the path when it is silent for long.
+    async fn with_patience<T>(&self, future: impl Future<Output = T>) -> Result<T, RunFault> {
+        let mut future = pin!(future);
+        let started = Instant::now();
+        let mut asked_at: Option<Instant> = None;
+        loop {
+            if let Ok(output) = timeout(silence::LOOK_INTERVAL, future.as_mut()).await {
+                return Ok(output);
+            }
+            let lost = self.lost_part();
+            let stream = SilentStream {
+                has_begun: self.has_begun,
+                silence: started.elapsed(),
+                expected_gap: self.expected_gap,
+                has_suspected_part: lost.is_some(),
+            };
+            match silence::on_silence(&stream) {
+                SilenceStep::WaitUntil(_) => {}
+                SilenceStep::GiveUp => return Err(RunFault::Broken(lost)),
+                SilenceStep::Ask => {
+                    let is_due = asked_at.is_none_or(|asked| asked.elapsed() >= ASK_INTERVAL);
+                    if is_due {
+                        asked_at = Some(Instant::now());
+                        let answer = {
+                            let ask = probe::ask_report(self.first_address);
+                            let mut ask = pin!(ask);
+                            tokio::select! {
+                                output = future.as_mut() => return Ok(output),
+                                answer = ask.as_mut() => answer,
+                            }
+                        };
+                        self.note_report(answer);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes over what the first engine says, or its silence.
+    fn note_report(&self, report: Option<EngineState>) {
+        let gateway = &self.work.gateway;
+        let Some(report) = report else {
+            probe::suspect(
+                gateway,
+                self.first,
+                "does not answer while a stream is silent",
+            );
+            return;
+        };
+        let stalled = report
+            .stalled
+            .iter()
+            .find(|stalled| stalled.request_id == self.request_id);
+        let Some(stalled) = stalled else {
+            return;
+        };
+        let lost = gateway.instances().at_address(stalled.lost_part);
+        if let Some(lost) = lost {
+            probe::suspect(gateway, lost, "a stream waits for it");
+        }
+    }
+
+    /// Returns a part of the path that is gone or suspected.
+    fn lost_part(&self) -> Option<InstanceKey> {
+        let instances = self.work.gateway.instances();
+        self.work.parts.iter().map(|(key, _)| *key).find(|key| {
+            instances
+                .get(*key)
+                .is_none_or(|tracked| tracked.suspected_since().is_some())
+        })
+    }
+}
+
+/// Returns what the rest of a stream needs: the events so far are read again.
+fn need_after(request: &ClientRequest, spec: &EngineSpec, last: Option<u64>) -> StreamNeed {
+    let mut need = request.need(spec);
+    if let Some(last) = last {
+        let written = last as f64 * TOKENS_PER_EVENT;
+        need.prompt_tokens += written;
+        need.answer_tokens = (need.answer_tokens - written).max(TOKENS_PER_EVENT);
+    }
+    need
+}
+
+/// A path with the addresses of its engines.
+struct ChosenPath {
+    path: LayerPath,
+    hops: SmallVec<[(SocketAddr, LayerRange); 16]>,
+    first: InstanceKey,
+    first_address: SocketAddr,
+    first_id: SmolStr,
+}
+
+fn choose(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    spec: &EngineSpec,
+    need: &StreamNeed,
+    excluded: &[InstanceKey],
+) -> Result<ChosenPath, RunFault> {
+    let instances = gateway.instances();
+    let now = Instant::now();
+    let path = choose_path(&instances, &request.service.name, spec, need, excluded, now)
+        .map_err(RunFault::NoPath)?;
+    let hops: SmallVec<[_; 16]> = path
+        .parts
+        .iter()
+        .filter_map(|part| {
+            let tracked = instances.get(part.instance)?;
+            Some((tracked.instance.address, part.layers))
+        })
+        .collect();
+    let first = path.parts[0].instance;
+    let tracked = instances
+        .get(first)
+        .ok_or(RunFault::NoPath(NoPath::LayerMissing(0)))?;
+    info!(
+        "event=path id={} parts={} first={} token_ms={:.1} excluded={} config={}",
+        request.id,
+        hops.len(),
+        tracked.instance.id,
+        path.token_ms,
+        excluded.len(),
+        request.config_version
+    );
+    Ok(ChosenPath {
+        hops,
+        first,
+        first_address: tracked.instance.address,
+        first_id: tracked.instance.id.clone(),
+        path,
+    })
+}
--- /dev/null
+++ b/daemon/src/gateway/state.rs
@@ -0,0 +1,298 @@
+//! What the gateway knows, shared by its tasks on one thread.
+
+use std::cell::Cell;
+use std::cell::Ref;
+use std::cell::RefCell;
+use std::cell::RefMut;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujubewall_platform::site::settings::SiteBounds;
+use jujubewall_platform::site::settings::SiteSettings;
+use jujubewall_platform::site::store::StoreClient;
+use jujubewall_routing::fleet::comeback::Comeback;
+use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_routing::fleet::repeat_budget::RepeatBounds;
+use jujubewall_routing::fleet::repeat_budget::RepeatBudget;
+use jujubewall_routing::fleet::routes::RouteTable;
+use jujubewall_types::fleet::FleetConfig;
+use jujubewall_types::id::ServiceName;
+use log::info;
+use log::warn;
+use rand::Rng as _;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::gateway::followers::Absences;
+use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::peers::PeerDirectory;
+use crate::gateway::planner::PlannerState;
+use crate::gateway::upstreams::Connections;
+
+/// Whether the store answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreLink {
+    /// The last call was answered.
+    Up,
+    /// Calls have failed since.
+    Lost(Instant),
+}
+
+/// The state of one gateway.
+pub struct Gateway {
+    settings: RefCell<SiteSettings>,
+    store: RefCell<Rc<StoreClient>>,
+    routes: RefCell<Option<Rc<RouteTable>>>,
+    instances: RefCell<InstanceTable>,
+    is_synced: Cell<bool>,
+    budget: RefCell<RepeatBudget>,
+    comebacks: RefCell<HashMap<ServiceName, Comeback>>,
+    rng: RefCell<SmallRng>,
+    in_flight: Cell<usize>,
+    is_draining: Cell<bool>,
+    store_link: Cell<StoreLink>,
+    /// The counters and times.
+    pub metrics: GatewayMetrics,
+    /// Connections to upstreams.
+    pub connections: Connections,
+    /// The other gateways.
+    pub peers: PeerDirectory,
+    /// What the planner remembers.
+    pub planner: PlannerState,
+    /// Upstreams whose entries the store lost while it was away.
+    pub absences: Absences,
+}
+
+impl Gateway {
+    /// Creates a gateway that knows neither a configuration nor an upstream.
+    pub fn new(settings: SiteSettings) -> Rc<Self> {
+        let store = Rc::new(StoreClient::new(settings.store_address));
+        let budget = RepeatBudget::new(repeat_bounds(&settings.bounds));
+        let peers = PeerDirectory::new(&settings);
+        Rc::new(Self {
+            store: RefCell::new(store),
+            routes: RefCell::new(None),
+            instances: RefCell::new(InstanceTable::new()),
+            is_synced: Cell::new(false),
+            budget: RefCell::new(budget),
+            comebacks: RefCell::new(HashMap::new()),
+            rng: RefCell::new(rand::make_rng()),
+            in_flight: Cell::new(0),
+            is_draining: Cell::new(false),
+            store_link: Cell::new(StoreLink::Up),
+            metrics: GatewayMetrics::new(),
+            connections: Connections::new(),
+            peers,
+            planner: PlannerState::default(),
+            absences: Absences::default(),
+            settings: RefCell::new(settings),
+        })
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> Ref<'_, SiteSettings> {
+        self.settings.borrow()
+    }
+
+    /// Takes over changed settings; addresses that are bound stay as they are.
+    pub fn apply_settings(&self, settings: SiteSettings) {
+        let mut known = self.settings.borrow_mut();
+        if *known == settings {
+            return;
+        }
+        info!(
+            "event=reload store={} drain_ms={} config_apply_ms={}",
+            settings.store_address, settings.bounds.drain_ms, settings.bounds.config_apply_ms
+        );
+        if known.store_address != settings.store_address {
+            *self.store.borrow_mut() = Rc::new(StoreClient::new(settings.store_address));
+        }
+        if known.client_address != settings.client_address {
+            warn!("event=reload_partial field=client_address reason=\"applies after a restart\"");
+        }
+        let bounds = repeat_bounds(&settings.bounds);
+        self.budget.borrow_mut().set_bounds(bounds);
+        *known = settings;
+    }
+
+    /// Returns the client of the metadata store.
+    pub fn store(&self) -> Rc<StoreClient> {
+        Rc::clone(&self.store.borrow())
+    }
+
+    /// Returns whether the store answers.
+    pub fn store_link(&self) -> StoreLink {
+        self.store_link.get()
+    }
+
+    /// Notes whether the store answered a call.
+    ///
+    /// Returns whether the store has just come back.
+    pub fn note_store(&self, answered: bool) -> bool {
+        match (self.store_link.get(), answered) {
+            (StoreLink::Up, false) => {
+                self.store_link.set(StoreLink::Lost(Instant::now()));
+                self.metrics.count("store_lost");
+                warn!("event=store_lost");
+                false
+            }
+            (StoreLink::Lost(since), true) => {
+                self.store_link.set(StoreLink::Up);
+                info!(
+                    "event=store_regained lost_ms={}",
+                    since.elapsed().as_millis()
+                );
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the configuration in force, indexed.
+    pub fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().clone()
+    }
+
+    /// Returns the version of the configuration in force; zero if there is none.
+    pub fn config_version(&self) -> u64 {
+        let routes = self.routes.borrow();
+        routes.as_ref().map_or(0, |routes| routes.config().version)
+    }
+
+    /// Puts a configuration in force unless it is older than the present one.
+    pub fn apply_config(&self, config: FleetConfig, source: &str) {
+        let version = config.version;
+        if version <= self.config_version() {
+            return;
+        }
+        info!(
+            "event=config version={version} before={} source={source} routes={} services={}",
+            self.config_version(),
+            config.routes.len(),
+            config.services.len()
+        );
+        self.metrics
+            .config_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        *self.routes.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
+    }
+
+    /// Returns what is believed of upstreams.
+    pub fn instances(&self) -> Ref<'_, InstanceTable> {
+        self.instances.borrow()
+    }
+
+    /// Returns what is believed of upstreams, to change it.
+    pub fn instances_mut(&self) -> RefMut<'_, InstanceTable> {
+        self.instances.borrow_mut()
+    }
+
+    /// Notes that the upstreams' entries have been read once.
+    pub fn set_synced(&self) {
+        self.is_synced.set(true);
+    }
+
+    /// Returns whether the upstreams' entries have been read once.
+    pub fn is_synced(&self) -> bool {
+        self.is_synced.get()
+    }
+
+    /// Returns whether the gateway takes new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining.get() && self.is_synced.get() && self.routes.borrow().is_some()
+    }
+
+    /// Tells the balancer to send no further connections.
+    pub fn begin_drain(&self) {
+        self.is_draining.set(true);
+    }
+
+    /// Returns whether the gateway is about to stop.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.get()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn begin_request(self: &Rc<Self>) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.metrics.in_flight.inc();
+        InFlight {
+            gateway: Rc::clone(self),
+        }
+    }
+
+    /// Counts a client's request for a service.
+    pub fn count_request(&self, service: &ServiceName) {
+        self.budget.borrow_mut().on_request(service, Instant::now());
+    }
+
+    /// Takes one repeated send from the budget, if it allows it.
+    pub fn try_repeat(&self, service: &ServiceName) -> bool {
+        let entry_count = self.instances.borrow().entry_count();
+        let now = Instant::now();
+        let mut budget = self.budget.borrow_mut();
+        let may_repeat = budget.try_repeat(service, entry_count, now);
+        let event = if may_repeat {
+            "repeat"
+        } else {
+            "repeat_denied"
+        };
+        self.metrics.count(event);
+        may_repeat
+    }
+
+    /// Returns the time after which a rejected client should come back.
+    pub fn next_comeback(&self, service: &ServiceName) -> Duration {
+        self.with_comeback(service, Comeback::next_wait)
+    }
+
+    /// Notes that a request of a service has ended.
+    pub fn note_end(&self, service: &ServiceName) {
+        self.with_comeback(service, Comeback::on_end);
+    }
+
+    fn with_comeback<T>(
+        &self,
+        service: &ServiceName,
+        apply: impl FnOnce(&mut Comeback, Instant) -> T,
+    ) -> T {
+        let now = Instant::now();
+        let mut comebacks = self.comebacks.borrow_mut();
+        let comeback = comebacks
+            .entry(service.clone())
+            .or_insert_with(|| Comeback::new(now));
+        apply(comeback, now)
+    }
+
+    /// Draws a number.
+    pub fn draw(&self) -> u64 {
+        self.rng.borrow_mut().next_u64()
+    }
+}
+
+fn repeat_bounds(bounds: &SiteBounds) -> RepeatBounds {
+    RepeatBounds {
+        ratio: bounds.retry_budget_ratio,
+        burst: bounds.retry_budget_burst,
+        window: Duration::from_millis(bounds.budget_window_ms().max(1)),
+    }
+}
+
+/// Counts a request as in progress while it exists.
+pub struct InFlight {
+    gateway: Rc<Gateway>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let count = self.gateway.in_flight.get();
+        self.gateway.in_flight.set(count.saturating_sub(1));
+        self.gateway.metrics.in_flight.dec();
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/upstreams.rs
@@ -0,0 +1,206 @@
+//! Connections to upstreams.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONNECTION;
+use hyper_util::rt::TokioIo;
+use jujubewall_routing::fleet::instances::InstanceKey;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::gateway::answer::KEEP_ALIVE;
+
+/// The time that a connection to an upstream may take to open; the round trip is
+/// a few milliseconds, and the upstream may need some to accept.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The time for which an unused connection is kept if the upstream states none.
+const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(2);
+
+/// The part of the time stated by the upstream for which a connection is kept, so
+/// that the upstream does not close it as it is used.
+const KEPT_SHARE_OF_IDLE: f64 = 0.6;
+
+/// The unused connections that are kept for one upstream.
+const MAX_IDLE_PER_UPSTREAM: usize = 64;
+
+/// The reason that a request has no answer.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum SendFault {
+    /// No connection opened, so that nothing was sent.
+    #[error("no connection")]
+    NotConnected,
+    /// The request may have reached the upstream.
+    #[error("connection lost")]
+    Lost,
+}
+
+/// A connection to one upstream, which is closed when it is dropped.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    max_idle: Duration,
+    may_be_kept: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr) -> Result<Self, SendFault> {
+        let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let socket = match socket {
+            Ok(Ok(socket)) => socket,
+            Ok(Err(_)) | Err(_) => return Err(SendFault::NotConnected),
+        };
+        socket
+            .set_nodelay(true)
+            .map_err(|_| SendFault::NotConnected)?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(socket))
+            .await
+            .map_err(|_| SendFault::NotConnected)?;
+        let driver = spawn_local(async move {
+            // The cause of a broken connection reaches the request on it.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            driver,
+            max_idle: DEFAULT_MAX_IDLE,
+            may_be_kept: true,
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFault> {
+        let answer = self.sender.try_send_request(request).await;
+        match answer {
+            Ok(answer) => {
+                self.note_answer(answer.headers());
+                Ok(answer)
+            }
+            Err(mut failure) => match failure.take_message() {
+                Some(_) => Err(SendFault::NotConnected),
+                None => Err(SendFault::Lost),
+            },
+        }
+    }
+
+    /// Takes over how long the upstream keeps the connection.
+    fn note_answer(&mut self, headers: &HeaderMap) {
+        let closes = headers
+            .get_all(CONNECTION)
+            .iter()
+            .filter_map(|value| value.to_str().ok())
+            .any(|value| value.to_ascii_lowercase().contains("close"));
+        if closes {
+            self.may_be_kept = false;
+        }
+        let stated = headers
+            .get(KEEP_ALIVE)
+            .and_then(|value| value.to_str().ok())
+            .and_then(keep_alive_timeout);
+        if let Some(stated) = stated {
+            self.max_idle = stated.mul_f64(KEPT_SHARE_OF_IDLE);
+        }
+    }
+}
+
+/// Reads the timeout of a `Keep-Alive` header, in whole seconds.
+fn keep_alive_timeout(value: &str) -> Option<Duration> {
+    let stated = value
+        .split(',')
+        .find_map(|field| field.trim().strip_prefix("timeout="))?;
+    stated.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// A connection that no request uses.
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// The connections that are kept for further requests.
+pub struct Connections {
+    idle: RefCell<HashMap<InstanceKey, VecDeque<Idle>>>,
+}
+
+impl Connections {
+    /// Creates an empty store of connections.
+    pub fn new() -> Self {
+        Self {
+            idle: RefCell::new(HashMap::new()),
+        }
+    }
+
+    /// Takes the connection that has been unused for longest.
+    ///
+    /// Bytes that belong to no request have had the most time to arrive there, and
+    /// have ended the connection.
+    pub fn take(&self, key: InstanceKey) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let queue = idle.get_mut(&key)?;
+        while let Some(Idle { connection, since }) = queue.pop_front() {
+            let is_usable = since.elapsed() < connection.max_idle && connection.sender.is_ready();
+            if is_usable {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was read to its end.
+    pub fn put(&self, key: InstanceKey, connection: Connection) {
+        if !connection.may_be_kept || connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let queue = idle.entry(key).or_default();
+        if queue.len() < MAX_IDLE_PER_UPSTREAM {
+            queue.push_back(Idle {
+                connection,
+                since: Instant::now(),
+            });
+        }
+    }
+
+    /// Closes connections that have been unused for too long.
+    pub fn expire(&self) {
+        self.idle.borrow_mut().retain(|_, queue| {
+            queue.retain(|idle| {
+                idle.since.elapsed() < idle.connection.max_idle
+                    && !idle.connection.sender.is_closed()
+            });
+            !queue.is_empty()
+        });
+    }
+
+    /// Closes the unused connections to one upstream.
+    pub fn forget(&self, key: InstanceKey) {
+        self.idle.borrow_mut().remove(&key);
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod alarm;
 pub mod entry;
+pub mod gateway;
 pub mod membership;
 pub mod metrics;
 pub mod network;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon `jujubewalld`.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -20,13 +21,37 @@
 struct Arguments {
     /// the settings file, in JSON
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
+    /// serve as a gateway on the users' platform, which names the settings file
+    #[argh(switch)]
+    gateway: bool,
 }
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    match (arguments.settings, arguments.gateway) {
+        (Some(path), false) => run_role(&path),
+        (None, true) => run_gateway(),
+        _ => {
+            eprintln!("either --settings FILE or --gateway is needed");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+fn run_gateway() -> ExitCode {
+    match jujubewall_daemon::gateway::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("the gateway fails: {failure:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_role(path: &Path) -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let settings = match Settings::read(&arguments.settings) {
+    let settings = match Settings::read(path) {
         Ok(settings) => settings,
         Err(faults) => {
             eprintln!("{faults}");
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -242,7 +242,8 @@
     histogram.observe(time.as_secs_f64());
 }
 
-fn times() -> Histogram {
+/// Creates a histogram of times in seconds.
+pub fn times() -> Histogram {
     Histogram::new(exponential_buckets(
         SMALLEST_BUCKET_S,
         BUCKET_RATIO,
--- /dev/null
+++ b/routing/src/fleet/instances.rs
@@ -0,0 +1,343 @@
+//! What is believed of each upstream, and the work in flight there.
+//!
+//! An upstream's entry is the base of the belief. Direct evidence goes before
+//! it: an upstream that did not answer over a new connection, or that a path
+//! named as lost, is avoided until it answers again or starts anew, whatever
+//! its entry says. The work that other entries have in flight is told by them,
+//! since an upstream's own report lags and all entries would herd after it.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubewall_types::fleet::Instance;
+use jujubewall_types::fleet::InstanceState;
+use jujubewall_types::id::MemberName;
+use jujubewall_types::id::ServiceName;
+use jujubewall_types::layer::LayerRange;
+use serde::Deserialize;
+use serde::Serialize;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+use twox_hash::XxHash64;
+
+new_key_type! {
+    /// The key of one life of an upstream.
+    pub struct InstanceKey;
+}
+
+/// The time for which what another entry told is counted; it tells several times
+/// in this span.
+const PEER_WORK_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// The part of the failure rate that one outcome makes up.
+const FAILURE_RATE_STEP: f64 = 0.1;
+
+/// The half-life of a failure rate, after which a failing upstream is tried again.
+const FAILURE_RATE_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// The work that entries have in flight at an upstream.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Work {
+    /// The requests in flight.
+    pub requests: u32,
+    /// Those that use the upstream as the first of their path.
+    pub first_requests: u32,
+    /// The tokens of context times layers that they may come to hold.
+    pub token_layers: f64,
+}
+
+impl Work {
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.first_requests += other.first_requests;
+        self.token_layers += other.token_layers;
+    }
+
+    fn remove(&mut self, other: &Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.first_requests = self.first_requests.saturating_sub(other.first_requests);
+        self.token_layers = (self.token_layers - other.token_layers).max(0.0);
+    }
+}
+
+/// The work of one entry at one upstream, as entries tell it to each other.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ToldWork {
+    /// The digest of the upstream's identifier.
+    pub instance: u64,
+    /// The work in flight.
+    pub work: Work,
+}
+
+/// What an entry has told of its work.
+#[derive(Debug)]
+struct PeerWork {
+    told_at: Instant,
+    work: HashMap<u64, Work>,
+}
+
+/// One life of an upstream and what is believed of it.
+#[derive(Debug)]
+pub struct Tracked {
+    /// What the upstream says of itself.
+    pub instance: Instance,
+    digest: u64,
+    own: Work,
+    suspected_since: Option<Instant>,
+    failure_rate: f64,
+    failure_rate_at: Instant,
+}
+
+impl Tracked {
+    fn new(instance: Instance, now: Instant) -> Self {
+        Self {
+            digest: digest(&instance),
+            instance,
+            own: Work::default(),
+            suspected_since: None,
+            failure_rate: 0.0,
+            failure_rate_at: now,
+        }
+    }
+
+    /// Returns whether the upstream may be given new work.
+    pub fn is_usable(&self) -> bool {
+        self.instance.state == InstanceState::Ready && self.suspected_since.is_none()
+    }
+
+    /// Returns since when direct evidence speaks against the upstream.
+    pub const fn suspected_since(&self) -> Option<Instant> {
+        self.suspected_since
+    }
+
+    /// Returns the work that this entry has in flight there.
+    pub const fn own_work(&self) -> &Work {
+        &self.own
+    }
+
+    /// Returns the part of recent requests that failed.
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.failure_rate_at);
+        let half_lives = age.as_secs_f64() / FAILURE_RATE_HALF_LIFE.as_secs_f64();
+        self.failure_rate * (-half_lives).exp2()
+    }
+}
+
+/// Returns a number that stands for one life of an upstream.
+fn digest(instance: &Instance) -> u64 {
+    XxHash64::oneshot(instance.born_unix_ms, instance.id.as_bytes())
+}
+
+/// All known upstreams.
+#[derive(Debug, Default)]
+pub struct InstanceTable {
+    instances: SlotMap<InstanceKey, Tracked>,
+    by_id: BTreeMap<SmolStr, InstanceKey>,
+    by_service: HashMap<ServiceName, Vec<InstanceKey>>,
+    peers: HashMap<MemberName, PeerWork>,
+}
+
+impl InstanceTable {
+    /// Creates a table that knows no upstream.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over what an upstream says of itself, and returns its key.
+    ///
+    /// A life with another start is another upstream: work in flight at the
+    /// earlier life and evidence against it do not count for this one.
+    pub fn upsert(&mut self, instance: Instance, now: Instant) -> InstanceKey {
+        if let Some(&key) = self.by_id.get(&instance.id) {
+            let known = &mut self.instances[key];
+            let is_same_life = known.instance.born_unix_ms == instance.born_unix_ms
+                && known.instance.service == instance.service
+                && known.instance.address == instance.address;
+            if is_same_life {
+                known.instance = instance;
+                return key;
+            }
+            self.remove_key(key);
+        }
+        let id = instance.id.clone();
+        let service = instance.service.clone();
+        let key = self.instances.insert(Tracked::new(instance, now));
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+        key
+    }
+
+    /// Forgets an upstream whose entry is gone.
+    pub fn remove(&mut self, id: &str) -> Option<Instance> {
+        let key = *self.by_id.get(id)?;
+        self.remove_key(key)
+    }
+
+    fn remove_key(&mut self, key: InstanceKey) -> Option<Instance> {
+        let gone = self.instances.remove(key)?;
+        self.by_id.remove(&gone.instance.id);
+        if let Some(keys) = self.by_service.get_mut(&gone.instance.service) {
+            keys.retain(|known| *known != key);
+        }
+        Some(gone.instance)
+    }
+
+    /// Returns an upstream, unless it is gone.
+    pub fn get(&self, key: InstanceKey) -> Option<&Tracked> {
+        self.instances.get(key)
+    }
+
+    /// Returns the upstream with an identifier, if it is known.
+    pub fn by_id(&self, id: &str) -> Option<&Tracked> {
+        self.by_id.get(id).and_then(|&key| self.instances.get(key))
+    }
+
+    /// Takes over the layers that an engine reported itself, before its entry shows them.
+    pub fn set_layers(&mut self, id: &str, layers: Option<LayerRange>) {
+        if let Some(&key) = self.by_id.get(id) {
+            self.instances[key].instance.layers = layers;
+        }
+    }
+
+    /// Returns the upstream at an address, if one is known there.
+    pub fn at_address(&self, address: SocketAddr) -> Option<InstanceKey> {
+        self.instances
+            .iter()
+            .find(|(_, tracked)| tracked.instance.address == address)
+            .map(|(key, _)| key)
+    }
+
+    /// Returns all upstreams of a service, in no certain order.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (InstanceKey, &'a Tracked)> + 'a {
+        let keys = self.by_service.get(service);
+        keys.into_iter()
+            .flatten()
+            .map(|&key| (key, &self.instances[key]))
+    }
+
+    /// Returns all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (InstanceKey, &Tracked)> {
+        self.instances.iter()
+    }
+
+    /// Notes that an upstream did not answer over a new connection, or that a
+    /// path named it as lost. Returns whether it was not suspected before.
+    pub fn suspect(&mut self, key: InstanceKey, now: Instant) -> bool {
+        let Some(tracked) = self.instances.get_mut(key) else {
+            return false;
+        };
+        let is_new = tracked.suspected_since.is_none();
+        tracked.suspected_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Notes that an upstream answered over a new connection. Returns whether it
+    /// was suspected.
+    pub fn clear_suspicion(&mut self, key: InstanceKey) -> bool {
+        self.instances
+            .get_mut(key)
+            .is_some_and(|tracked| tracked.suspected_since.take().is_some())
+    }
+
+    /// Returns the suspected upstreams.
+    pub fn suspected(&self) -> Vec<InstanceKey> {
+        self.instances
+            .iter()
+            .filter(|(_, tracked)| tracked.suspected_since.is_some())
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Notes the outcome of a request for the failure rate.
+    pub fn note_outcome(&mut self, key: InstanceKey, is_failure: bool, now: Instant) {
+        let Some(tracked) = self.instances.get_mut(key) else {
+            return;
+        };
+        let before = tracked.failure_rate(now);
+        let outcome = if is_failure { 1.0 } else { 0.0 };
+        tracked.failure_rate = before + FAILURE_RATE_STEP * (outcome - before);
+        tracked.failure_rate_at = now;
+    }
+
+    /// Counts work that this entry has given to an upstream.
+    pub fn begin_work(&mut self, key: InstanceKey, work: &Work) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.own.add(work);
+        }
+    }
+
+    /// Counts work as ended.
+    pub fn end_work(&mut self, key: InstanceKey, work: &Work) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.own.remove(work);
+        }
+    }
+
+    /// Returns the work that this entry has in flight, to be told to the others.
+    pub fn told_work(&self) -> Vec<ToldWork> {
+        self.instances
+            .values()
+            .filter(|tracked| tracked.own.requests > 0)
+            .map(|tracked| ToldWork {
+                instance: tracked.digest,
+                work: tracked.own,
+            })
+            .collect()
+    }
+
+    /// Takes over the work that another entry has in flight.
+    pub fn on_told_work(&mut self, peer: &MemberName, told: &[ToldWork], now: Instant) {
+        let work = told.iter().map(|told| (told.instance, told.work)).collect();
+        let told = PeerWork { told_at: now, work };
+        self.peers.insert(peer.clone(), told);
+    }
+
+    /// Forgets entries that have told nothing for a while.
+    pub fn expire_peers(&mut self, now: Instant) {
+        self.peers
+            .retain(|_, peer| now.saturating_duration_since(peer.told_at) < PEER_WORK_LIFETIME);
+    }
+
+    /// Returns the number of entries that share the traffic, this one included.
+    pub fn entry_count(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Returns the work that all entries have in flight at an upstream.
+    pub fn total_work(&self, tracked: &Tracked) -> Work {
+        let mut total = tracked.own;
+        for peer in self.peers.values() {
+            if let Some(work) = peer.work.get(&tracked.digest) {
+                total.add(work);
+            }
+        }
+        total
+    }
+
+    /// Returns the digests of the suspected upstreams, to be told to the others.
+    pub fn told_suspicions(&self) -> Vec<u64> {
+        self.instances
+            .values()
+            .filter(|tracked| tracked.suspected_since.is_some())
+            .map(|tracked| tracked.digest)
+            .collect()
+    }
+
+    /// Returns the upstreams that another entry suspects and this one does not.
+    pub fn unsuspected_of(&self, told: &[u64]) -> Vec<InstanceKey> {
+        self.instances
+            .iter()
+            .filter(|(_, tracked)| {
+                tracked.suspected_since.is_none() && told.contains(&tracked.digest)
+            })
+            .map(|(key, _)| key)
+            .collect()
+    }
+}
--- /dev/null
+++ b/routing/src/fleet/layer_path.rs
@@ -0,0 +1,281 @@
+//! The path of a stream through engines that hold ranges of layers.
+//!
+//! Each engine costs the time that its layers take for the expected tokens at
+//! its present load, so that work spreads before any engine is full. An engine
+//! that has no memory left for the context of the whole stream, or no place for
+//! another first part, is not considered: preempted context is read again, at
+//! the cost of every stream beside it. Leaving a failure domain costs the share
+//! of the narrow link that the prompt and the answer take.
+
+use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::id::FailureDomainName;
+use jujubewall_types::id::ServiceName;
+use jujubewall_types::layer::LayerRange;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use super::instances::InstanceKey;
+use super::instances::InstanceTable;
+use super::instances::Tracked;
+use super::instances::Work;
+use crate::path::DomainIndex;
+use crate::path::LinkCosts;
+use crate::path::PathEdge;
+use crate::path::cheapest_path;
+use crate::path::merge_revisits;
+
+/// The part of an engine's free memory that streams may plan to use; answers that
+/// outgrow their hint use the rest.
+const MAX_CONTEXT_SHARE: f64 = 0.92;
+
+/// The time that passing a token to another engine of the same failure domain takes,
+/// in milliseconds, with the wait for the engine's next step.
+const STAGE_DELAY_MS: f64 = 0.5;
+
+/// The factor on the time that a transfer occupies the link between two domains,
+/// which all transfers share one after another.
+const SHARED_LINK_FACTOR: f64 = 10.0;
+
+/// The number of layers by which a path may be named, by the platform's protocol.
+const MAX_PARTS: usize = 32;
+
+/// The cost of an engine that fails every request, in seconds.
+const FAILURE_COST_S: f64 = 10.0;
+
+/// What a stream is expected to need.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StreamNeed {
+    /// The tokens that are read before the first new one.
+    pub prompt_tokens: f64,
+    /// The tokens that are expected to be written.
+    pub answer_tokens: f64,
+}
+
+impl StreamNeed {
+    /// Returns the tokens of context at the end of the stream.
+    pub fn context_tokens(&self) -> f64 {
+        self.prompt_tokens + self.answer_tokens
+    }
+}
+
+/// One part of a path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PathPart {
+    /// The engine.
+    pub instance: InstanceKey,
+    /// The layers that it runs.
+    pub layers: LayerRange,
+}
+
+/// A path through all layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LayerPath {
+    /// The parts, in the order of the layers.
+    pub parts: SmallVec<[PathPart; 16]>,
+    /// The expected time for a token, in milliseconds.
+    pub token_ms: f64,
+}
+
+/// The reason that there is no path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoPath {
+    /// Every path passes an engine without room.
+    NoRoom,
+    /// No usable engine holds this layer.
+    LayerMissing(u32),
+}
+
+/// The work that a stream puts on one part of its path.
+pub fn part_work(need: &StreamNeed, part: &PathPart) -> Work {
+    Work {
+        requests: 1,
+        first_requests: u32::from(part.layers.first == 0),
+        token_layers: need.context_tokens() * f64::from(part.layers.len()),
+    }
+}
+
+/// The cost of passing activations between failure domains.
+struct DomainLinks {
+    crossing_s: f64,
+}
+
+impl LinkCosts for DomainLinks {
+    fn cost_s(&self, from: DomainIndex, to: DomainIndex) -> f64 {
+        if from == to { 0.0 } else { self.crossing_s }
+    }
+}
+
+/// An engine as a part of some path.
+struct Candidate<'a> {
+    key: InstanceKey,
+    tracked: &'a Tracked,
+    layers: LayerRange,
+    work: Work,
+    memory_mb: f64,
+    step_factor: f64,
+    prompt_factor: f64,
+}
+
+/// Chooses the path of one stream.
+///
+/// `excluded` are engines that have failed it before.
+pub fn choose_path(
+    table: &InstanceTable,
+    service: &ServiceName,
+    spec: &EngineSpec,
+    need: &StreamNeed,
+    excluded: &[InstanceKey],
+    now: Instant,
+) -> Result<LayerPath, NoPath> {
+    let candidates: Vec<Candidate<'_>> = table
+        .of_service(service)
+        .filter(|(key, tracked)| tracked.is_usable() && !excluded.contains(key))
+        .filter_map(|(key, tracked)| Candidate::new(table, spec, key, tracked))
+        .collect();
+    let with_room: Vec<&Candidate<'_>> = candidates
+        .iter()
+        .filter(|candidate| candidate.has_room(spec, need))
+        .collect();
+    match cheapest(&with_room, spec, need, now) {
+        Ok(path) => Ok(path),
+        Err(_) => Err(why_none(&candidates, spec, need, now)),
+    }
+}
+
+/// Tells whether more room would have given a path.
+fn why_none(
+    candidates: &[Candidate<'_>],
+    spec: &EngineSpec,
+    need: &StreamNeed,
+    now: Instant,
+) -> NoPath {
+    let all: Vec<&Candidate<'_>> = candidates.iter().collect();
+    match cheapest(&all, spec, need, now) {
+        Ok(_) => NoPath::NoRoom,
+        Err(layer) => NoPath::LayerMissing(layer),
+    }
+}
+
+fn cheapest(
+    candidates: &[&Candidate<'_>],
+    spec: &EngineSpec,
+    need: &StreamNeed,
+    now: Instant,
+) -> Result<LayerPath, u32> {
+    let mut domains: SmallVec<[&FailureDomainName; 4]> = SmallVec::new();
+    let mut edges = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        let name = &candidate.tracked.instance.failure_domain;
+        let domain = domains.iter().position(|known| *known == name);
+        let domain = domain.unwrap_or_else(|| {
+            domains.push(name);
+            domains.len() - 1
+        });
+        edges.push(PathEdge {
+            layers: candidate.layers_with_place(spec),
+            domain,
+            cost_per_layer_s: candidate.cost_per_layer_s(spec, need),
+            cost_per_stage_s: need.answer_tokens * STAGE_DELAY_MS / 1_000.0
+                + FAILURE_COST_S * candidate.tracked.failure_rate(now),
+        });
+    }
+    let links = DomainLinks {
+        crossing_s: crossing_s(spec, need),
+    };
+    let hops = cheapest_path(&edges, spec.layer_count, domains.len(), &links)?;
+    let hops = merge_revisits(&hops);
+    if hops.len() > MAX_PARTS {
+        return Err(hops[MAX_PARTS].layers.first);
+    }
+    let token_ms = hops
+        .iter()
+        .map(|hop| {
+            let candidate = candidates[hop.edge];
+            let layer_ms = candidate.step_ms_per_layer(spec, need.context_tokens());
+            STAGE_DELAY_MS + f64::from(hop.layers.len()) * layer_ms
+        })
+        .sum();
+    let parts = hops.iter().map(|hop| PathPart {
+        instance: candidates[hop.edge].key,
+        layers: hop.layers,
+    });
+    Ok(LayerPath {
+        parts: parts.collect(),
+        token_ms,
+    })
+}
+
+/// Returns the cost of passing a stream's activations to another failure domain.
+fn crossing_s(spec: &EngineSpec, need: &StreamNeed) -> f64 {
+    if spec.domain_link_mbps <= 0.0 {
+        return 0.0;
+    }
+    let bits = need.context_tokens() * spec.activation_bytes * 8.0;
+    SHARED_LINK_FACTOR * bits / (spec.domain_link_mbps * 1_000_000.0)
+}
+
+impl<'a> Candidate<'a> {
+    fn new(
+        table: &InstanceTable,
+        spec: &EngineSpec,
+        key: InstanceKey,
+        tracked: &'a Tracked,
+    ) -> Option<Self> {
+        let instance = &tracked.instance;
+        let layers = instance.layers?;
+        let accelerator = spec.accelerator(instance.accelerator.as_deref()?)?;
+        Some(Self {
+            key,
+            tracked,
+            layers,
+            work: table.total_work(tracked),
+            memory_mb: accelerator.memory_mb,
+            step_factor: accelerator.step_factor,
+            prompt_factor: accelerator.prompt_factor,
+        })
+    }
+
+    /// Returns whether the context of the whole stream fits beside the others.
+    fn has_room(&self, spec: &EngineSpec, need: &StreamNeed) -> bool {
+        let layers = f64::from(self.layers.len());
+        let free_bytes = (self.memory_mb - layers * spec.layer_mb).max(0.0) * 1_000_000.0;
+        let free_token_layers = MAX_CONTEXT_SHARE * free_bytes / spec.token_layer_bytes();
+        self.work.token_layers + need.context_tokens() * layers <= free_token_layers
+    }
+
+    /// Returns the layers for which the engine takes another request.
+    ///
+    /// Without a free place for a first part it runs later parts only.
+    fn layers_with_place(&self, spec: &EngineSpec) -> LayerRange {
+        if self.layers.first == 0 && self.work.first_requests >= spec.slots {
+            LayerRange::new(1, self.layers.end)
+        } else {
+            self.layers
+        }
+    }
+
+    /// Returns the time of a decoding step for one layer at the present load.
+    ///
+    /// Requests on a path of many parts are spread over its engines, so a step
+    /// carries about the part of them that the engine's layers make up.
+    fn step_ms_per_layer(&self, spec: &EngineSpec, context_tokens: f64) -> f64 {
+        let share = f64::from(self.layers.len()) / f64::from(spec.layer_count);
+        let batch = 1.0 + f64::from(self.work.requests) * share;
+        let per_request_ms = spec.step_per_request_ms
+            + spec.step_per_context_kilotoken_ms * context_tokens / 1_000.0;
+        let step_ms = (spec.step_ms + batch * per_request_ms) * self.step_factor;
+        step_ms / f64::from(spec.layer_count)
+    }
+
+    /// Returns the cost of each layer for one stream.
+    ///
+    /// The cost grows with the requests in flight even where their steps are
+    /// shared, because they compete for the reading of prompts.
+    fn cost_per_layer_s(&self, spec: &EngineSpec, need: &StreamNeed) -> f64 {
+        let decode_ms = need.answer_tokens * self.step_ms_per_layer(spec, need.context_tokens());
+        let read_ms = 1_000.0 * need.prompt_tokens / spec.prompt_tokens_per_s * self.prompt_factor
+            / f64::from(spec.layer_count);
+        let crowd = 1.0 + f64::from(self.work.requests) / f64::from(spec.slots.max(1));
+        (decode_ms + read_ms) * crowd / 1_000.0
+    }
+}
--- /dev/null
+++ b/routing/src/fleet/repeat_budget.rs
@@ -0,0 +1,108 @@
+//! The share of requests that may be sent to an upstream once more.
+//!
+//! The platform bounds repeated sends over all entries in any span of a fixed
+//! length. Each entry keeps to its part without asking the others: the ratio of
+//! its own requests, and an equal part of the burst.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use jujubewall_types::id::ServiceName;
+use tokio::time::Instant;
+
+/// The spans into which the window is cut.
+const BUCKETS_PER_WINDOW: u32 = 50;
+
+/// The part of the allowance that is used, as entries may disagree about how many
+/// they are.
+const USED_SHARE: f64 = 0.7;
+
+/// The bounds of repeated sends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatBounds {
+    /// The repeated sends allowed for each request.
+    pub ratio: f64,
+    /// The repeated sends allowed beside the ratio, over all entries.
+    pub burst: f64,
+    /// The span over which both are counted.
+    pub window: Duration,
+}
+
+/// What was sent in one short span.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    start: Instant,
+    requests: u32,
+    repeats: u32,
+}
+
+/// The repeated sends of one entry.
+#[derive(Debug)]
+pub struct RepeatBudget {
+    bounds: RepeatBounds,
+    services: HashMap<ServiceName, VecDeque<Bucket>>,
+}
+
+impl RepeatBudget {
+    /// Creates a budget of which nothing is used.
+    pub fn new(bounds: RepeatBounds) -> Self {
+        Self {
+            bounds,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes over changed bounds; what was sent still counts.
+    pub fn set_bounds(&mut self, bounds: RepeatBounds) {
+        self.bounds = bounds;
+    }
+
+    /// Counts a client's request for a service.
+    pub fn on_request(&mut self, service: &ServiceName, now: Instant) {
+        self.bucket(service, now).requests += 1;
+    }
+
+    /// Takes one repeated send, if the budget of `entry_count` entries allows it.
+    pub fn try_repeat(&mut self, service: &ServiceName, entry_count: usize, now: Instant) -> bool {
+        let bounds = self.bounds;
+        self.bucket(service, now);
+        let buckets = &self.services[service];
+        let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
+        let repeats: u32 = buckets.iter().map(|bucket| bucket.repeats).sum();
+        let burst = bounds.burst / entry_count.max(1) as f64;
+        let allowed = USED_SHARE * (bounds.ratio * f64::from(requests) + burst);
+        let may_repeat = f64::from(repeats) + 1.0 <= allowed;
+        if may_repeat {
+            self.bucket(service, now).repeats += 1;
+        }
+        may_repeat
+    }
+
+    /// Returns the present span, after dropping those that have left the window.
+    fn bucket(&mut self, service: &ServiceName, now: Instant) -> &mut Bucket {
+        let span = self.bounds.window / BUCKETS_PER_WINDOW;
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), VecDeque::new());
+        }
+        let buckets = self.services.get_mut(service).expect("it was just added");
+        let window = self.bounds.window;
+        while buckets
+            .front()
+            .is_some_and(|bucket| now.saturating_duration_since(bucket.start) > window)
+        {
+            buckets.pop_front();
+        }
+        let is_current = buckets
+            .back()
+            .is_some_and(|bucket| now.saturating_duration_since(bucket.start) < span);
+        if !is_current {
+            buckets.push_back(Bucket {
+                start: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        buckets.back_mut().expect("a bucket was just added")
+    }
+}
--- /dev/null
+++ b/routing/src/fleet/service_choice.rs
@@ -0,0 +1,74 @@
+//! The upstream of a call to a plain service.
+//!
+//! The upstream with the least work in flight for its slots takes the call:
+//! a slow upstream keeps its calls longer and so gets fewer. Failures of recent
+//! calls count as work, since an upstream that fails at once has none in flight.
+
+use jujubewall_types::id::ServiceName;
+use tokio::time::Instant;
+
+use super::instances::InstanceKey;
+use super::instances::InstanceTable;
+use super::instances::Work;
+
+/// The calls in flight for each slot above which an upstream is full: one that runs
+/// and two that wait, which still keep a call of usual length within its objective.
+const MAX_CALLS_PER_SLOT: f64 = 3.0;
+
+/// The calls for each slot that an upstream which fails every call seems to have.
+const FAILURE_WEIGHT: f64 = 4.0;
+
+/// The work of one call.
+pub const CALL_WORK: Work = Work {
+    requests: 1,
+    first_requests: 0,
+    token_layers: 0.0,
+};
+
+/// The reason that no upstream takes a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoUpstream {
+    /// Every usable upstream is full.
+    AllFull,
+    /// No upstream is usable.
+    NoneUsable,
+}
+
+/// Chooses the upstream of a call.
+///
+/// `excluded` are upstreams that have failed it before; `draw` breaks ties
+/// differently at each entry.
+pub fn choose_upstream(
+    table: &InstanceTable,
+    service: &ServiceName,
+    excluded: &[InstanceKey],
+    draw: u64,
+    now: Instant,
+) -> Result<InstanceKey, NoUpstream> {
+    let mut best: Option<(f64, u64, InstanceKey)> = None;
+    let mut any_usable = false;
+    for (index, (key, tracked)) in table.of_service(service).enumerate() {
+        if !tracked.is_usable() || excluded.contains(&key) {
+            continue;
+        }
+        any_usable = true;
+        let slots = f64::from(tracked.instance.slots.max(1));
+        let calls_per_slot = f64::from(table.total_work(tracked).requests) / slots;
+        if calls_per_slot >= MAX_CALLS_PER_SLOT {
+            continue;
+        }
+        let load = calls_per_slot + FAILURE_WEIGHT * tracked.failure_rate(now);
+        let tie = draw.rotate_left(u32::try_from(index % 64).unwrap_or(0));
+        let is_better = best.is_none_or(|(known, known_tie, _)| {
+            load.total_cmp(&known).then(tie.cmp(&known_tie)).is_lt()
+        });
+        if is_better {
+            best = Some((load, tie, key));
+        }
+    }
+    match best {
+        Some((_, _, key)) => Ok(key),
+        None if any_usable => Err(NoUpstream::AllFull),
+        None => Err(NoUpstream::NoneUsable),
+    }
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod bound;
 pub mod choice;
+pub mod fleet;
 pub mod lifecycle;
 pub mod link;
 pub mod membership;
