gateway: name the runner's count of orders in orders

Cause: an entry's seq counts the writes of the entry; the report's seq counts orders. Orders that expected the former were refused with 409 (9030 of 9030). Ruled out: the body's format, the runner's state.

--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -242,7 +242,7 @@
         return;
     }
     info!(
-        "event=upstream id={} service={} address={} state={} layers={} orders={} born={}",
+        "event=upstream id={} service={} address={} state={} layers={} born={}",
         instance.id,
         instance.service,
         instance.address,
@@ -253,7 +253,6 @@
         instance
             .layers
             .map_or_else(|| "none".to_owned(), |layers| layers.to_string()),
-        instance.order_count,
         instance.born_unix_ms
     );
     gateway.instances_mut().upsert(instance, Instant::now());
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -30,7 +30,6 @@
 use jujubewall_platform::site::store::WriteOutcome;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::EngineState;
-use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::id::Revision;
 use jujubewall_types::id::ServiceName;
 use jujubewall_types::layer::LayerRange;
@@ -320,58 +319,85 @@
     gateway.instances_mut().set_layers(id, layers);
 }
 
-/// Gives an order.
+/// Gives an order, or asks the engine for its count of orders first.
 fn order(gateway: &Rc<Gateway>, spec: &EngineSpec, placement: Placement) {
     let target = gateway.instances().by_id(&placement.id).map(|tracked| {
         let instance = &tracked.instance;
-        let is_ready = instance.state == InstanceState::Ready;
-        (
-            instance.address,
-            instance.born_unix_ms,
-            instance.order_count,
-            instance.layers,
-            is_ready,
-        )
+        (instance.address, instance.born_unix_ms, instance.layers)
     });
-    let Some((address, born, entry_count, holds, true)) = target else {
+    let Some((address, born_unix_ms, holds)) = target else {
         return;
     };
     let counted = gateway.planner.counts.borrow().get(&placement.id).copied();
-    let count = match counted {
-        Some((known_born, count)) if known_born == born => count.max(entry_count),
-        _ => entry_count,
+    let expected_count = match counted {
+        Some((known_born, count)) if known_born == born_unix_ms => Some(count),
+        // An engine that holds nothing has begun no order in this life.
+        _ if holds.is_none() => Some(0),
+        _ => None,
     };
     let added = placement.layers.len() - overlap(placement.layers, holds);
     let load = Duration::from_secs_f64(
         SHARED_LOAD_FACTOR * spec.load_s * f64::from(added) / f64::from(spec.layer_count),
     );
+    let is_ordered = expected_count.is_some();
     gateway.planner.open.borrow_mut().insert(
         placement.id.clone(),
         OpenOrder {
-            born_unix_ms: born,
+            born_unix_ms,
             layers: placement.layers,
-            ask_at: Instant::now() + load + ORDER_GRACE,
+            ask_at: Instant::now()
+                + if is_ordered {
+                    load + ORDER_GRACE
+                } else {
+                    Duration::ZERO
+                },
             is_asking: false,
         },
     );
+    let Some(expected_count) = expected_count else {
+        return;
+    };
     gateway.metrics.count("order");
     let gateway = Rc::clone(gateway);
     spawn_local(async move {
-        let answer = send_order(address, &placement, count).await;
+        let answer = send_order(address, &placement, expected_count).await;
         info!(
-            "event=order id={} layers={} expected={count} answer={answer:?} store={}",
+            "event=order id={} layers={} expected={expected_count} answer={answer:?} store={}",
             placement.id,
             placement.layers,
             gateway.store_link() == StoreLink::Up
         );
-        let is_done = matches!(answer, Some(OrderAnswer::Begun | OrderAnswer::Holds));
-        if !is_done {
-            let mut open = gateway.planner.open.borrow_mut();
-            if let Some(order) = open.get_mut(&placement.id) {
+        on_answer(
+            &gateway,
+            &placement.id,
+            born_unix_ms,
+            expected_count,
+            answer,
+        );
+    });
+}
+
+/// Takes over an engine's answer to an order.
+fn on_answer(
+    gateway: &Gateway,
+    id: &SmolStr,
+    born_unix_ms: u64,
+    expected_count: u64,
+    answer: Option<OrderAnswer>,
+) {
+    match answer {
+        Some(OrderAnswer::Begun) => {
+            let counts = &gateway.planner.counts;
+            let count = (born_unix_ms, expected_count + 1);
+            counts.borrow_mut().insert(id.clone(), count);
+        }
+        Some(OrderAnswer::Holds) => {}
+        Some(OrderAnswer::Conflict | OrderAnswer::Refused(_)) | None => {
+            if let Some(order) = gateway.planner.open.borrow_mut().get_mut(id) {
                 order.ask_at = Instant::now();
             }
         }
-    });
+    }
 }
 
 /// Returns the number of layers that two ranges share.
--- a/types/src/fleet.rs
+++ b/types/src/fleet.rs
@@ -215,8 +215,6 @@
     pub state: InstanceState,
     /// The number of requests that it works on at once.
     pub slots: u32,
-    /// The number of orders that this life has begun.
-    pub order_count: u64,
     /// The kind of accelerator, for a model engine.
     pub accelerator: Option<SmolStr>,
     /// The layers that it holds; `None` if it holds none.
