--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -61,12 +61,23 @@
     NotConnected(InstanceKey),
     /// An engine stated that the request did not run; the one at fault, if named.
     NotRun(Option<InstanceKey>),
-    /// The run broke off; the engine at fault, if known.
-    Broken(Option<InstanceKey>),
+    /// The run broke off.
+    Broken(BrokenRun),
     /// The engine ran the request and answered with a failure.
     Failed(FailedAnswer),
 }
 
+/// A run that broke off.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenRun {
+    /// The first engine of the path.
+    pub first: InstanceKey,
+    /// The engine at fault, if it is known.
+    pub at_fault: Option<InstanceKey>,
+    /// Whether the run may have given tokens.
+    pub may_have_run: bool,
+}
+
 /// An engine's own failure.
 pub struct FailedAnswer {
     /// The status.
@@ -119,6 +130,7 @@
     request_id: SmolStr,
     expected_gap: Duration,
     has_begun: bool,
+    may_move: bool,
     connection: Option<Connection>,
     body: Option<Incoming>,
     /// The head of the answer.
@@ -154,6 +166,7 @@
                 TOKENS_PER_EVENT * chosen.path.token_ms / 1_000.0,
             ),
             has_begun: false,
+            may_move: request.route.is_resumable,
             connection: None,
             body: None,
             headers: HeaderMap::new(),
@@ -183,7 +196,7 @@
             self.connection = Some(connection);
             match answer {
                 Ok(answer) => return Ok(answer),
-                Err(SendFault::Lost) => return Err(RunFault::Broken(Some(self.first))),
+                Err(SendFault::Lost) => return Err(self.broken(Some(self.first))),
                 // The upstream closed the connection as it was taken.
                 Err(SendFault::NotConnected) => {}
             }
@@ -193,7 +206,7 @@
         self.connection = Some(connection);
         answer.map_err(|fault| match fault {
             SendFault::NotConnected => RunFault::NotConnected(self.first),
-            SendFault::Lost => RunFault::Broken(Some(self.first)),
+            SendFault::Lost => self.broken(Some(self.first)),
         })
     }
 
@@ -219,7 +232,7 @@
                 "event=foreign_answer id={} upstream={} status={}",
                 self.request_id, self.first_address, head.status
             );
-            return Err(RunFault::Broken(Some(self.first)));
+            return Err(self.broken(Some(self.first)));
         }
         if head.status.is_success() {
             self.headers = head.headers;
@@ -233,7 +246,7 @@
                 headers: head.headers,
                 body: body.to_bytes(),
             })),
-            Err(_) => Err(RunFault::Broken(Some(self.first))),
+            Err(_) => Err(self.broken(Some(self.first))),
         }
     }
 
@@ -269,7 +282,7 @@
                     return Ok(RunStep::Bytes(bytes));
                 }
                 Some(Err(_)) => {
-                    return Err(RunFault::Broken(self.lost_part().or(Some(self.first))));
+                    return Err(self.broken(self.lost_part().or(Some(self.first))));
                 }
                 None => {
                     if let Some(connection) = self.connection.take() {
@@ -281,6 +294,26 @@
         }
     }
 
+    /// Describes a run that broke off at `at_fault`.
+    pub fn broken(&self, at_fault: Option<InstanceKey>) -> RunFault {
+        RunFault::Broken(BrokenRun {
+            first: self.first,
+            at_fault,
+            may_have_run: true,
+        })
+    }
+
+    /// Describes a run that was given up while it was silent.
+    ///
+    /// A path that misses a part gives no first token.
+    fn given_up(&self, lost: Option<InstanceKey>) -> RunFault {
+        RunFault::Broken(BrokenRun {
+            first: self.first,
+            at_fault: lost.or(Some(self.first)),
+            may_have_run: self.has_begun || lost.is_none(),
+        })
+    }
+
     /// Waits for `future`, and looks into the path when it is silent for long.
     async fn with_patience<T>(&self, future: impl Future<Output = T>) -> Result<T, RunFault> {
         let mut future = pin!(future);
@@ -296,10 +329,11 @@
                 silence: started.elapsed(),
                 expected_gap: self.expected_gap,
                 has_suspected_part: lost.is_some(),
+                may_move: self.may_move,
             };
             match silence::on_silence(&stream) {
                 SilenceStep::WaitUntil(_) => {}
-                SilenceStep::GiveUp => return Err(RunFault::Broken(lost)),
+                SilenceStep::GiveUp => return Err(self.given_up(lost)),
                 SilenceStep::Ask => {
                     let is_due = asked_at.is_none_or(|asked| asked.elapsed() >= ASK_INTERVAL);
                     if is_due {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -68,7 +68,7 @@
     /// Creates a gateway that knows neither a configuration nor an upstream.
     pub fn new(settings: SiteSettings) -> Rc<Self> {
         let store = Rc::new(StoreClient::new(settings.store_address));
-        let budget = RepeatBudget::new(repeat_bounds(&settings.bounds));
+        let budget = RepeatBudget::new(repeat_bounds(&settings.bounds), Instant::now());
         let peers = PeerDirectory::new(&settings);
         Rc::new(Self {
             store: RefCell::new(store),
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -22,6 +22,7 @@
 use crate::gateway::body::AnswerCut;
 use crate::gateway::body::ReplyBody;
 use crate::gateway::request::ClientRequest;
+use crate::gateway::run::BrokenRun;
 use crate::gateway::run::FailedAnswer;
 use crate::gateway::run::Run;
 use crate::gateway::run::RunFault;
@@ -222,18 +223,17 @@
                 &self.excluded,
             );
             self.run = Some(run.await?);
-            self.may_have_run = true;
             return Ok(None);
         };
         match run.next().await? {
             RunStep::Bytes(bytes) => {
                 let events = self.filter.push(bytes).map_err(|fault| {
                     info!("event=bad_event id={} reason=\"{fault}\"", self.request.id);
-                    RunFault::Broken(None)
+                    run.broken(None)
                 })?;
                 Ok((!events.is_empty()).then_some(Next::Events(events)))
             }
-            RunStep::End if self.filter.has_torn_event() => Err(RunFault::Broken(None)),
+            RunStep::End if self.filter.has_torn_event() => Err(run.broken(None)),
             RunStep::End => Ok(Some(Next::End)),
         }
     }
@@ -242,13 +242,13 @@
     fn after_fault(&mut self, fault: RunFault) -> Result<(), Final> {
         let (at_fault, is_arrival) = match fault {
             RunFault::NoPath(reason) => return Err(self.without_path(reason)),
-            RunFault::NoTime if self.may_have_run => return Err(Final::TimedOut),
+            RunFault::NoTime if self.sends > 1 => return Err(Final::TimedOut),
             RunFault::NoTime => return Err(Final::NotRun("no time left")),
             RunFault::NotConnected(key) => (Some(key), false),
             RunFault::NotRun(key) => (key, true),
-            RunFault::Broken(key) => {
-                self.note_broken_run(key);
-                (key, true)
+            RunFault::Broken(broken) => {
+                self.note_broken_run(broken);
+                (broken.at_fault, true)
             }
             RunFault::Failed(failed) => {
                 self.runs += 1;
@@ -281,18 +281,16 @@
         }
     }
 
-    fn note_broken_run(&mut self, at_fault: Option<InstanceKey>) {
-        self.may_have_run = true;
+    fn note_broken_run(&mut self, broken: BrokenRun) {
         let now = Instant::now();
         let mut instances = self.gateway.instances_mut();
-        // Runs on engines that are gone do not count against the route's limit.
-        let stands = at_fault.is_none_or(|key| {
-            instances
-                .get(key)
-                .is_some_and(|tracked| tracked.suspected_since().is_none())
-        });
-        self.runs += u32::from(stands);
-        if let Some(key) = at_fault {
+        // The route's limit counts engines that ran the request and still stand.
+        let stands = instances
+            .get(broken.first)
+            .is_some_and(|tracked| tracked.suspected_since().is_none());
+        self.runs += u32::from(broken.may_have_run && stands);
+        self.may_have_run |= broken.may_have_run;
+        if let Some(key) = broken.at_fault {
             instances.note_outcome(key, true, now);
         }
     }
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -4,8 +4,7 @@
 //! its present load, so that work spreads before any engine is full. An engine
 //! that has no memory left for the context of the whole stream, or no place for
 //! another first part, is not considered: preempted context is read again, at
-//! the cost of every stream beside it. Leaving a failure domain costs the share
-//! of the narrow link that the prompt and the answer take.
+//! the cost of every stream beside it.
 
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::id::FailureDomainName;
@@ -32,9 +31,15 @@
 /// in milliseconds, with the wait for the engine's next step.
 const STAGE_DELAY_MS: f64 = 0.5;
 
-/// The factor on the time that a transfer occupies the link between two domains,
-/// which all transfers share one after another.
-const SHARED_LINK_FACTOR: f64 = 10.0;
+/// The cost of leaving a failure domain, in seconds. It is far above the cost of any
+/// path, since all transfers between two domains share one link: a stream leaves a
+/// domain only if no domain has a whole path with room.
+const CROSSING_COST_S: f64 = 1_000.0;
+
+/// The requests on an engine, as a part of its slots, that double the cost of its
+/// layers. Streams spread over all copies of the model long before the fastest one
+/// is full, so that a lost engine breaks few of them.
+const CROWD_SHARE_OF_SLOTS: f64 = 1.0 / 16.0;
 
 /// The number of layers by which a path may be named, by the platform's protocol.
 const MAX_PARTS: usize = 32;
@@ -180,7 +185,7 @@
         });
     }
     let links = DomainLinks {
-        crossing_s: crossing_s(spec, need),
+        crossing_s: CROSSING_COST_S,
     };
     let hops = cheapest_path(&edges, spec.layer_count, domains.len(), &links)?;
     let hops = merge_revisits(&hops);
@@ -205,15 +210,6 @@
     })
 }
 
-/// Returns the cost of passing a stream's activations to another failure domain.
-fn crossing_s(spec: &EngineSpec, need: &StreamNeed) -> f64 {
-    if spec.domain_link_mbps <= 0.0 {
-        return 0.0;
-    }
-    let bits = need.context_tokens() * spec.activation_bytes * 8.0;
-    SHARED_LINK_FACTOR * bits / (spec.domain_link_mbps * 1_000_000.0)
-}
-
 impl<'a> Candidate<'a> {
     fn new(
         table: &InstanceTable,
@@ -275,7 +271,8 @@
         let decode_ms = need.answer_tokens * self.step_ms_per_layer(spec, need.context_tokens());
         let read_ms = 1_000.0 * need.prompt_tokens / spec.prompt_tokens_per_s * self.prompt_factor
             / f64::from(spec.layer_count);
-        let crowd = 1.0 + f64::from(self.work.requests) / f64::from(spec.slots.max(1));
+        let usual_crowd = CROWD_SHARE_OF_SLOTS * f64::from(spec.slots.max(1));
+        let crowd = 1.0 + f64::from(self.work.requests) / usual_crowd;
         (decode_ms + read_ms) * crowd / 1_000.0
     }
 }
--- a/routing/src/fleet/repeat_budget.rs
+++ b/routing/src/fleet/repeat_budget.rs
@@ -2,7 +2,9 @@
 //!
 //! The platform bounds repeated sends over all entries in any span of a fixed
 //! length. Each entry keeps to its part without asking the others: the ratio of
-//! its own requests, and an equal part of the burst.
+//! its own requests, and an equal part of the burst. A process that has just
+//! started knows neither what was sent before nor how many entries there are, so
+//! its part of the burst grows over the first window.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -41,14 +43,16 @@
 #[derive(Debug)]
 pub struct RepeatBudget {
     bounds: RepeatBounds,
+    started_at: Instant,
     services: HashMap<ServiceName, VecDeque<Bucket>>,
 }
 
 impl RepeatBudget {
     /// Creates a budget of which nothing is used.
-    pub fn new(bounds: RepeatBounds) -> Self {
+    pub fn new(bounds: RepeatBounds, now: Instant) -> Self {
         Self {
             bounds,
+            started_at: now,
             services: HashMap::new(),
         }
     }
@@ -70,7 +74,9 @@
         let buckets = &self.services[service];
         let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = buckets.iter().map(|bucket| bucket.repeats).sum();
-        let burst = bounds.burst / entry_count.max(1) as f64;
+        let age = now.saturating_duration_since(self.started_at);
+        let known_share = (age.as_secs_f64() / bounds.window.as_secs_f64()).min(1.0);
+        let burst = known_share * bounds.burst / entry_count.max(1) as f64;
         let allowed = USED_SHARE * (bounds.ratio * f64::from(requests) + burst);
         let may_repeat = f64::from(repeats) + 1.0 <= allowed;
         if may_repeat {
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -19,6 +19,10 @@
 /// The factor on the expected time between events that a sound path rarely exceeds.
 const USUAL_SPREAD: f64 = 4.0;
 
+/// The silence after which a path is given up although its first engine answers:
+/// clients leave after two seconds, and another path needs some of that time.
+const MAX_SILENCE: Duration = Duration::from_millis(1_200);
+
 /// What is known of a silent stream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SilentStream {
@@ -30,6 +34,8 @@
     pub expected_gap: Duration,
     /// Whether a part of the path is suspected or gone.
     pub has_suspected_part: bool,
+    /// Whether the stream may go on over another path.
+    pub may_move: bool,
 }
 
 /// What is done about a silent stream.
@@ -45,12 +51,15 @@
 
 /// Decides what is done about a silent stream.
 pub fn on_silence(stream: &SilentStream) -> SilenceStep {
-    if stream.has_suspected_part {
+    if stream.has_suspected_part && stream.may_move {
         if stream.silence >= SUSPECTED_SILENCE {
             return SilenceStep::GiveUp;
         }
         return SilenceStep::WaitUntil(SUSPECTED_SILENCE);
     }
+    if stream.silence >= MAX_SILENCE && stream.may_move {
+        return SilenceStep::GiveUp;
+    }
     let patience = patience(stream);
     if stream.silence >= patience {
         SilenceStep::Ask
