gateway: lead streams around lost parts before clients notice

Change: parts of a silent path are asked for a connection after about two event gaps, found losses are told to all gateways at once, and the run is led around them by a repath order, which is no repeated send. Engines whose runs fail in a row are avoided though they answer.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -1,7 +1,9 @@
 //! Which engine of a fleet holds which layers.
 //!
-//! The engines of a failure domain hold one whole copy of the model together,
-//! each as many layers as its memory allows beside an equal amount of context.
+//! The engines of a failure domain hold as many whole copies of the model as leave
+//! enough memory for context, each engine as many layers as its memory allows
+//! beside an equal amount of context. A lost engine breaks the streams of one copy
+//! only, and the other copies of its domain stand in for its layers.
 //! So a path stays inside its domain, where links are wide, and the loss of a
 //! domain or of an engine leaves whole copies elsewhere. Domains too small for a
 //! copy are joined.
@@ -26,6 +28,9 @@
 /// fits even after it has taken over layers of lost neighbours.
 const MAX_WEIGHT_SHARE: f64 = 0.8;
 
+/// The part of a group's memory that the weights of its copies may take.
+const MAX_COPIES_SHARE: f64 = 0.82;
+
 /// The memory of a domain, in copies of the model, from which it holds one.
 const MIN_COPIES_OF_MEMORY: f64 = 1.35;
 
@@ -134,7 +139,38 @@
     /// Gives every engine its part of a copy, by memory.
     fn split_all(&self, changes: &mut Vec<Placement>) {
         let whole = LayerRange::new(0, self.spec.layer_count);
-        self.split_among(whole, &self.engines, changes);
+        for copies in (1..=self.max_copies()).rev() {
+            let mut planned = Vec::new();
+            let fits = self
+                .deal(copies)
+                .iter()
+                .all(|engines| self.split_among(whole, engines, &mut planned));
+            if fits {
+                changes.append(&mut planned);
+                return;
+            }
+        }
+    }
+
+    /// Returns the number of copies that leave enough memory for context.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn max_copies(&self) -> usize {
+        let memory_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
+        let copy_mb = self.spec.layer_mb * f64::from(self.spec.layer_count);
+        ((MAX_COPIES_SHARE * memory_mb / copy_mb) as usize).max(1)
+    }
+
+    /// Deals the engines, largest first, to the copy with the least memory so far.
+    fn deal(&self, copies: usize) -> Vec<Vec<&PlacedEngine>> {
+        let mut dealt: Vec<(f64, Vec<&PlacedEngine>)> = vec![(0.0, Vec::new()); copies];
+        for engine in &self.engines {
+            let smallest = dealt.iter_mut().min_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((memory_mb, engines)) = smallest {
+                *memory_mb += engine.memory_mb;
+                engines.push(engine);
+            }
+        }
+        dealt.into_iter().map(|(_, engines)| engines).collect()
     }
 
     /// Splits a range of layers by memory. Returns whether it fits.
--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -240,7 +240,10 @@
             let answer = match connection.send(upstream).await {
                 Ok(answer) => answer,
                 Err(SendFault::NotConnected) => return (key, CallEnd::NotConnected),
-                Err(SendFault::Lost) => return (key, CallEnd::Lost),
+                Err(SendFault::Lost) => {
+                    probe::suspect_and_ask(&gateway, key, "a connection broke");
+                    return (key, CallEnd::Lost);
+                }
             };
             let is_own = headers::request_id(answer.headers()).is_some_and(|id| id == request_id);
             (
--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -33,7 +33,7 @@
 
 /// The pause after a watch that returned changes, which joins changes that come
 /// in quick succession into one call.
-const CHANGE_PAUSE: Duration = Duration::from_millis(60);
+const CHANGE_PAUSE: Duration = Duration::from_millis(150);
 
 /// The pauses after failed calls.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -23,12 +23,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::gateway::followers;
+use crate::gateway::planner;
 use crate::gateway::probe;
 use crate::gateway::state::Gateway;
 use crate::gateway::state::StoreLink;
@@ -45,6 +47,9 @@
 /// each gateway takes in to fifty a second.
 const TELL_INTERVAL_PER_PEER: Duration = Duration::from_millis(20);
 
+/// The shortest time between two datagrams even if there is news.
+const MIN_NEWS_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The time after which a silent peer is forgotten.
 const PEER_LIFETIME: Duration = Duration::from_secs(20);
 
@@ -69,8 +74,9 @@
     member: MemberName,
     config_version: u64,
     has_store: bool,
+    is_planner: bool,
     work: Vec<ToldWork>,
-    suspicions: Vec<u64>,
+    doubts: Vec<u64>,
     peers: Vec<SocketAddr>,
 }
 
@@ -80,6 +86,7 @@
     heard_at: Instant,
     config_version: u64,
     has_store: bool,
+    is_planner: bool,
 }
 
 /// The known gateways.
@@ -88,6 +95,7 @@
     heard: RefCell<HashMap<SocketAddr, Peer>>,
     /// Addresses that were named and have not been heard yet.
     named: RefCell<HashMap<SocketAddr, Instant>>,
+    news: Notify,
 }
 
 impl PeerDirectory {
@@ -99,9 +107,15 @@
             own_address: settings.peer_address,
             heard: RefCell::new(HashMap::new()),
             named: RefCell::new(seeds.collect()),
+            news: Notify::new(),
         }
     }
 
+    /// Tells the others at once what has just been found.
+    pub fn tell_now(&self) {
+        self.news.notify_one();
+    }
+
     fn addresses(&self) -> Vec<SocketAddr> {
         let heard = self.heard.borrow();
         let named = self.named.borrow();
@@ -127,6 +141,7 @@
                     heard_at: Instant::now(),
                     config_version: telling.config_version,
                     has_store: telling.has_store,
+                    is_planner: telling.is_planner,
                 },
             )
             .is_none();
@@ -151,6 +166,14 @@
             .map(|(address, _)| *address)
     }
 
+    /// Returns whether a peer has lately told that it gives the orders.
+    pub fn has_planner(&self) -> bool {
+        let heard = self.heard.borrow();
+        heard
+            .values()
+            .any(|peer| peer.is_planner && peer.heard_at.elapsed() < FRESH)
+    }
+
     /// Returns a peer that the store serves.
     fn with_store(&self) -> Option<SocketAddr> {
         let heard = self.heard.borrow();
@@ -174,7 +197,10 @@
     loop {
         let addresses = gateway.peers.addresses();
         let count = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
-        sleep(MIN_TELL_INTERVAL.max(TELL_INTERVAL_PER_PEER * count)).await;
+        sleep(MIN_NEWS_INTERVAL).await;
+        let interval = MIN_TELL_INTERVAL.max(TELL_INTERVAL_PER_PEER * count);
+        // Whether there is news or the time has come, all is told.
+        let _ = timeout(interval, gateway.peers.news.notified()).await;
         gateway.peers.expire();
         gateway.instances_mut().expire_peers(Instant::now());
         let datagram = match postcard::to_stdvec(&telling(&gateway)) {
@@ -199,8 +225,9 @@
         member: gateway.settings().member.clone(),
         config_version: gateway.config_version(),
         has_store: gateway.store_link() == StoreLink::Up && gateway.is_synced(),
+        is_planner: planner::is_planner(gateway),
         work: instances.told_work(),
-        suspicions: instances.told_suspicions(),
+        doubts: instances.told_doubts(Instant::now()),
         peers,
     }
 }
@@ -224,11 +251,14 @@
             }
         };
         gateway.peers.on_telling(from, &telling);
-        gateway
-            .instances_mut()
-            .on_told_work(&telling.member, &telling.work, Instant::now());
-        if !telling.suspicions.is_empty() {
-            probe::look_into(&gateway, &telling.suspicions);
+        gateway.instances_mut().on_told_work(
+            &telling.member,
+            &telling.work,
+            &telling.doubts,
+            Instant::now(),
+        );
+        if !telling.doubts.is_empty() {
+            probe::look_into(&gateway, &telling.doubts);
         }
     }
 }
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -12,20 +12,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Method;
-use hyper::Request;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HOST;
-use hyper::header::HeaderValue;
 use jujubewall_control::placement::PlacedEngine;
 use jujubewall_control::placement::Placement;
 use jujubewall_control::placement::place;
 use jujubewall_platform::error::PlatformError;
 use jujubewall_platform::key_value::LeaseId;
-use jujubewall_platform::site::order::ORDER_PATH;
 use jujubewall_platform::site::order::OrderAnswer;
-use jujubewall_platform::site::order::order_answer;
 use jujubewall_platform::site::order::place_order;
 use jujubewall_platform::site::store::WriteOutcome;
 use jujubewall_types::fleet::EngineSpec;
@@ -34,17 +26,14 @@
 use jujubewall_types::id::ServiceName;
 use jujubewall_types::layer::LayerRange;
 use log::info;
-use log::warn;
 use smol_str::SmolStr;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::gateway::probe;
 use crate::gateway::state::Gateway;
 use crate::gateway::state::StoreLink;
-use crate::gateway::upstreams::Connection;
 
 /// The key whose lease shows who plans.
 const PLANNER_KEY: &str = "jujubewall/planner";
@@ -63,9 +52,6 @@
 /// nothing is planned; engines register within about a second of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 
-/// The time that an engine's answer to an order may take.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// The time after which an engine that should have done an order is asked for its
 /// state, beside the time that its load takes.
 const ORDER_GRACE: Duration = Duration::from_millis(800);
@@ -99,6 +85,11 @@
     spawn_local(plan_loop(Rc::clone(gateway)));
 }
 
+/// Returns whether this gateway gives the orders.
+pub fn is_planner(gateway: &Gateway) -> bool {
+    gateway.planner.is_planner.get()
+}
+
 /// Gives the lease up, so that another gateway takes over at once.
 pub async fn resign(gateway: &Gateway) {
     set_planner(gateway, false);
@@ -128,6 +119,8 @@
         }
         match gateway.planner.lease.get() {
             Some(lease) => renew(&gateway, lease).await,
+            // Peers tell that they plan, so the store is asked only when none does.
+            None if gateway.peers.has_planner() => {}
             None => take_over(&gateway).await,
         }
         sleep(LEASE_INTERVAL).await;
@@ -360,7 +353,8 @@
     gateway.metrics.count("order");
     let gateway = Rc::clone(gateway);
     spawn_local(async move {
-        let answer = send_order(address, &placement, expected_count).await;
+        let body = place_order(placement.layers, expected_count);
+        let answer = probe::order(address, body).await;
         info!(
             "event=order id={} layers={} expected={expected_count} answer={answer:?} store={}",
             placement.id,
@@ -406,25 +400,3 @@
         LayerRange::new(a.first.max(b.first), a.end.min(b.end)).len()
     })
 }
-
-async fn send_order(address: SocketAddr, placement: &Placement, count: u64) -> Option<OrderAnswer> {
-    let body = place_order(placement.layers, count);
-    let mut request = Request::new(Full::new(body));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = ORDER_PATH.parse().ok()?;
-    let fields = request.headers_mut();
-    fields.insert(HOST, HeaderValue::try_from(address.to_string()).ok()?);
-    fields.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let exchange = async {
-        let mut connection = Connection::open(address).await.ok()?;
-        let answer = connection.send(request).await.ok()?;
-        Some(order_answer(answer.status()))
-    };
-    match timeout(ORDER_TIMEOUT, exchange).await {
-        Ok(answer) => answer,
-        Err(_) => {
-            warn!("event=order_unanswered id={}", placement.id);
-            None
-        }
-    }
-}
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -10,15 +10,21 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
+use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
+use jujubewall_platform::site::order::ORDER_PATH;
+use jujubewall_platform::site::order::OrderAnswer;
+use jujubewall_platform::site::order::order_answer;
 use jujubewall_platform::site::report::REPORT_PATH;
 use jujubewall_platform::site::report::decode_report;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_types::fleet::EngineState;
 use log::info;
 use log::warn;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -27,12 +33,32 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::Connection;
 
-/// The time between two questions to a suspected upstream.
+/// The time between two looks at suspected upstreams.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The questions to a suspected upstream at every look; later ones are rarer, since
+/// an upstream that starts anew says so by its entry.
+const FREQUENT_PROBES: u32 = 4;
+
+/// The looks between two questions to an upstream that has long been silent.
+const RARE_PROBE_LOOKS: u32 = 4;
+
+/// The time within which an upstream takes a connection; a round trip is about a
+/// millisecond.
+const REACH_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The time between two questions whether a part of silent paths is reachable.
+const PART_INTERVAL: Duration = Duration::from_millis(80);
+
+/// The time between two questions about an upstream that peers doubt.
+const PEER_DOUBT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The time that an engine's report may take; it needs no free place.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The time that an engine's answer to an order may take.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// The time that a health check may take; it waits for a free place.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -46,17 +72,28 @@
         sleep(PROBE_INTERVAL).await;
         gateway.connections.expire();
         let suspected = gateway.instances().suspected();
-        for key in suspected {
-            let gateway = Rc::clone(&gateway);
-            spawn_local(async move {
-                if answers(&gateway, key).await {
-                    clear(&gateway, key);
-                }
-            });
+        for (key, suspected_since) in suspected {
+            let looks = suspected_since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
+            let looks = u32::try_from(looks).unwrap_or(u32::MAX);
+            if looks <= FREQUENT_PROBES || looks % RARE_PROBE_LOOKS == 0 {
+                spawn_local(clear_if_it_answers(Rc::clone(&gateway), key));
+            }
         }
     }
 }
 
+async fn clear_if_it_answers(gateway: Rc<Gateway>, key: InstanceKey) {
+    if answers(&gateway, key).await {
+        clear(&gateway, key);
+    }
+}
+
+/// Suspects an upstream whose connection broke, and asks it over a new one at once.
+pub fn suspect_and_ask(gateway: &Rc<Gateway>, key: InstanceKey, reason: &str) {
+    suspect(gateway, key, reason);
+    spawn_local(clear_if_it_answers(Rc::clone(gateway), key));
+}
+
 /// Notes direct evidence against an upstream.
 pub fn suspect(gateway: &Gateway, key: InstanceKey, reason: &str) {
     let is_new = gateway.instances_mut().suspect(key, Instant::now());
@@ -64,6 +101,7 @@
         return;
     }
     gateway.connections.forget(key);
+    gateway.peers.tell_now();
     gateway.metrics.count("suspected");
     if let Some(tracked) = gateway.instances().get(key) {
         warn!(
@@ -86,19 +124,56 @@
     }
 }
 
-/// Looks into upstreams that another gateway suspects.
+/// Looks into upstreams that another gateway doubts.
 pub fn look_into(gateway: &Rc<Gateway>, told: &[u64]) {
     let keys = gateway.instances().unsuspected_of(told);
-    for key in keys {
+    ask_whether_reachable(gateway, &keys, PEER_DOUBT_INTERVAL, "doubted by a peer");
+}
+
+/// Asks the parts of a silent path whether they take a connection.
+pub fn look_into_parts(gateway: &Rc<Gateway>, keys: &[InstanceKey]) {
+    ask_whether_reachable(gateway, keys, PART_INTERVAL, "a stream is silent");
+}
+
+/// Suspects those of `keys` that take no connection.
+fn ask_whether_reachable(
+    gateway: &Rc<Gateway>,
+    keys: &[InstanceKey],
+    interval: Duration,
+    reason: &'static str,
+) {
+    let now = Instant::now();
+    for &key in keys {
+        if !gateway.instances_mut().may_ask(key, interval, now) {
+            continue;
+        }
+        let address = gateway
+            .instances()
+            .get(key)
+            .map(|tracked| tracked.instance.address);
+        let Some(address) = address else {
+            continue;
+        };
         let gateway = Rc::clone(gateway);
         spawn_local(async move {
-            if !answers(&gateway, key).await {
-                suspect(&gateway, key, "suspected by a peer and does not answer");
+            if !is_reachable(address).await {
+                suspect(&gateway, key, reason);
             }
         });
     }
 }
 
+/// Returns whether an upstream takes a connection within a short time.
+///
+/// Two connections are tried, since a lossy link may drop the first packet of one.
+async fn is_reachable(address: SocketAddr) -> bool {
+    let connect = || timeout(REACH_TIMEOUT, TcpStream::connect(address));
+    let (first, second) = tokio::join!(connect(), connect());
+    [first, second]
+        .into_iter()
+        .any(|connected| matches!(connected, Ok(Ok(_))))
+}
+
 /// Returns whether an upstream answers over a new connection.
 async fn answers(gateway: &Gateway, key: InstanceKey) -> bool {
     let target = gateway.instances().get(key).map(|tracked| {
@@ -139,15 +214,36 @@
     }
 }
 
+/// Gives an engine an order over a new connection; `None` if it does not answer in
+/// time, in which case it may carry the order out later.
+pub async fn order(address: SocketAddr, body: Bytes) -> Option<OrderAnswer> {
+    let mut request = request(address, ORDER_PATH)?;
+    *request.method_mut() = Method::POST;
+    *request.body_mut() = Full::new(body);
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(CONTENT_TYPE, json);
+    let exchange = async {
+        let mut connection = Connection::open(address).await.ok()?;
+        let answer = connection.send(request).await.ok()?;
+        Some(order_answer(answer.status()))
+    };
+    timeout(ORDER_TIMEOUT, exchange).await.ok()?
+}
+
 /// Fetches a path over a new connection.
 pub async fn get(address: SocketAddr, path: &str) -> Option<(bool, Bytes)> {
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = path.parse().ok()?;
-    let host = HeaderValue::try_from(address.to_string()).ok()?;
-    request.headers_mut().insert(HOST, host);
+    let request = request(address, path)?;
     let mut connection = Connection::open(address).await.ok()?;
     let answer = connection.send(request).await.ok()?;
     let is_success = answer.status().is_success();
     let body = answer.into_body().collect().await.ok()?;
     Some((is_success, body.to_bytes()))
 }
+
+fn request(address: SocketAddr, path: &str) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path.parse().ok()?;
+    let host = HeaderValue::try_from(address.to_string()).ok()?;
+    request.headers_mut().insert(HOST, host);
+    Some(request)
+}
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -16,18 +16,22 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use jujubewall_platform::site::headers;
+use jujubewall_platform::site::order::OrderAnswer;
+use jujubewall_platform::site::order::repath_order;
 use jujubewall_routing::fleet::instances::InstanceKey;
-use jujubewall_routing::fleet::instances::Work;
+use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::layer_path::choose_path;
+use jujubewall_routing::fleet::layer_path::choose_rest;
 use jujubewall_routing::fleet::layer_path::part_work;
 use jujubewall_routing::fleet::silence;
 use jujubewall_routing::fleet::silence::SilenceStep;
 use jujubewall_routing::fleet::silence::SilentStream;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::EngineState;
+use jujubewall_types::id::ServiceName;
 use jujubewall_types::layer::LayerRange;
 use log::info;
 use log::warn;
@@ -48,6 +52,9 @@
 /// The time between two questions to the first engine of a silent path.
 const ASK_INTERVAL: Duration = Duration::from_millis(350);
 
+/// The times that one run is led around lost parts.
+const MAX_REPATHS: u32 = 4;
+
 /// The largest answer of a failed run that is kept to be passed on.
 const MAX_FAILURE_BYTES: usize = 256 * 1024;
 
@@ -88,43 +95,47 @@
     pub body: Bytes,
 }
 
-/// The work of a run, counted while it exists.
-struct CountedWork {
+/// The path of a run and its work there, counted while it exists.
+struct CountedPath {
     gateway: Rc<Gateway>,
-    parts: SmallVec<[(InstanceKey, Work); 16]>,
+    path: LayerPath,
+    need: StreamNeed,
 }
 
-impl CountedWork {
-    fn new(gateway: &Rc<Gateway>, path: &LayerPath, need: &StreamNeed) -> Self {
-        let parts: SmallVec<[(InstanceKey, Work); 16]> = path
-            .parts
-            .iter()
-            .map(|part| (part.instance, part_work(need, part)))
-            .collect();
+impl CountedPath {
+    fn new(gateway: &Rc<Gateway>, path: LayerPath, need: StreamNeed) -> Self {
         let mut instances = gateway.instances_mut();
-        for (key, work) in &parts {
-            instances.begin_work(*key, work);
+        for part in &path.parts {
+            instances.begin_work(part.instance, &part_work(&need, part));
         }
         drop(instances);
         Self {
             gateway: Rc::clone(gateway),
-            parts,
+            path,
+            need,
         }
     }
+
+    fn keys(&self) -> SmallVec<[InstanceKey; 16]> {
+        self.path.parts.iter().map(|part| part.instance).collect()
+    }
 }
 
-impl Drop for CountedWork {
+impl Drop for CountedPath {
     fn drop(&mut self) {
         let mut instances = self.gateway.instances_mut();
-        for (key, work) in &self.parts {
-            instances.end_work(*key, work);
+        for part in &self.path.parts {
+            instances.end_work(part.instance, &part_work(&self.need, part));
         }
     }
 }
 
 /// A run that has been sent to its first engine.
 pub struct Run {
-    work: CountedWork,
+    work: CountedPath,
+    service: ServiceName,
+    spec: Rc<EngineSpec>,
+    repaths: u32,
     first: InstanceKey,
     first_address: SocketAddr,
     request_id: SmolStr,
@@ -150,21 +161,23 @@
     pub async fn start(
         gateway: &Rc<Gateway>,
         request: &ClientRequest,
-        spec: &EngineSpec,
+        spec: &Rc<EngineSpec>,
         last_event_id: Option<u64>,
         excluded: &[InstanceKey],
     ) -> Result<Self, RunFault> {
         let left = request.time_left().ok_or(RunFault::NoTime)?;
         let need = need_after(request, spec, last_event_id);
         let chosen = choose(gateway, request, spec, &need, excluded)?;
+        let expected_gap = event_gap(chosen.path.token_ms);
         let mut run = Self {
-            work: CountedWork::new(gateway, &chosen.path, &need),
+            work: CountedPath::new(gateway, chosen.path, need),
+            service: request.service.name.clone(),
+            spec: Rc::clone(spec),
+            repaths: 0,
             first: chosen.first,
             first_address: chosen.first_address,
             request_id: request.id.clone(),
-            expected_gap: Duration::from_secs_f64(
-                TOKENS_PER_EVENT * chosen.path.token_ms / 1_000.0,
-            ),
+            expected_gap,
             has_begun: false,
             may_move: request.route.is_resumable,
             connection: None,
@@ -196,7 +209,7 @@
             self.connection = Some(connection);
             match answer {
                 Ok(answer) => return Ok(answer),
-                Err(SendFault::Lost) => return Err(self.broken(Some(self.first))),
+                Err(SendFault::Lost) => return Err(self.connection_lost()),
                 // The upstream closed the connection as it was taken.
                 Err(SendFault::NotConnected) => {}
             }
@@ -206,7 +219,7 @@
         self.connection = Some(connection);
         answer.map_err(|fault| match fault {
             SendFault::NotConnected => RunFault::NotConnected(self.first),
-            SendFault::Lost => self.broken(Some(self.first)),
+            SendFault::Lost => self.connection_lost(),
         })
     }
 
@@ -277,13 +290,15 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    self.has_begun = true;
+                    if !self.has_begun {
+                        self.has_begun = true;
+                        let mut instances = self.work.gateway.instances_mut();
+                        instances.note_sound_run(self.first);
+                    }
                     self.body = Some(body);
                     return Ok(RunStep::Bytes(bytes));
                 }
-                Some(Err(_)) => {
-                    return Err(self.broken(self.lost_part().or(Some(self.first))));
-                }
+                Some(Err(_)) => return Err(self.connection_lost()),
                 None => {
                     if let Some(connection) = self.connection.take() {
                         self.work.gateway.connections.put(self.first, connection);
@@ -303,6 +318,19 @@
         })
     }
 
+    /// Describes a run whose connection broke, and looks into its first engine.
+    fn connection_lost(&self) -> RunFault {
+        let at_fault = self.lost_part().unwrap_or(self.first);
+        if at_fault == self.first {
+            probe::suspect_and_ask(&self.work.gateway, self.first, "a connection broke");
+        }
+        RunFault::Broken(BrokenRun {
+            first: self.first,
+            at_fault: Some(at_fault),
+            may_have_run: true,
+        })
+    }
+
     /// Describes a run that was given up while it was silent.
     ///
     /// A path that misses a part gives no first token.
@@ -315,9 +343,9 @@
     }
 
     /// Waits for `future`, and looks into the path when it is silent for long.
-    async fn with_patience<T>(&self, future: impl Future<Output = T>) -> Result<T, RunFault> {
+    async fn with_patience<T>(&mut self, future: impl Future<Output = T>) -> Result<T, RunFault> {
         let mut future = pin!(future);
-        let started = Instant::now();
+        let mut silent_since = Instant::now();
         let mut asked_at: Option<Instant> = None;
         loop {
             if let Ok(output) = timeout(silence::LOOK_INTERVAL, future.as_mut()).await {
@@ -326,33 +354,90 @@
             let lost = self.lost_part();
             let stream = SilentStream {
                 has_begun: self.has_begun,
-                silence: started.elapsed(),
+                silence: silent_since.elapsed(),
                 expected_gap: self.expected_gap,
-                has_suspected_part: lost.is_some(),
+                has_lost_part: lost.is_some(),
                 may_move: self.may_move,
             };
             match silence::on_silence(&stream) {
-                SilenceStep::WaitUntil(_) => {}
-                SilenceStep::GiveUp => return Err(self.given_up(lost)),
-                SilenceStep::Ask => {
-                    let is_due = asked_at.is_none_or(|asked| asked.elapsed() >= ASK_INTERVAL);
-                    if is_due {
-                        asked_at = Some(Instant::now());
-                        let answer = {
-                            let ask = probe::ask_report(self.first_address);
-                            let mut ask = pin!(ask);
-                            tokio::select! {
-                                output = future.as_mut() => return Ok(output),
-                                answer = ask.as_mut() => answer,
+                SilenceStep::Wait => {}
+                SilenceStep::AskParts => {
+                    probe::look_into_parts(&self.work.gateway, &self.work.keys());
+                }
+                SilenceStep::GiveUp => {
+                    let repath = self.repath();
+                    tokio::select! {
+                        biased;
+                        output = future.as_mut() => return Ok(output),
+                        is_done = repath => {
+                            if !is_done {
+                                return Err(self.given_up(lost));
                             }
-                        };
-                        self.note_report(answer);
+                        }
+                    }
+                    silent_since = Instant::now();
+                }
+                SilenceStep::AskFirst => {
+                    probe::look_into_parts(&self.work.gateway, &self.work.keys());
+                    if asked_at.is_some_and(|asked| asked.elapsed() < ASK_INTERVAL) {
+                        continue;
                     }
+                    asked_at = Some(Instant::now());
+                    let report = tokio::select! {
+                        biased;
+                        output = future.as_mut() => return Ok(output),
+                        report = probe::ask_report(self.first_address) => report,
+                    };
+                    self.note_report(report);
                 }
             }
         }
     }
 
+    /// Leads the run around its lost parts. Returns whether it goes on.
+    ///
+    /// The parts that are kept need not read the tokens so far again, and the run
+    /// counts neither against the route's limit nor against the budget.
+    async fn repath(&mut self) -> bool {
+        let gateway = Rc::clone(&self.work.gateway);
+        let lost = self.lost_parts();
+        if !self.has_begun || lost.contains(&self.first) || self.repaths >= MAX_REPATHS {
+            return false;
+        }
+        let chosen = {
+            let instances = gateway.instances();
+            let path = choose_rest(
+                &instances,
+                &self.service,
+                &self.spec,
+                &self.work.need,
+                &self.work.path,
+                &lost,
+                Instant::now(),
+            );
+            path.map(|path| (path_text(&instances, &path), path))
+        };
+        let Some((text, path)) = chosen else {
+            return false;
+        };
+        self.repaths += 1;
+        let body = repath_order(&self.request_id, &text);
+        let answer = probe::order(self.first_address, body).await;
+        let is_done = matches!(answer, Some(OrderAnswer::Begun | OrderAnswer::Holds));
+        info!(
+            "event=repath id={} lost={} parts={} answer={answer:?}",
+            self.request_id,
+            lost.len(),
+            path.parts.len()
+        );
+        gateway.metrics.count("repath");
+        if is_done {
+            let need = self.work.need;
+            self.work = CountedPath::new(&gateway, path, need);
+        }
+        is_done
+    }
+
     /// Takes over what the first engine says, or its silence.
     fn note_report(&self, report: Option<EngineState>) {
         let gateway = &self.work.gateway;
@@ -379,15 +464,46 @@
 
     /// Returns a part of the path that is gone or suspected.
     fn lost_part(&self) -> Option<InstanceKey> {
+        self.lost_parts().first().copied()
+    }
+
+    /// Returns the parts of the path that are gone or suspected.
+    fn lost_parts(&self) -> SmallVec<[InstanceKey; 4]> {
         let instances = self.work.gateway.instances();
-        self.work.parts.iter().map(|(key, _)| *key).find(|key| {
+        let is_lost = |key: &InstanceKey| {
             instances
                 .get(*key)
                 .is_none_or(|tracked| tracked.suspected_since().is_some())
-        })
+        };
+        self.work.keys().into_iter().filter(is_lost).collect()
     }
 }
 
+/// Writes a path as an order names it.
+fn path_text(instances: &InstanceTable, path: &LayerPath) -> String {
+    let value = headers::path_value(path_hops(instances, path).into_iter());
+    value.to_str().unwrap_or_default().to_owned()
+}
+
+/// Returns the addresses and layers of a path.
+fn path_hops(
+    instances: &InstanceTable,
+    path: &LayerPath,
+) -> SmallVec<[(SocketAddr, LayerRange); 16]> {
+    path.parts
+        .iter()
+        .filter_map(|part| {
+            let tracked = instances.get(part.instance)?;
+            Some((tracked.instance.address, part.layers))
+        })
+        .collect()
+}
+
+/// Returns the expected time between two events.
+fn event_gap(token_ms: f64) -> Duration {
+    Duration::from_secs_f64(TOKENS_PER_EVENT * token_ms / 1_000.0)
+}
+
 /// Returns what the rest of a stream needs: the events so far are read again.
 fn need_after(request: &ClientRequest, spec: &EngineSpec, last: Option<u64>) -> StreamNeed {
     let mut need = request.need(spec);
@@ -419,14 +535,7 @@
     let now = Instant::now();
     let path = choose_path(&instances, &request.service.name, spec, need, excluded, now)
         .map_err(RunFault::NoPath)?;
-    let hops: SmallVec<[_; 16]> = path
-        .parts
-        .iter()
-        .filter_map(|part| {
-            let tracked = instances.get(part.instance)?;
-            Some((tracked.instance.address, part.layers))
-        })
-        .collect();
+    let hops = path_hops(&instances, &path);
     let first = path.parts[0].instance;
     let tracked = instances
         .get(first)
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 //! Streams: events passed on as they come, over as many runs as it takes.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -58,7 +59,7 @@
 struct Relay {
     gateway: Rc<Gateway>,
     request: ClientRequest,
-    spec: EngineSpec,
+    spec: Rc<EngineSpec>,
     filter: EventFilter,
     run: Option<Run>,
     excluded: SmallVec<[InstanceKey; 4]>,
@@ -66,22 +67,44 @@
     /// The runs that may have run and whose engines still stand.
     runs: u32,
     may_have_run: bool,
+    timing: Timing,
     outcome: &'static str,
     _in_flight: InFlight,
 }
 
+/// When the events of a stream came.
+#[derive(Clone, Copy, Default)]
+struct Timing {
+    first: Option<Duration>,
+    last_at: Option<Instant>,
+    longest_gap: Duration,
+}
+
+impl Timing {
+    fn on_events(&mut self, received_at: Instant) {
+        let now = Instant::now();
+        match self.last_at.replace(now) {
+            Some(last) => self.longest_gap = self.longest_gap.max(now - last),
+            None => self.first = Some(now - received_at),
+        }
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         let time = self.request.received_at.elapsed();
         self.gateway.metrics.count_outcome(self.outcome, time);
         self.gateway.note_end(&self.request.service.name);
         info!(
-            "event=end id={} route={} outcome={} sends={} last_event={} ms={} config={}",
+            "event=end id={} route={} outcome={} sends={} last_event={} first_ms={} longest_gap_ms={} \
+             ms={} config={}",
             self.request.id,
             self.request.route.name,
             self.outcome,
             self.sends,
             self.filter.last_id().unwrap_or_default(),
+            self.timing.first.unwrap_or_default().as_millis(),
+            self.timing.longest_gap.as_millis(),
             time.as_millis(),
             self.request.config_version
         );
@@ -99,12 +122,13 @@
     let mut relay = Box::new(Relay {
         gateway: Rc::clone(gateway),
         filter,
-        spec,
+        spec: Rc::new(spec),
         run: None,
         excluded: SmallVec::new(),
         sends: 0,
         runs: 0,
         may_have_run: false,
+        timing: Timing::default(),
         outcome: "client_gone",
         _in_flight: in_flight,
         request,
@@ -231,7 +255,11 @@
                     info!("event=bad_event id={} reason=\"{fault}\"", self.request.id);
                     run.broken(None)
                 })?;
-                Ok((!events.is_empty()).then_some(Next::Events(events)))
+                if events.is_empty() {
+                    return Ok(None);
+                }
+                self.timing.on_events(self.request.received_at);
+                Ok(Some(Next::Events(events)))
             }
             RunStep::End if self.filter.has_torn_event() => Err(run.broken(None)),
             RunStep::End => Ok(Some(Next::End)),
@@ -291,7 +319,7 @@
         self.runs += u32::from(broken.may_have_run && stands);
         self.may_have_run |= broken.may_have_run;
         if let Some(key) = broken.at_fault {
-            instances.note_outcome(key, true, now);
+            instances.note_failed_run(key, now);
         }
     }
 
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -33,6 +34,21 @@
 /// in this span.
 const PEER_WORK_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// The time for which an upstream is avoided after one failed run; it doubles with
+/// each further one in a row.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(100);
+
+/// The longest time for which an upstream is avoided after failed runs.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(2);
+
+/// The entries that have to speak against an upstream before others avoid it too, so
+/// that one entry with a broken link does not speak for all.
+const WITNESSES: usize = 2;
+
+/// The part of all upstreams that an entry speaks against at most; one that speaks
+/// against more has lost its own link.
+const MAX_DOUBTED_SHARE: f64 = 0.34;
+
 /// The part of the failure rate that one outcome makes up.
 const FAILURE_RATE_STEP: f64 = 0.1;
 
@@ -78,6 +94,7 @@
 struct PeerWork {
     told_at: Instant,
     work: HashMap<u64, Work>,
+    doubts: HashSet<u64>,
 }
 
 /// One life of an upstream and what is believed of it.
@@ -88,6 +105,9 @@
     digest: u64,
     own: Work,
     suspected_since: Option<Instant>,
+    failed_runs_in_a_row: u32,
+    avoided_until: Option<Instant>,
+    asked_at: Option<Instant>,
     failure_rate: f64,
     failure_rate_at: Instant,
 }
@@ -99,6 +119,9 @@
             instance,
             own: Work::default(),
             suspected_since: None,
+            failed_runs_in_a_row: 0,
+            avoided_until: None,
+            asked_at: None,
             failure_rate: 0.0,
             failure_rate_at: now,
         }
@@ -109,6 +132,11 @@
         self.instance.state == InstanceState::Ready && self.suspected_since.is_none()
     }
 
+    /// Returns whether runs on the upstream have lately failed here.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
     /// Returns since when direct evidence speaks against the upstream.
     pub const fn suspected_since(&self) -> Option<Instant> {
         self.suspected_since
@@ -246,15 +274,62 @@
             .is_some_and(|tracked| tracked.suspected_since.take().is_some())
     }
 
-    /// Returns the suspected upstreams.
-    pub fn suspected(&self) -> Vec<InstanceKey> {
+    /// Returns the suspected upstreams, and since when they are.
+    pub fn suspected(&self) -> Vec<(InstanceKey, Instant)> {
         self.instances
             .iter()
-            .filter(|(_, tracked)| tracked.suspected_since.is_some())
-            .map(|(key, _)| key)
+            .filter_map(|(key, tracked)| Some((key, tracked.suspected_since?)))
             .collect()
     }
 
+    /// Notes that a run failed at an upstream, which is then avoided for a while even
+    /// if it answers otherwise.
+    pub fn note_failed_run(&mut self, key: InstanceKey, now: Instant) {
+        self.note_outcome(key, true, now);
+        if let Some(tracked) = self.instances.get_mut(key) {
+            let doublings = tracked.failed_runs_in_a_row.min(8);
+            tracked.failed_runs_in_a_row += 1;
+            let avoidance = (FIRST_AVOIDANCE * (1 << doublings)).min(MAX_AVOIDANCE);
+            tracked.avoided_until = Some(now + avoidance);
+        }
+    }
+
+    /// Notes that a run gave its first event.
+    pub fn note_sound_run(&mut self, key: InstanceKey) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.failed_runs_in_a_row = 0;
+            tracked.avoided_until = None;
+        }
+    }
+
+    /// Returns whether an upstream may be asked now whether it answers, and counts it
+    /// as asked: several streams and peers may want to know at once.
+    pub fn may_ask(&mut self, key: InstanceKey, interval: Duration, now: Instant) -> bool {
+        let Some(tracked) = self.instances.get_mut(key) else {
+            return false;
+        };
+        let is_due = tracked
+            .asked_at
+            .is_none_or(|asked| now.saturating_duration_since(asked) >= interval);
+        if is_due {
+            tracked.asked_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Returns whether new work should rather go elsewhere.
+    pub fn is_doubted(&self, tracked: &Tracked, now: Instant) -> bool {
+        if tracked.is_avoided(now) {
+            return true;
+        }
+        let witnesses = self
+            .peers
+            .values()
+            .filter(|peer| peer.doubts.contains(&tracked.digest))
+            .count();
+        witnesses >= WITNESSES.min(self.peers.len().max(1))
+    }
+
     /// Notes the outcome of a request for the failure rate.
     pub fn note_outcome(&mut self, key: InstanceKey, is_failure: bool, now: Instant) {
         let Some(tracked) = self.instances.get_mut(key) else {
@@ -292,10 +367,23 @@
             .collect()
     }
 
-    /// Takes over the work that another entry has in flight.
-    pub fn on_told_work(&mut self, peer: &MemberName, told: &[ToldWork], now: Instant) {
+    /// Takes over the work that another entry has in flight, and its doubts.
+    pub fn on_told_work(
+        &mut self,
+        peer: &MemberName,
+        told: &[ToldWork],
+        doubts: &[u64],
+        now: Instant,
+    ) {
         let work = told.iter().map(|told| (told.instance, told.work)).collect();
-        let told = PeerWork { told_at: now, work };
+        let most_doubts = MAX_DOUBTED_SHARE * self.instances.len() as f64;
+        let has_own_link = doubts.len() as f64 <= most_doubts.max(1.0);
+        let doubts = doubts.iter().copied().filter(|_| has_own_link).collect();
+        let told = PeerWork {
+            told_at: now,
+            work,
+            doubts,
+        };
         self.peers.insert(peer.clone(), told);
     }
 
@@ -321,11 +409,11 @@
         total
     }
 
-    /// Returns the digests of the suspected upstreams, to be told to the others.
-    pub fn told_suspicions(&self) -> Vec<u64> {
+    /// Returns the digests of the doubted upstreams, to be told to the others.
+    pub fn told_doubts(&self, now: Instant) -> Vec<u64> {
         self.instances
             .values()
-            .filter(|tracked| tracked.suspected_since.is_some())
+            .filter(|tracked| tracked.suspected_since.is_some() || tracked.is_avoided(now))
             .map(|tracked| tracked.digest)
             .collect()
     }
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -123,7 +123,8 @@
 
 /// Chooses the path of one stream.
 ///
-/// `excluded` are engines that have failed it before.
+/// `excluded` are engines that have failed it before. Engines of which there are
+/// doubts are used only if there is no path without them.
 pub fn choose_path(
     table: &InstanceTable,
     service: &ServiceName,
@@ -132,19 +133,66 @@
     excluded: &[InstanceKey],
     now: Instant,
 ) -> Result<LayerPath, NoPath> {
-    let candidates: Vec<Candidate<'_>> = table
-        .of_service(service)
-        .filter(|(key, tracked)| tracked.is_usable() && !excluded.contains(key))
-        .filter_map(|(key, tracked)| Candidate::new(table, spec, key, tracked))
-        .collect();
+    let candidates = candidates(table, service, spec, excluded);
     let with_room: Vec<&Candidate<'_>> = candidates
         .iter()
         .filter(|candidate| candidate.has_room(spec, need))
         .collect();
-    match cheapest(&with_room, spec, need, now) {
-        Ok(path) => Ok(path),
-        Err(_) => Err(why_none(&candidates, spec, need, now)),
-    }
+    let trusted: Vec<&Candidate<'_>> = with_room
+        .iter()
+        .filter(|candidate| !table.is_doubted(candidate.tracked, now))
+        .copied()
+        .collect();
+    cheapest(&trusted, spec, need, 0, now)
+        .or_else(|_| cheapest(&with_room, spec, need, 0, now))
+        .map_err(|_| why_none(&candidates, spec, need, now))
+}
+
+/// Chooses the rest of a path anew, behind its first part.
+///
+/// Parts of the old path keep their memory, so they go before others. Activations
+/// of all tokens so far pass to the new parts, so none of them may lie in another
+/// failure domain. Returns `None` if there is no such path.
+pub fn choose_rest(
+    table: &InstanceTable,
+    service: &ServiceName,
+    spec: &EngineSpec,
+    need: &StreamNeed,
+    old: &LayerPath,
+    lost: &[InstanceKey],
+    now: Instant,
+) -> Option<LayerPath> {
+    let first = old.parts.first()?.clone();
+    let domain = &table.get(first.instance)?.instance.failure_domain;
+    let is_kept = |key: InstanceKey| {
+        old.parts
+            .iter()
+            .any(|part| part.instance == key && !lost.contains(&key))
+    };
+    let mut excluded: SmallVec<[InstanceKey; 8]> = SmallVec::from_slice(lost);
+    excluded.push(first.instance);
+    let candidates = candidates(table, service, spec, &excluded);
+    let usable: Vec<&Candidate<'_>> = candidates
+        .iter()
+        .filter(|candidate| candidate.tracked.instance.failure_domain == *domain)
+        .filter(|candidate| is_kept(candidate.key) || candidate.has_room(spec, need))
+        .collect();
+    let mut rest = cheapest(&usable, spec, need, first.layers.end, now).ok()?;
+    rest.parts.insert(0, first);
+    (rest.parts.len() <= MAX_PARTS).then_some(rest)
+}
+
+fn candidates<'a>(
+    table: &'a InstanceTable,
+    service: &ServiceName,
+    spec: &EngineSpec,
+    excluded: &[InstanceKey],
+) -> Vec<Candidate<'a>> {
+    table
+        .of_service(service)
+        .filter(|(key, tracked)| tracked.is_usable() && !excluded.contains(key))
+        .filter_map(|(key, tracked)| Candidate::new(table, spec, key, tracked))
+        .collect()
 }
 
 /// Tells whether more room would have given a path.
@@ -155,16 +203,18 @@
     now: Instant,
 ) -> NoPath {
     let all: Vec<&Candidate<'_>> = candidates.iter().collect();
-    match cheapest(&all, spec, need, now) {
+    match cheapest(&all, spec, need, 0, now) {
         Ok(_) => NoPath::NoRoom,
         Err(layer) => NoPath::LayerMissing(layer),
     }
 }
 
+/// Returns the cheapest path from layer `from` on.
 fn cheapest(
     candidates: &[&Candidate<'_>],
     spec: &EngineSpec,
     need: &StreamNeed,
+    from: u32,
     now: Instant,
 ) -> Result<LayerPath, u32> {
     let mut domains: SmallVec<[&FailureDomainName; 4]> = SmallVec::new();
@@ -176,8 +226,14 @@
             domains.push(name);
             domains.len() - 1
         });
+        let layers = candidate.layers_with_place(spec);
+        // The search starts at layer zero, so the layers are counted from `from`.
+        let layers = LayerRange::new(
+            layers.first.saturating_sub(from),
+            layers.end.saturating_sub(from),
+        );
         edges.push(PathEdge {
-            layers: candidate.layers_with_place(spec),
+            layers,
             domain,
             cost_per_layer_s: candidate.cost_per_layer_s(spec, need),
             cost_per_stage_s: need.answer_tokens * STAGE_DELAY_MS / 1_000.0
@@ -187,7 +243,8 @@
     let links = DomainLinks {
         crossing_s: CROSSING_COST_S,
     };
-    let hops = cheapest_path(&edges, spec.layer_count, domains.len(), &links)?;
+    let layer_count = spec.layer_count.saturating_sub(from);
+    let hops = cheapest_path(&edges, layer_count, domains.len(), &links)?;
     let hops = merge_revisits(&hops);
     if hops.len() > MAX_PARTS {
         return Err(hops[MAX_PARTS].layers.first);
@@ -202,7 +259,7 @@
         .sum();
     let parts = hops.iter().map(|hop| PathPart {
         instance: candidates[hop.edge].key,
-        layers: hop.layers,
+        layers: LayerRange::new(hop.layers.first + from, hop.layers.end + from),
     });
     Ok(LayerPath {
         parts: parts.collect(),
--- a/routing/src/fleet/repeat_budget.rs
+++ b/routing/src/fleet/repeat_budget.rs
@@ -18,7 +18,7 @@
 
 /// The part of the allowance that is used, as entries may disagree about how many
 /// they are.
-const USED_SHARE: f64 = 0.7;
+const USED_SHARE: f64 = 0.85;
 
 /// The bounds of repeated sends.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -1,14 +1,25 @@
 //! When a silent stream is looked into, and when it is given up.
 //!
 //! Silence alone proves nothing: a full engine is slow as well. After a time
-//! that a sound path rarely needs, the first engine of the path is asked over a
-//! new connection which part it waits for. Only its answer, or its own silence,
-//! ends the run. A part that is already suspected needs no such proof.
+//! that a sound path rarely needs, each part of the path is asked whether it takes
+//! a connection. If all do, the first engine is asked which part it waits for. A
+//! part that is known as lost needs no further proof, so that the stream goes on
+//! elsewhere before its client notices a pause.
 
 use std::time::Duration;
 
-/// The silence after which a path with a suspected part is given up.
-const SUSPECTED_SILENCE: Duration = Duration::from_millis(120);
+/// The silence after which a path with a lost part is given up: tokens that had
+/// passed the part have arrived by then.
+const LOST_PART_SILENCE: Duration = Duration::from_millis(30);
+
+/// The shortest silence between events after which the parts are asked.
+const MIN_GAP_LOOK: Duration = Duration::from_millis(60);
+
+/// The shortest silence before the first event after which the parts are asked.
+const MIN_FIRST_LOOK: Duration = Duration::from_millis(200);
+
+/// The factor on the expected time between events after which the parts are asked.
+const LOOK_SPREAD: f64 = 2.0;
 
 /// The shortest silence between events after which the first engine is asked.
 const MIN_GAP_SILENCE: Duration = Duration::from_millis(250);
@@ -32,8 +43,8 @@
     pub silence: Duration,
     /// The expected time between two events.
     pub expected_gap: Duration,
-    /// Whether a part of the path is suspected or gone.
-    pub has_suspected_part: bool,
+    /// Whether a part of the path is known as lost.
+    pub has_lost_part: bool,
     /// Whether the stream may go on over another path.
     pub may_move: bool,
 }
@@ -41,30 +52,43 @@
 /// What is done about a silent stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SilenceStep {
-    /// Wait until this much silence has passed.
-    WaitUntil(Duration),
-    /// Ask the first engine of the path.
-    Ask,
+    /// Wait on.
+    Wait,
+    /// Ask each part of the path whether it takes a connection.
+    AskParts,
+    /// Ask the first engine of the path for what it waits.
+    AskFirst,
     /// Give the run up.
     GiveUp,
 }
 
 /// Decides what is done about a silent stream.
 pub fn on_silence(stream: &SilentStream) -> SilenceStep {
-    if stream.has_suspected_part && stream.may_move {
-        if stream.silence >= SUSPECTED_SILENCE {
-            return SilenceStep::GiveUp;
-        }
-        return SilenceStep::WaitUntil(SUSPECTED_SILENCE);
+    if stream.has_lost_part {
+        return if stream.silence >= LOST_PART_SILENCE {
+            SilenceStep::GiveUp
+        } else {
+            SilenceStep::Wait
+        };
     }
     if stream.silence >= MAX_SILENCE && stream.may_move {
         return SilenceStep::GiveUp;
     }
     let patience = patience(stream);
     if stream.silence >= patience {
-        SilenceStep::Ask
+        SilenceStep::AskFirst
+    } else if stream.silence >= look_after(stream) {
+        SilenceStep::AskParts
+    } else {
+        SilenceStep::Wait
+    }
+}
+
+fn look_after(stream: &SilentStream) -> Duration {
+    if stream.has_begun {
+        MIN_GAP_LOOK.max(stream.expected_gap.mul_f64(LOOK_SPREAD))
     } else {
-        SilenceStep::WaitUntil(patience)
+        MIN_FIRST_LOOK
     }
 }
 
@@ -79,4 +103,4 @@
 
 /// The time between two looks at a silent stream, which bounds how late a part
 /// that was found lost by another stream is noticed.
-pub const LOOK_INTERVAL: Duration = Duration::from_millis(120);
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(35);
