--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -241,7 +241,7 @@
                 Ok(answer) => answer,
                 Err(SendFault::NotConnected) => return (key, CallEnd::NotConnected),
                 Err(SendFault::Lost) => {
-                    probe::suspect_and_ask(&gateway, key, "a connection broke");
+                    probe::look_into_broken(&gateway, key);
                     return (key, CallEnd::Lost);
                 }
             };
--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -27,14 +27,26 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::state::StoreLink;
 
-/// The time for which a watch waits. Together with the time for its answer it is
-/// shorter than the bounds within which drains and configurations take effect.
-const WATCH_WAIT: Duration = Duration::from_millis(800);
+/// The time for which a watch waits without peers. Together with the time for its
+/// answer it is shorter than the bounds within which drains and configurations take
+/// effect.
+const LONE_WATCH_WAIT: Duration = Duration::from_millis(800);
+
+/// The time for which a watch waits among peers, who tell which revisions they know:
+/// one whose watch has gone silent learns it from them.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
 /// The pause after a watch that returned changes, which joins changes that come
 /// in quick succession into one call.
 const CHANGE_PAUSE: Duration = Duration::from_millis(150);
 
+/// The time for which a watch may be behind peers, who need a moment to take a change
+/// over and to tell of it.
+const MAX_BEHIND: Duration = Duration::from_millis(500);
+
+/// The time between two looks at whether a watch is behind.
+const BEHIND_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The pauses after failed calls.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
@@ -51,6 +63,8 @@
     fn on_list(&self, gateway: &Gateway, items: Vec<Item>);
     /// Takes over one change.
     fn on_change(&self, gateway: &Gateway, change: ItemChange);
+    /// Returns once peers have known more for a while.
+    async fn is_behind(&self, gateway: &Gateway);
 }
 
 /// Starts to follow the store.
@@ -104,7 +118,20 @@
     after: Revision,
 ) -> Result<Option<Revision>, PlatformError> {
     let store = gateway.store();
-    match store.watch(follower.prefix(), after, WATCH_WAIT).await? {
+    let wait = if gateway.peers.know_as_much() {
+        WATCH_WAIT
+    } else {
+        LONE_WATCH_WAIT
+    };
+    let watched = tokio::select! {
+        watched = store.watch(follower.prefix(), after, wait) => watched?,
+        // The watch is behind what peers know; a list shows what it missed.
+        () = follower.is_behind(gateway) => {
+            info!("event=watch_behind prefix={}", follower.prefix());
+            return Ok(None);
+        }
+    };
+    match watched {
         Watched::Changes(changes, next) => {
             note_store(gateway, true);
             let has_changes = !changes.is_empty();
@@ -164,6 +191,11 @@
             }
         }
     }
+
+    /// The configuration itself is fetched from peers.
+    async fn is_behind(&self, _gateway: &Gateway) {
+        std::future::pending().await
+    }
 }
 
 /// Follows the upstreams' entries.
@@ -176,6 +208,9 @@
     }
 
     fn on_list(&self, gateway: &Gateway, items: Vec<Item>) {
+        for item in &items {
+            gateway.note_instances_revision(item.revision);
+        }
         let instances = items
             .iter()
             .filter_map(|item| decode(gateway, item))
@@ -185,11 +220,35 @@
 
     fn on_change(&self, gateway: &Gateway, change: ItemChange) {
         match change {
-            ItemChange::Written(item) => match decode(gateway, &item) {
-                Some(instance) => upsert(gateway, instance),
-                None => forget_key(gateway, &item.key),
-            },
-            ItemChange::Removed(key) => forget_key(gateway, &key),
+            ItemChange::Written(item) => {
+                gateway.note_instances_revision(item.revision);
+                match decode(gateway, &item) {
+                    Some(instance) => upsert(gateway, instance),
+                    None => forget_key(gateway, &item.key),
+                }
+            }
+            ItemChange::Removed(key, revision) => {
+                gateway.note_instances_revision(revision);
+                forget_key(gateway, &key);
+            }
+        }
+    }
+
+    async fn is_behind(&self, gateway: &Gateway) {
+        let mut behind_since: Option<Instant> = None;
+        loop {
+            sleep(BEHIND_POLL_INTERVAL).await;
+            if !gateway
+                .peers
+                .know_newer_instances(gateway.instances_revision())
+            {
+                behind_since = None;
+                continue;
+            }
+            let since = *behind_since.get_or_insert_with(Instant::now);
+            if since.elapsed() >= MAX_BEHIND {
+                return;
+            }
         }
     }
 }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -18,6 +18,7 @@
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::id::MemberName;
+use jujubewall_types::id::Revision;
 use log::info;
 use log::warn;
 use serde::Deserialize;
@@ -56,6 +57,10 @@
 /// The time for which a peer's last message says what it knows now.
 const FRESH: Duration = Duration::from_millis(1_500);
 
+/// The peers that have to follow the store before watches wait longer: with watches
+/// begun at different times, one of them is soon renewed.
+const MIN_WITNESSES: usize = 3;
+
 /// The peers that a datagram names at most, so that it fits into one packet.
 const MAX_TOLD_PEERS: usize = 32;
 
@@ -65,6 +70,9 @@
 /// The time between two looks at whether a peer knows more.
 const RELAY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The time for which a gateway leaves it to the store to give a newer configuration.
+const MAX_BEHIND: Duration = Duration::from_millis(600);
+
 /// The time that a peer's answer may take.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -73,6 +81,7 @@
 struct Telling {
     member: MemberName,
     config_version: u64,
+    instances_revision: Revision,
     has_store: bool,
     is_planner: bool,
     work: Vec<ToldWork>,
@@ -85,6 +94,7 @@
 struct Peer {
     heard_at: Instant,
     config_version: u64,
+    instances_revision: Revision,
     has_store: bool,
     is_planner: bool,
 }
@@ -140,6 +150,7 @@
                 Peer {
                     heard_at: Instant::now(),
                     config_version: telling.config_version,
+                    instances_revision: telling.instances_revision,
                     has_store: telling.has_store,
                     is_planner: telling.is_planner,
                 },
@@ -166,6 +177,23 @@
             .map(|(address, _)| *address)
     }
 
+    /// Returns whether enough peers follow the store to notice a watch gone silent.
+    pub fn know_as_much(&self) -> bool {
+        let heard = self.heard.borrow();
+        let followers = heard
+            .values()
+            .filter(|peer| peer.has_store && peer.heard_at.elapsed() < FRESH);
+        followers.count() >= MIN_WITNESSES
+    }
+
+    /// Returns whether a peer that follows the store knows newer entries.
+    pub fn know_newer_instances(&self, revision: Revision) -> bool {
+        let heard = self.heard.borrow();
+        heard.values().any(|peer| {
+            peer.has_store && peer.heard_at.elapsed() < FRESH && peer.instances_revision > revision
+        })
+    }
+
     /// Returns whether a peer has lately told that it gives the orders.
     pub fn has_planner(&self) -> bool {
         let heard = self.heard.borrow();
@@ -224,6 +252,7 @@
     Telling {
         member: gateway.settings().member.clone(),
         config_version: gateway.config_version(),
+        instances_revision: gateway.instances_revision(),
         has_store: gateway.store_link() == StoreLink::Up && gateway.is_synced(),
         is_planner: planner::is_planner(gateway),
         work: instances.told_work(),
@@ -265,10 +294,16 @@
 
 /// Fetches from peers what the store does not give.
 async fn relay_loop(gateway: Rc<Gateway>) {
+    let mut behind_since: Option<Instant> = None;
     loop {
         sleep(RELAY_INTERVAL).await;
-        let version = gateway.config_version();
-        if let Some(peer) = gateway.peers.with_newer_config(version)
+        let newer = gateway.peers.with_newer_config(gateway.config_version());
+        behind_since = newer.and(behind_since.or_else(|| Some(Instant::now())));
+        // The store is about to give it as well, unless there is none at all yet.
+        let is_due = gateway.routes().is_none()
+            || behind_since.is_some_and(|since| since.elapsed() >= MAX_BEHIND);
+        if is_due
+            && let Some(peer) = newer
             && let Some(config) = fetch::<FleetConfig>(peer, CONFIG_PATH).await
         {
             gateway.apply_config(config, "peer");
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -21,6 +21,7 @@
 use jujubewall_platform::site::report::REPORT_PATH;
 use jujubewall_platform::site::report::decode_report;
 use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::Suspicion;
 use jujubewall_types::fleet::EngineState;
 use log::info;
 use log::warn;
@@ -45,10 +46,20 @@
 
 /// The time within which an upstream takes a connection; a round trip is about a
 /// millisecond.
-const REACH_TIMEOUT: Duration = Duration::from_millis(50);
+const REACH_TIMEOUT: Duration = Duration::from_millis(35);
 
-/// The time between two questions whether a part of silent paths is reachable.
-const PART_INTERVAL: Duration = Duration::from_millis(80);
+/// The time by which a timer may be late before the process counts as held up.
+const MAX_HELD_UP: Duration = Duration::from_millis(10);
+
+/// The connections that are tried before an upstream is held for unreachable.
+const REACH_TRIES: usize = 2;
+
+/// The time between two questions whether a part of silent paths is reachable: an
+/// engine that was so a moment ago is more likely slow than lost.
+const PART_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The time between two questions to an upstream whose connections break.
+const BROKEN_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The time between two questions about an upstream that peers doubt.
 const PEER_DOUBT_INTERVAL: Duration = Duration::from_millis(500);
@@ -88,17 +99,21 @@
     }
 }
 
-/// Suspects an upstream whose connection broke, and asks it over a new one at once.
-pub fn suspect_and_ask(gateway: &Rc<Gateway>, key: InstanceKey, reason: &str) {
-    suspect(gateway, key, reason);
-    spawn_local(clear_if_it_answers(Rc::clone(gateway), key));
+/// Asks an upstream whose connection broke whether it takes a new one.
+pub fn look_into_broken(gateway: &Rc<Gateway>, key: InstanceKey) {
+    gateway.connections.forget(key);
+    ask_whether_reachable(gateway, &[key], BROKEN_INTERVAL, "a connection broke");
 }
 
 /// Notes direct evidence against an upstream.
 pub fn suspect(gateway: &Gateway, key: InstanceKey, reason: &str) {
-    let is_new = gateway.instances_mut().suspect(key, Instant::now());
-    if !is_new {
-        return;
+    match gateway.instances_mut().suspect(key, Instant::now()) {
+        Suspicion::New => {}
+        Suspicion::Known => return,
+        Suspicion::OwnLink => {
+            gateway.metrics.count("own_link_doubted");
+            return;
+        }
     }
     gateway.connections.forget(key);
     gateway.peers.tell_now();
@@ -165,13 +180,20 @@
 
 /// Returns whether an upstream takes a connection within a short time.
 ///
-/// Two connections are tried, since a lossy link may drop the first packet of one.
+/// A second connection is tried if the first one is silent, since a lossy link may
+/// have dropped its first packet.
 async fn is_reachable(address: SocketAddr) -> bool {
-    let connect = || timeout(REACH_TIMEOUT, TcpStream::connect(address));
-    let (first, second) = tokio::join!(connect(), connect());
-    [first, second]
-        .into_iter()
-        .any(|connected| matches!(connected, Ok(Ok(_))))
+    for _ in 0..REACH_TRIES {
+        let started = Instant::now();
+        if let Ok(connected) = timeout(REACH_TIMEOUT, TcpStream::connect(address)).await {
+            return connected.is_ok();
+        }
+        // A process that was held up itself cannot tell who was late.
+        if started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP {
+            return true;
+        }
+    }
+    false
 }
 
 /// Returns whether an upstream answers over a new connection.
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -52,6 +52,9 @@
 /// The time between two questions to the first engine of a silent path.
 const ASK_INTERVAL: Duration = Duration::from_millis(350);
 
+/// The weight of a new gap between events in the expected one.
+const GAP_WEIGHT: f64 = 0.2;
+
 /// The times that one run is led around lost parts.
 const MAX_REPATHS: u32 = 4;
 
@@ -87,6 +90,8 @@
 
 /// An engine's own failure.
 pub struct FailedAnswer {
+    /// The first engine of the path.
+    pub first: InstanceKey,
     /// The status.
     pub status: StatusCode,
     /// The headers.
@@ -141,6 +146,8 @@
     request_id: SmolStr,
     expected_gap: Duration,
     has_begun: bool,
+    last_bytes_at: Option<Instant>,
+    is_queued: bool,
     may_move: bool,
     connection: Option<Connection>,
     body: Option<Incoming>,
@@ -179,6 +186,8 @@
             request_id: request.id.clone(),
             expected_gap,
             has_begun: false,
+            last_bytes_at: None,
+            is_queued: false,
             may_move: request.route.is_resumable,
             connection: None,
             body: None,
@@ -255,6 +264,7 @@
         let body = Limited::new(body, MAX_FAILURE_BYTES).collect().await;
         match body {
             Ok(body) => Err(RunFault::Failed(FailedAnswer {
+                first: self.first,
                 status: head.status,
                 headers: head.headers,
                 body: body.to_bytes(),
@@ -290,11 +300,7 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    if !self.has_begun {
-                        self.has_begun = true;
-                        let mut instances = self.work.gateway.instances_mut();
-                        instances.note_sound_run(self.first);
-                    }
+                    self.note_bytes();
                     self.body = Some(body);
                     return Ok(RunStep::Bytes(bytes));
                 }
@@ -309,6 +315,24 @@
         }
     }
 
+    /// Notes that the whole path lives, and how often its tokens come.
+    fn note_bytes(&mut self) {
+        let now = Instant::now();
+        let mut instances = self.work.gateway.instances_mut();
+        let keys = self.work.path.parts.iter().map(|part| part.instance);
+        instances.note_alive(keys, now);
+        if !self.has_begun {
+            self.has_begun = true;
+            instances.note_sound_run(self.first);
+        }
+        drop(instances);
+        if let Some(last) = self.last_bytes_at.replace(now) {
+            let gap = now - last;
+            self.expected_gap =
+                self.expected_gap.mul_f64(1.0 - GAP_WEIGHT) + gap.mul_f64(GAP_WEIGHT);
+        }
+    }
+
     /// Describes a run that broke off at `at_fault`.
     pub fn broken(&self, at_fault: Option<InstanceKey>) -> RunFault {
         RunFault::Broken(BrokenRun {
@@ -322,7 +346,7 @@
     fn connection_lost(&self) -> RunFault {
         let at_fault = self.lost_part().unwrap_or(self.first);
         if at_fault == self.first {
-            probe::suspect_and_ask(&self.work.gateway, self.first, "a connection broke");
+            probe::look_into_broken(&self.work.gateway, self.first);
         }
         RunFault::Broken(BrokenRun {
             first: self.first,
@@ -357,6 +381,7 @@
                 silence: silent_since.elapsed(),
                 expected_gap: self.expected_gap,
                 has_lost_part: lost.is_some(),
+                is_queued: self.is_queued,
                 may_move: self.may_move,
             };
             match silence::on_silence(&stream) {
@@ -439,7 +464,7 @@
     }
 
     /// Takes over what the first engine says, or its silence.
-    fn note_report(&self, report: Option<EngineState>) {
+    fn note_report(&mut self, report: Option<EngineState>) {
         let gateway = &self.work.gateway;
         let Some(report) = report else {
             probe::suspect(
@@ -449,6 +474,7 @@
             );
             return;
         };
+        self.is_queued = report.queued > 0;
         let stalled = report
             .stalled
             .iter()
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use jujubewall_routing::fleet::repeat_budget::RepeatBudget;
 use jujubewall_routing::fleet::routes::RouteTable;
 use jujubewall_types::fleet::FleetConfig;
+use jujubewall_types::id::Revision;
 use jujubewall_types::id::ServiceName;
 use log::info;
 use log::warn;
@@ -46,6 +47,7 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     instances: RefCell<InstanceTable>,
     is_synced: Cell<bool>,
+    instances_revision: Cell<Revision>,
     budget: RefCell<RepeatBudget>,
     comebacks: RefCell<HashMap<ServiceName, Comeback>>,
     rng: RefCell<SmallRng>,
@@ -75,6 +77,7 @@
             routes: RefCell::new(None),
             instances: RefCell::new(InstanceTable::new()),
             is_synced: Cell::new(false),
+            instances_revision: Cell::new(Revision(0)),
             budget: RefCell::new(budget),
             comebacks: RefCell::new(HashMap::new()),
             rng: RefCell::new(rand::make_rng()),
@@ -188,6 +191,17 @@
         self.instances.borrow_mut()
     }
 
+    /// Returns the newest revision of an upstream's entry that was taken over.
+    pub fn instances_revision(&self) -> Revision {
+        self.instances_revision.get()
+    }
+
+    /// Notes the revision of an upstream's entry that was taken over.
+    pub fn note_instances_revision(&self, revision: Revision) {
+        let newest = self.instances_revision.get().max(revision);
+        self.instances_revision.set(newest);
+    }
+
     /// Notes that the upstreams' entries have been read once.
     pub fn set_synced(&self) {
         self.is_synced.set(true);
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -64,9 +64,8 @@
     run: Option<Run>,
     excluded: SmallVec<[InstanceKey; 4]>,
     sends: u32,
-    /// The runs that may have run and whose engines still stand.
-    runs: u32,
-    may_have_run: bool,
+    /// The first engines of the runs that may have run.
+    runs: SmallVec<[InstanceKey; 4]>,
     timing: Timing,
     outcome: &'static str,
     _in_flight: InFlight,
@@ -126,8 +125,7 @@
         run: None,
         excluded: SmallVec::new(),
         sends: 0,
-        runs: 0,
-        may_have_run: false,
+        runs: SmallVec::new(),
         timing: Timing::default(),
         outcome: "client_gone",
         _in_flight: in_flight,
@@ -279,8 +277,7 @@
                 (broken.at_fault, true)
             }
             RunFault::Failed(failed) => {
-                self.runs += 1;
-                self.may_have_run = true;
+                self.runs.push(failed.first);
                 if !self.may_run_again() {
                     return Err(Final::Failed(failed));
                 }
@@ -302,7 +299,7 @@
         );
         if may_go_on {
             Ok(())
-        } else if self.may_have_run {
+        } else if self.may_have_run() {
             Err(Final::Unknown("the answer was lost"))
         } else {
             Err(Final::NotRun("no engine takes the request"))
@@ -310,25 +307,35 @@
     }
 
     fn note_broken_run(&mut self, broken: BrokenRun) {
-        let now = Instant::now();
-        let mut instances = self.gateway.instances_mut();
-        // The route's limit counts engines that ran the request and still stand.
-        let stands = instances
-            .get(broken.first)
-            .is_some_and(|tracked| tracked.suspected_since().is_none());
-        self.runs += u32::from(broken.may_have_run && stands);
-        self.may_have_run |= broken.may_have_run;
+        if broken.may_have_run {
+            self.runs.push(broken.first);
+        }
         if let Some(key) = broken.at_fault {
-            instances.note_failed_run(key, now);
+            let now = Instant::now();
+            self.gateway.instances_mut().note_failed_run(key, now);
         }
     }
 
     /// Returns whether the route allows another run.
+    ///
+    /// Its limit counts the engines that ran the request and still stand.
     fn may_run_again(&self) -> bool {
-        if !self.may_have_run {
+        if !self.may_have_run() {
             return true;
         }
-        self.request.route.is_resumable && self.runs < self.request.route.max_attempts
+        let instances = self.gateway.instances();
+        let stands = |key: &&InstanceKey| {
+            instances
+                .get(**key)
+                .is_some_and(|tracked| tracked.suspected_since().is_none())
+        };
+        let standing = self.runs.iter().filter(stands).count();
+        let max_attempts = usize::try_from(self.request.route.max_attempts).unwrap_or(usize::MAX);
+        self.request.route.is_resumable && standing < max_attempts
+    }
+
+    fn may_have_run(&self) -> bool {
+        !self.runs.is_empty()
     }
 
     fn without_path(&self, reason: NoPath) -> Final {
@@ -336,7 +343,7 @@
             NoPath::NoRoom => "every engine is full",
             NoPath::LayerMissing(_) => "no engine holds some layer",
         };
-        if self.may_have_run {
+        if self.may_have_run() {
             Final::Unknown(reason)
         } else {
             Final::NotRun(reason)
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -49,6 +49,9 @@
 /// against more has lost its own link.
 const MAX_DOUBTED_SHARE: f64 = 0.34;
 
+/// The time for which a token that passed through an upstream shows that it lives.
+const ALIVE_FOR: Duration = Duration::from_millis(50);
+
 /// The part of the failure rate that one outcome makes up.
 const FAILURE_RATE_STEP: f64 = 0.1;
 
@@ -97,6 +100,17 @@
     doubts: HashSet<u64>,
 }
 
+/// What became of evidence against an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Suspicion {
+    /// The upstream is suspected from now on.
+    New,
+    /// The upstream was suspected before, or is gone.
+    Known,
+    /// Too many upstreams would be suspected, so that the fault is this process's own.
+    OwnLink,
+}
+
 /// One life of an upstream and what is believed of it.
 #[derive(Debug)]
 pub struct Tracked {
@@ -108,6 +122,7 @@
     failed_runs_in_a_row: u32,
     avoided_until: Option<Instant>,
     asked_at: Option<Instant>,
+    alive_at: Option<Instant>,
     failure_rate: f64,
     failure_rate_at: Instant,
 }
@@ -122,6 +137,7 @@
             failed_runs_in_a_row: 0,
             avoided_until: None,
             asked_at: None,
+            alive_at: None,
             failure_rate: 0.0,
             failure_rate_at: now,
         }
@@ -256,14 +272,23 @@
     }
 
     /// Notes that an upstream did not answer over a new connection, or that a
-    /// path named it as lost. Returns whether it was not suspected before.
-    pub fn suspect(&mut self, key: InstanceKey, now: Instant) -> bool {
+    /// path named it as lost.
+    ///
+    /// When so many seem lost at once, it is this process's link that is.
+    pub fn suspect(&mut self, key: InstanceKey, now: Instant) -> Suspicion {
+        let suspected = self.suspected().len();
+        let most = MAX_DOUBTED_SHARE * self.instances.len() as f64;
         let Some(tracked) = self.instances.get_mut(key) else {
-            return false;
+            return Suspicion::Known;
         };
-        let is_new = tracked.suspected_since.is_none();
-        tracked.suspected_since.get_or_insert(now);
-        is_new
+        if tracked.suspected_since.is_some() {
+            return Suspicion::Known;
+        }
+        if suspected as f64 >= most.max(2.0) {
+            return Suspicion::OwnLink;
+        }
+        tracked.suspected_since = Some(now);
+        Suspicion::New
     }
 
     /// Notes that an upstream answered over a new connection. Returns whether it
@@ -302,15 +327,27 @@
         }
     }
 
+    /// Notes that a token has passed through upstreams.
+    pub fn note_alive(&mut self, keys: impl Iterator<Item = InstanceKey>, now: Instant) {
+        for key in keys {
+            if let Some(tracked) = self.instances.get_mut(key) {
+                tracked.alive_at = Some(now);
+            }
+        }
+    }
+
     /// Returns whether an upstream may be asked now whether it answers, and counts it
     /// as asked: several streams and peers may want to know at once.
+    ///
+    /// One through which a token has lately passed needs not be asked.
     pub fn may_ask(&mut self, key: InstanceKey, interval: Duration, now: Instant) -> bool {
         let Some(tracked) = self.instances.get_mut(key) else {
             return false;
         };
-        let is_due = tracked
-            .asked_at
-            .is_none_or(|asked| now.saturating_duration_since(asked) >= interval);
+        let is_older = |at: Option<Instant>, age: Duration| {
+            at.is_none_or(|at| now.saturating_duration_since(at) >= age)
+        };
+        let is_due = is_older(tracked.asked_at, interval) && is_older(tracked.alive_at, ALIVE_FOR);
         if is_due {
             tracked.asked_at = Some(now);
         }
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -30,8 +30,9 @@
 /// The factor on the expected time between events that a sound path rarely exceeds.
 const USUAL_SPREAD: f64 = 4.0;
 
-/// The silence after which a path is given up although its first engine answers:
-/// clients leave after two seconds, and another path needs some of that time.
+/// The silence after which a path is given up although its first engine answers and
+/// has no queue: clients leave after two seconds, and another path needs some of that
+/// time. A full engine's requests are not sent to the next one, which is full as well.
 const MAX_SILENCE: Duration = Duration::from_millis(1_200);
 
 /// What is known of a silent stream.
@@ -45,6 +46,8 @@
     pub expected_gap: Duration,
     /// Whether a part of the path is known as lost.
     pub has_lost_part: bool,
+    /// Whether requests wait at the first engine of the path, by its report.
+    pub is_queued: bool,
     /// Whether the stream may go on over another path.
     pub may_move: bool,
 }
@@ -71,7 +74,7 @@
             SilenceStep::Wait
         };
     }
-    if stream.silence >= MAX_SILENCE && stream.may_move {
+    if stream.silence >= MAX_SILENCE && stream.may_move && !stream.is_queued {
         return SilenceStep::GiveUp;
     }
     let patience = patience(stream);
--- a/types/src/fleet.rs
+++ b/types/src/fleet.rs
@@ -232,6 +232,8 @@
     pub order_count: u64,
     /// The layers held.
     pub layers: Option<LayerRange>,
+    /// The requests that wait for a place.
+    pub queued: u32,
     /// The requests that wait for a lost part of their path, with its address.
     pub stalled: SmallVec<[StalledRequest; 4]>,
 }
