--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -117,6 +117,7 @@
     }
     gateway.connections.forget(key);
     gateway.peers.tell_now();
+    gateway.suspicions.notify_waiters();
     gateway.metrics.count("suspected");
     if let Some(tracked) = gateway.instances().get(key) {
         warn!(
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -38,7 +38,7 @@
 use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::time::Instant;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use crate::gateway::probe;
 use crate::gateway::request::ClientRequest;
@@ -273,7 +273,7 @@
         }
     }
 
-    /// Suspects the engine that a refusal names.
+    /// Avoids the engine that a refusal names.
     fn note_faulty(&self, fields: &HeaderMap, status: StatusCode) -> Option<InstanceKey> {
         let gateway = &self.work.gateway;
         let address = headers::faulty_upstream(fields).unwrap_or(self.first_address);
@@ -282,8 +282,12 @@
             "event=not_run id={} status={status} faulty={address}",
             self.request_id
         );
+        // The engine may be lost, or only short of memory: new work goes elsewhere for
+        // a while, and only its silence ends the work that is there.
         if let Some(faulty) = faulty {
-            probe::suspect(gateway, faulty, "a path was refused because of it");
+            let now = Instant::now();
+            gateway.instances_mut().note_failed_run(faulty, now);
+            probe::look_into_parts(gateway, &[faulty]);
         }
         faulty
     }
@@ -372,8 +376,11 @@
         let mut silent_since = Instant::now();
         let mut asked_at: Option<Instant> = None;
         loop {
-            if let Ok(output) = timeout(silence::LOOK_INTERVAL, future.as_mut()).await {
-                return Ok(output);
+            tokio::select! {
+                biased;
+                output = future.as_mut() => return Ok(output),
+                () = self.work.gateway.suspicions.notified() => {}
+                () = sleep(silence::LOOK_INTERVAL) => {}
             }
             let lost = self.lost_part();
             let stream = SilentStream {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use log::warn;
 use rand::Rng as _;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::gateway::followers::Absences;
@@ -54,6 +55,8 @@
     in_flight: Cell<usize>,
     is_draining: Cell<bool>,
     store_link: Cell<StoreLink>,
+    /// Wakes silent streams when an upstream is newly suspected.
+    pub suspicions: Notify,
     /// The counters and times.
     pub metrics: GatewayMetrics,
     /// Connections to upstreams.
@@ -84,6 +87,7 @@
             in_flight: Cell::new(0),
             is_draining: Cell::new(false),
             store_link: Cell::new(StoreLink::Up),
+            suspicions: Notify::new(),
             metrics: GatewayMetrics::new(),
             connections: Connections::new(),
             peers,
@@ -248,10 +252,10 @@
 
     /// Takes one repeated send from the budget, if it allows it.
     pub fn try_repeat(&self, service: &ServiceName) -> bool {
-        let entry_count = self.instances.borrow().entry_count();
+        let burst_share = self.instances.borrow().own_share();
         let now = Instant::now();
         let mut budget = self.budget.borrow_mut();
-        let may_repeat = budget.try_repeat(service, entry_count, now);
+        let may_repeat = budget.try_repeat(service, burst_share, now);
         let event = if may_repeat {
             "repeat"
         } else {
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -430,9 +430,23 @@
             .retain(|_, peer| now.saturating_duration_since(peer.told_at) < PEER_WORK_LIFETIME);
     }
 
-    /// Returns the number of entries that share the traffic, this one included.
-    pub fn entry_count(&self) -> usize {
-        self.peers.len() + 1
+    /// Returns this entry's share of what all entries may use together: half of it in
+    /// equal parts, and half by the work in flight, since clients spread unevenly.
+    pub fn own_share(&self) -> f64 {
+        let own: u32 = self
+            .instances
+            .values()
+            .map(|known| known.own.requests)
+            .sum();
+        let others: u32 = self
+            .peers
+            .values()
+            .flat_map(|peer| peer.work.values())
+            .map(|work| work.requests)
+            .sum();
+        let equal = 1.0 / (self.peers.len() + 1) as f64;
+        let by_work = f64::from(own) / f64::from((own + others).max(1));
+        f64::midpoint(equal, by_work)
     }
 
     /// Returns the work that all entries have in flight at an upstream.
--- a/routing/src/fleet/repeat_budget.rs
+++ b/routing/src/fleet/repeat_budget.rs
@@ -2,7 +2,7 @@
 //!
 //! The platform bounds repeated sends over all entries in any span of a fixed
 //! length. Each entry keeps to its part without asking the others: the ratio of
-//! its own requests, and an equal part of the burst. A process that has just
+//! its own requests, and its share of the burst. A process that has just
 //! started knows neither what was sent before nor how many entries there are, so
 //! its part of the burst grows over the first window.
 
@@ -67,8 +67,9 @@
         self.bucket(service, now).requests += 1;
     }
 
-    /// Takes one repeated send, if the budget of `entry_count` entries allows it.
-    pub fn try_repeat(&mut self, service: &ServiceName, entry_count: usize, now: Instant) -> bool {
+    /// Takes one repeated send, if the budget allows it to an entry with `burst_share`
+    /// of the burst.
+    pub fn try_repeat(&mut self, service: &ServiceName, burst_share: f64, now: Instant) -> bool {
         let bounds = self.bounds;
         self.bucket(service, now);
         let buckets = &self.services[service];
@@ -76,7 +77,7 @@
         let repeats: u32 = buckets.iter().map(|bucket| bucket.repeats).sum();
         let age = now.saturating_duration_since(self.started_at);
         let known_share = (age.as_secs_f64() / bounds.window.as_secs_f64()).min(1.0);
-        let burst = known_share * bounds.burst / entry_count.max(1) as f64;
+        let burst = known_share * bounds.burst * burst_share;
         let allowed = USED_SHARE * (bounds.ratio * f64::from(requests) + burst);
         let may_repeat = f64::from(repeats) + 1.0 <= allowed;
         if may_repeat {
