--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -9,8 +9,14 @@
 //! copy are joined.
 //!
 //! The decision needs no memory of its own: it follows from what the engines
-//! hold. An engine never gives up layers that the others do not hold, so a plan
-//! from a stale view, or made twice, does no harm.
+//! hold, so a plan that is made twice is the same plan.
+//!
+//! When an engine is lost, its neighbours hold its layers as well if they can
+//! spare the memory. Otherwise the group splits the model anew, in the order in
+//! which its engines stand, so that most of them keep most of their layers: that
+//! takes a second or two, while the lost engine would come back empty after
+//! several. An engine that comes back, or a new one, relieves the layers with the
+//! least memory for context.
 //!
 //! Ways that were weighed are in `docs/design/platform.md`.
 
@@ -28,6 +34,11 @@
 /// fits even after it has taken over layers of lost neighbours.
 const MAX_WEIGHT_SHARE: f64 = 0.8;
 
+/// The layers that an engine takes over from a lost neighbour at most, as a factor on
+/// its fair share of the model: beyond it, context of the whole copy would be bound
+/// by this engine.
+const MAX_SHARE_FACTOR: f64 = 1.6;
+
 /// The part of a group's memory that the weights of its copies may take.
 const MAX_COPIES_SHARE: f64 = 0.82;
 
@@ -125,15 +136,52 @@
             .copied()
             .collect();
         let holes = self.holes();
-        if empty.is_empty() {
-            for hole in holes {
-                self.extend_neighbours(hole, changes);
-            }
-        } else if holes.is_empty() {
+        if holes.is_empty() {
             self.relieve(&empty, changes);
+            return;
+        }
+        let mut planned = Vec::new();
+        let is_filled = if empty.is_empty() {
+            let fill = |hole: &LayerRange| self.extend_neighbours(*hole, &mut planned);
+            holes.iter().map(fill).fold(true, |all, one| all && one)
         } else {
-            self.fill(&holes, &empty, changes);
+            self.fill(&holes, &empty, &mut planned)
+        };
+        // Engines that are busy may be filling the holes already.
+        let is_settled = self.engines.iter().all(|engine| !engine.is_busy);
+        if is_filled || !is_settled {
+            changes.append(&mut planned);
+        } else if !self.split_anew(changes) {
+            changes.append(&mut planned);
+        }
+    }
+
+    /// Splits one copy among all engines, in the order in which they stand.
+    ///
+    /// Returns whether it fits.
+    fn split_anew(&self, changes: &mut Vec<Placement>) -> bool {
+        let mut engines = self.engines.clone();
+        let hole = self.holes().first().map_or(0, |hole| hole.first);
+        // Engines that hold nothing stand where layers are missing.
+        engines.sort_by_key(|engine| {
+            let first = engine.layers.map_or(hole, |layers| layers.first);
+            (
+                first,
+                engine.layers.map_or(0, |layers| layers.end),
+                engine.id.clone(),
+            )
+        });
+        let whole = LayerRange::new(0, self.spec.layer_count);
+        let mut planned = Vec::new();
+        if !self.split_among(whole, &engines, &mut planned) {
+            return false;
         }
+        let holds = |placement: &Placement| {
+            let engine = engines.iter().find(|engine| engine.id == placement.id);
+            engine.and_then(|engine| engine.layers) == Some(placement.layers)
+        };
+        changes.extend(planned.into_iter().filter(|placement| !holds(placement)));
+        true
     }
 
     /// Gives every engine its part of a copy, by memory.
@@ -230,18 +278,26 @@
     }
 
     /// Fills holes with engines that hold nothing, and the rest with neighbours.
-    fn fill(&self, holes: &[LayerRange], empty: &[&PlacedEngine], changes: &mut Vec<Placement>) {
+    ///
+    /// Returns whether all are filled.
+    fn fill(
+        &self,
+        holes: &[LayerRange],
+        empty: &[&PlacedEngine],
+        changes: &mut Vec<Placement>,
+    ) -> bool {
         let mut free = empty.to_vec();
+        let mut is_filled = true;
         for &hole in holes {
             let mut taken = Vec::new();
             let mut room = 0;
             while room < hole.len()
                 && let Some(engine) = free.pop()
             {
-                room += self.max_layers(engine);
+                room += self.fair_layers(engine);
                 taken.push(engine);
             }
-            if self.split_among(hole, &taken, changes) {
+            if room >= hole.len() && self.split_among(hole, &taken, changes) {
                 continue;
             }
             // The engines hold the middle, and the neighbours meet them.
@@ -249,21 +305,34 @@
             let before = spare / 2;
             let middle = LayerRange::new(hole.first + before, hole.end - (spare - before));
             self.split_among(middle, &taken, changes);
-            self.extend_neighbours(LayerRange::new(hole.first, middle.first), changes);
-            self.extend_neighbours(LayerRange::new(middle.end, hole.end), changes);
+            is_filled &= self.extend_neighbours(LayerRange::new(hole.first, middle.first), changes);
+            is_filled &= self.extend_neighbours(LayerRange::new(middle.end, hole.end), changes);
         }
+        is_filled
+    }
+
+    /// Returns the number of layers that an engine takes over without binding the
+    /// context of its copy.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn fair_layers(&self, engine: &PlacedEngine) -> u32 {
+        let total_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
+        let share = engine.memory_mb / total_mb * f64::from(self.spec.layer_count);
+        let fair = (MAX_SHARE_FACTOR * share).ceil() as u32;
+        fair.min(self.max_layers(engine))
     }
 
     /// Lets the engines beside a hole hold its layers as well, as far as they can.
-    fn extend_neighbours(&self, hole: LayerRange, changes: &mut Vec<Placement>) {
+    ///
+    /// Returns whether that fills the hole.
+    fn extend_neighbours(&self, hole: LayerRange, changes: &mut Vec<Placement>) -> bool {
         if hole.is_empty() {
-            return;
+            return true;
         }
         let before = self.neighbour(|layers| layers.end == hole.first);
         let after = self.neighbour(|layers| layers.first == hole.end);
         let room = |neighbour: Option<(&PlacedEngine, LayerRange)>| {
             neighbour.map_or(0, |(engine, layers)| {
-                self.max_layers(engine).saturating_sub(layers.len())
+                self.fair_layers(engine).saturating_sub(layers.len())
             })
         };
         let (room_before, room_after) = (room(before), room(after));
@@ -282,6 +351,7 @@
                 layers: LayerRange::new(layers.first - by_after, layers.end),
             });
         }
+        by_before + by_after == hole.len()
     }
 
     /// Returns the engine with the most room among those whose layers fit.
@@ -291,7 +361,7 @@
             .filter(|engine| !engine.is_busy)
             .filter_map(|engine| Some((*engine, engine.layers?)))
             .filter(|(_, layers)| fits(*layers))
-            .max_by_key(|(engine, layers)| self.max_layers(engine).saturating_sub(layers.len()))
+            .max_by_key(|(engine, layers)| self.fair_layers(engine).saturating_sub(layers.len()))
     }
 
     /// Gives engines that hold nothing the layers with the least room for context.
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -22,6 +22,7 @@
 use jujubewall_platform::site::store::WriteOutcome;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::EngineState;
+use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::id::Revision;
 use jujubewall_types::id::ServiceName;
 use jujubewall_types::layer::LayerRange;
@@ -52,6 +53,10 @@
 /// nothing is planned; engines register within about a second of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 
+/// The time for which an engine has to be suspected before its layers are given to
+/// others; it is asked again at once and after 300 ms.
+const LOSS_CONFIRMED: Duration = Duration::from_millis(350);
+
 /// The time after which an engine that should have done an order is asked for its
 /// state, beside the time that its load takes.
 const ORDER_GRACE: Duration = Duration::from_millis(800);
@@ -227,7 +232,11 @@
     let instances = gateway.instances();
     instances
         .of_service(service)
-        .filter(|(_, tracked)| tracked.is_usable())
+        .filter(|(_, tracked)| tracked.instance.state == InstanceState::Ready)
+        .filter(|(_, tracked)| {
+            let since = tracked.suspected_since();
+            since.is_none_or(|since| since.elapsed() < LOSS_CONFIRMED)
+        })
         .filter_map(|(_, tracked)| {
             let instance = &tracked.instance;
             let accelerator = spec.accelerator(instance.accelerator.as_deref()?)?;
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -44,6 +44,10 @@
 /// The number of layers by which a path may be named, by the platform's protocol.
 const MAX_PARTS: usize = 32;
 
+/// The part of an engine's places for first parts that are planned to be used: what
+/// entries tell each other is a few hundred milliseconds old.
+const MAX_SLOT_SHARE: f64 = 0.85;
+
 /// The cost of an engine that fails every request, in seconds.
 const FAILURE_COST_S: f64 = 10.0;
 
@@ -300,7 +304,9 @@
     ///
     /// Without a free place for a first part it runs later parts only.
     fn layers_with_place(&self, spec: &EngineSpec) -> LayerRange {
-        if self.layers.first == 0 && self.work.first_requests >= spec.slots {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let max_first = (MAX_SLOT_SHARE * f64::from(spec.slots)) as u32;
+        if self.layers.first == 0 && self.work.first_requests >= max_first {
             LayerRange::new(1, self.layers.end)
         } else {
             self.layers
