gateway: ration paths that leave a failure domain

Change: crossings are rationed to half of the link, a whole path of any domain goes before one, streams that have begun wait for a path for a moment, and clients come back after a second when layers are missing.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -141,12 +141,9 @@
             return;
         }
         let mut planned = Vec::new();
-        let is_filled = if empty.is_empty() {
-            let fill = |hole: &LayerRange| self.extend_neighbours(*hole, &mut planned);
-            holes.iter().map(fill).fold(true, |all, one| all && one)
-        } else {
-            self.fill(&holes, &empty, &mut planned)
-        };
+        let mut free = self.spare();
+        free.extend(empty);
+        let is_filled = self.fill(&holes, &free, &mut planned);
         // Engines that are busy may be filling the holes already.
         let is_settled = self.engines.iter().all(|engine| !engine.is_busy);
         if is_filled || !is_settled {
@@ -156,6 +153,35 @@
         }
     }
 
+    /// Returns engines whose layers others hold as well, each also when all before it
+    /// have been taken.
+    fn spare(&self) -> Vec<&PlacedEngine> {
+        let mut depth = vec![0_u32; self.spec.layer_count as usize];
+        let layers_of = |engine: &PlacedEngine| {
+            let layers = engine.layers.unwrap_or(LayerRange::new(0, 0));
+            let end = layers.end.min(self.spec.layer_count);
+            layers.first.min(end) as usize..end as usize
+        };
+        for engine in &self.engines {
+            for layer in layers_of(engine) {
+                depth[layer] += 1;
+            }
+        }
+        let mut spare = Vec::new();
+        for &engine in &self.engines {
+            let layers = layers_of(engine);
+            let is_held_twice =
+                !layers.is_empty() && depth[layers.clone()].iter().all(|holders| *holders > 1);
+            if is_held_twice && !engine.is_busy {
+                for layer in layers {
+                    depth[layer] -= 1;
+                }
+                spare.push(engine);
+            }
+        }
+        spare
+    }
+
     /// Splits one copy among all engines, in the order in which they stand.
     ///
     /// Returns whether it fits.
@@ -277,18 +303,23 @@
         holes
     }
 
-    /// Fills holes with engines that hold nothing, and the rest with neighbours.
+    /// Fills holes with `free` engines, the last ones first, and the rest with
+    /// neighbours.
     ///
     /// Returns whether all are filled.
     fn fill(
         &self,
         holes: &[LayerRange],
-        empty: &[&PlacedEngine],
+        free: &[&PlacedEngine],
         changes: &mut Vec<Placement>,
     ) -> bool {
-        let mut free = empty.to_vec();
+        let mut free = free.to_vec();
         let mut is_filled = true;
         for &hole in holes {
+            if self.extend_neighbours(hole, &mut Vec::new()) {
+                self.extend_neighbours(hole, changes);
+                continue;
+            }
             let mut taken = Vec::new();
             let mut room = 0;
             while room < hole.len()
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -457,7 +457,7 @@
         let answer = probe::order(self.first_address, body).await;
         let is_done = matches!(answer, Some(OrderAnswer::Begun | OrderAnswer::Holds));
         info!(
-            "event=repath id={} lost={} parts={} answer={answer:?}",
+            "event=repath id={} lost={} parts={} answer={answer:?} path={text}",
             self.request_id,
             lost.len(),
             path.parts.len()
@@ -566,21 +566,27 @@
 ) -> Result<ChosenPath, RunFault> {
     let instances = gateway.instances();
     let now = Instant::now();
-    let path = choose_path(&instances, &request.service.name, spec, need, excluded, now)
+    let service = &request.service.name;
+    let may_cross = gateway.may_cross_domains(spec);
+    let path = choose_path(&instances, service, spec, need, excluded, may_cross, now)
         .map_err(RunFault::NoPath)?;
+    if path.crossings > 0 {
+        gateway.note_crossing();
+    }
     let hops = path_hops(&instances, &path);
     let first = path.parts[0].instance;
     let tracked = instances
         .get(first)
         .ok_or(RunFault::NoPath(NoPath::LayerMissing(0)))?;
     info!(
-        "event=path id={} parts={} first={} token_ms={:.1} excluded={} config={}",
+        "event=path id={} parts={} first={} token_ms={:.1} excluded={} config={} path={}",
         request.id,
         hops.len(),
         tracked.instance.id,
         path.token_ms,
         excluded.len(),
-        request.config_version
+        request.config_version,
+        path_text(&instances, &path)
     );
     Ok(ChosenPath {
         hops,
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -13,9 +13,11 @@
 use jujubewall_platform::site::store::StoreClient;
 use jujubewall_routing::fleet::comeback::Comeback;
 use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_routing::fleet::layer_path::crossing_streams_per_s;
 use jujubewall_routing::fleet::repeat_budget::RepeatBounds;
 use jujubewall_routing::fleet::repeat_budget::RepeatBudget;
 use jujubewall_routing::fleet::routes::RouteTable;
+use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::id::Revision;
 use jujubewall_types::id::ServiceName;
@@ -50,6 +52,7 @@
     is_synced: Cell<bool>,
     instances_revision: Cell<Revision>,
     budget: RefCell<RepeatBudget>,
+    last_crossing: Cell<Option<Instant>>,
     comebacks: RefCell<HashMap<ServiceName, Comeback>>,
     rng: RefCell<SmallRng>,
     in_flight: Cell<usize>,
@@ -82,6 +85,7 @@
             is_synced: Cell::new(false),
             instances_revision: Cell::new(Revision(0)),
             budget: RefCell::new(budget),
+            last_crossing: Cell::new(None),
             comebacks: RefCell::new(HashMap::new()),
             rng: RefCell::new(rand::make_rng()),
             in_flight: Cell::new(0),
@@ -265,6 +269,20 @@
         may_repeat
     }
 
+    /// Returns whether this gateway may lead another stream across failure domains.
+    pub fn may_cross_domains(&self, spec: &EngineSpec) -> bool {
+        let per_s = crossing_streams_per_s(spec) * self.instances.borrow().own_share();
+        self.last_crossing
+            .get()
+            .is_none_or(|last| last.elapsed().as_secs_f64() * per_s >= 1.0)
+    }
+
+    /// Notes that a stream was led across failure domains.
+    pub fn note_crossing(&self) {
+        self.last_crossing.set(Some(Instant::now()));
+        self.metrics.count("crossing");
+    }
+
     /// Returns the time after which a rejected client should come back.
     pub fn next_comeback(&self, service: &ServiceName) -> Duration {
         self.with_comeback(service, Comeback::next_wait)
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use log::info;
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout_at;
 
 use crate::gateway::answer;
@@ -35,6 +36,20 @@
 /// runs so often still further.
 const MAX_SENDS: u32 = 4;
 
+/// The reason of a rejection for want of room.
+const NO_ROOM: &str = "every engine is full";
+
+/// The time after its last event for which a stream waits for a path: its client
+/// leaves after two seconds without an event.
+const MAX_PATH_WAIT: Duration = Duration::from_millis(1_300);
+
+/// The time between two looks for a path.
+const PATH_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The soonest time to come back when layers are missing: engines load them within
+/// about a second.
+const REPAIR_WAIT: Duration = Duration::from_millis(1_000);
+
 /// What the relay gives next.
 enum Next {
     /// Whole events.
@@ -184,7 +199,10 @@
         match end {
             Final::NotRun(reason) => {
                 self.outcome = "rejected";
-                let wait = self.gateway.next_comeback(service);
+                let mut wait = self.gateway.next_comeback(service);
+                if reason != NO_ROOM {
+                    wait = wait.max(REPAIR_WAIT);
+                }
                 info!(
                     "event=reject id={} reason=\"{reason}\" come_back_ms={} sends={}",
                     self.request.id,
@@ -229,10 +247,21 @@
             };
             self.run = None;
             self.filter.drop_torn_event();
+            if matches!(fault, RunFault::NoPath(_)) && self.may_wait_for_path() {
+                self.sends -= 1;
+                sleep(PATH_POLL_INTERVAL).await;
+                continue;
+            }
             self.after_fault(fault)?;
         }
     }
 
+    /// Returns whether a stream that has begun may wait for a path to be whole again.
+    fn may_wait_for_path(&self) -> bool {
+        let last_at = self.timing.last_at;
+        last_at.is_some_and(|last| last.elapsed() < MAX_PATH_WAIT)
+    }
+
     /// Makes one step of the present run, or starts one.
     async fn step(&mut self) -> Result<Option<Next>, RunFault> {
         let Some(run) = &mut self.run else {
@@ -340,7 +369,8 @@
 
     fn without_path(&self, reason: NoPath) -> Final {
         let reason = match reason {
-            NoPath::NoRoom => "every engine is full",
+            NoPath::NoRoom => NO_ROOM,
+            NoPath::OnlyAcrossDomains => "no failure domain holds all layers",
             NoPath::LayerMissing(_) => "no engine holds some layer",
         };
         if self.may_have_run() {
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -36,6 +36,13 @@
 /// domain only if no domain has a whole path with room.
 const CROSSING_COST_S: f64 = 1_000.0;
 
+/// The part of a link between domains that streams may plan to use.
+const MAX_LINK_SHARE: f64 = 0.5;
+
+/// The times that a stream passes between domains which has to leave one: out and
+/// back.
+const CROSSINGS_PER_STREAM: f64 = 2.0;
+
 /// The requests on an engine, as a part of its slots, that double the cost of its
 /// layers. Streams spread over all copies of the model long before the fastest one
 /// is full, so that a lost engine breaks few of them.
@@ -83,6 +90,8 @@
     pub parts: SmallVec<[PathPart; 16]>,
     /// The expected time for a token, in milliseconds.
     pub token_ms: f64,
+    /// The number of times that the path passes to another failure domain.
+    pub crossings: usize,
 }
 
 /// The reason that there is no path.
@@ -90,6 +99,8 @@
 pub enum NoPath {
     /// Every path passes an engine without room.
     NoRoom,
+    /// No failure domain holds all layers on usable engines.
+    OnlyAcrossDomains,
     /// No usable engine holds this layer.
     LayerMissing(u32),
 }
@@ -128,13 +139,16 @@
 /// Chooses the path of one stream.
 ///
 /// `excluded` are engines that have failed it before. Engines of which there are
-/// doubts are used only if there is no path without them.
+/// doubts are used only if there is no path without them. A path that leaves a
+/// failure domain is the last resort, and only if `may_cross`: a few streams that
+/// do fill the link for all.
 pub fn choose_path(
     table: &InstanceTable,
     service: &ServiceName,
     spec: &EngineSpec,
     need: &StreamNeed,
     excluded: &[InstanceKey],
+    may_cross: bool,
     now: Instant,
 ) -> Result<LayerPath, NoPath> {
     let candidates = candidates(table, service, spec, excluded);
@@ -147,9 +161,21 @@
         .filter(|candidate| !table.is_doubted(candidate.tracked, now))
         .copied()
         .collect();
-    cheapest(&trusted, spec, need, 0, now)
-        .or_else(|_| cheapest(&with_room, spec, need, 0, now))
-        .map_err(|_| why_none(&candidates, spec, need, now))
+    for usable in [&trusted, &with_room] {
+        if let Ok(path) = cheapest(usable, spec, need, 0, now)
+            && (may_cross || path.crossings == 0)
+        {
+            return Ok(path);
+        }
+    }
+    Err(why_none(&candidates, spec, need, now))
+}
+
+/// Returns how many streams a second may leave a failure domain over all entries.
+pub fn crossing_streams_per_s(spec: &EngineSpec) -> f64 {
+    let tokens = spec.usual_prompt_tokens + spec.usual_answer_tokens;
+    let bits = CROSSINGS_PER_STREAM * tokens * spec.activation_bytes * 8.0;
+    MAX_LINK_SHARE * spec.domain_link_mbps * 1_000_000.0 / bits.max(1.0)
 }
 
 /// Chooses the rest of a path anew, behind its first part.
@@ -208,6 +234,7 @@
 ) -> NoPath {
     let all: Vec<&Candidate<'_>> = candidates.iter().collect();
     match cheapest(&all, spec, need, 0, now) {
+        Ok(path) if path.crossings > 0 => NoPath::OnlyAcrossDomains,
         Ok(_) => NoPath::NoRoom,
         Err(layer) => NoPath::LayerMissing(layer),
     }
@@ -261,6 +288,10 @@
             STAGE_DELAY_MS + f64::from(hop.layers.len()) * layer_ms
         })
         .sum();
+    let crossings = hops
+        .windows(2)
+        .filter(|pair| edges[pair[0].edge].domain != edges[pair[1].edge].domain)
+        .count();
     let parts = hops.iter().map(|hop| PathPart {
         instance: candidates[hop.edge].key,
         layers: LayerRange::new(hop.layers.first + from, hop.layers.end + from),
@@ -268,6 +299,7 @@
     Ok(LayerPath {
         parts: parts.collect(),
         token_ms,
+        crossings,
     })
 }
 
