--- /dev/null
+++ b/control/tests/test_placement.rs
@@ -0,0 +1,247 @@
+//! Which engine of a fleet holds which layers, through losses and returns.
+
+use std::collections::BTreeMap;
+
+use jujubewall_control::placement::PlacedEngine;
+use jujubewall_control::placement::place;
+use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::id::FailureDomainName;
+use jujubewall_types::layer::LayerRange;
+use proptest::prelude::*;
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+
+const LAYERS: u32 = 80;
+const LAYER_MB: f64 = 1_750.0;
+
+/// The memory of the accelerators of one domain of the users' sites.
+const DOMAIN_MB: [f64; 14] = [
+    72_000.0, 36_000.0, 21_600.0, 21_600.0, 21_600.0, 21_600.0, 21_600.0, 14_400.0, 14_400.0,
+    14_400.0, 14_400.0, 14_400.0, 14_400.0, 14_400.0,
+];
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 192,
+        layer_count: LAYERS,
+        layer_mb: LAYER_MB,
+        token_context_bytes: 590_000.0,
+        activation_bytes: 29_500.0,
+        domain_link_mbps: 11_000.0,
+        step_ms: 0.85,
+        step_per_request_ms: 0.004,
+        step_per_context_kilotoken_ms: 0.005,
+        prompt_tokens_per_s: 196_000.0,
+        load_s: 14.0,
+        max_loads_at_once: 6,
+        stall_ms: 2_500.0,
+        usual_prompt_tokens: 772.0,
+        usual_answer_tokens: 174.0,
+        accelerators: SmallVec::new(),
+    }
+}
+
+/// Engines that carry every order out at once.
+struct Fleet {
+    engines: BTreeMap<SmolStr, PlacedEngine>,
+}
+
+impl Fleet {
+    fn new(domains: &[(&str, &[f64])]) -> Self {
+        let mut fleet = Self {
+            engines: BTreeMap::new(),
+        };
+        for (domain, memory) in domains {
+            for (index, memory_mb) in memory.iter().enumerate() {
+                fleet.add(&format!("{domain}-{index:02}"), domain, *memory_mb);
+            }
+        }
+        fleet
+    }
+
+    fn add(&mut self, id: &str, domain: &str, memory_mb: f64) {
+        let engine = PlacedEngine {
+            id: id.into(),
+            failure_domain: FailureDomainName::new(domain).unwrap(),
+            memory_mb,
+            layers: None,
+            is_busy: false,
+        };
+        self.engines.insert(id.into(), engine);
+    }
+
+    /// Plans once and returns the number of orders.
+    fn step(&mut self) -> usize {
+        let engines: Vec<PlacedEngine> = self.engines.values().cloned().collect();
+        let orders = place(&spec(), &engines);
+        for order in &orders {
+            let engine = self.engines.get_mut(&order.id).unwrap();
+            assert!(
+                f64::from(order.layers.len()) * LAYER_MB <= engine.memory_mb,
+                "{} is ordered beyond its memory",
+                order.id
+            );
+            engine.layers = Some(order.layers);
+        }
+        orders.len()
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..10 {
+            if self.step() == 0 {
+                return;
+            }
+        }
+        panic!("the placement never settles");
+    }
+
+    /// Returns the least number of engines of a domain that hold a layer.
+    fn depth(&self, domain: &str) -> usize {
+        let held = |layer: u32| {
+            let engines = self.engines.values();
+            engines
+                .filter(|engine| engine.failure_domain.as_str() == domain)
+                .filter(|engine| engine.layers.is_some_and(|layers| layers.contains(layer)))
+                .count()
+        };
+        (0..LAYERS).map(held).min().unwrap()
+    }
+
+    fn layers(&self, id: &str) -> LayerRange {
+        self.engines[id].layers.unwrap()
+    }
+}
+
+#[test]
+fn test_every_domain_holds_a_whole_copy_split_by_memory() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB), ("b", &DOMAIN_MB)]);
+    fleet.settle();
+    assert_eq!((fleet.depth("a"), fleet.depth("b")), (1, 1));
+    let context_tokens = |engine: &PlacedEngine| {
+        let layers = f64::from(engine.layers.unwrap().len());
+        (engine.memory_mb - layers * LAYER_MB) / layers
+    };
+    let least = fleet
+        .engines
+        .values()
+        .map(context_tokens)
+        .fold(f64::MAX, f64::min);
+    // Rounding to whole layers costs the smallest engine up to half of a layer.
+    assert!(least >= 1_500.0, "{least} MB of context for each layer");
+}
+
+#[test]
+fn test_domain_with_much_memory_holds_several_copies() {
+    let memory: Vec<f64> = DOMAIN_MB.iter().chain(&DOMAIN_MB[1..]).copied().collect();
+    let mut fleet = Fleet::new(&[("a", &memory)]);
+    fleet.settle();
+    // Three copies are 240 layers, of which 238 fit beside some context.
+    assert_eq!(fleet.depth("a"), 2);
+}
+
+#[test]
+fn test_domains_too_small_for_a_copy_hold_one_together() {
+    let small = [36_000.0; 3];
+    let mut fleet = Fleet::new(&[("a", &small), ("b", &small)]);
+    fleet.settle();
+    let mut held: Vec<LayerRange> = fleet.engines.values().filter_map(|e| e.layers).collect();
+    held.sort_unstable();
+    assert_eq!(held.iter().map(|layers| layers.len()).sum::<u32>(), LAYERS);
+}
+
+#[test]
+fn test_neighbours_take_over_the_layers_of_a_small_lost_engine() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+    fleet.settle();
+    let lost = fleet.layers("a-09");
+    fleet.engines.remove("a-09");
+    let orders = fleet.step();
+    assert!(orders <= 2, "{orders} orders for {lost}");
+    assert_eq!(fleet.depth("a"), 1);
+}
+
+/// Replays the loss of the largest engine, whose layers its neighbours cannot hold.
+#[test]
+fn test_group_splits_anew_when_neighbours_cannot_hold_the_lost_layers() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+    fleet.settle();
+    fleet.engines.remove("a-00");
+    fleet.settle();
+    assert_eq!(fleet.depth("a"), 1);
+}
+
+#[test]
+fn test_engine_that_returns_empty_relieves_the_tightest_layers() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+    fleet.settle();
+    fleet.engines.remove("a-09");
+    fleet.settle();
+    let extended: Vec<SmolStr> = fleet
+        .engines
+        .values()
+        .filter(|engine| engine.memory_mb < 15_000.0 && engine.layers.unwrap().len() > 4)
+        .map(|engine| engine.id.clone())
+        .collect();
+    fleet.add("a-09", "a", 14_400.0);
+    assert_eq!(fleet.step(), 1);
+    let returned = fleet.layers("a-09");
+    let relieves = |id: &SmolStr| {
+        let layers = fleet.layers(id);
+        layers.first < returned.end && returned.first < layers.end
+    };
+    assert!(
+        extended.iter().any(relieves),
+        "{returned} relieves none of {extended:?}"
+    );
+}
+
+/// Replays a release: the new engine is there before the old one leaves.
+#[test]
+fn test_engine_whose_layers_others_hold_replaces_a_leaving_one() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+    fleet.settle();
+    fleet.add("a-99", "a", 21_600.0);
+    fleet.settle();
+    fleet.engines.remove("a-03");
+    let orders = fleet.step();
+    assert!(orders <= 3, "{orders} orders");
+    assert_eq!(fleet.depth("a"), 1);
+}
+
+#[test]
+fn test_settled_fleet_gets_no_orders() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB), ("b", &DOMAIN_MB)]);
+    fleet.settle();
+    assert_eq!(fleet.step(), 0);
+}
+
+proptest! {
+    /// Whatever is lost and comes back, whole copies are whole again where memory
+    /// allows it, and no engine is ordered beyond its memory.
+    #[test]
+    fn test_copies_are_whole_again_after_losses_and_returns(
+        changes in prop::collection::vec((0_usize..14, any::<bool>()), 1..25),
+    ) {
+        let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+        fleet.settle();
+        for (index, is_return) in changes {
+            let id = format_smolstr!("a-{index:02}");
+            if is_return && !fleet.engines.contains_key(&id) {
+                fleet.add(&id, "a", DOMAIN_MB[index]);
+            } else {
+                fleet.engines.remove(&id);
+            }
+            let usable_mb: f64 = fleet.engines.values().map(|engine| engine.memory_mb).sum();
+            for _ in 0..6 {
+                if fleet.step() == 0 {
+                    break;
+                }
+            }
+            // A fifth of each engine stays free, and layers are whole.
+            if usable_mb * 0.8 > LAYER_MB * f64::from(LAYERS + 14) {
+                prop_assert!(fleet.depth("a") >= 1, "a hole with {usable_mb} MB");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/routing/tests/test_fleet_decisions.rs
@@ -0,0 +1,299 @@
+//! Decisions about requests on fleets whose engines pass activations themselves.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use jujubewall_routing::fleet::comeback::Comeback;
+use jujubewall_routing::fleet::events::EventFault;
+use jujubewall_routing::fleet::events::EventFilter;
+use jujubewall_routing::fleet::repeat_budget::RepeatBounds;
+use jujubewall_routing::fleet::repeat_budget::RepeatBudget;
+use jujubewall_routing::fleet::routes::RouteTable;
+use jujubewall_routing::fleet::routes::UnknownKey;
+use jujubewall_routing::fleet::silence::SilenceStep;
+use jujubewall_routing::fleet::silence::SilentStream;
+use jujubewall_routing::fleet::silence::on_silence;
+use jujubewall_types::fleet::ClientAccount;
+use jujubewall_types::fleet::ClientLimits;
+use jujubewall_types::fleet::FleetConfig;
+use jujubewall_types::fleet::RequestKind;
+use jujubewall_types::fleet::Route;
+use jujubewall_types::fleet::Service;
+use jujubewall_types::fleet::TrafficShare;
+use jujubewall_types::id::AccountName;
+use jujubewall_types::id::ServiceName;
+use proptest::prelude::*;
+use smallvec::smallvec;
+use tokio::time::Instant;
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).unwrap()
+}
+
+fn route(name: &str, path_prefix: &str, shares: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: "desk.example".into(),
+        path_prefix: path_prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 2_000,
+        target_latency_ms: 300,
+        target_gap_ms: 0,
+        rank: 1,
+        shares: shares
+            .iter()
+            .map(|(name, weight)| TrafficShare {
+                service: service(name),
+                weight: *weight,
+            })
+            .collect(),
+        max_attempts: 2,
+        is_open: false,
+        is_resumable: false,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable::new(FleetConfig {
+        version: 1,
+        routes,
+        services: ["old", "new"]
+            .map(|name| Service {
+                name: service(name),
+                health_path: "/health".into(),
+                max_connections: 10,
+                engine: None,
+            })
+            .into(),
+        limits: ClientLimits::default(),
+        accounts: Some(vec![ClientAccount {
+            name: AccountName::new("desk").unwrap(),
+            keys: smallvec!["secret".into()],
+            rank: Some(0),
+        }]),
+    })
+}
+
+#[test]
+fn test_longest_prefix_of_the_host_takes_a_request() {
+    let table = table(vec![
+        route("all", "/", &[("old", 1)]),
+        route("bay", "/bay/", &[("old", 1)]),
+        route("stock", "/bay/stock/", &[("old", 1)]),
+    ]);
+    let name = |host, path| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("desk.example", "/bay/stock/7"), Some("stock"));
+    assert_eq!(name("DESK.example:80", "/bay/stocks"), Some("bay"));
+    assert_eq!(name("desk.example", "/bay"), Some("all"));
+    assert_eq!(name("other.example", "/bay/"), None);
+}
+
+#[test]
+fn test_only_known_keys_admit_and_open_routes_need_none() {
+    let mut open = route("open", "/open/", &[("old", 1)]);
+    open.is_open = true;
+    let table = table(vec![route("all", "/", &[("old", 1)]), open]);
+    let closed = table.find("desk.example", "/x").unwrap();
+    let holder = table.authenticate(closed, Some("secret")).unwrap().unwrap();
+    assert_eq!(holder.account.as_str(), "desk");
+    assert_eq!(holder.rank, Some(0));
+    assert_eq!(table.authenticate(closed, Some("gone")), Err(UnknownKey));
+    assert_eq!(table.authenticate(closed, None), Err(UnknownKey));
+    let open = table.find("desk.example", "/open/x").unwrap();
+    assert_eq!(table.authenticate(open, None), Ok(None));
+}
+
+#[test]
+fn test_shares_of_a_route_follow_their_weights() {
+    let table = table(vec![route("all", "/", &[("old", 90), ("new", 10)])]);
+    let route = table.find("desk.example", "/").unwrap();
+    let new = (0..1_000)
+        .filter(|draw| table.service_for(route, *draw).unwrap().name == service("new"))
+        .count();
+    assert_eq!(new, 100);
+}
+
+fn budget(burst: f64) -> (RepeatBudget, Instant) {
+    let now = Instant::now();
+    let bounds = RepeatBounds {
+        ratio: 0.2,
+        burst,
+        window: Duration::from_secs(10),
+    };
+    (RepeatBudget::new(bounds, now), now)
+}
+
+/// Replays a storm: every request fails and wants to be sent again at once.
+#[test]
+fn test_repeats_in_a_storm_stay_within_the_ratio_of_any_window() {
+    let (mut budget, start) = budget(0.0);
+    let desk = service("desk");
+    let mut sent: Vec<Instant> = Vec::new();
+    for step in 0..3_000_u32 {
+        let now = start + Duration::from_millis(10) * step;
+        budget.on_request(&desk, now);
+        if budget.try_repeat(&desk, 1.0, now) {
+            sent.push(now);
+        }
+    }
+    let window = Duration::from_secs(10);
+    for (index, first) in sent.iter().enumerate() {
+        let within = sent[index..]
+            .iter()
+            .filter(|at| **at - *first < window)
+            .count();
+        assert!(within <= 200, "{within} repeats for 1000 requests");
+    }
+    assert!(sent.len() > 300, "only {} repeats were allowed", sent.len());
+}
+
+#[test]
+fn test_burst_of_a_fresh_process_grows_over_the_first_window() {
+    let (mut budget, start) = budget(100.0);
+    let desk = service("desk");
+    let taken = |budget: &mut RepeatBudget, now| {
+        (0..200)
+            .filter(|_| budget.try_repeat(&desk, 0.5, now))
+            .count()
+    };
+    assert_eq!(taken(&mut budget, start), 0);
+    let later = taken(&mut budget, start + Duration::from_secs(10));
+    assert!((30..=50).contains(&later), "{later} of the half of 100");
+    assert_eq!(taken(&mut budget, start + Duration::from_secs(11)), 0);
+}
+
+/// Replays a burst: 200 clients are rejected within a second, while 50 places a
+/// second become free.
+#[test]
+fn test_rejected_clients_come_back_at_the_rate_of_free_places() {
+    let start = Instant::now();
+    let mut comeback = Comeback::new(start);
+    for step in 0..200 {
+        comeback.on_end(start + Duration::from_millis(20) * step);
+    }
+    let burst = start + Duration::from_secs(4);
+    let mut turns: Vec<Duration> = (0..200)
+        .map(|step| {
+            let now = burst + Duration::from_millis(5) * step;
+            now + comeback.next_wait(now) - burst
+        })
+        .collect();
+    turns.sort();
+    let in_second = |second: u64| {
+        let range = Duration::from_secs(second)..Duration::from_secs(second + 1);
+        turns.iter().filter(|turn| range.contains(turn)).count()
+    };
+    for second in 1..4 {
+        let count = in_second(second);
+        assert!(
+            (40..=60).contains(&count),
+            "{count} come back in second {second}"
+        );
+    }
+    assert!(turns[0] >= Duration::from_millis(300));
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: word word\n\n")
+}
+
+#[test]
+fn test_torn_event_is_never_passed_on() {
+    let mut filter = EventFilter::new(None);
+    let whole = event(0) + &event(1);
+    let events = filter
+        .push(Bytes::from(whole.clone() + "id: 2\nda"))
+        .unwrap();
+    assert_eq!(events, whole.as_bytes());
+    assert!(filter.has_torn_event());
+    filter.drop_torn_event();
+    // The next run goes on after the last whole event.
+    let events = filter.push(Bytes::from(event(2))).unwrap();
+    assert_eq!(events, event(2).as_bytes());
+    assert_eq!(filter.last_id(), Some(2));
+}
+
+#[test]
+fn test_doubled_missing_and_unnamed_events_end_a_run() {
+    let fault = |text: String| {
+        let mut filter = EventFilter::new(Some(4));
+        filter.push(Bytes::from(text)).unwrap_err()
+    };
+    assert_eq!(fault(event(4)), EventFault::OutOfOrder { last: 4, got: 4 });
+    assert_eq!(fault(event(6)), EventFault::OutOfOrder { last: 4, got: 6 });
+    assert_eq!(fault("data: word\n\n".to_owned()), EventFault::NoId);
+}
+
+proptest! {
+    /// Whatever the cuts of the bytes, the client sees each event once and in order.
+    #[test]
+    fn test_events_are_the_same_however_their_bytes_are_cut(
+        count in 1_u64..20,
+        cuts in prop::collection::vec(1_usize..40, 1..60),
+    ) {
+        let whole: String = (0..count).map(event).collect();
+        let mut filter = EventFilter::new(None);
+        let mut passed = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (part, left) = rest.split_at((*cut).min(rest.len()));
+            rest = left;
+            passed.extend_from_slice(&filter.push(Bytes::copy_from_slice(part)).unwrap());
+            prop_assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
+        }
+        prop_assert_eq!(passed, whole.as_bytes());
+        prop_assert_eq!(filter.last_id(), Some(count - 1));
+    }
+}
+
+fn silent(silence_ms: u64) -> SilentStream {
+    SilentStream {
+        has_begun: true,
+        silence: Duration::from_millis(silence_ms),
+        expected_gap: Duration::from_millis(30),
+        has_lost_part: false,
+        is_queued: false,
+        may_move: true,
+    }
+}
+
+#[test]
+fn test_silent_path_is_asked_before_it_is_given_up() {
+    assert_eq!(on_silence(&silent(40)), SilenceStep::Wait);
+    assert_eq!(on_silence(&silent(90)), SilenceStep::AskParts);
+    assert_eq!(on_silence(&silent(400)), SilenceStep::AskFirst);
+    assert_eq!(on_silence(&silent(1_300)), SilenceStep::GiveUp);
+}
+
+#[test]
+fn test_lost_part_ends_a_run_within_the_pause_that_clients_accept() {
+    let lost = SilentStream {
+        has_lost_part: true,
+        ..silent(35)
+    };
+    assert_eq!(on_silence(&lost), SilenceStep::GiveUp);
+}
+
+/// Replays a full fleet: moving queued streams would only load the next engine.
+#[test]
+fn test_queued_stream_stays_where_it_is() {
+    let queued = SilentStream {
+        has_begun: false,
+        is_queued: true,
+        ..silent(1_900)
+    };
+    assert_eq!(on_silence(&queued), SilenceStep::AskFirst);
+}
+
+#[test]
+fn test_stream_that_may_not_be_repeated_is_not_given_up_for_silence() {
+    let kept = SilentStream {
+        may_move: false,
+        ..silent(10_000)
+    };
+    assert_matches!(on_silence(&kept), SilenceStep::AskFirst);
+}
--- /dev/null
+++ b/routing/tests/test_fleet_paths.rs
@@ -0,0 +1,455 @@
+//! The choice of paths and upstreams from what is believed of them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_routing::fleet::instances::Suspicion;
+use jujubewall_routing::fleet::instances::ToldWork;
+use jujubewall_routing::fleet::instances::Work;
+use jujubewall_routing::fleet::layer_path::LayerPath;
+use jujubewall_routing::fleet::layer_path::NoPath;
+use jujubewall_routing::fleet::layer_path::PathPart;
+use jujubewall_routing::fleet::layer_path::StreamNeed;
+use jujubewall_routing::fleet::layer_path::choose_path;
+use jujubewall_routing::fleet::layer_path::choose_rest;
+use jujubewall_routing::fleet::layer_path::part_work;
+use jujubewall_routing::fleet::service_choice::CALL_WORK;
+use jujubewall_routing::fleet::service_choice::NoUpstream;
+use jujubewall_routing::fleet::service_choice::choose_upstream;
+use jujubewall_types::fleet::AcceleratorSpec;
+use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::fleet::Instance;
+use jujubewall_types::fleet::InstanceState;
+use jujubewall_types::id::FailureDomainName;
+use jujubewall_types::id::MemberName;
+use jujubewall_types::id::ServiceName;
+use jujubewall_types::layer::LayerRange;
+use smallvec::smallvec;
+use smol_str::format_smolstr;
+use tokio::time::Instant;
+
+const LAYERS: u32 = 80;
+
+const NEED: StreamNeed = StreamNeed {
+    prompt_tokens: 800.0,
+    answer_tokens: 200.0,
+};
+
+fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 192,
+        layer_count: LAYERS,
+        layer_mb: 1_750.0,
+        token_context_bytes: 590_000.0,
+        activation_bytes: 29_500.0,
+        domain_link_mbps: 2_160.0,
+        step_ms: 0.85,
+        step_per_request_ms: 0.004,
+        step_per_context_kilotoken_ms: 0.005,
+        prompt_tokens_per_s: 196_000.0,
+        load_s: 14.0,
+        max_loads_at_once: 6,
+        stall_ms: 2_500.0,
+        usual_prompt_tokens: 772.0,
+        usual_answer_tokens: 174.0,
+        accelerators: smallvec![
+            AcceleratorSpec {
+                name: "large".into(),
+                memory_mb: 80_000.0,
+                step_factor: 1.5,
+                prompt_factor: 1.0,
+            },
+            AcceleratorSpec {
+                name: "small".into(),
+                memory_mb: 40_000.0,
+                step_factor: 15.0,
+                prompt_factor: 10.0,
+            },
+        ],
+    }
+}
+
+fn name() -> ServiceName {
+    ServiceName::new("model").unwrap()
+}
+
+/// The belief of one entry, with engines named by domain and first layer.
+struct Fleet {
+    table: InstanceTable,
+    keys: HashMap<String, InstanceKey>,
+    now: Instant,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            table: InstanceTable::new(),
+            keys: HashMap::new(),
+            now: Instant::now(),
+        }
+    }
+
+    /// Creates whole copies, each of the four engines of a domain.
+    fn with_copies(domains: &[&str]) -> Self {
+        let mut fleet = Self::new();
+        for domain in domains {
+            for first in [0, 20, 40, 60] {
+                fleet.add(domain, "small", LayerRange::new(first, first + 20));
+            }
+        }
+        fleet
+    }
+
+    fn add(&mut self, domain: &str, accelerator: &str, layers: LayerRange) -> InstanceKey {
+        let id = format_smolstr!("{domain}-{}", layers.first);
+        let port = 1_000 + u16::try_from(self.keys.len()).unwrap();
+        let key = self.table.upsert(
+            Instance {
+                id: id.clone(),
+                born_unix_ms: 1,
+                service: name(),
+                address: SocketAddr::from(([10, 0, 0, 1], port)),
+                failure_domain: FailureDomainName::new(domain).unwrap(),
+                state: InstanceState::Ready,
+                slots: 192,
+                accelerator: Some(accelerator.into()),
+                layers: Some(layers),
+            },
+            self.now,
+        );
+        self.keys.insert(id.to_string(), key);
+        key
+    }
+
+    fn choose(&self, excluded: &[InstanceKey], may_cross: bool) -> Result<LayerPath, NoPath> {
+        choose_path(
+            &self.table,
+            &name(),
+            &spec(),
+            &NEED,
+            excluded,
+            may_cross,
+            self.now,
+        )
+    }
+
+    fn begin(&mut self) -> Result<LayerPath, NoPath> {
+        let path = self.choose(&[], false)?;
+        for part in &path.parts {
+            self.table
+                .begin_work(part.instance, &part_work(&NEED, part));
+        }
+        Ok(path)
+    }
+
+    fn domain_of(&self, path: &LayerPath) -> String {
+        let first = self.table.get(path.parts[0].instance).unwrap();
+        first.instance.failure_domain.to_string()
+    }
+
+    fn set_state(&mut self, id: &str, state: InstanceState) {
+        let mut instance = self.table.by_id(id).unwrap().instance.clone();
+        instance.state = state;
+        self.table.upsert(instance, self.now);
+    }
+}
+
+fn assert_covers_all_layers_in_order(path: &LayerPath) {
+    let mut next = 0;
+    for part in &path.parts {
+        assert_eq!(part.layers.first, next);
+        next = part.layers.end;
+    }
+    assert_eq!(next, LAYERS);
+}
+
+/// Replays steady load: one lost engine must not break most streams.
+#[test]
+fn test_streams_spread_over_all_copies_long_before_one_is_full() {
+    let mut fleet = Fleet::with_copies(&["a", "b", "c"]);
+    let mut begun: HashMap<String, u32> = HashMap::new();
+    for _ in 0..90 {
+        let path = fleet.begin().unwrap();
+        assert_covers_all_layers_in_order(&path);
+        *begun.entry(fleet.domain_of(&path)).or_default() += 1;
+    }
+    for (domain, count) in begun {
+        assert!((25..=35).contains(&count), "{count} streams in {domain}");
+    }
+}
+
+/// Replays memory nearly full: context that does not fit is read again, at the cost
+/// of every stream beside it.
+#[test]
+fn test_streams_beyond_the_memory_for_their_whole_life_are_not_begun() {
+    let mut fleet = Fleet::with_copies(&["a"]);
+    let free_bytes = (40_000.0 - 20.0 * 1_750.0) * 1e6;
+    let per_stream_bytes = NEED.context_tokens() * 20.0 * 590_000.0 / 80.0;
+    let begun = std::iter::from_fn(|| fleet.begin().ok()).count();
+    assert!(begun as f64 * per_stream_bytes <= free_bytes);
+    assert!(begun as f64 * per_stream_bytes >= 0.85 * free_bytes);
+    assert_eq!(fleet.choose(&[], true), Err(NoPath::NoRoom));
+}
+
+#[test]
+fn test_work_told_by_other_entries_counts_until_they_fall_silent() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let mut other = Fleet::with_copies(&["a", "b"]);
+    for _ in 0..3 {
+        other.begin().unwrap();
+    }
+    let peer = MemberName::new("other").unwrap();
+    let told: Vec<ToldWork> = other.table.told_work();
+    let full: Vec<ToldWork> = told
+        .iter()
+        .map(|told| ToldWork {
+            instance: told.instance,
+            work: Work {
+                token_layers: 1e12,
+                ..told.work
+            },
+        })
+        .collect();
+    fleet.table.on_told_work(&peer, &full, &[], fleet.now);
+    assert_eq!(fleet.choose(&[], false), Err(NoPath::NoRoom));
+    fleet.table.expire_peers(fleet.now + Duration::from_secs(2));
+    assert!(fleet.choose(&[], false).is_ok());
+}
+
+#[test]
+fn test_suspected_draining_and_excluded_engines_get_no_new_stream() {
+    let mut fleet = Fleet::with_copies(&["a", "b", "c"]);
+    let suspected = fleet.keys["a-20"];
+    assert_eq!(fleet.table.suspect(suspected, fleet.now), Suspicion::New);
+    fleet.set_state("b-40", InstanceState::Draining);
+    let path = fleet.choose(&[], false).unwrap();
+    assert_eq!(fleet.domain_of(&path), "c");
+    let excluded = fleet.keys["c-0"];
+    assert_eq!(
+        fleet.choose(&[excluded], false),
+        Err(NoPath::OnlyAcrossDomains)
+    );
+    assert!(fleet.table.clear_suspicion(suspected));
+    assert!(fleet.choose(&[excluded], false).is_ok());
+}
+
+/// Replays two copies that miss one part each: a few streams that cross domains fill
+/// the link between them for all.
+#[test]
+fn test_domains_are_left_only_if_allowed_and_only_without_a_whole_path() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    fleet.table.remove("a-20");
+    let path = fleet.choose(&[], true).unwrap();
+    assert_eq!((fleet.domain_of(&path).as_str(), path.crossings), ("b", 0));
+    fleet.table.remove("b-60");
+    assert_eq!(fleet.choose(&[], false), Err(NoPath::OnlyAcrossDomains));
+    let path = fleet.choose(&[], true).unwrap();
+    assert_covers_all_layers_in_order(&path);
+    assert!(path.crossings > 0);
+    fleet.table.remove("a-60");
+    assert_eq!(fleet.choose(&[], true), Err(NoPath::LayerMissing(60)));
+}
+
+#[test]
+fn test_lost_middle_part_is_replaced_and_the_first_part_stays() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let stand_in = fleet.add("a", "large", LayerRange::new(15, 45));
+    let old = LayerPath {
+        parts: [0, 20, 40, 60]
+            .map(|first| PathPart {
+                instance: fleet.keys[&format!("a-{first}")],
+                layers: LayerRange::new(first, first + 20),
+            })
+            .into_iter()
+            .collect(),
+        token_ms: 20.0,
+        crossings: 0,
+    };
+    let lost = [fleet.keys["a-20"]];
+    let rest = choose_rest(
+        &fleet.table,
+        &name(),
+        &spec(),
+        &NEED,
+        &old,
+        &lost,
+        fleet.now,
+    );
+    let rest = rest.unwrap();
+    assert_covers_all_layers_in_order(&rest);
+    assert_eq!(rest.parts[0], old.parts[0]);
+    assert_eq!(rest.parts[1].instance, stand_in);
+    fleet.table.remove("a-15");
+    // The other domain's engine would have to be sent all tokens so far.
+    let rest = choose_rest(
+        &fleet.table,
+        &name(),
+        &spec(),
+        &NEED,
+        &old,
+        &lost,
+        fleet.now,
+    );
+    assert_eq!(rest, None);
+}
+
+#[test]
+fn test_engine_whose_runs_fail_in_a_row_is_avoided_longer_each_time() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let failing = fleet.keys["a-0"];
+    let avoided_for = |fleet: &Fleet| {
+        let tracked = fleet.table.get(failing).unwrap();
+        (0..60)
+            .map(|step| Duration::from_millis(50) * step)
+            .find(|age| !tracked.is_avoided(fleet.now + *age))
+            .unwrap()
+    };
+    let mut spans = Vec::new();
+    for _ in 0..6 {
+        fleet.table.note_failed_run(failing, fleet.now);
+        spans.push(avoided_for(&fleet));
+    }
+    assert!(spans.is_sorted() && spans[5] >= 4 * spans[0], "{spans:?}");
+    assert!(spans[5] <= Duration::from_secs(2));
+    fleet.table.note_sound_run(failing);
+    assert!(!fleet.table.get(failing).unwrap().is_avoided(fleet.now));
+}
+
+/// Replays a process with a broken link of its own.
+#[test]
+fn test_process_that_reaches_hardly_anyone_blames_itself() {
+    let mut fleet = Fleet::with_copies(&["a", "b", "c"]);
+    let keys: Vec<InstanceKey> = fleet.keys.values().copied().collect();
+    let suspicions: Vec<Suspicion> = keys
+        .iter()
+        .map(|key| fleet.table.suspect(*key, fleet.now))
+        .collect();
+    assert!(suspicions.contains(&Suspicion::OwnLink));
+    assert!(fleet.table.suspected().len() <= 5);
+}
+
+#[test]
+fn test_one_peer_does_not_speak_for_all_and_a_confused_one_for_none() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let mut teller = Fleet::with_copies(&["a", "b"]);
+    let doubted = teller.keys["a-0"];
+    teller.table.note_failed_run(doubted, teller.now);
+    let doubts = teller.table.told_doubts(teller.now);
+    let is_doubted = |fleet: &Fleet| {
+        let tracked = fleet.table.get(fleet.keys["a-0"]).unwrap();
+        fleet.table.is_doubted(tracked, fleet.now)
+    };
+    let tell = |fleet: &mut Fleet, peer: &str, doubts: &[u64]| {
+        let peer = MemberName::new(peer).unwrap();
+        fleet.table.on_told_work(&peer, &[], doubts, fleet.now);
+    };
+    tell(&mut fleet, "one", &doubts);
+    tell(&mut fleet, "two", &[]);
+    assert!(!is_doubted(&fleet));
+    tell(&mut fleet, "two", &doubts);
+    assert!(is_doubted(&fleet));
+    let all: Vec<u64> = (0..8).chain(doubts.iter().copied()).collect();
+    tell(&mut fleet, "two", &all);
+    assert!(!is_doubted(&fleet));
+}
+
+#[test]
+fn test_new_life_under_an_old_id_starts_without_work_and_suspicion() {
+    let mut fleet = Fleet::with_copies(&["a"]);
+    let old = fleet.keys["a-0"];
+    fleet.table.begin_work(old, &CALL_WORK);
+    fleet.table.suspect(old, fleet.now);
+    let mut instance = fleet.table.by_id("a-0").unwrap().instance.clone();
+    instance.born_unix_ms += 1;
+    let new = fleet.table.upsert(instance, fleet.now);
+    assert_ne!(old, new);
+    assert!(fleet.table.get(old).is_none());
+    let tracked = fleet.table.get(new).unwrap();
+    assert!(tracked.is_usable());
+    assert_eq!(tracked.own_work().requests, 0);
+    // Work that began at the earlier life ends without effect on this one.
+    fleet.table.end_work(old, &CALL_WORK);
+}
+
+#[test]
+fn test_part_through_which_tokens_pass_is_not_asked() {
+    let mut fleet = Fleet::with_copies(&["a"]);
+    let key = fleet.keys["a-0"];
+    let interval = Duration::from_millis(500);
+    fleet.table.note_alive([key].into_iter(), fleet.now);
+    assert!(!fleet.table.may_ask(key, interval, fleet.now));
+    let later = fleet.now + Duration::from_millis(100);
+    assert!(fleet.table.may_ask(key, interval, later));
+    assert!(
+        !fleet
+            .table
+            .may_ask(key, interval, later + Duration::from_millis(100))
+    );
+}
+
+/// Replays a slow upstream: its calls stay longer, so it gets fewer.
+#[test]
+fn test_calls_go_to_the_least_loaded_upstream_until_all_are_full() {
+    let mut fleet = Fleet::new();
+    for first in 0..3 {
+        let key = fleet.add("a", "small", LayerRange::new(first, first + 1));
+        let mut instance = fleet.table.get(key).unwrap().instance.clone();
+        instance.slots = 6;
+        fleet.table.upsert(instance, fleet.now);
+    }
+    let slow = fleet.keys["a-0"];
+    for _ in 0..6 {
+        fleet.table.begin_work(slow, &CALL_WORK);
+    }
+    let mut chosen: HashMap<InstanceKey, u32> = HashMap::new();
+    let end = loop {
+        let draw = chosen
+            .values()
+            .map(|count| u64::from(*count) * 0x9e37_79b9)
+            .sum();
+        match choose_upstream(&fleet.table, &name(), &[], draw, fleet.now) {
+            Ok(key) => {
+                fleet.table.begin_work(key, &CALL_WORK);
+                *chosen.entry(key).or_default() += 1;
+            }
+            Err(end) => break end,
+        }
+    };
+    assert_eq!(end, NoUpstream::AllFull);
+    assert_eq!(chosen[&slow], 12);
+    assert_eq!(chosen.values().sum::<u32>(), 3 * 18 - 6);
+    let all: Vec<InstanceKey> = fleet.keys.values().copied().collect();
+    assert_matches!(
+        choose_upstream(&fleet.table, &name(), &all, 0, fleet.now),
+        Err(NoUpstream::NoneUsable)
+    );
+}
+
+#[test]
+fn test_upstream_that_fails_at_once_gets_fewer_calls_and_recovers() {
+    let mut fleet = Fleet::new();
+    for first in 0..2 {
+        fleet.add("a", "small", LayerRange::new(first, first + 1));
+    }
+    let failing = fleet.keys["a-0"];
+    for _ in 0..5 {
+        fleet.table.note_outcome(failing, true, fleet.now);
+    }
+    let share = |fleet: &Fleet, now| {
+        (0..100_u64)
+            .filter(|draw| {
+                let draw = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                choose_upstream(&fleet.table, &name(), &[], draw, now) == Ok(failing)
+            })
+            .count()
+    };
+    assert_eq!(share(&fleet, fleet.now), 0);
+    let later = fleet.now + Duration::from_secs(60);
+    let other = fleet.keys["a-1"];
+    fleet.table.begin_work(other, &CALL_WORK);
+    assert!(share(&fleet, later) > 0);
+}
