--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use jujubewall_platform::site::headers;
+use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::service_choice::CALL_WORK;
 use jujubewall_routing::fleet::service_choice::NoUpstream;
@@ -233,7 +234,7 @@
             let mut connection = match connection {
                 Ok(connection) => connection,
                 Err(_) => {
-                    probe::suspect(&gateway, key, "takes no connection");
+                    probe::suspect(&gateway, key, Evidence::Silent, "takes no connection");
                     return (key, CallEnd::NotConnected);
                 }
             };
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -3,6 +3,7 @@
 //! A kept connection may have gone silent although the upstream is sound, so only
 //! a new connection is evidence for or against an upstream.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use jujubewall_platform::site::order::order_answer;
 use jujubewall_platform::site::report::REPORT_PATH;
 use jujubewall_platform::site::report::decode_report;
+use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::Suspicion;
 use jujubewall_types::fleet::EngineState;
@@ -106,8 +108,10 @@
 }
 
 /// Notes direct evidence against an upstream.
-pub fn suspect(gateway: &Gateway, key: InstanceKey, reason: &str) {
-    match gateway.instances_mut().suspect(key, Instant::now()) {
+pub fn suspect(gateway: &Gateway, key: InstanceKey, evidence: Evidence, reason: &str) {
+    let now = Instant::now();
+    let suspicion = gateway.instances_mut().suspect(key, evidence, now);
+    match suspicion {
         Suspicion::New => {}
         Suspicion::Known => return,
         Suspicion::OwnLink => {
@@ -172,29 +176,32 @@
         };
         let gateway = Rc::clone(gateway);
         spawn_local(async move {
-            if !is_reachable(address).await {
-                suspect(&gateway, key, reason);
+            if let Err(evidence) = reach(address).await {
+                suspect(&gateway, key, evidence, reason);
             }
         });
     }
 }
 
-/// Returns whether an upstream takes a connection within a short time.
+/// Tries whether an upstream takes a connection within a short time.
 ///
 /// A second connection is tried if the first one is silent, since a lossy link may
 /// have dropped its first packet.
-async fn is_reachable(address: SocketAddr) -> bool {
+async fn reach(address: SocketAddr) -> Result<(), Evidence> {
     for _ in 0..REACH_TRIES {
         let started = Instant::now();
-        if let Ok(connected) = timeout(REACH_TIMEOUT, TcpStream::connect(address)).await {
-            return connected.is_ok();
-        }
-        // A process that was held up itself cannot tell who was late.
-        if started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP {
-            return true;
+        match timeout(REACH_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(_)) => return Ok(()),
+            Ok(Err(failure)) if failure.kind() == ErrorKind::ConnectionRefused => {
+                return Err(Evidence::Refused);
+            }
+            Ok(Err(_)) => return Err(Evidence::Silent),
+            // A process that was held up itself cannot tell who was late.
+            Err(_) if started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP => return Ok(()),
+            Err(_) => {}
         }
     }
-    false
+    Err(Evidence::Silent)
 }
 
 /// Returns whether an upstream answers over a new connection.
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use jujubewall_platform::site::headers;
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::repath_order;
+use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::LayerPath;
@@ -234,7 +235,12 @@
 
     async fn connect(&self) -> Result<Connection, RunFault> {
         Connection::open(self.first_address).await.map_err(|_| {
-            probe::suspect(&self.work.gateway, self.first, "takes no connection");
+            probe::suspect(
+                &self.work.gateway,
+                self.first,
+                Evidence::Silent,
+                "takes no connection",
+            );
             RunFault::NotConnected(self.first)
         })
     }
@@ -477,6 +483,7 @@
             probe::suspect(
                 gateway,
                 self.first,
+                Evidence::Silent,
                 "does not answer while a stream is silent",
             );
             return;
@@ -491,7 +498,7 @@
         };
         let lost = gateway.instances().at_address(stalled.lost_part);
         if let Some(lost) = lost {
-            probe::suspect(gateway, lost, "a stream waits for it");
+            probe::suspect(gateway, lost, Evidence::Silent, "a stream waits for it");
         }
     }
 
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -353,10 +353,10 @@
             return true;
         }
         let instances = self.gateway.instances();
+        let now = Instant::now();
         let stands = |key: &&InstanceKey| {
-            instances
-                .get(**key)
-                .is_some_and(|tracked| tracked.suspected_since().is_none())
+            let tracked = instances.get(**key);
+            tracked.is_some_and(|tracked| tracked.stands(now))
         };
         let standing = self.runs.iter().filter(stands).count();
         let max_attempts = usize::try_from(self.request.route.max_attempts).unwrap_or(usize::MAX);
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -41,6 +41,10 @@
 /// The longest time for which an upstream is avoided after failed runs.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(2);
 
+/// The time after which a silent upstream counts as ended or cut off; it is asked
+/// again twice in this time.
+const SILENCE_IS_AN_END: Duration = Duration::from_millis(700);
+
 /// The entries that have to speak against an upstream before others avoid it too, so
 /// that one entry with a broken link does not speak for all.
 const WITNESSES: usize = 2;
@@ -100,6 +104,15 @@
     doubts: HashSet<u64>,
 }
 
+/// What speaks against an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evidence {
+    /// Its host refused a connection, so that its process has ended.
+    Refused,
+    /// It did not answer in time.
+    Silent,
+}
+
 /// What became of evidence against an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Suspicion {
@@ -119,6 +132,7 @@
     digest: u64,
     own: Work,
     suspected_since: Option<Instant>,
+    has_refused: bool,
     failed_runs_in_a_row: u32,
     avoided_until: Option<Instant>,
     asked_at: Option<Instant>,
@@ -134,6 +148,7 @@
             instance,
             own: Work::default(),
             suspected_since: None,
+            has_refused: false,
             failed_runs_in_a_row: 0,
             avoided_until: None,
             asked_at: None,
@@ -148,6 +163,16 @@
         self.instance.state == InstanceState::Ready && self.suspected_since.is_none()
     }
 
+    /// Returns whether this life of the upstream may still go on.
+    ///
+    /// One that is merely silent counts as standing until it has been so for a while,
+    /// in which it was asked again.
+    pub fn stands(&self, now: Instant) -> bool {
+        self.suspected_since.is_none_or(|since| {
+            !self.has_refused && now.saturating_duration_since(since) < SILENCE_IS_AN_END
+        })
+    }
+
     /// Returns whether runs on the upstream have lately failed here.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
@@ -275,19 +300,21 @@
     /// path named it as lost.
     ///
     /// When so many seem lost at once, it is this process's link that is.
-    pub fn suspect(&mut self, key: InstanceKey, now: Instant) -> Suspicion {
+    pub fn suspect(&mut self, key: InstanceKey, evidence: Evidence, now: Instant) -> Suspicion {
         let suspected = self.suspected().len();
         let most = MAX_DOUBTED_SHARE * self.instances.len() as f64;
         let Some(tracked) = self.instances.get_mut(key) else {
             return Suspicion::Known;
         };
         if tracked.suspected_since.is_some() {
+            tracked.has_refused |= evidence == Evidence::Refused;
             return Suspicion::Known;
         }
         if suspected as f64 >= most.max(2.0) {
             return Suspicion::OwnLink;
         }
         tracked.suspected_since = Some(now);
+        tracked.has_refused = evidence == Evidence::Refused;
         Suspicion::New
     }
 
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::instances::Suspicion;
@@ -224,7 +225,10 @@
 fn test_suspected_draining_and_excluded_engines_get_no_new_stream() {
     let mut fleet = Fleet::with_copies(&["a", "b", "c"]);
     let suspected = fleet.keys["a-20"];
-    assert_eq!(fleet.table.suspect(suspected, fleet.now), Suspicion::New);
+    assert_eq!(
+        fleet.table.suspect(suspected, Evidence::Silent, fleet.now),
+        Suspicion::New
+    );
     fleet.set_state("b-40", InstanceState::Draining);
     let path = fleet.choose(&[], false).unwrap();
     assert_eq!(fleet.domain_of(&path), "c");
@@ -326,7 +330,7 @@
     let keys: Vec<InstanceKey> = fleet.keys.values().copied().collect();
     let suspicions: Vec<Suspicion> = keys
         .iter()
-        .map(|key| fleet.table.suspect(*key, fleet.now))
+        .map(|key| fleet.table.suspect(*key, Evidence::Silent, fleet.now))
         .collect();
     assert!(suspicions.contains(&Suspicion::OwnLink));
     assert!(fleet.table.suspected().len() <= 5);
@@ -362,7 +366,7 @@
     let mut fleet = Fleet::with_copies(&["a"]);
     let old = fleet.keys["a-0"];
     fleet.table.begin_work(old, &CALL_WORK);
-    fleet.table.suspect(old, fleet.now);
+    fleet.table.suspect(old, Evidence::Refused, fleet.now);
     let mut instance = fleet.table.by_id("a-0").unwrap().instance.clone();
     instance.born_unix_ms += 1;
     let new = fleet.table.upsert(instance, fleet.now);
@@ -453,3 +457,20 @@
     fleet.table.begin_work(other, &CALL_WORK);
     assert!(share(&fleet, later) > 0);
 }
+
+/// Replays `scale-2 --seed 822352957173`: an engine whose answer was cut was silent for
+/// a moment and went on, so that its run counts against the route's limit.
+#[test]
+fn test_engine_that_is_silent_for_a_moment_still_stands() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let (silent, refusing) = (fleet.keys["a-0"], fleet.keys["b-0"]);
+    fleet.table.suspect(silent, Evidence::Silent, fleet.now);
+    fleet.table.suspect(refusing, Evidence::Refused, fleet.now);
+    let stands = |key, age_ms| {
+        let now = fleet.now + Duration::from_millis(age_ms);
+        fleet.table.get(key).unwrap().stands(now)
+    };
+    assert!(stands(silent, 300));
+    assert!(!stands(silent, 1_000));
+    assert!(!stands(refusing, 0));
+}
