--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -328,7 +328,7 @@
     if gateway.absences.is_awaited(id) {
         return;
     }
-    if let Some(gone) = gateway.instances_mut().remove(id) {
+    if let Some(gone) = gateway.instances_mut().depart(id, Instant::now()) {
         info!("event=upstream_gone id={id} address={}", gone.address);
     }
 }
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -84,6 +84,7 @@
     loop {
         sleep(PROBE_INTERVAL).await;
         gateway.connections.expire();
+        gateway.instances_mut().expire_departed(Instant::now());
         let suspected = gateway.instances().suspected();
         for (key, suspected_since) in suspected {
             let looks = suspected_since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -41,6 +41,10 @@
 /// The longest time for which an upstream is avoided after failed runs.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(2);
 
+/// The time for which an upstream is known after its entry is gone: the longest that
+/// work in flight lasts.
+const DEPARTED_LIFETIME: Duration = Duration::from_secs(30);
+
 /// The time after which a silent upstream counts as ended or cut off; it is asked
 /// again twice in this time.
 const SILENCE_IS_AN_END: Duration = Duration::from_millis(700);
@@ -131,6 +135,7 @@
     pub instance: Instance,
     digest: u64,
     own: Work,
+    departed_at: Option<Instant>,
     suspected_since: Option<Instant>,
     has_refused: bool,
     failed_runs_in_a_row: u32,
@@ -147,6 +152,7 @@
             digest: digest(&instance),
             instance,
             own: Work::default(),
+            departed_at: None,
             suspected_since: None,
             has_refused: false,
             failed_runs_in_a_row: 0,
@@ -160,7 +166,9 @@
 
     /// Returns whether the upstream may be given new work.
     pub fn is_usable(&self) -> bool {
-        self.instance.state == InstanceState::Ready && self.suspected_since.is_none()
+        self.instance.state == InstanceState::Ready
+            && self.departed_at.is_none()
+            && self.suspected_since.is_none()
     }
 
     /// Returns whether this life of the upstream may still go on.
@@ -240,19 +248,36 @@
         key
     }
 
-    /// Forgets an upstream whose entry is gone.
-    pub fn remove(&mut self, id: &str) -> Option<Instance> {
-        let key = *self.by_id.get(id)?;
-        self.remove_key(key)
+    /// Gives an upstream whose entry is gone no new work.
+    ///
+    /// It may go on with the work that it has, so it is known for a while longer.
+    pub fn depart(&mut self, id: &str, now: Instant) -> Option<&Instance> {
+        let key = self.by_id.remove(id)?;
+        let tracked = self.instances.get_mut(key)?;
+        tracked.departed_at = Some(now);
+        if let Some(keys) = self.by_service.get_mut(&tracked.instance.service) {
+            keys.retain(|known| *known != key);
+        }
+        Some(&tracked.instance)
+    }
+
+    /// Forgets upstreams that departed long ago.
+    pub fn expire_departed(&mut self, now: Instant) {
+        self.instances.retain(|_, tracked| {
+            tracked
+                .departed_at
+                .is_none_or(|at| now.saturating_duration_since(at) < DEPARTED_LIFETIME)
+        });
     }
 
-    fn remove_key(&mut self, key: InstanceKey) -> Option<Instance> {
-        let gone = self.instances.remove(key)?;
+    fn remove_key(&mut self, key: InstanceKey) {
+        let Some(gone) = self.instances.remove(key) else {
+            return;
+        };
         self.by_id.remove(&gone.instance.id);
         if let Some(keys) = self.by_service.get_mut(&gone.instance.service) {
             keys.retain(|known| *known != key);
         }
-        Some(gone.instance)
     }
 
     /// Returns an upstream, unless it is gone.
@@ -276,7 +301,9 @@
     pub fn at_address(&self, address: SocketAddr) -> Option<InstanceKey> {
         self.instances
             .iter()
-            .find(|(_, tracked)| tracked.instance.address == address)
+            .filter(|(_, tracked)| tracked.instance.address == address)
+            // An address may be given to another upstream after one has left it.
+            .min_by_key(|(_, tracked)| tracked.departed_at.is_some())
             .map(|(key, _)| key)
     }
 
@@ -291,9 +318,11 @@
             .map(|&key| (key, &self.instances[key]))
     }
 
-    /// Returns all upstreams.
+    /// Returns the upstreams that have an entry.
     pub fn iter(&self) -> impl Iterator<Item = (InstanceKey, &Tracked)> {
-        self.instances.iter()
+        self.instances
+            .iter()
+            .filter(|(_, tracked)| tracked.departed_at.is_none())
     }
 
     /// Notes that an upstream did not answer over a new connection, or that a
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -246,15 +246,15 @@
 #[test]
 fn test_domains_are_left_only_if_allowed_and_only_without_a_whole_path() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
-    fleet.table.remove("a-20");
+    fleet.table.depart("a-20", fleet.now);
     let path = fleet.choose(&[], true).unwrap();
     assert_eq!((fleet.domain_of(&path).as_str(), path.crossings), ("b", 0));
-    fleet.table.remove("b-60");
+    fleet.table.depart("b-60", fleet.now);
     assert_eq!(fleet.choose(&[], false), Err(NoPath::OnlyAcrossDomains));
     let path = fleet.choose(&[], true).unwrap();
     assert_covers_all_layers_in_order(&path);
     assert!(path.crossings > 0);
-    fleet.table.remove("a-60");
+    fleet.table.depart("a-60", fleet.now);
     assert_eq!(fleet.choose(&[], true), Err(NoPath::LayerMissing(60)));
 }
 
@@ -287,7 +287,7 @@
     assert_covers_all_layers_in_order(&rest);
     assert_eq!(rest.parts[0], old.parts[0]);
     assert_eq!(rest.parts[1].instance, stand_in);
-    fleet.table.remove("a-15");
+    fleet.table.depart("a-15", fleet.now);
     // The other domain's engine would have to be sent all tokens so far.
     let rest = choose_rest(
         &fleet.table,
@@ -474,3 +474,23 @@
     assert!(!stands(silent, 1_000));
     assert!(!stands(refusing, 0));
 }
+
+/// Replays a release: entries are removed while their upstreams still serve, and the
+/// streams there must neither be given up nor counted as ended.
+#[test]
+fn test_upstream_without_an_entry_goes_on_with_the_work_it_has() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let departed = fleet.keys["a-20"];
+    fleet.table.begin_work(departed, &CALL_WORK);
+    fleet.table.depart("a-20", fleet.now);
+    let path = fleet.choose(&[], true).unwrap();
+    assert_eq!(fleet.domain_of(&path), "b");
+    let tracked = fleet.table.get(departed).unwrap();
+    assert!(tracked.stands(fleet.now));
+    assert_eq!(tracked.suspected_since(), None);
+    assert_eq!(fleet.table.iter().count(), 7);
+    fleet
+        .table
+        .expire_departed(fleet.now + Duration::from_secs(31));
+    assert!(fleet.table.get(departed).is_none());
+}
