--- /dev/null
+++ b/daemon/tests/gateway_site/mod.rs
@@ -0,0 +1,298 @@
+//! Gateways as processes of their own, before stand-ins of the users' platform.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use jujubewall_http_client::CallDeadlines;
+use jujubewall_http_client::HttpCallError;
+use jujubewall_http_client::HttpClient;
+use jujubewall_testutils::http_server::ServerHandle;
+use jujubewall_testutils::ports::free_address;
+use jujubewall_testutils::site_runner::RunnerHandle;
+use jujubewall_testutils::site_runner::SiteRunners;
+use jujubewall_testutils::site_store::SiteStore;
+use serde_json::Value;
+use serde_json::json;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::process::Child;
+use tokio::process::Command;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// The events of each stream.
+pub const EVENTS: u64 = 20;
+
+/// The engines of each zone, of which two can hold the model.
+pub const ENGINES_PER_ZONE: u32 = 3;
+
+/// The layers of the model.
+pub const LAYERS: u32 = 8;
+
+/// The time within which a process reaches a state.
+const STATE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The time between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A gateway that is killed when it is dropped.
+pub struct GatewayProcess {
+    child: Child,
+    pub clients: SocketAddr,
+    pub ready: SocketAddr,
+    pub peers: SocketAddr,
+    log: PathBuf,
+}
+
+impl GatewayProcess {
+    /// Starts a gateway that listens for peers at `peers` and knows one of them.
+    pub fn start(
+        folder: &Path,
+        name: &str,
+        store: SocketAddr,
+        peers: SocketAddr,
+        seed: Option<SocketAddr>,
+    ) -> Self {
+        let [clients, ready, metrics] = [(); 3].map(|()| free_address());
+        let document = json!({
+            "metrics_port": metrics.port(),
+            "platform_settings": {
+                "node": name,
+                "ip": peers.ip(),
+                "zone": "hall",
+                "listen": {"front": clients, "ready": ready},
+                "port_range": [peers.port(), peers.port()],
+                "seeds": seed.into_iter().collect::<Vec<_>>(),
+                "limits": {"max_fds": 4100},
+                "bounds": {
+                    "drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000,
+                    "retry_budget_ratio": 0.2, "budget_window_s": 1, "retry_budget_burst": 200
+                },
+                "platform": {"address": store, "min_ttl_ms": 1000}
+            }
+        });
+        let settings = folder.join(format!("{name}.json"));
+        std::fs::write(&settings, document.to_string()).unwrap();
+        let log = folder.join(format!("{name}.log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_jujubewalld"))
+            .arg("--gateway")
+            .env("JUJUBEWALL_SETTINGS", &settings)
+            .stdin(Stdio::null())
+            .stdout(std::fs::File::create(&log).unwrap())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        Self {
+            child,
+            clients,
+            ready,
+            peers,
+            log,
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn send(&self, request: Request<Bytes>) -> Result<Response<Bytes>, HttpCallError> {
+        client(self.clients).call(request).await
+    }
+
+    /// Returns the lines that the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
+    /// Returns whether the process says that it takes connections.
+    pub async fn is_ready(&self) -> bool {
+        let request = Request::get("/v1/ready").body(Bytes::new()).unwrap();
+        let answer = client(self.ready).call(request).await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Sends the termination signal.
+    pub async fn terminate(&self) {
+        let id = self.child.id().expect("the process runs").to_string();
+        let status = Command::new("kill").args(["-TERM", &id]).status().await;
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the end of the process.
+    pub async fn ended(&mut self) -> ExitStatus {
+        timeout(STATE_TIMEOUT, self.child.wait())
+            .await
+            .unwrap()
+            .unwrap()
+    }
+}
+
+/// A store, runners of one model and of one plain service, and a gateway.
+pub struct Site {
+    pub store: Arc<SiteStore>,
+    _store_server: ServerHandle,
+    pub runners: Arc<SiteRunners>,
+    pub engines: Vec<RunnerHandle>,
+    _ledgers: Vec<RunnerHandle>,
+    pub gateway: GatewayProcess,
+    pub folder: TempDir,
+}
+
+impl Site {
+    /// Starts a site with two copies of the model, and waits until it serves.
+    pub async fn start() -> Self {
+        let store = SiteStore::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store_server = store.serve(listener);
+        store.put("op/config", config(7).to_string().as_bytes());
+        let runners = SiteRunners::new(&store, EVENTS);
+        let mut engines = Vec::new();
+        for zone in ["hall", "apron"] {
+            for index in 0..ENGINES_PER_ZONE {
+                let id = format!("{zone}-{index}");
+                engines.push(runners.start(&id, "llm", zone, Some("card")).await);
+            }
+        }
+        let mut ledgers = Vec::new();
+        for index in 0..2 {
+            let id = format!("ledger-{index}");
+            ledgers.push(runners.start(&id, "ledger", "hall", None).await);
+        }
+        let folder = TempDir::new().unwrap();
+        let address = store_server.address();
+        let peers = free_address();
+        let gateway = GatewayProcess::start(folder.path(), "front-1", address, peers, None);
+        let site = Self {
+            store,
+            _store_server: store_server,
+            runners,
+            engines,
+            _ledgers: ledgers,
+            gateway,
+            folder,
+        };
+        site.wait_until_served().await;
+        site
+    }
+
+    async fn wait_until_served(&self) {
+        wait_until("the gateway is ready", async || {
+            self.gateway.is_ready().await
+        })
+        .await;
+        wait_until("two copies are placed", async || {
+            let held: u32 = self
+                .runners
+                .layers()
+                .iter()
+                .map(|layers| layers.len())
+                .sum();
+            held == 2 * LAYERS
+        })
+        .await;
+        wait_until("a stream is served", async || {
+            let answer = self.send(stream_request("warm-up")).await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+    }
+
+    /// Sends a request to the gateway and reads the whole answer.
+    pub async fn send(&self, request: Request<Bytes>) -> Result<Response<Bytes>, HttpCallError> {
+        self.gateway.send(request).await
+    }
+
+    /// Returns the identifiers of the engines.
+    pub fn engine_ids(&self) -> Vec<String> {
+        self.engines
+            .iter()
+            .map(|engine| engine.id().to_owned())
+            .collect()
+    }
+
+    /// Returns the runners on which a request ran.
+    pub fn ran(&self, id: &str) -> Vec<String> {
+        let ran = self.runners.ran();
+        let ran = ran.into_iter().filter(|ran| ran.id == id);
+        ran.map(|ran| ran.runner).collect()
+    }
+}
+
+fn client(address: SocketAddr) -> HttpClient {
+    let deadlines = CallDeadlines::new(Duration::from_secs(1), Duration::from_secs(10));
+    HttpClient::new(address, deadlines)
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + STATE_TIMEOUT;
+    while !holds().await {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Returns a configuration as the operator writes it.
+pub fn config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            {"name": "notes", "host": "desk.example", "path_prefix": "/notes/",
+             "kind": "streaming", "timeout_ms": 8000, "target_latency_ms": 500, "priority": 1,
+             "service": "llm", "max_attempts": 2, "stream_resume": true, "target_gap_ms": 200},
+            {"name": "orders", "host": "desk.example", "path_prefix": "/orders/",
+             "kind": "unsafe", "timeout_ms": 2000, "target_latency_ms": 300, "priority": 2,
+             "service": "ledger", "max_attempts": 1},
+            {"name": "stock", "host": "desk.example", "path_prefix": "/stock/",
+             "kind": "safe", "timeout_ms": 2000, "target_latency_ms": 300, "priority": 2,
+             "service": "ledger", "max_attempts": 2}
+        ],
+        "services": [
+            {"name": "llm", "health_path": "/health", "max_conns": 100,
+             "engine": {
+                "slots": 8, "token_kv_bytes": 8000, "step_ms": 1.0, "read_per_s": 100_000.0,
+                "models": [{"name": "m", "load_s": 0.1}], "loads_at_once": 6, "stall_ms": 2500,
+                "usual": {"prompt": 10, "answer": 40}, "layers": LAYERS, "layer_mb": 100.0,
+                "activation_bytes": 1000, "pipe_mbps": 1000,
+                "kinds": [{"name": "card", "mb": 600.0, "pace": 1.0, "read_x": 1.0}]}},
+            {"name": "ledger", "health_path": "/health", "max_conns": 100}
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "hall", "api_keys": ["key-1", "key-2"], "priority": 1}]
+    })
+}
+
+/// Builds a request for `path` with the key of a client account.
+pub fn request(method: &str, path: &str, id: &str) -> Request<Bytes> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "desk.example")
+        .header("authorization", "Bearer key-1")
+        .header("request-id", id)
+        .header("deadline-ms", "6000")
+        .body(Bytes::from_static(b"body"))
+        .unwrap()
+}
+
+/// Builds a request that is answered by a stream.
+pub fn stream_request(id: &str) -> Request<Bytes> {
+    let mut request = request("POST", "/notes/1", id);
+    let counts = "10,40".parse().unwrap();
+    request.headers_mut().insert("token-counts", counts);
+    request
+}
+
+/// Returns the events of a whole stream.
+pub fn all_events() -> String {
+    (0..EVENTS)
+        .map(|id| format!("id: {id}\ndata: word\n\n"))
+        .collect()
+}
--- /dev/null
+++ b/daemon/tests/test_gateway.rs
@@ -0,0 +1,316 @@
+//! The gateway from a client's request to its answer, as a real process.
+
+mod gateway_site;
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gateway_site::GatewayProcess;
+use gateway_site::Site;
+use gateway_site::all_events;
+use gateway_site::config;
+use gateway_site::request;
+use gateway_site::stream_request;
+use gateway_site::wait_until;
+use jujubewall_testutils::site_runner::RunnerFault;
+use jujubewall_testutils::site_store::SiteStore;
+use jujubewall_testutils::site_store::StoreMood;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+fn header(answer: &hyper::Response<bytes::Bytes>, name: &str) -> String {
+    let value = answer
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_and_call_are_served_with_what_runners_have_to_know() {
+    let site = Site::start().await;
+    let answer = site.send(stream_request("s-1")).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.body(), all_events().as_bytes());
+    assert_eq!(header(&answer, "request-id"), "s-1");
+    assert!(!header(&answer, "response-stamp").is_empty());
+    let answer = site.send(request("GET", "/stock/7", "c-1")).await.unwrap();
+    assert_eq!(
+        (answer.status().as_u16(), &answer.body()[..]),
+        (200, &b"done"[..])
+    );
+    let ran = site.runners.ran();
+    let ran = ran.iter().find(|ran| ran.id == "c-1").unwrap();
+    let text = |name: &str| ran.headers.get(name).and_then(|value| value.to_str().ok());
+    assert_eq!(text("tenant"), Some("hall"));
+    assert_eq!(text("expect-instance"), Some(ran.runner.as_str()));
+    assert_eq!(text("authorization"), None);
+    assert_eq!(&ran.body[..], b"body");
+    let left: u64 = text("deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 2_000, "{left} ms are more than the route allows");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_requests_that_the_configuration_does_not_allow_are_refused() {
+    let site = Site::start().await;
+    let status = async |request| site.send(request).await.unwrap().status().as_u16();
+    assert_eq!(status(request("GET", "/nowhere/", "r-1")).await, 404);
+    let mut foreign = request("GET", "/stock/7", "r-2");
+    let key = "Bearer other".parse().unwrap();
+    foreign.headers_mut().insert("authorization", key);
+    assert_eq!(status(foreign).await, 401);
+    let mut large = request("POST", "/orders/", "r-3");
+    *large.body_mut() = bytes::Bytes::from(vec![0; 70_000]);
+    assert_eq!(status(large).await, 413);
+    let ran = site.runners.ran();
+    assert!(ran.iter().all(|ran| !ran.id.starts_with("r-")));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_goes_on_at_another_engine_after_its_last_whole_event() {
+    let site = Site::start().await;
+    for (id, fault) in [
+        ("cut", RunnerFault::CutAfter(5)),
+        ("torn", RunnerFault::TornAfter(5)),
+    ] {
+        // Every engine has the fault until one of them has shown it.
+        for engine in site.engine_ids() {
+            site.runners.set_fault(&engine, fault);
+        }
+        let send = site.send(stream_request(id));
+        let mend = async {
+            wait_until("the stream has run", async || !site.ran(id).is_empty()).await;
+            for engine in site.engine_ids() {
+                site.runners.set_fault(&engine, RunnerFault::None);
+            }
+        };
+        let (answer, ()) = tokio::join!(send, mend);
+        let answer = answer.unwrap();
+        assert_eq!(answer.body(), all_events().as_bytes(), "{id}");
+        let ran = site.ran(id);
+        assert_eq!(ran.len(), 2, "{id} ran on {ran:?}");
+        assert_eq!(header(&answer, "response-stamp"), ran[0]);
+        sleep(Duration::from_millis(300)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_order_whose_answer_is_lost_runs_once_and_is_not_called_unrun() {
+    let site = Site::start().await;
+    for ledger in ["ledger-0", "ledger-1"] {
+        site.runners.set_fault(ledger, RunnerFault::LoseAnswer);
+    }
+    let answer = site.send(request("POST", "/orders/", "o-1")).await.unwrap();
+    assert_eq!(answer.status(), 502);
+    assert_eq!(site.ran("o-1").len(), 1);
+    // What may be repeated is sent to the other upstream.
+    let answer = site.send(request("GET", "/stock/", "q-1")).await.unwrap();
+    assert_eq!(answer.status(), 502);
+    assert_eq!(site.ran("q-1").len(), 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_refused_order_is_sent_elsewhere_or_truthfully_called_unrun() {
+    let site = Site::start().await;
+    site.runners.set_fault("ledger-0", RunnerFault::Refuse);
+    for index in 0..4 {
+        let id = format!("o-{index}");
+        let answer = site.send(request("POST", "/orders/", &id)).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert_eq!(site.ran(&id), ["ledger-1"]);
+    }
+    site.runners.set_fault("ledger-1", RunnerFault::Refuse);
+    let begun = Instant::now();
+    let answer = site.send(request("POST", "/orders/", "o-9")).await.unwrap();
+    assert_eq!(answer.status(), 503);
+    assert!(begun.elapsed() < Duration::from_secs(1));
+    let wait: f64 = header(&answer, "retry-after").parse().unwrap();
+    assert!(wait > 0.0 && wait < 6.0);
+    assert!(site.ran("o-9").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_answer_of_another_request_reaches_nobody() {
+    let site = Site::start().await;
+    for ledger in ["ledger-0", "ledger-1"] {
+        site.runners.set_fault(ledger, RunnerFault::AnswerAnother);
+    }
+    let answer = site.send(request("POST", "/orders/", "o-1")).await.unwrap();
+    assert_eq!(answer.status(), 502);
+    assert_eq!(header(&answer, "response-stamp"), "");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_runners_own_failure_is_passed_on_unchanged() {
+    let site = Site::start().await;
+    for ledger in ["ledger-0", "ledger-1"] {
+        site.runners.set_fault(ledger, RunnerFault::Fail);
+    }
+    let answer = site.send(request("POST", "/orders/", "o-1")).await.unwrap();
+    assert_eq!(
+        (answer.status().as_u16(), &answer.body()[..]),
+        (500, &b"failure"[..])
+    );
+    assert_eq!(header(&answer, "response-stamp"), site.ran("o-1")[0]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_configurations_take_effect_and_never_go_back() {
+    let site = Site::start().await;
+    let status = async |id: &str| {
+        let answer = site.send(request("GET", "/stock/", id)).await;
+        answer.unwrap().status().as_u16()
+    };
+    let mut revoked = config(9);
+    revoked["tenants"][0]["api_keys"] = json!(["key-2"]);
+    site.store.put("op/config", revoked.to_string().as_bytes());
+    wait_until("the key is revoked", async || status("v9").await == 401).await;
+    for older in [config(8).to_string(), "{\"version\":".to_owned()] {
+        site.store.put("op/config", older.as_bytes());
+        sleep(Duration::from_millis(600)).await;
+        assert_eq!(status("v8").await, 401);
+    }
+    site.store
+        .put("op/config", config(12).to_string().as_bytes());
+    wait_until("the key is back", async || status("v12").await == 200).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_foreign_entries_and_leaving_runners_get_no_request() {
+    let site = Site::start().await;
+    site.store.put("servers/foreign", b"\xff");
+    let unknown = json!({"service": "ledger", "state": "resting"});
+    site.store
+        .put("servers/odd", unknown.to_string().as_bytes());
+    site.runners.drain("ledger-0");
+    sleep(Duration::from_millis(500)).await;
+    for index in 0..6 {
+        let id = format!("d-{index}");
+        let answer = site.send(request("GET", "/stock/", &id)).await.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert_eq!(site.ran(&id), ["ledger-1"]);
+    }
+    assert!(
+        site.gateway
+            .log()
+            .contains("event=entry_unreadable key=servers/odd")
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_without_engines_a_stream_is_rejected_at_once_with_a_time_to_come_back() {
+    let mut site = Site::start().await;
+    let ids = site.engine_ids();
+    site.engines.clear();
+    for id in ids {
+        site.store.remove(&format!("servers/{id}"));
+    }
+    sleep(Duration::from_millis(500)).await;
+    let begun = Instant::now();
+    let answer = site.send(stream_request("s-1")).await.unwrap();
+    assert_eq!(answer.status(), 503);
+    assert!(!header(&answer, "retry-after").is_empty());
+    assert!(begun.elapsed() < Duration::from_millis(500));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_lost_engine_is_replaced_in_its_domain() {
+    let mut site = Site::start().await;
+    let lost = site.engines.remove(1);
+    let id = lost.id().to_owned();
+    drop(lost);
+    site.store.remove(&format!("servers/{id}"));
+    wait_until("the rest of the domain holds the model", async || {
+        let held: u32 = site
+            .runners
+            .layers()
+            .iter()
+            .map(|layers| layers.len())
+            .sum();
+        held >= 2 * gateway_site::LAYERS
+    })
+    .await;
+    assert!(!site.runners.orders("place").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_requests_are_served_while_the_store_is_away() {
+    let site = Site::start().await;
+    for mood in [
+        StoreMood::Closing,
+        StoreMood::Silent,
+        StoreMood::Refusing(503),
+    ] {
+        site.store.set_mood(mood);
+        sleep(Duration::from_millis(1_200)).await;
+        let answer = site.send(stream_request("s-1")).await.unwrap();
+        assert_eq!(answer.status(), 200, "{mood:?}");
+        assert!(site.gateway.is_ready().await);
+    }
+    site.store.set_mood(StoreMood::Well);
+    wait_until("the store is regained", async || {
+        site.gateway.log().contains("event=store_regained")
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_process_that_the_store_turns_away_learns_from_a_peer() {
+    let site = Site::start().await;
+    let refusing = SiteStore::new();
+    refusing.set_mood(StoreMood::Refusing(503));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let turned_away = refusing.serve(listener);
+    // Peers listen on the same port, each on a host of its own.
+    let known = site.gateway.peers;
+    let IpAddr::V4(known_ip) = known.ip() else {
+        panic!("hosts of tests have IPv4 addresses");
+    };
+    let [_, b, c, d] = known_ip.octets();
+    let own = SocketAddr::from(([127, b ^ 0x80, c, d], known.port()));
+    let fresh = GatewayProcess::start(
+        site.folder.path(),
+        "front-2",
+        turned_away.address(),
+        own,
+        Some(known),
+    );
+    wait_until("the peer's knowledge is enough", async || {
+        fresh.is_ready().await
+    })
+    .await;
+    let log = fresh.log();
+    assert!(
+        log.contains("event=config version=7 before=0 source=peer"),
+        "{log}"
+    );
+    assert!(log.contains("event=instances count=8 source=peer"), "{log}");
+    let answer = fresh.send(stream_request("s-1")).await.unwrap();
+    assert_eq!(answer.body(), all_events().as_bytes());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_termination_cuts_no_stream_and_ends_the_process() {
+    let mut site = Site::start().await;
+    let send = site.send(stream_request("s-1"));
+    let stop = async {
+        wait_until("the stream runs", async || !site.ran("s-1").is_empty()).await;
+        site.gateway.terminate().await;
+        wait_until("the balancer is told", async || {
+            !site.gateway.is_ready().await
+        })
+        .await;
+    };
+    let (answer, ()) = tokio::join!(send, stop);
+    assert_eq!(answer.unwrap().body(), all_events().as_bytes());
+    // The balancer needs a moment to notice, in which connections are still served.
+    let answer = site.send(request("GET", "/stock/", "late")).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(header(&answer, "connection"), "close");
+    assert!(site.gateway.ended().await.success());
+    let log = site.gateway.log();
+    assert!(log.contains("event=stop cut_off=0"), "{log}");
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod relay;
 pub mod service;
 pub mod site;
+pub mod site_runner;
 pub mod site_store;
 pub mod stream_network;
 pub mod udp_relay;
