--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -146,9 +146,7 @@
         let is_filled = self.fill(&holes, &free, &mut planned);
         // Engines that are busy may be filling the holes already.
         let is_settled = self.engines.iter().all(|engine| !engine.is_busy);
-        if is_filled || !is_settled {
-            changes.append(&mut planned);
-        } else if !self.split_anew(changes) {
+        if is_filled || !is_settled || !self.split_anew(changes) {
             changes.append(&mut planned);
         }
     }
--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -52,7 +52,7 @@
 /// How one send of a call ended.
 enum CallEnd {
     /// The upstream answered.
-    Answered(Parts, CallBody),
+    Answered(Box<CallAnswer>),
     /// The upstream stated that the call did not run.
     NotRun,
     /// Nothing was sent.
@@ -64,6 +64,12 @@
 /// A send on its way, with the upstream that it goes to.
 type Send = LocalBoxFuture<'static, (InstanceKey, CallEnd)>;
 
+/// An upstream's answer.
+struct CallAnswer {
+    head: Parts,
+    body: CallBody,
+}
+
 /// The body of an answer.
 enum CallBody {
     Whole(Bytes),
@@ -101,7 +107,7 @@
     sends: u32,
     /// The sends that may have run.
     runs: u32,
-    failure: Option<(Parts, CallBody)>,
+    failure: Option<Box<CallAnswer>>,
     outcome: &'static str,
     _in_flight: InFlight,
 }
@@ -143,7 +149,7 @@
         let mut sends = FuturesUnordered::new();
         match self.next_send() {
             Ok(send) => sends.push(send),
-            Err(reply) => return reply,
+            Err(reply) => return *reply,
         }
         let target = Duration::from_millis(self.request.route.target_latency_ms.max(1));
         let second_send_at = self.request.received_at + target.mul_f64(SECOND_SEND_SHARE);
@@ -160,7 +166,7 @@
                     if sends.is_empty() {
                         match self.send_again() {
                             Ok(send) => sends.push(send),
-                            Err(reply) => return reply,
+                            Err(reply) => return *reply,
                         }
                     }
                 }
@@ -184,9 +190,9 @@
     }
 
     /// Chooses an upstream and sends the call to it.
-    fn next_send(&mut self) -> Result<Send, Reply> {
+    fn next_send(&mut self) -> Result<Send, Box<Reply>> {
         let Some(left) = self.request.time_left() else {
-            return Err(self.without_answer());
+            return Err(Box::new(self.without_answer()));
         };
         let draw = self.gateway.draw();
         let chosen = choose_upstream(
@@ -198,13 +204,13 @@
         );
         let key = match chosen {
             Ok(key) => key,
-            Err(reason) => return Err(self.without_upstream(reason)),
+            Err(reason) => return Err(Box::new(self.without_upstream(reason))),
         };
         let (id, address, in_flight) = {
             let instances = self.gateway.instances();
             let Some(tracked) = instances.get(key) else {
                 drop(instances);
-                return Err(self.without_answer());
+                return Err(Box::new(self.without_answer()));
             };
             let total = instances.total_work(tracked).requests;
             (tracked.instance.id.clone(), tracked.instance.address, total)
@@ -231,12 +237,9 @@
                 Some(connection) => Ok(connection),
                 None => Connection::open(address).await,
             };
-            let mut connection = match connection {
-                Ok(connection) => connection,
-                Err(_) => {
-                    probe::suspect(&gateway, key, Evidence::Silent, "takes no connection");
-                    return (key, CallEnd::NotConnected);
-                }
+            let Ok(mut connection) = connection else {
+                probe::suspect(&gateway, key, Evidence::Silent, "takes no connection");
+                return (key, CallEnd::NotConnected);
             };
             let answer = match connection.send(upstream).await {
                 Ok(answer) => answer,
@@ -256,12 +259,12 @@
     }
 
     /// Sends the call once more if nothing speaks against it.
-    fn send_again(&mut self) -> Result<Send, Reply> {
+    fn send_again(&mut self) -> Result<Send, Box<Reply>> {
         let is_allowed = self.sends < MAX_SENDS
             && self.runs < self.request.route.max_attempts
             && (self.runs == 0 || self.is_idempotent());
         if !is_allowed || !self.gateway.try_repeat(&self.request.service.name) {
-            return Err(self.without_answer());
+            return Err(Box::new(self.without_answer()));
         }
         self.next_send()
     }
@@ -269,7 +272,7 @@
     /// Takes over the end of one send; returns the reply if it decides the call.
     fn on_end(&mut self, key: InstanceKey, end: CallEnd) -> Option<Reply> {
         let is_failure = match &end {
-            CallEnd::Answered(head, _) => head.status.is_server_error(),
+            CallEnd::Answered(answer) => answer.head.status.is_server_error(),
             CallEnd::Lost | CallEnd::NotConnected => true,
             CallEnd::NotRun => false,
         };
@@ -278,13 +281,13 @@
             .instances_mut()
             .note_outcome(key, is_failure, now);
         match end {
-            CallEnd::Answered(head, body) => {
+            CallEnd::Answered(answer) => {
                 self.runs += 1;
-                if head.status.is_server_error() && self.is_idempotent() {
-                    self.failure = Some((head, body));
+                if answer.head.status.is_server_error() && self.is_idempotent() {
+                    self.failure = Some(answer);
                     return None;
                 }
-                Some(self.pass_on(head, body))
+                Some(self.pass_on(*answer))
             }
             CallEnd::Lost => {
                 self.runs += 1;
@@ -294,7 +297,8 @@
         }
     }
 
-    fn pass_on(&mut self, head: Parts, body: CallBody) -> Reply {
+    fn pass_on(&mut self, answer: CallAnswer) -> Reply {
+        let CallAnswer { head, body } = answer;
         self.outcome = if head.status.is_success() {
             "completed"
         } else {
@@ -311,8 +315,8 @@
 
     /// Answers a call that no further send can answer.
     fn without_answer(&mut self) -> Reply {
-        if let Some((head, body)) = self.failure.take() {
-            return self.pass_on(head, body);
+        if let Some(failure) = self.failure.take() {
+            return self.pass_on(*failure);
         }
         if self.runs > 0 {
             self.outcome = "unknown";
@@ -349,8 +353,8 @@
             let now = Instant::now();
             self.gateway.instances_mut().note_outcome(*key, true, now);
         }
-        if let Some((head, body)) = self.failure.take() {
-            return self.pass_on(head, body);
+        if let Some(failure) = self.failure.take() {
+            return self.pass_on(*failure);
         }
         self.outcome = "timed_out";
         warn!(
@@ -378,22 +382,24 @@
         warn!("event=foreign_answer status={}", head.status);
         return CallEnd::Lost;
     }
-    let mut held = BytesMut::new();
+    let mut buffer = BytesMut::new();
     loop {
         match body.frame().await {
             Some(Ok(frame)) => {
                 if let Ok(bytes) = frame.into_data() {
-                    held.extend_from_slice(&bytes);
+                    buffer.extend_from_slice(&bytes);
                 }
             }
             Some(Err(_)) => return CallEnd::Lost,
             None => {
                 gateway.connections.put(key, connection);
-                return CallEnd::Answered(head, CallBody::Whole(held.freeze()));
+                let body = CallBody::Whole(buffer.freeze());
+                return CallEnd::Answered(Box::new(CallAnswer { head, body }));
             }
         }
-        if held.len() > MAX_HELD_BYTES {
-            return CallEnd::Answered(head, CallBody::Long(held.freeze(), body, connection));
+        if buffer.len() > MAX_HELD_BYTES {
+            let body = CallBody::Long(buffer.freeze(), body, connection);
+            return CallEnd::Answered(Box::new(CallAnswer { head, body }));
         }
     }
 }
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -31,6 +31,7 @@
 use crate::gateway::answer;
 use crate::gateway::answer::Reply;
 use crate::gateway::call;
+use crate::gateway::request::Admission;
 use crate::gateway::request::BodyFault;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request::read_body;
@@ -190,19 +191,13 @@
             return refuse(&routes, &parts, StatusCode::BAD_REQUEST, "body incomplete");
         }
     };
-    let rank = holder.as_ref().and_then(|holder| holder.rank);
-    let account = holder.as_ref().map(|holder| &holder.account);
-    let version = routes.config().version;
-    let request = ClientRequest::new(
-        parts,
-        body,
+    let admission = Admission {
         route,
         service,
-        account,
-        rank,
-        received_at,
-        version,
-    );
+        holder: holder.as_ref(),
+        config_version: routes.config().version,
+    };
+    let request = ClientRequest::new(parts, body, &admission, received_at);
     match (&service.engine, route.kind) {
         (Some(spec), RequestKind::Stream) => {
             stream::answer(gateway, request, spec.clone(), in_flight).await
--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -70,7 +70,7 @@
 /// Starts to follow the store.
 pub fn start(gateway: &Rc<Gateway>) {
     spawn_local(follow(Rc::clone(gateway), ConfigFollower));
-    spawn_local(follow(Rc::clone(gateway), InstanceFollower::default()));
+    spawn_local(follow(Rc::clone(gateway), InstanceFollower));
     spawn_local(forget_missing(Rc::clone(gateway)));
 }
 
@@ -194,12 +194,11 @@
 
     /// The configuration itself is fetched from peers.
     async fn is_behind(&self, _gateway: &Gateway) {
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
 /// Follows the upstreams' entries.
-#[derive(Default)]
 struct InstanceFollower;
 
 impl Follower for InstanceFollower {
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -41,7 +41,7 @@
 
 /// The time after which another gateway takes over from a silent planner; several
 /// renewals fit into it.
-const LEASE_TTL: Duration = Duration::from_millis(2_000);
+const LEASE_TTL: Duration = Duration::from_secs(2);
 
 /// The time between two renewals, or attempts to take over.
 const LEASE_INTERVAL: Duration = Duration::from_millis(600);
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -17,10 +17,10 @@
 use hyper::http::request::Parts;
 use jujubewall_platform::site::headers;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
+use jujubewall_routing::fleet::routes::KeyHolder;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::Route;
 use jujubewall_types::fleet::Service;
-use jujubewall_types::id::AccountName;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
@@ -53,6 +53,18 @@
     body: Bytes,
 }
 
+/// What the configuration says of a request.
+pub struct Admission<'a> {
+    /// The route.
+    pub route: &'a Route,
+    /// The service that takes the request.
+    pub service: &'a Service,
+    /// The account that holds the request's key, if it needs one.
+    pub holder: Option<&'a KeyHolder>,
+    /// The version of the configuration.
+    pub config_version: u64,
+}
+
 /// The reason that a request's body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFault {
@@ -72,17 +84,9 @@
 }
 
 impl ClientRequest {
-    /// Joins a request's head and body with its route.
-    pub fn new(
-        parts: Parts,
-        body: Bytes,
-        route: &Route,
-        service: &Service,
-        account: Option<&AccountName>,
-        rank: Option<u32>,
-        received_at: Instant,
-        config_version: u64,
-    ) -> Self {
+    /// Joins a request's head and body with what the configuration says of it.
+    pub fn new(parts: Parts, body: Bytes, admission: &Admission<'_>, received_at: Instant) -> Self {
+        let Admission { route, service, .. } = *admission;
         let mut fields = parts.headers;
         let timeout = Duration::from_millis(route.timeout_ms);
         let client_waits = headers::number(&fields, &headers::DEADLINE_MS);
@@ -90,11 +94,12 @@
         strip_connection_headers(&mut fields);
         headers::strip_router_only(&mut fields);
         fields.remove(EXPECT);
-        if let Some(account) = account
-            && let Ok(value) = HeaderValue::try_from(account.as_str())
+        if let Some(holder) = admission.holder
+            && let Ok(value) = HeaderValue::try_from(holder.account.as_str())
         {
             fields.insert(headers::ACCOUNT, value);
         }
+        let rank = admission.holder.and_then(|holder| holder.rank);
         let priority = rank.unwrap_or(route.rank).min(MAX_PRIORITY);
         fields.insert(headers::REQUEST_PRIORITY, HeaderValue::from(priority));
         Self {
@@ -103,7 +108,7 @@
             service: service.clone(),
             received_at,
             give_up_at: received_at + timeout.min(client_waits),
-            config_version,
+            config_version: admission.config_version,
             method: parts.method,
             uri: parts.uri,
             headers: fields,
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -28,6 +28,7 @@
 use jujubewall_routing::fleet::layer_path::choose_rest;
 use jujubewall_routing::fleet::layer_path::part_work;
 use jujubewall_routing::fleet::silence;
+use jujubewall_routing::fleet::silence::PathState;
 use jujubewall_routing::fleet::silence::SilenceStep;
 use jujubewall_routing::fleet::silence::SilentStream;
 use jujubewall_types::fleet::EngineSpec;
@@ -75,7 +76,7 @@
     /// The run broke off.
     Broken(BrokenRun),
     /// The engine ran the request and answered with a failure.
-    Failed(FailedAnswer),
+    Failed(Box<FailedAnswer>),
 }
 
 /// A run that broke off.
@@ -269,12 +270,12 @@
         }
         let body = Limited::new(body, MAX_FAILURE_BYTES).collect().await;
         match body {
-            Ok(body) => Err(RunFault::Failed(FailedAnswer {
+            Ok(body) => Err(RunFault::Failed(Box::new(FailedAnswer {
                 first: self.first,
                 status: head.status,
                 headers: head.headers,
                 body: body.to_bytes(),
-            })),
+            }))),
             Err(_) => Err(self.broken(Some(self.first))),
         }
     }
@@ -393,8 +394,11 @@
                 has_begun: self.has_begun,
                 silence: silent_since.elapsed(),
                 expected_gap: self.expected_gap,
-                has_lost_part: lost.is_some(),
-                is_queued: self.is_queued,
+                path: match lost {
+                    Some(_) => PathState::PartLost,
+                    None if self.is_queued => PathState::Queued,
+                    None => PathState::Whole,
+                },
                 may_move: self.may_move,
             };
             match silence::on_silence(&stream) {
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -48,7 +48,7 @@
 
 /// The soonest time to come back when layers are missing: engines load them within
 /// about a second.
-const REPAIR_WAIT: Duration = Duration::from_millis(1_000);
+const REPAIR_WAIT: Duration = Duration::from_secs(1);
 
 /// What the relay gives next.
 enum Next {
@@ -67,7 +67,7 @@
     /// The request waited as long as its client or its route allows.
     TimedOut,
     /// An engine's own failure.
-    Failed(FailedAnswer),
+    Failed(Box<FailedAnswer>),
 }
 
 /// One stream on its way to a client.
--- a/daemon/src/gateway/upstreams.rs
+++ b/daemon/src/gateway/upstreams.rs
@@ -69,9 +69,8 @@
     /// Opens a connection.
     pub async fn open(address: SocketAddr) -> Result<Self, SendFault> {
         let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let socket = match socket {
-            Ok(Ok(socket)) => socket,
-            Ok(Err(_)) | Err(_) => return Err(SendFault::NotConnected),
+        let Ok(Ok(socket)) = socket else {
+            return Err(SendFault::NotConnected);
         };
         socket
             .set_nodelay(true)
--- a/daemon/tests/gateway_site/mod.rs
+++ b/daemon/tests/gateway_site/mod.rs
@@ -292,7 +292,8 @@
 
 /// Returns the events of a whole stream.
 pub fn all_events() -> String {
-    (0..EVENTS)
+    let events: Vec<String> = (0..EVENTS)
         .map(|id| format!("id: {id}\ndata: word\n\n"))
-        .collect()
+        .collect();
+    events.concat()
 }
--- a/routing/src/fleet/comeback.rs
+++ b/routing/src/fleet/comeback.rs
@@ -13,7 +13,7 @@
 
 /// The latest time to come back; clients take up to a third of their time left,
 /// which is above this for the usual deadlines of streams.
-const MAX_WAIT: Duration = Duration::from_millis(4_000);
+const MAX_WAIT: Duration = Duration::from_secs(4);
 
 /// The weight of a new sample in the mean time between two ended requests.
 const SAMPLE_WEIGHT: f64 = 0.1;
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -44,14 +44,23 @@
     pub silence: Duration,
     /// The expected time between two events.
     pub expected_gap: Duration,
-    /// Whether a part of the path is known as lost.
-    pub has_lost_part: bool,
-    /// Whether requests wait at the first engine of the path, by its report.
-    pub is_queued: bool,
+    /// What is known of the path.
+    pub path: PathState,
     /// Whether the stream may go on over another path.
     pub may_move: bool,
 }
 
+/// What is known of a silent stream's path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathState {
+    /// Nothing speaks against it.
+    Whole,
+    /// Requests wait at its first engine, by the engine's report.
+    Queued,
+    /// A part is known as lost.
+    PartLost,
+}
+
 /// What is done about a silent stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SilenceStep {
@@ -67,14 +76,14 @@
 
 /// Decides what is done about a silent stream.
 pub fn on_silence(stream: &SilentStream) -> SilenceStep {
-    if stream.has_lost_part {
+    if stream.path == PathState::PartLost {
         return if stream.silence >= LOST_PART_SILENCE {
             SilenceStep::GiveUp
         } else {
             SilenceStep::Wait
         };
     }
-    if stream.silence >= MAX_SILENCE && stream.may_move && !stream.is_queued {
+    if stream.silence >= MAX_SILENCE && stream.may_move && stream.path != PathState::Queued {
         return SilenceStep::GiveUp;
     }
     let patience = patience(stream);
--- a/routing/tests/test_fleet_decisions.rs
+++ b/routing/tests/test_fleet_decisions.rs
@@ -11,6 +11,7 @@
 use jujubewall_routing::fleet::repeat_budget::RepeatBudget;
 use jujubewall_routing::fleet::routes::RouteTable;
 use jujubewall_routing::fleet::routes::UnknownKey;
+use jujubewall_routing::fleet::silence::PathState;
 use jujubewall_routing::fleet::silence::SilenceStep;
 use jujubewall_routing::fleet::silence::SilentStream;
 use jujubewall_routing::fleet::silence::on_silence;
@@ -255,8 +256,7 @@
         has_begun: true,
         silence: Duration::from_millis(silence_ms),
         expected_gap: Duration::from_millis(30),
-        has_lost_part: false,
-        is_queued: false,
+        path: PathState::Whole,
         may_move: true,
     }
 }
@@ -272,7 +272,7 @@
 #[test]
 fn test_lost_part_ends_a_run_within_the_pause_that_clients_accept() {
     let lost = SilentStream {
-        has_lost_part: true,
+        path: PathState::PartLost,
         ..silent(35)
     };
     assert_eq!(on_silence(&lost), SilenceStep::GiveUp);
@@ -283,7 +283,7 @@
 fn test_queued_stream_stays_where_it_is() {
     let queued = SilentStream {
         has_begun: false,
-        is_queued: true,
+        path: PathState::Queued,
         ..silent(1_900)
     };
     assert_eq!(on_silence(&queued), SilenceStep::AskFirst);
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -452,7 +452,7 @@
             .count()
     };
     assert_eq!(share(&fleet, fleet.now), 0);
-    let later = fleet.now + Duration::from_secs(60);
+    let later = fleet.now + Duration::from_mins(1);
     let other = fleet.keys["a-1"];
     fleet.table.begin_work(other, &CALL_WORK);
     assert!(share(&fleet, later) > 0);
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -243,7 +243,7 @@
             "/v1/report" => Ok(self.report(&id)),
             "/v1/order" => Ok(self.order(&id, &body)),
             "/health" => Ok(plain(200, &id)),
-            _ => self.run(&id, parts.headers, body),
+            _ => self.run(&id, &parts.headers, body),
         }
     }
 
@@ -290,7 +290,7 @@
     fn run(
         &self,
         id: &str,
-        headers: HeaderMap,
+        headers: &HeaderMap,
         body: Bytes,
     ) -> Result<Response<ReplyBody>, CutError> {
         let mut state = self.state();
