--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -40,7 +40,7 @@
 const MAX_SHARE_FACTOR: f64 = 1.6;
 
 /// The part of a group's memory that the weights of its copies may take.
-const MAX_COPIES_SHARE: f64 = 0.82;
+const MAX_COPIES_SHARE: f64 = 0.7;
 
 /// The memory of a domain, in copies of the model, from which it holds one.
 const MIN_COPIES_OF_MEMORY: f64 = 1.35;
--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -32,9 +32,13 @@
 /// effect.
 const LONE_WATCH_WAIT: Duration = Duration::from_millis(800);
 
-/// The time for which a watch waits among peers, who tell which revisions they know:
-/// one whose watch has gone silent learns it from them.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// The time for which a watch waits for each peer that follows the store too. Peers
+/// tell which revisions they know, and their watches begin at different times, so
+/// that one of all is renewed about twice a second however many there are.
+const WATCH_WAIT_PER_PEER: Duration = Duration::from_millis(500);
+
+/// The longest time for which a watch waits.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(8);
 
 /// The pause after a watch that returned changes, which joins changes that come
 /// in quick succession into one call.
@@ -118,11 +122,8 @@
     after: Revision,
 ) -> Result<Option<Revision>, PlatformError> {
     let store = gateway.store();
-    let wait = if gateway.peers.know_as_much() {
-        WATCH_WAIT
-    } else {
-        LONE_WATCH_WAIT
-    };
+    let wait = (WATCH_WAIT_PER_PEER * gateway.peers.followers_of_store())
+        .clamp(LONE_WATCH_WAIT, MAX_WATCH_WAIT);
     let watched = tokio::select! {
         watched = store.watch(follower.prefix(), after, wait) => watched?,
         // The watch is behind what peers know; a list shows what it missed.
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -57,10 +57,6 @@
 /// The time for which a peer's last message says what it knows now.
 const FRESH: Duration = Duration::from_millis(1_500);
 
-/// The peers that have to follow the store before watches wait longer: with watches
-/// begun at different times, one of them is soon renewed.
-const MIN_WITNESSES: usize = 3;
-
 /// The peers that a datagram names at most, so that it fits into one packet.
 const MAX_TOLD_PEERS: usize = 32;
 
@@ -177,13 +173,13 @@
             .map(|(address, _)| *address)
     }
 
-    /// Returns whether enough peers follow the store to notice a watch gone silent.
-    pub fn know_as_much(&self) -> bool {
+    /// Returns the number of peers that follow the store as well.
+    pub fn followers_of_store(&self) -> u32 {
         let heard = self.heard.borrow();
         let followers = heard
             .values()
             .filter(|peer| peer.has_store && peer.heard_at.elapsed() < FRESH);
-        followers.count() >= MIN_WITNESSES
+        u32::try_from(followers.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns whether a peer that follows the store knows newer entries.
