--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -88,6 +88,7 @@
 /// A peer that has been heard.
 #[derive(Clone, Debug)]
 struct Peer {
+    member: MemberName,
     heard_at: Instant,
     config_version: u64,
     instances_revision: Revision,
@@ -144,6 +145,7 @@
             .insert(
                 from,
                 Peer {
+                    member: telling.member.clone(),
                     heard_at: Instant::now(),
                     config_version: telling.config_version,
                     instances_revision: telling.instances_revision,
@@ -198,6 +200,16 @@
             .any(|peer| peer.is_planner && peer.heard_at.elapsed() < FRESH)
     }
 
+    /// Returns whether this gateway's name is the first of those that are heard.
+    pub fn is_first(&self, gateway: &Gateway) -> bool {
+        let own = &gateway.settings().member;
+        let heard = self.heard.borrow();
+        heard
+            .values()
+            .filter(|peer| peer.heard_at.elapsed() < FRESH)
+            .all(|peer| *own < peer.member)
+    }
+
     /// Returns a peer that the store serves.
     fn with_store(&self) -> Option<SocketAddr> {
         let heard = self.heard.borrow();
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -125,8 +125,14 @@
         match gateway.planner.lease.get() {
             Some(lease) => renew(&gateway, lease).await,
             // Peers tell that they plan, so the store is asked only when none does.
-            None if gateway.peers.has_planner() => {}
-            None => take_over(&gateway).await,
+            None if gateway.peers.has_planner() => set_planner(&gateway, false),
+            None => match take_over(&gateway).await {
+                Claim::Won => set_planner(&gateway, true),
+                Claim::Taken => set_planner(&gateway, false),
+                // While the store is away nobody can win the lease. Orders are safe
+                // without it, so one gateway stands in that all agree on.
+                Claim::Unknown => set_planner(&gateway, gateway.peers.is_first(&gateway)),
+            },
         }
         sleep(LEASE_INTERVAL).await;
     }
@@ -145,36 +151,44 @@
     }
 }
 
-async fn take_over(gateway: &Gateway) {
-    let store = gateway.store();
-    match store.get(PLANNER_KEY).await {
-        Ok(None) => {}
-        Ok(Some(_)) => return,
+/// What became of an attempt to take over.
+enum Claim {
+    /// This gateway holds the lease.
+    Won,
+    /// Another gateway holds it.
+    Taken,
+    /// The store did not say.
+    Unknown,
+}
+
+async fn take_over(gateway: &Gateway) -> Claim {
+    match try_take_over(gateway).await {
+        Ok(claim) => claim,
+        // If the write was done, the key lapses with its lease.
         Err(failure) => {
             info!("event=planner_unknown reason=\"{failure}\"");
-            return;
+            Claim::Unknown
         }
     }
+}
+
+async fn try_take_over(gateway: &Gateway) -> Result<Claim, PlatformError> {
+    let store = gateway.store();
+    if store.get(PLANNER_KEY).await?.is_some() {
+        return Ok(Claim::Taken);
+    }
     let shortest = Duration::from_millis(gateway.settings().min_lease_ttl_ms);
-    let lease = match store.grant_lease(LEASE_TTL.max(shortest)).await {
-        Ok(lease) => lease,
-        Err(failure) => {
-            info!("event=lease_refused reason=\"{failure}\"");
-            return;
-        }
-    };
+    let lease = store.grant_lease(LEASE_TTL.max(shortest)).await?;
     let member = Bytes::from(gateway.settings().member.as_str().to_owned());
     let outcome = store
         .write_if(PLANNER_KEY, Revision(0), member, lease)
-        .await;
+        .await?;
     match outcome {
-        Ok(WriteOutcome::Done(_)) => {
+        WriteOutcome::Done(_) => {
             gateway.planner.lease.set(Some(lease));
-            set_planner(gateway, true);
+            Ok(Claim::Won)
         }
-        Ok(WriteOutcome::Conflict) => {}
-        // If the write was done, the key lapses with its lease.
-        Err(failure) => info!("event=planner_unknown reason=\"{failure}\""),
+        WriteOutcome::Conflict => Ok(Claim::Taken),
     }
 }
 
@@ -233,6 +247,7 @@
     instances
         .of_service(service)
         .filter(|(_, tracked)| tracked.instance.state == InstanceState::Ready)
+        .filter(|(_, tracked)| tracked.leaving_since().is_none())
         .filter(|(_, tracked)| {
             let since = tracked.suspected_since();
             since.is_none_or(|since| since.elapsed() < LOSS_CONFIRMED)
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -81,15 +81,23 @@
 }
 
 async fn probe_suspects(gateway: Rc<Gateway>) {
+    let mut looks: u32 = 0;
     loop {
         sleep(PROBE_INTERVAL).await;
         gateway.connections.expire();
         gateway.instances_mut().expire_departed(Instant::now());
+        looks = looks.wrapping_add(1);
+        if looks % RARE_PROBE_LOOKS == 0 {
+            let leaving = gateway.instances().leaving();
+            for key in leaving {
+                spawn_local(ask_whether_it_leaves(Rc::clone(&gateway), key));
+            }
+        }
         let suspected = gateway.instances().suspected();
         for (key, suspected_since) in suspected {
-            let looks = suspected_since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
-            let looks = u32::try_from(looks).unwrap_or(u32::MAX);
-            if looks <= FREQUENT_PROBES || looks % RARE_PROBE_LOOKS == 0 {
+            let silent_looks = suspected_since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
+            let silent_looks = u32::try_from(silent_looks).unwrap_or(u32::MAX);
+            if silent_looks <= FREQUENT_PROBES || silent_looks % RARE_PROBE_LOOKS == 0 {
                 spawn_local(clear_if_it_answers(Rc::clone(&gateway), key));
             }
         }
@@ -108,6 +116,41 @@
     ask_whether_reachable(gateway, &[key], BROKEN_INTERVAL, "a connection broke");
 }
 
+/// Asks an engine that refused a part of a path whether it leaves.
+pub fn look_into_refusal(gateway: &Rc<Gateway>, key: InstanceKey) {
+    ask_whether_reachable(gateway, &[key], BROKEN_INTERVAL, "it refused a path");
+    spawn_local(ask_whether_it_leaves(Rc::clone(gateway), key));
+}
+
+async fn ask_whether_it_leaves(gateway: Rc<Gateway>, key: InstanceKey) {
+    let target = gateway.instances().get(key).map(|tracked| {
+        let instance = &tracked.instance;
+        (
+            instance.address,
+            instance.service.clone(),
+            instance.id.clone(),
+        )
+    });
+    let Some((address, service, id)) = target else {
+        return;
+    };
+    let health_path = gateway.routes().and_then(|routes| {
+        let service = routes.service(&service)?;
+        Some(service.health_path.clone())
+    });
+    let Some(path) = health_path else {
+        return;
+    };
+    let Ok(Some((is_healthy, _))) = timeout(HEALTH_TIMEOUT, get(address, &path)).await else {
+        return;
+    };
+    let now = Instant::now();
+    let is_news = gateway.instances_mut().note_leaving(key, !is_healthy, now);
+    if is_news {
+        info!("event=health upstream={id} takes_work={is_healthy}");
+    }
+}
+
 /// Notes direct evidence against an upstream.
 pub fn suspect(gateway: &Gateway, key: InstanceKey, evidence: Evidence, reason: &str) {
     let now = Instant::now();
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -294,7 +294,7 @@
         if let Some(faulty) = faulty {
             let now = Instant::now();
             gateway.instances_mut().note_failed_run(faulty, now);
-            probe::look_into_parts(gateway, &[faulty]);
+            probe::look_into_refusal(gateway, faulty);
         }
         faulty
     }
--- a/daemon/tests/test_gateway.rs
+++ b/daemon/tests/test_gateway.rs
@@ -13,6 +13,7 @@
 use gateway_site::request;
 use gateway_site::stream_request;
 use gateway_site::wait_until;
+use jujubewall_testutils::http_server::ServerHandle;
 use jujubewall_testutils::site_runner::RunnerFault;
 use jujubewall_testutils::site_store::SiteStore;
 use jujubewall_testutils::site_store::StoreMood;
@@ -257,13 +258,12 @@
     .await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn test_process_that_the_store_turns_away_learns_from_a_peer() {
-    let site = Site::start().await;
+/// Starts a gateway that knows the site only through its first gateway.
+async fn start_turned_away(site: &Site) -> (GatewayProcess, ServerHandle) {
     let refusing = SiteStore::new();
     refusing.set_mood(StoreMood::Refusing(503));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let turned_away = refusing.serve(listener);
+    let store = refusing.serve(listener);
     // Peers listen on the same port, each on a host of its own.
     let known = site.gateway.peers;
     let IpAddr::V4(known_ip) = known.ip() else {
@@ -271,17 +271,19 @@
     };
     let [_, b, c, d] = known_ip.octets();
     let own = SocketAddr::from(([127, b ^ 0x80, c, d], known.port()));
-    let fresh = GatewayProcess::start(
-        site.folder.path(),
-        "front-2",
-        turned_away.address(),
-        own,
-        Some(known),
-    );
+    let folder = site.folder.path();
+    let fresh = GatewayProcess::start(folder, "front-2", store.address(), own, Some(known));
     wait_until("the peer's knowledge is enough", async || {
         fresh.is_ready().await
     })
     .await;
+    (fresh, store)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_process_that_the_store_turns_away_learns_from_a_peer() {
+    let site = Site::start().await;
+    let (fresh, _store) = start_turned_away(&site).await;
     let log = fresh.log();
     assert!(
         log.contains("event=config version=7 before=0 source=peer"),
@@ -292,6 +294,31 @@
     assert_eq!(answer.body(), all_events().as_bytes());
 }
 
+/// Replays incident inc-047f: the planner left while the store was away, and lost
+/// layers were not replaced until the store came back.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_layers_are_replaced_though_the_planner_left_while_the_store_is_away() {
+    let mut site = Site::start().await;
+    let (fresh, _store) = start_turned_away(&site).await;
+    site.store.set_mood(StoreMood::Refusing(503));
+    site.gateway.terminate().await;
+    assert!(site.gateway.ended().await.success());
+    let placed = site.runners.orders("place").len();
+    // One engine of each domain, so that streams meet a lost one on any path.
+    site.engines.retain(|engine| !engine.id().ends_with("-0"));
+    wait_until("the lost layers are placed anew", async || {
+        // Streams find that the engine is lost, since no entry says so.
+        let _ = fresh.send(stream_request("probe")).await;
+        site.runners.orders("place").len() > placed
+    })
+    .await;
+    wait_until("a stream is served", async || {
+        let answer = fresh.send(stream_request("after")).await;
+        answer.is_ok_and(|answer| answer.body() == all_events().as_bytes())
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_termination_cuts_no_stream_and_ends_the_process() {
     let mut site = Site::start().await;
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -136,6 +136,7 @@
     digest: u64,
     own: Work,
     departed_at: Option<Instant>,
+    leaving_since: Option<Instant>,
     suspected_since: Option<Instant>,
     has_refused: bool,
     failed_runs_in_a_row: u32,
@@ -153,6 +154,7 @@
             instance,
             own: Work::default(),
             departed_at: None,
+            leaving_since: None,
             suspected_since: None,
             has_refused: false,
             failed_runs_in_a_row: 0,
@@ -168,6 +170,7 @@
     pub fn is_usable(&self) -> bool {
         self.instance.state == InstanceState::Ready
             && self.departed_at.is_none()
+            && self.leaving_since.is_none()
             && self.suspected_since.is_none()
     }
 
@@ -186,6 +189,12 @@
         self.avoided_until.is_some_and(|until| now < until)
     }
 
+    /// Returns since when the upstream itself says that it leaves, which its entry does
+    /// not show while the store is away.
+    pub const fn leaving_since(&self) -> Option<Instant> {
+        self.leaving_since
+    }
+
     /// Returns since when direct evidence speaks against the upstream.
     pub const fn suspected_since(&self) -> Option<Instant> {
         self.suspected_since
@@ -355,6 +364,29 @@
             .is_some_and(|tracked| tracked.suspected_since.take().is_some())
     }
 
+    /// Notes whether an upstream that refused work says that it leaves. Returns
+    /// whether that is new.
+    pub fn note_leaving(&mut self, key: InstanceKey, is_leaving: bool, now: Instant) -> bool {
+        let Some(tracked) = self.instances.get_mut(key) else {
+            return false;
+        };
+        let is_news = tracked.leaving_since.is_some() != is_leaving;
+        if is_news {
+            tracked.leaving_since = is_leaving.then_some(now);
+        }
+        is_news
+    }
+
+    /// Returns the upstreams that say themselves that they leave.
+    pub fn leaving(&self) -> Vec<InstanceKey> {
+        self.instances
+            .iter()
+            .filter(|(_, tracked)| tracked.leaving_since.is_some())
+            .filter(|(_, tracked)| tracked.departed_at.is_none())
+            .map(|(key, _)| key)
+            .collect()
+    }
+
     /// Returns the suspected upstreams, and since when they are.
     pub fn suspected(&self) -> Vec<(InstanceKey, Instant)> {
         self.instances
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -494,3 +494,20 @@
         .expire_departed(fleet.now + Duration::from_secs(31));
     assert!(fleet.table.get(departed).is_none());
 }
+
+/// Replays incident inc-047f: engines left while the store was away, refused every
+/// path, and were chosen again and again.
+#[test]
+fn test_engine_that_says_itself_that_it_leaves_gets_no_new_stream() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let leaving = fleet.keys["a-20"];
+    assert!(fleet.table.note_leaving(leaving, true, fleet.now));
+    assert!(!fleet.table.note_leaving(leaving, true, fleet.now));
+    let path = fleet.choose(&[], true).unwrap();
+    assert_eq!(fleet.domain_of(&path), "b");
+    // Its running streams are not lost.
+    assert_eq!(fleet.table.get(leaving).unwrap().suspected_since(), None);
+    assert_eq!(fleet.table.leaving(), [leaving]);
+    fleet.table.note_leaving(leaving, false, fleet.now);
+    assert!(fleet.table.get(leaving).unwrap().is_usable());
+}
