--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -87,7 +87,7 @@
         gateway.connections.expire();
         gateway.instances_mut().expire_departed(Instant::now());
         looks = looks.wrapping_add(1);
-        if looks % RARE_PROBE_LOOKS == 0 {
+        if looks.is_multiple_of(RARE_PROBE_LOOKS) {
             let leaving = gateway.instances().leaving();
             for key in leaving {
                 spawn_local(ask_whether_it_leaves(Rc::clone(&gateway), key));
@@ -97,7 +97,7 @@
         for (key, suspected_since) in suspected {
             let silent_looks = suspected_since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
             let silent_looks = u32::try_from(silent_looks).unwrap_or(u32::MAX);
-            if silent_looks <= FREQUENT_PROBES || silent_looks % RARE_PROBE_LOOKS == 0 {
+            if silent_looks <= FREQUENT_PROBES || silent_looks.is_multiple_of(RARE_PROBE_LOOKS) {
                 spawn_local(clear_if_it_answers(Rc::clone(&gateway), key));
             }
         }
