gateway: tell the layers that engines reported

Change: gateways tell each other the layers that engines reported to one of them, and take them over while their own store does not answer.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use jujubewall_platform::site::settings::SiteSettings;
+use jujubewall_routing::fleet::instances::ToldLayers;
 use jujubewall_routing::fleet::instances::ToldWork;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
@@ -82,6 +83,7 @@
     is_planner: bool,
     work: Vec<ToldWork>,
     doubts: Vec<u64>,
+    layers: Vec<ToldLayers>,
     peers: Vec<SocketAddr>,
 }
 
@@ -265,6 +267,7 @@
         is_planner: planner::is_planner(gateway),
         work: instances.told_work(),
         doubts: instances.told_doubts(Instant::now()),
+        layers: instances.told_layers(),
         peers,
     }
 }
@@ -294,6 +297,9 @@
             &telling.doubts,
             Instant::now(),
         );
+        if gateway.store_link() != StoreLink::Up {
+            gateway.instances_mut().on_told_layers(&telling.layers);
+        }
         if !telling.doubts.is_empty() {
             probe::look_into(&gateway, &telling.doubts);
         }
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -240,23 +240,11 @@
     if is_empty && since.elapsed() < SETTLE_TIME {
         return;
     }
-    let is_store_up = gateway.store_link() == StoreLink::Up;
     for placement in place(spec, &engines) {
-        // While the store is away the other gateways do not learn of changes: layers
-        // may be added then, but none that they still use given up.
-        let held = engines.iter().find(|engine| engine.id == placement.id);
-        let held = held.and_then(|engine| engine.layers);
-        if is_store_up || keeps_all(placement.layers, held) {
-            order(gateway, spec, placement);
-        }
+        order(gateway, spec, placement);
     }
 }
 
-/// Returns whether an engine that is to hold `wanted` keeps all that it holds.
-fn keeps_all(wanted: LayerRange, held: Option<LayerRange>) -> bool {
-    held.is_none_or(|held| overlap(wanted, Some(held)) == held.len())
-}
-
 /// Returns the engines that may hold layers, with those that they are to hold.
 fn engines(gateway: &Gateway, service: &ServiceName, spec: &EngineSpec) -> Vec<PlacedEngine> {
     let open = gateway.planner.open.borrow();
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -100,6 +100,15 @@
     pub work: Work,
 }
 
+/// The layers that an engine reported to an entry, as entries tell it to each other.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ToldLayers {
+    /// The digest of the engine's identifier.
+    pub instance: u64,
+    /// The layers that it holds.
+    pub layers: Option<LayerRange>,
+}
+
 /// What an entry has told of its work.
 #[derive(Debug)]
 struct PeerWork {
@@ -134,6 +143,8 @@
     /// What the upstream says of itself.
     pub instance: Instance,
     digest: u64,
+    /// Whether the layers are newer than the entry.
+    has_reported_layers: bool,
     own: Work,
     departed_at: Option<Instant>,
     leaving_since: Option<Instant>,
@@ -152,6 +163,7 @@
         Self {
             digest: digest(&instance),
             instance,
+            has_reported_layers: false,
             own: Work::default(),
             departed_at: None,
             leaving_since: None,
@@ -245,6 +257,7 @@
                 && known.instance.address == instance.address;
             if is_same_life {
                 known.instance = instance;
+                known.has_reported_layers = false;
                 return key;
             }
             self.remove_key(key);
@@ -302,7 +315,35 @@
     /// Takes over the layers that an engine reported itself, before its entry shows them.
     pub fn set_layers(&mut self, id: &str, layers: Option<LayerRange>) {
         if let Some(&key) = self.by_id.get(id) {
-            self.instances[key].instance.layers = layers;
+            let tracked = &mut self.instances[key];
+            tracked.instance.layers = layers;
+            tracked.has_reported_layers = true;
+        }
+    }
+
+    /// Returns the layers that engines reported here and their entries may not show, to
+    /// be told to the others.
+    pub fn told_layers(&self) -> Vec<ToldLayers> {
+        self.instances
+            .values()
+            .filter(|tracked| tracked.has_reported_layers && tracked.departed_at.is_none())
+            .map(|tracked| ToldLayers {
+                instance: tracked.digest,
+                layers: tracked.instance.layers,
+            })
+            .collect()
+    }
+
+    /// Takes over layers that engines reported to another entry.
+    ///
+    /// Only for an entry that the store does not tell of changes: entries that it has
+    /// read since are newer.
+    pub fn on_told_layers(&mut self, told: &[ToldLayers]) {
+        for told in told {
+            let known = self.instances.values_mut();
+            for tracked in known.filter(|tracked| tracked.digest == told.instance) {
+                tracked.instance.layers = told.layers;
+            }
         }
     }
 
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -511,3 +511,26 @@
     fleet.table.note_leaving(leaving, false, fleet.now);
     assert!(fleet.table.get(leaving).unwrap().is_usable());
 }
+
+/// Replays incident inc-047f: layers moved while the store was away, and only the
+/// entry that gave the orders knew.
+#[test]
+fn test_layers_that_engines_reported_to_one_entry_are_known_to_all() {
+    let [mut planner, mut other] = [Fleet::new(), Fleet::new()];
+    for fleet in [&mut planner, &mut other] {
+        for first in [0, 40, 60] {
+            fleet.add("a", "large", LayerRange::new(first, first + 20));
+        }
+    }
+    assert_eq!(other.choose(&[], true), Err(NoPath::LayerMissing(20)));
+    let extended = Some(LayerRange::new(0, 40));
+    planner.table.set_layers("a-0", extended);
+    other.table.on_told_layers(&planner.table.told_layers());
+    assert_covers_all_layers_in_order(&planner.choose(&[], true).unwrap());
+    // An entry that is read later is newer than what was reported.
+    let mut entry = planner.table.by_id("a-0").unwrap().instance.clone();
+    entry.layers = Some(LayerRange::new(0, 20));
+    planner.table.upsert(entry, planner.now);
+    assert!(planner.table.told_layers().is_empty());
+    assert_eq!(other.table.by_id("a-0").unwrap().instance.layers, extended);
+}
