gateway: never call a sent stream unrun if it may not be repeated

Found on reading the change: a stream that may not be resumed and whose path lost a part before its first token was answered 503 although it had been sent. The decision stands in routing::fleet::silence now, with a test.

--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -367,13 +367,11 @@
     }
 
     /// Describes a run that was given up while it was silent.
-    ///
-    /// A path that misses a part gives no first token.
-    fn given_up(&self, lost: Option<InstanceKey>) -> RunFault {
+    fn given_up(&self, lost: Option<InstanceKey>, may_have_run: bool) -> RunFault {
         RunFault::Broken(BrokenRun {
             first: self.first,
             at_fault: lost.or(Some(self.first)),
-            may_have_run: self.has_begun || lost.is_none(),
+            may_have_run,
         })
     }
 
@@ -413,7 +411,7 @@
                         output = future.as_mut() => return Ok(output),
                         is_done = repath => {
                             if !is_done {
-                                return Err(self.given_up(lost));
+                                return Err(self.given_up(lost, silence::may_have_run(&stream)));
                             }
                         }
                     }
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -96,6 +96,14 @@
     }
 }
 
+/// Returns whether a run that was given up in this state may have run.
+///
+/// A path that misses a part gives no first token. A stream that may not be repeated
+/// is still never told that it has not run: it was sent.
+pub fn may_have_run(stream: &SilentStream) -> bool {
+    stream.has_begun || stream.path != PathState::PartLost || !stream.may_move
+}
+
 fn look_after(stream: &SilentStream) -> Duration {
     if stream.has_begun {
         MIN_GAP_LOOK.max(stream.expected_gap.mul_f64(LOOK_SPREAD))
--- a/routing/tests/test_fleet_decisions.rs
+++ b/routing/tests/test_fleet_decisions.rs
@@ -14,6 +14,7 @@
 use jujubewall_routing::fleet::silence::PathState;
 use jujubewall_routing::fleet::silence::SilenceStep;
 use jujubewall_routing::fleet::silence::SilentStream;
+use jujubewall_routing::fleet::silence::may_have_run;
 use jujubewall_routing::fleet::silence::on_silence;
 use jujubewall_types::fleet::ClientAccount;
 use jujubewall_types::fleet::ClientLimits;
@@ -297,3 +298,29 @@
     };
     assert_matches!(on_silence(&kept), SilenceStep::AskFirst);
 }
+
+#[test]
+fn test_only_a_repeatable_stream_without_a_token_is_known_not_to_have_run() {
+    let lost = SilentStream {
+        has_begun: false,
+        path: PathState::PartLost,
+        ..silent(300)
+    };
+    assert!(!may_have_run(&lost));
+    for may_have in [
+        SilentStream {
+            may_move: false,
+            ..lost
+        },
+        SilentStream {
+            has_begun: true,
+            ..lost
+        },
+        SilentStream {
+            path: PathState::Whole,
+            ..lost
+        },
+    ] {
+        assert!(may_have_run(&may_have), "{may_have:?}");
+    }
+}
