routing: keep the parts of a path that have read the stream when one is lost

Cause: after the loss of one part, the rest of the path was chosen by load alone, and the engines of the broken copy carry more streams than those of the other one.

Ruled out: late detection (suspected 50 ms after the crash), slow orders (answered within 2 ms), missing memory (no repath was refused).

Change: parts that were run before cost nothing, in the layers that they ran; other ranges of the same engines are considered only if there is no path otherwise.

--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -134,6 +134,8 @@
     memory_mb: f64,
     step_factor: f64,
     prompt_factor: f64,
+    /// Whether the engine has read the stream's tokens through these layers.
+    is_kept: bool,
 }
 
 /// Chooses the path of one stream.
@@ -180,9 +182,12 @@
 
 /// Chooses the rest of a path anew, behind its first part.
 ///
-/// Parts of the old path keep their memory, so they go before others. Activations
-/// of all tokens so far pass to the new parts, so none of them may lie in another
-/// failure domain. Returns `None` if there is no such path.
+/// Parts of the old path keep their memory, so they are kept wherever they lie. The
+/// new ones read all tokens so far, as do those of every other stream that the lost
+/// part broke: a tail of the path that is replaced for the sake of its load holds all
+/// of them up for several hundred milliseconds. Activations of all tokens so far pass
+/// to the new parts, so none of them may lie in another failure domain. Returns `None`
+/// if there is no such path.
 pub fn choose_rest(
     table: &InstanceTable,
     service: &ServiceName,
@@ -194,22 +199,37 @@
 ) -> Option<LayerPath> {
     let first = old.parts.first()?.clone();
     let domain = &table.get(first.instance)?.instance.failure_domain;
-    let is_kept = |key: InstanceKey| {
-        old.parts
-            .iter()
-            .any(|part| part.instance == key && !lost.contains(&key))
-    };
     let mut excluded: SmallVec<[InstanceKey; 8]> = SmallVec::from_slice(lost);
     excluded.push(first.instance);
-    let candidates = candidates(table, service, spec, &excluded);
-    let usable: Vec<&Candidate<'_>> = candidates
-        .iter()
-        .filter(|candidate| candidate.tracked.instance.failure_domain == *domain)
-        .filter(|candidate| is_kept(candidate.key) || candidate.has_room(spec, need))
-        .collect();
-    let mut rest = cheapest(&usable, spec, need, first.layers.end, now).ok()?;
-    rest.parts.insert(0, first);
-    (rest.parts.len() <= MAX_PARTS).then_some(rest)
+    let mut candidates = candidates(table, service, spec, &excluded);
+    candidates.retain(|candidate| candidate.tracked.instance.failure_domain == *domain);
+    let was_part = |key: InstanceKey| old.parts.iter().any(|part| part.instance == key);
+    // An engine that is to run other layers than before reads the stream again, so that
+    // is tried only if there is no path otherwise.
+    let ranges: [fn(LayerRange, LayerRange) -> LayerRange; 2] =
+        [|run_before, _| run_before, |_, held| held];
+    for range in ranges {
+        for candidate in &mut candidates {
+            let held = candidate
+                .tracked
+                .instance
+                .layers
+                .unwrap_or(candidate.layers);
+            let mut parts = old.parts.iter();
+            let part = parts.find(|part| part.instance == candidate.key);
+            candidate.layers = part.map_or(held, |part| range(part.layers, held));
+            candidate.is_kept = part.is_some_and(|part| part.layers == candidate.layers);
+        }
+        let usable: Vec<&Candidate<'_>> = candidates
+            .iter()
+            .filter(|candidate| was_part(candidate.key) || candidate.has_room(spec, need))
+            .collect();
+        if let Ok(mut rest) = cheapest(&usable, spec, need, first.layers.end, now) {
+            rest.parts.insert(0, first);
+            return (rest.parts.len() <= MAX_PARTS).then_some(rest);
+        }
+    }
+    None
 }
 
 fn candidates<'a>(
@@ -321,6 +341,7 @@
             memory_mb: accelerator.memory_mb,
             step_factor: accelerator.step_factor,
             prompt_factor: accelerator.prompt_factor,
+            is_kept: false,
         })
     }
 
@@ -361,8 +382,12 @@
     /// Returns the cost of each layer for one stream.
     ///
     /// The cost grows with the requests in flight even where their steps are
-    /// shared, because they compete for the reading of prompts.
+    /// shared, because they compete for the reading of prompts. A part that is kept
+    /// costs nothing beside one that is not.
     fn cost_per_layer_s(&self, spec: &EngineSpec, need: &StreamNeed) -> f64 {
+        if self.is_kept {
+            return 0.0;
+        }
         let decode_ms = need.answer_tokens * self.step_ms_per_layer(spec, need.context_tokens());
         let read_ms = 1_000.0 * need.prompt_tokens / spec.prompt_tokens_per_s * self.prompt_factor
             / f64::from(spec.layer_count);
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -301,6 +301,54 @@
     assert_eq!(rest, None);
 }
 
+/// Replays the loss of a late part under a hundred streams: engines that read all their
+/// tokens again at once would hold each of them up for several hundred milliseconds.
+#[test]
+fn test_repair_keeps_the_parts_that_have_read_the_stream() {
+    let mut fleet = Fleet::new();
+    for (first, end) in [
+        (0, 20),
+        (20, 40),
+        (40, 60),
+        (60, 80),
+        (10, 30),
+        (30, 50),
+        (50, 80),
+    ] {
+        fleet.add("a", "large", LayerRange::new(first, end));
+    }
+    let lost = fleet.keys["a-60"];
+    let part = |first: u32| PathPart {
+        instance: fleet.keys[&format!("a-{first}")],
+        layers: LayerRange::new(first, first + 20),
+    };
+    let old = LayerPath {
+        parts: [0, 20, 40, 60].map(part).into_iter().collect(),
+        token_ms: 20.0,
+        crossings: 0,
+    };
+    for _ in 0..30 {
+        for part in &old.parts {
+            let work = part_work(&NEED, part);
+            fleet.table.begin_work(part.instance, &work);
+        }
+    }
+    fleet.table.suspect(lost, Evidence::Refused, fleet.now);
+    let rest = choose_rest(
+        &fleet.table,
+        &name(),
+        &spec(),
+        &NEED,
+        &old,
+        &[lost],
+        fleet.now,
+    );
+    let rest = rest.unwrap();
+    assert_covers_all_layers_in_order(&rest);
+    assert_eq!(rest.parts[..3], old.parts[..3]);
+    assert_eq!(rest.parts[3].instance, fleet.keys["a-50"]);
+}
+
 #[test]
 fn test_engine_whose_runs_fail_in_a_row_is_avoided_longer_each_time() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
