gateway: suspect a silent upstream only if another one is reached

Cause: on a small entry (20 Mbit/s) the answer of a watch that returned filled the link for a hundred milliseconds, and both connections to sound engines timed out after 35 ms each.

Ruled out: the process being held up (timers were on time), the engines (other entries reached them).

Change: with the second try goes a connection to the upstream that gave the last token. If that is silent too, nothing is concluded.

--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -53,9 +53,6 @@
 /// The time by which a timer may be late before the process counts as held up.
 const MAX_HELD_UP: Duration = Duration::from_millis(10);
 
-/// The connections that are tried before an upstream is held for unreachable.
-const REACH_TRIES: usize = 2;
-
 /// The time between two questions whether a part of silent paths is reachable: an
 /// engine that was so a moment ago is more likely slow than lost.
 const PART_INTERVAL: Duration = Duration::from_millis(500);
@@ -218,34 +215,63 @@
         let Some(address) = address else {
             continue;
         };
+        let control = gateway.instances().control_for(key, now);
         let gateway = Rc::clone(gateway);
         spawn_local(async move {
-            if let Err(evidence) = reach(address).await {
-                suspect(&gateway, key, evidence, reason);
+            match reach(address, control).await {
+                Reach::Answers => {}
+                Reach::Lost(evidence) => suspect(&gateway, key, evidence, reason),
+                Reach::Unknown => gateway.metrics.count("own_link_doubted"),
             }
         });
     }
 }
 
+/// What became of the attempt to reach an upstream.
+enum Reach {
+    /// It takes connections.
+    Answers,
+    /// It takes none.
+    Lost(Evidence),
+    /// This process reaches nobody at the moment, or was held up.
+    Unknown,
+}
+
 /// Tries whether an upstream takes a connection within a short time.
 ///
 /// A second connection is tried if the first one is silent, since a lossy link may
-/// have dropped its first packet.
-async fn reach(address: SocketAddr) -> Result<(), Evidence> {
-    for _ in 0..REACH_TRIES {
-        let started = Instant::now();
-        match timeout(REACH_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => return Ok(()),
-            Ok(Err(failure)) if failure.kind() == ErrorKind::ConnectionRefused => {
-                return Err(Evidence::Refused);
-            }
-            Ok(Err(_)) => return Err(Evidence::Silent),
-            // A process that was held up itself cannot tell who was late.
-            Err(_) if started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP => return Ok(()),
-            Err(_) => {}
+/// have dropped its first packet. With it goes one to `control`, an upstream that has
+/// just shown that it lives: if that is silent too, this process's own link is full or
+/// held up, which says nothing of the upstream.
+async fn reach(address: SocketAddr, control: Option<SocketAddr>) -> Reach {
+    match connect_soon(address).await {
+        Reach::Lost(Evidence::Silent) => {}
+        reached => return reached,
+    }
+    let Some(control) = control else {
+        return connect_soon(address).await;
+    };
+    let (reached, control) = tokio::join!(connect_soon(address), connect_soon(control));
+    match (reached, control) {
+        (Reach::Lost(Evidence::Silent), Reach::Lost(Evidence::Silent) | Reach::Unknown) => {
+            Reach::Unknown
+        }
+        (reached, _) => reached,
+    }
+}
+
+async fn connect_soon(address: SocketAddr) -> Reach {
+    let started = Instant::now();
+    match timeout(REACH_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reach::Answers,
+        Ok(Err(failure)) if failure.kind() == ErrorKind::ConnectionRefused => {
+            Reach::Lost(Evidence::Refused)
         }
+        Ok(Err(_)) => Reach::Lost(Evidence::Silent),
+        // A process that was held up itself cannot tell who was late.
+        Err(_) if started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP => Reach::Unknown,
+        Err(_) => Reach::Lost(Evidence::Silent),
     }
-    Err(Evidence::Silent)
 }
 
 /// Returns whether an upstream answers over a new connection.
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -60,6 +60,11 @@
 /// The time for which a token that passed through an upstream shows that it lives.
 const ALIVE_FOR: Duration = Duration::from_millis(50);
 
+/// The time for which an upstream that gave tokens is expected to take connections:
+/// clients leave after about two seconds of silence, and events come many times as
+/// often.
+const CONTROL_AGE: Duration = Duration::from_secs(1);
+
 /// The part of the failure rate that one outcome makes up.
 const FAILURE_RATE_STEP: f64 = 0.1;
 
@@ -483,6 +488,19 @@
         is_due
     }
 
+    /// Returns the address of the upstream that last showed that it lives, beside `key`.
+    ///
+    /// If it cannot be reached either, the fault is in this process or its link.
+    pub fn control_for(&self, key: InstanceKey, now: Instant) -> Option<SocketAddr> {
+        self.instances
+            .iter()
+            .filter(|(other, tracked)| *other != key && tracked.is_usable())
+            .filter_map(|(_, tracked)| Some((tracked.alive_at?, tracked)))
+            .filter(|(alive_at, _)| now.saturating_duration_since(*alive_at) < CONTROL_AGE)
+            .max_by_key(|(alive_at, _)| *alive_at)
+            .map(|(_, tracked)| tracked.instance.address)
+    }
+
     /// Returns whether new work should rather go elsewhere.
     pub fn is_doubted(&self, tracked: &Tracked, now: Instant) -> bool {
         if tracked.is_avoided(now) {
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -384,6 +384,26 @@
     assert!(fleet.table.suspected().len() <= 5);
 }
 
+/// Replays a full link of this process, behind which every upstream seems silent: the
+/// one that gave the last token is asked beside the silent one.
+#[test]
+fn test_silent_upstream_is_compared_with_the_one_that_last_gave_a_token() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let silent = fleet.keys["a-20"];
+    assert_eq!(fleet.table.control_for(silent, fleet.now), None);
+    let older = fleet.keys["b-0"];
+    let newer = fleet.keys["b-20"];
+    let address = |fleet: &Fleet, key| fleet.table.get(key).unwrap().instance.address;
+    let later = fleet.now + Duration::from_millis(100);
+    fleet.table.note_alive([older].into_iter(), fleet.now);
+    fleet.table.note_alive([newer, silent].into_iter(), later);
+    let control = |fleet: &Fleet, now| fleet.table.control_for(silent, now);
+    assert_eq!(control(&fleet, later), Some(address(&fleet, newer)));
+    fleet.table.suspect(newer, Evidence::Silent, later);
+    assert_eq!(control(&fleet, later), Some(address(&fleet, older)));
+    assert_eq!(control(&fleet, later + Duration::from_secs(2)), None);
+}
+
 #[test]
 fn test_one_peer_does_not_speak_for_all_and_a_confused_one_for_none() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
