placement: let every other copy of a domain stand in reverse order

Cause: both copies of a domain of like engines held the same ranges.

Change: every other copy is split among its engines in reverse order, so the layers of a lost engine are held by several others, each of which reads a part, and those of a small one by faster ones.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -209,14 +209,24 @@
     }
 
     /// Gives every engine its part of a copy, by memory.
+    ///
+    /// Every other copy stands in reverse order, so that the layers of a lost engine are
+    /// held by several of the other copy's: each of them reads a part of the context of
+    /// the streams that move, and not one of them all of it.
     fn split_all(&self, changes: &mut Vec<Placement>) {
         let whole = LayerRange::new(0, self.spec.layer_count);
         for copies in (1..=self.max_copies()).rev() {
             let mut planned = Vec::new();
             let fits = self
                 .deal(copies)
-                .iter()
-                .all(|engines| self.split_among(whole, engines, &mut planned));
+                .iter_mut()
+                .enumerate()
+                .all(|(index, engines)| {
+                    if index % 2 == 1 {
+                        engines.reverse();
+                    }
+                    self.split_among(whole, engines, &mut planned)
+                });
             if fits {
                 changes.append(&mut planned);
                 return;
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -140,6 +140,42 @@
     assert_eq!(fleet.depth("a"), 2);
 }
 
+/// Replays the loss of one engine under a hundred streams: the engines that stand in
+/// read all their context at once.
+#[test]
+fn test_several_engines_stand_in_for_a_lost_one() {
+    // The memory of a domain of equal engines, of which two copies fit.
+    let memory: Vec<f64> = [36_000.0, 36_000.0]
+        .into_iter()
+        .chain([21_600.0; 12])
+        .chain([14_400.0; 5])
+        .collect();
+    let mut fleet = Fleet::new(&[("a", &memory)]);
+    fleet.settle();
+    assert_eq!(fleet.depth("a"), 2);
+    let engines: Vec<&PlacedEngine> = fleet.engines.values().collect();
+    let mut most_by_one = 0.0;
+    for lost in &engines {
+        let lost_layers = lost.layers.unwrap();
+        let by_one = engines
+            .iter()
+            .filter(|engine| engine.id != lost.id)
+            .map(|engine| {
+                let layers = engine.layers.unwrap();
+                let end = layers.end.min(lost_layers.end);
+                end.saturating_sub(layers.first.max(lost_layers.first))
+            })
+            .max()
+            .unwrap();
+        most_by_one += f64::from(by_one) / f64::from(lost_layers.len());
+    }
+    let mean = most_by_one / engines.len() as f64;
+    assert!(
+        mean <= 0.8,
+        "one engine stands in for {mean:.2} of a lost one"
+    );
+}
+
 #[test]
 fn test_domains_too_small_for_a_copy_hold_one_together() {
     let small = [36_000.0; 3];
