placement: give returning engines their share of all copies

Cause: an engine that came back to a domain of two copies took its share of one, half of the layers that had been lost.

Ruled out: late orders (given within 300 ms of the entry), slow loads (0.9 s).

Change: the share counts the copies that the group holds, also where neighbours take over layers.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -354,12 +354,21 @@
     /// context of its copy.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn fair_layers(&self, engine: &PlacedEngine) -> u32 {
-        let total_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
-        let share = engine.memory_mb / total_mb * f64::from(self.spec.layer_count);
-        let fair = (MAX_SHARE_FACTOR * share).ceil() as u32;
+        let fair = (MAX_SHARE_FACTOR * self.layer_share(engine)).ceil() as u32;
         fair.min(self.max_layers(engine))
     }
 
+    /// Returns an engine's share, by memory, of the layers of all copies that the group
+    /// holds.
+    fn layer_share(&self, engine: &PlacedEngine) -> f64 {
+        let total_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
+        let layer_count = f64::from(self.spec.layer_count);
+        let held = self.engines.iter().filter_map(|engine| engine.layers);
+        let held: u32 = held.map(|layers| layers.len()).sum();
+        let copies = (f64::from(held) / layer_count).round().max(1.0);
+        engine.memory_mb / total_mb * layer_count * copies
+    }
+
     /// Lets the engines beside a hole hold its layers as well, as far as they can.
     ///
     /// Returns whether that fills the hole.
@@ -406,11 +415,9 @@
     /// Gives engines that hold nothing the layers with the least room for context.
     fn relieve(&self, empty: &[&PlacedEngine], changes: &mut Vec<Placement>) {
         let mut room = self.context_room();
-        let total_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
         for engine in empty {
-            let share = engine.memory_mb / total_mb * f64::from(self.spec.layer_count);
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let wanted = (share.round() as u32).max(1);
+            let wanted = (self.layer_share(engine).round() as u32).max(1);
             let len = wanted
                 .min(self.max_layers(engine))
                 .min(self.spec.layer_count);
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -232,6 +232,29 @@
     );
 }
 
+/// Replays crashes one after the other in a domain of two copies: an engine that came
+/// back with half of the layers that it had before would leave the rest on one engine,
+/// whose loss then breaks both copies.
+#[test]
+fn test_engines_that_return_one_after_the_other_make_both_copies_whole() {
+    let memory: Vec<f64> = [36_000.0, 36_000.0]
+        .into_iter()
+        .chain([21_600.0; 12])
+        .chain([14_400.0; 5])
+        .collect();
+    let mut fleet = Fleet::new(&[("a", &memory)]);
+    fleet.settle();
+    for index in [3, 8, 12, 15, 5, 10] {
+        let id = format!("a-{index:02}");
+        fleet.engines.remove(id.as_str());
+        fleet.settle();
+        assert!(fleet.depth("a") >= 1);
+        fleet.add(&id, "a", memory[index]);
+        fleet.settle();
+        assert_eq!(fleet.depth("a"), 2, "after the loss of {id}");
+    }
+}
+
 /// Replays a release: the new engine is there before the old one leaves.
 #[test]
 fn test_engine_whose_layers_others_hold_replaces_a_leaving_one() {
