placement: give layers up at once where others are missing; relieve slow engines

Cause of the first: an order that gives layers up waits for the streams that pass through them before it loads the new ones. Of the second: nobody noticed engines that are slow, although every stream of their copy waits for them at each token (8 engines at a twelfth of their pace from 19 s on).

Ruled out: unanswered orders (all begun within 3 ms), a shared weight store (empty engines load the same layers in 0.9 s meanwhile), for the second faster repairs alone.

Change: orders say what becomes of the requests that pass; where layers are missing they are broken off, since no stream of that copy can finish. The planner asks engines once a second, over kept connections, how fast they are, and tells the others; paths cost more there, and neighbours hold the layers of an engine at half its pace or less.

Tried and taken back: letting engines give back layers that others hold once all is well.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -18,11 +18,21 @@
 //! several. An engine that comes back, or a new one, relieves the layers with the
 //! least memory for context.
 //!
+//! An engine loads its new layers only after the requests that pass through those it
+//! gives up. Where layers are missing it breaks them off instead: no stream of the
+//! copy can finish, and those of other copies go on over other engines, while waiting
+//! for the longest would leave the copy broken for several seconds.
+//!
+//! Neighbours also take over the layers of an engine that has become slow: every
+//! stream of its copy waits for it at each token.
+//!
 //! Ways that were weighed are in `docs/design/platform.md`.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::fleet::GiveUp;
 use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::layer::LayerRange;
 use smol_str::SmolStr;
@@ -58,6 +68,8 @@
     pub layers: Option<LayerRange>,
     /// Whether an order is being carried out.
     pub is_busy: bool,
+    /// Whether it is so slow that its layers should be run by others.
+    pub is_slow: bool,
 }
 
 /// A change of the layers that an engine holds.
@@ -67,6 +79,8 @@
     pub id: SmolStr,
     /// The layers that it has to hold.
     pub layers: LayerRange,
+    /// What becomes of requests that pass through layers which it gives up.
+    pub give_up: GiveUp,
 }
 
 /// Returns the changes that bring every group of engines nearer to a whole copy.
@@ -135,9 +149,12 @@
             .filter(|engine| engine.layers.is_none() && !engine.is_busy)
             .copied()
             .collect();
-        let holes = self.holes();
+        let holes = self.holes(|_| true);
         if holes.is_empty() {
             self.relieve(&empty, changes);
+            for hole in self.holes(|engine| !engine.is_slow) {
+                self.extend_neighbours(hole, changes);
+            }
             return;
         }
         let mut planned = Vec::new();
@@ -154,20 +171,10 @@
     /// Returns engines whose layers others hold as well, each also when all before it
     /// have been taken.
     fn spare(&self) -> Vec<&PlacedEngine> {
-        let mut depth = vec![0_u32; self.spec.layer_count as usize];
-        let layers_of = |engine: &PlacedEngine| {
-            let layers = engine.layers.unwrap_or(LayerRange::new(0, 0));
-            let end = layers.end.min(self.spec.layer_count);
-            layers.first.min(end) as usize..end as usize
-        };
-        for engine in &self.engines {
-            for layer in layers_of(engine) {
-                depth[layer] += 1;
-            }
-        }
+        let mut depth = self.depth();
         let mut spare = Vec::new();
         for &engine in &self.engines {
-            let layers = layers_of(engine);
+            let layers = self.layers_of(engine);
             let is_held_twice =
                 !layers.is_empty() && depth[layers.clone()].iter().all(|holders| *holders > 1);
             if is_held_twice && !engine.is_busy {
@@ -185,7 +192,8 @@
     /// Returns whether it fits.
     fn split_anew(&self, changes: &mut Vec<Placement>) -> bool {
         let mut engines = self.engines.clone();
-        let hole = self.holes().first().map_or(0, |hole| hole.first);
+        let holes = self.holes(|_| true);
+        let hole = holes.first().map_or(0, |hole| hole.first);
         // Engines that hold nothing stand where layers are missing.
         engines.sort_by_key(|engine| {
             let first = engine.layers.map_or(hole, |layers| layers.first);
@@ -255,7 +263,7 @@
         dealt.into_iter().map(|(_, engines)| engines).collect()
     }
 
-    /// Splits a range of layers by memory. Returns whether it fits.
+    /// Splits a range of missing layers by memory. Returns whether it fits.
     fn split_among(
         &self,
         layers: LayerRange,
@@ -277,6 +285,7 @@
                 changes.push(Placement {
                     id: engine.id.clone(),
                     layers: range,
+                    give_up: GiveUp::Abort,
                 });
             }
         }
@@ -289,11 +298,12 @@
         (MAX_WEIGHT_SHARE * engine.memory_mb / self.spec.layer_mb) as u32
     }
 
-    /// Returns the ranges that no engine holds.
-    fn holes(&self) -> Vec<LayerRange> {
+    /// Returns the ranges that none of the engines for which `counts` holds.
+    fn holes(&self, counts: impl Fn(&PlacedEngine) -> bool) -> Vec<LayerRange> {
         let mut held: Vec<LayerRange> = self
             .engines
             .iter()
+            .filter(|engine| counts(engine))
             .filter_map(|engine| engine.layers)
             .collect();
         held.sort_unstable();
@@ -363,10 +373,31 @@
     fn layer_share(&self, engine: &PlacedEngine) -> f64 {
         let total_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
         let layer_count = f64::from(self.spec.layer_count);
+        engine.memory_mb / total_mb * layer_count * f64::from(self.copies())
+    }
+
+    /// Returns the number of copies that the group holds.
+    fn copies(&self) -> u32 {
         let held = self.engines.iter().filter_map(|engine| engine.layers);
         let held: u32 = held.map(|layers| layers.len()).sum();
-        let copies = (f64::from(held) / layer_count).round().max(1.0);
-        engine.memory_mb / total_mb * layer_count * copies
+        ((held + self.spec.layer_count / 2) / self.spec.layer_count).max(1)
+    }
+
+    /// Returns how many engines hold each layer.
+    fn depth(&self) -> Vec<u32> {
+        let mut depth = vec![0_u32; self.spec.layer_count as usize];
+        for engine in &self.engines {
+            for layer in self.layers_of(engine) {
+                depth[layer] += 1;
+            }
+        }
+        depth
+    }
+
+    fn layers_of(&self, engine: &PlacedEngine) -> Range<usize> {
+        let layers = engine.layers.unwrap_or(LayerRange::new(0, 0));
+        let end = layers.end.min(self.spec.layer_count);
+        layers.first.min(end) as usize..end as usize
     }
 
     /// Lets the engines beside a hole hold its layers as well, as far as they can.
@@ -391,12 +422,14 @@
             changes.push(Placement {
                 id: engine.id.clone(),
                 layers: LayerRange::new(layers.first, layers.end + by_before),
+                give_up: GiveUp::Finish,
             });
         }
         if let Some((engine, layers)) = after.filter(|_| by_after > 0) {
             changes.push(Placement {
                 id: engine.id.clone(),
                 layers: LayerRange::new(layers.first - by_after, layers.end),
+                give_up: GiveUp::Finish,
             });
         }
         by_before + by_after == hole.len()
@@ -406,7 +439,7 @@
     fn neighbour(&self, fits: impl Fn(LayerRange) -> bool) -> Option<(&PlacedEngine, LayerRange)> {
         let engines = self.engines.iter();
         engines
-            .filter(|engine| !engine.is_busy)
+            .filter(|engine| !engine.is_busy && !engine.is_slow)
             .filter_map(|engine| Some((*engine, engine.layers?)))
             .filter(|(_, layers)| fits(*layers))
             .max_by_key(|(engine, layers)| self.fair_layers(engine).saturating_sub(layers.len()))
@@ -432,6 +465,7 @@
             changes.push(Placement {
                 id: engine.id.clone(),
                 layers,
+                give_up: GiveUp::Finish,
             });
         }
     }
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -3,8 +3,10 @@
 use std::collections::BTreeMap;
 
 use jujubewall_control::placement::PlacedEngine;
+use jujubewall_control::placement::Placement;
 use jujubewall_control::placement::place;
 use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::fleet::GiveUp;
 use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::layer::LayerRange;
 use proptest::prelude::*;
@@ -67,6 +69,7 @@
             memory_mb,
             layers: None,
             is_busy: false,
+            is_slow: false,
         };
         self.engines.insert(id.into(), engine);
     }
@@ -255,6 +258,41 @@
     }
 }
 
+/// Replays a slow engine, for which every stream of its copy waits at each token.
+#[test]
+fn test_neighbours_stand_in_for_a_slow_engine() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+    fleet.settle();
+    let slow_layers = fleet.layers("a-04");
+    fleet.engines.get_mut("a-04").unwrap().is_slow = true;
+    fleet.settle();
+    let stand_in = |layer: u32| {
+        let engines = fleet.engines.values().filter(|engine| !engine.is_slow);
+        engines
+            .filter_map(|e| e.layers)
+            .any(|layers| layers.contains(layer))
+    };
+    assert!((slow_layers.first..slow_layers.end).all(stand_in));
+}
+
+/// Replays the loss of the largest engine under streams of several seconds: engines that
+/// wait for all of them to pass leave the domain broken for as long.
+#[test]
+fn test_layers_are_given_up_at_once_where_others_are_missing() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+    fleet.settle();
+    fleet.engines.remove("a-00");
+    let engines: Vec<PlacedEngine> = fleet.engines.values().cloned().collect();
+    let orders = place(&spec(), &engines);
+    let gives_up = |order: &&Placement| {
+        let held = fleet.layers(&order.id);
+        order.layers.first > held.first || order.layers.end < held.end
+    };
+    let mut giving_up = orders.iter().filter(gives_up).peekable();
+    assert!(giving_up.peek().is_some());
+    assert!(giving_up.all(|order| order.give_up == GiveUp::Abort));
+}
+
 /// Replays a release: the new engine is there before the old one leaves.
 #[test]
 fn test_engine_whose_layers_others_hold_replaces_a_leaving_one() {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use jujubewall_platform::site::settings::SiteSettings;
 use jujubewall_routing::fleet::instances::ToldLayers;
+use jujubewall_routing::fleet::instances::ToldSlowdown;
 use jujubewall_routing::fleet::instances::ToldWork;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
@@ -84,6 +85,8 @@
     work: Vec<ToldWork>,
     doubts: Vec<u64>,
     layers: Vec<ToldLayers>,
+    /// The slow engines, told by the planner, which asks all of them.
+    slowdowns: Vec<ToldSlowdown>,
     peers: Vec<SocketAddr>,
 }
 
@@ -259,15 +262,21 @@
     let instances = gateway.instances();
     let mut peers: Vec<SocketAddr> = gateway.peers.heard.borrow().keys().copied().collect();
     peers.truncate(MAX_TOLD_PEERS);
+    let is_planner = planner::is_planner(gateway);
     Telling {
         member: gateway.settings().member.clone(),
         config_version: gateway.config_version(),
         instances_revision: gateway.instances_revision(),
         has_store: gateway.store_link() == StoreLink::Up && gateway.is_synced(),
-        is_planner: planner::is_planner(gateway),
+        is_planner,
         work: instances.told_work(),
         doubts: instances.told_doubts(Instant::now()),
         layers: instances.told_layers(),
+        slowdowns: if is_planner {
+            instances.told_slowdowns()
+        } else {
+            Vec::new()
+        },
         peers,
     }
 }
@@ -300,6 +309,10 @@
         if gateway.store_link() != StoreLink::Up {
             gateway.instances_mut().on_told_layers(&telling.layers);
         }
+        if telling.is_planner && !planner::is_planner(&gateway) {
+            let slowdowns = &telling.slowdowns;
+            gateway.instances_mut().on_told_slowdowns(slowdowns);
+        }
         if !telling.doubts.is_empty() {
             probe::look_into(&gateway, &telling.doubts);
         }
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -20,6 +20,7 @@
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::place_order;
 use jujubewall_platform::site::store::WriteOutcome;
+use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::EngineState;
 use jujubewall_types::fleet::InstanceState;
@@ -61,6 +62,14 @@
 /// state, beside the time that its load takes.
 const ORDER_GRACE: Duration = Duration::from_millis(800);
 
+/// The time between two questions to an engine how fast it is, for which a slow one may
+/// hold up the streams of its domain.
+const SLOWDOWN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The slowdown from which others are given an engine's layers: loading them takes
+/// about a second, which a lesser one does not cost over its usual time of seconds.
+const SLOW_ENGINE: f64 = 2.0;
+
 /// The factor on the time of a load, since loads at once share the weight store.
 const SHARED_LOAD_FACTOR: f64 = 2.0;
 
@@ -88,6 +97,47 @@
 pub fn start(gateway: &Rc<Gateway>) {
     spawn_local(hold_lease(Rc::clone(gateway)));
     spawn_local(plan_loop(Rc::clone(gateway)));
+    spawn_local(watch_slowdowns(Rc::clone(gateway)));
+}
+
+/// Asks all engines how fast they are, which their entries do not say.
+async fn watch_slowdowns(gateway: Rc<Gateway>) {
+    loop {
+        sleep(SLOWDOWN_INTERVAL).await;
+        if !is_planner(&gateway) {
+            continue;
+        }
+        let engines: Vec<InstanceKey> = {
+            let instances = gateway.instances();
+            let engines = instances.iter().filter(|(_, tracked)| {
+                tracked.is_usable() && tracked.instance.accelerator.is_some()
+            });
+            engines.map(|(key, _)| key).collect()
+        };
+        for key in engines {
+            let gateway = Rc::clone(&gateway);
+            spawn_local(async move {
+                if let Some(report) = probe::ask_report_often(&gateway, key).await {
+                    note_slowdown(&gateway, key, report.slowdown);
+                }
+            });
+        }
+    }
+}
+
+fn note_slowdown(gateway: &Gateway, key: InstanceKey, factor: f64) {
+    let is_news = gateway.instances_mut().set_slowdown(key, factor);
+    if !is_news {
+        return;
+    }
+    gateway.peers.tell_now();
+    if let Some(tracked) = gateway.instances().get(key) {
+        info!(
+            "event=slowdown upstream={} factor={factor:.1} in_flight={}",
+            tracked.instance.id,
+            tracked.own_work().requests
+        );
+    }
 }
 
 /// Returns whether this gateway gives the orders.
@@ -269,6 +319,7 @@
                 memory_mb: accelerator.memory_mb,
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
+                is_slow: tracked.slowdown() >= SLOW_ENGINE,
             })
         })
         .collect()
@@ -382,12 +433,14 @@
     gateway.metrics.count("order");
     let gateway = Rc::clone(gateway);
     spawn_local(async move {
-        let body = place_order(placement.layers, expected_count);
+        let body = place_order(placement.layers, placement.give_up, expected_count);
         let answer = probe::order(address, body).await;
         info!(
-            "event=order id={} layers={} expected={expected_count} answer={answer:?} store={}",
+            "event=order id={} layers={} give_up={:?} expected={expected_count} answer={answer:?} \
+             store={}",
             placement.id,
             placement.layers,
+            placement.give_up,
             gateway.store_link() == StoreLink::Up
         );
         on_answer(
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -314,6 +314,31 @@
     }
 }
 
+/// Asks an engine for its fresh state over a kept connection if there is one, which a
+/// regular question can use: its silence proves nothing.
+pub async fn ask_report_often(gateway: &Gateway, key: InstanceKey) -> Option<EngineState> {
+    let address = gateway.instances().get(key)?.instance.address;
+    let exchange = async {
+        let mut connection = match gateway.connections.take(key) {
+            Some(connection) => connection,
+            None => Connection::open(address).await.ok()?,
+        };
+        let answer = connection.send(request(address, REPORT_PATH)?).await.ok()?;
+        let is_success = answer.status().is_success();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        gateway.connections.put(key, connection);
+        is_success.then_some(body)
+    };
+    let body = timeout(REPORT_TIMEOUT, exchange).await.ok()??;
+    match decode_report(&body) {
+        Ok(state) => Some(state),
+        Err(failure) => {
+            warn!("event=report_unreadable address={address} reason=\"{failure}\"");
+            None
+        }
+    }
+}
+
 /// Gives an engine an order over a new connection; `None` if it does not answer in
 /// time, in which case it may carry the order out later.
 pub async fn order(address: SocketAddr, body: Bytes) -> Option<OrderAnswer> {
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -114,6 +114,15 @@
     pub layers: Option<LayerRange>,
 }
 
+/// By how much an engine is slower than a sound one, as the planner tells it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ToldSlowdown {
+    /// The digest of the engine's identifier.
+    pub instance: u64,
+    /// The factor on the time of its passes.
+    pub factor: f64,
+}
+
 /// What an entry has told of its work.
 #[derive(Debug)]
 struct PeerWork {
@@ -161,6 +170,7 @@
     alive_at: Option<Instant>,
     failure_rate: f64,
     failure_rate_at: Instant,
+    slowdown: f64,
 }
 
 impl Tracked {
@@ -180,6 +190,7 @@
             alive_at: None,
             failure_rate: 0.0,
             failure_rate_at: now,
+            slowdown: 1.0,
         }
     }
 
@@ -222,6 +233,12 @@
         &self.own
     }
 
+    /// Returns the factor by which the engine's passes take longer than those of a sound
+    /// one.
+    pub const fn slowdown(&self) -> f64 {
+        self.slowdown
+    }
+
     /// Returns the part of recent requests that failed.
     pub fn failure_rate(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.failure_rate_at);
@@ -352,6 +369,36 @@
         }
     }
 
+    /// Takes over by how much an engine says that it is slower than a sound one. Returns
+    /// whether that is new.
+    pub fn set_slowdown(&mut self, key: InstanceKey, factor: f64) -> bool {
+        let Some(tracked) = self.instances.get_mut(key) else {
+            return false;
+        };
+        let before = std::mem::replace(&mut tracked.slowdown, factor);
+        (before - factor).abs() > f64::EPSILON
+    }
+
+    /// Returns the engines that are slower than sound ones, to be told to the others.
+    pub fn told_slowdowns(&self) -> Vec<ToldSlowdown> {
+        self.instances
+            .values()
+            .filter(|tracked| tracked.slowdown > 1.0)
+            .map(|tracked| ToldSlowdown {
+                instance: tracked.digest,
+                factor: tracked.slowdown,
+            })
+            .collect()
+    }
+
+    /// Takes over which engines are slow; all others are sound.
+    pub fn on_told_slowdowns(&mut self, told: &[ToldSlowdown]) {
+        for tracked in self.instances.values_mut() {
+            let slow = told.iter().find(|told| told.instance == tracked.digest);
+            tracked.slowdown = slow.map_or(1.0, |told| told.factor);
+        }
+    }
+
     /// Returns the upstream at an address, if one is known there.
     pub fn at_address(&self, address: SocketAddr) -> Option<InstanceKey> {
         self.instances
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -339,8 +339,8 @@
             layers,
             work: table.total_work(tracked),
             memory_mb: accelerator.memory_mb,
-            step_factor: accelerator.step_factor,
-            prompt_factor: accelerator.prompt_factor,
+            step_factor: accelerator.step_factor * tracked.slowdown(),
+            prompt_factor: accelerator.prompt_factor * tracked.slowdown(),
             is_kept: false,
         })
     }
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -404,6 +404,25 @@
     assert_eq!(control(&fleet, later + Duration::from_secs(2)), None);
 }
 
+/// Replays a slow engine, for which every stream of its copy waits at each token.
+#[test]
+fn test_streams_avoid_the_copy_of_a_slow_engine_until_it_is_sound() {
+    let mut planner = Fleet::with_copies(&["a", "b"]);
+    let mut other = Fleet::with_copies(&["a", "b"]);
+    let slow = planner.keys["a-40"];
+    assert!(planner.table.set_slowdown(slow, 5.0));
+    assert!(!planner.table.set_slowdown(slow, 5.0));
+    let told = planner.table.told_slowdowns();
+    other.table.on_told_slowdowns(&told);
+    for _ in 0..8 {
+        let path = other.begin().unwrap();
+        assert_eq!(other.domain_of(&path), "b");
+    }
+    other.table.on_told_slowdowns(&[]);
+    let path = other.begin().unwrap();
+    assert_eq!(other.domain_of(&path), "a");
+}
+
 #[test]
 fn test_one_peer_does_not_speak_for_all_and_a_confused_one_for_none() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
--- a/types/src/fleet.rs
+++ b/types/src/fleet.rs
@@ -222,7 +222,7 @@
 }
 
 /// The fresh state of a model engine, as it reports it itself.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineState {
     /// The time of the start in Unix milliseconds.
     pub born_unix_ms: u64,
@@ -232,12 +232,24 @@
     pub order_count: u64,
     /// The layers held.
     pub layers: Option<LayerRange>,
+    /// The factor by which its passes take longer than those of a sound engine.
+    pub slowdown: f64,
     /// The requests that wait for a place.
     pub queued: u32,
     /// The requests that wait for a lost part of their path, with its address.
     pub stalled: SmallVec<[StalledRequest; 4]>,
 }
 
+/// What becomes of requests that pass through layers which an engine gives up.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GiveUp {
+    /// They finish first, and the engine loads its new layers after them.
+    Finish,
+    /// They are broken off at once.
+    Abort,
+}
+
 /// A request that waits for a lost part of its path.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StalledRequest {
