gateway: stand in for a planner that has fallen silent, though its lease stands

Change: a planner that tells nothing for a second counts as lost, and the first of the gateways that are heard plans from then on.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 //! platform's seeds. One that the store turns away fetches the configuration and
 //! the upstreams' entries from a peer that the store serves.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -59,6 +60,10 @@
 /// The time for which a peer's last message says what it knows now.
 const FRESH: Duration = Duration::from_millis(1_500);
 
+/// The time after which a planner that tells nothing counts as lost; peers tell about
+/// twice in it, and a datagram may be lost.
+const PLANNER_SILENCE: Duration = Duration::from_secs(1);
+
 /// The peers that a datagram names at most, so that it fits into one packet.
 const MAX_TOLD_PEERS: usize = 32;
 
@@ -98,7 +103,6 @@
     config_version: u64,
     instances_revision: Revision,
     has_store: bool,
-    is_planner: bool,
 }
 
 /// The known gateways.
@@ -107,6 +111,8 @@
     heard: RefCell<HashMap<SocketAddr, Peer>>,
     /// Addresses that were named and have not been heard yet.
     named: RefCell<HashMap<SocketAddr, Instant>>,
+    /// When a peer last told that it gives the orders.
+    planner_heard_at: Cell<Option<Instant>>,
     news: Notify,
 }
 
@@ -119,6 +125,7 @@
             own_address: settings.peer_address,
             heard: RefCell::new(HashMap::new()),
             named: RefCell::new(seeds.collect()),
+            planner_heard_at: Cell::new(None),
             news: Notify::new(),
         }
     }
@@ -146,6 +153,9 @@
         let mut heard = self.heard.borrow_mut();
         let mut named = self.named.borrow_mut();
         named.remove(&from);
+        if telling.is_planner {
+            self.planner_heard_at.set(Some(Instant::now()));
+        }
         let is_new = heard
             .insert(
                 from,
@@ -155,7 +165,6 @@
                     config_version: telling.config_version,
                     instances_revision: telling.instances_revision,
                     has_store: telling.has_store,
-                    is_planner: telling.is_planner,
                 },
             )
             .is_none();
@@ -199,10 +208,16 @@
 
     /// Returns whether a peer has lately told that it gives the orders.
     pub fn has_planner(&self) -> bool {
-        let heard = self.heard.borrow();
-        heard
-            .values()
-            .any(|peer| peer.is_planner && peer.heard_at.elapsed() < FRESH)
+        self.planner_heard_at
+            .get()
+            .is_some_and(|at| at.elapsed() < PLANNER_SILENCE)
+    }
+
+    /// Returns whether a peer gave the orders and has fallen silent.
+    pub fn has_lost_planner(&self) -> bool {
+        self.planner_heard_at
+            .get()
+            .is_some_and(|at| at.elapsed() >= PLANNER_SILENCE)
     }
 
     /// Returns whether this gateway's name is the first of those that are heard.
@@ -211,7 +226,7 @@
         let heard = self.heard.borrow();
         heard
             .values()
-            .filter(|peer| peer.heard_at.elapsed() < FRESH)
+            .filter(|peer| peer.heard_at.elapsed() < PLANNER_SILENCE)
             .all(|peer| *own < peer.member)
     }
 
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -45,7 +45,7 @@
 const LEASE_TTL: Duration = Duration::from_secs(2);
 
 /// The time between two renewals, or attempts to take over.
-const LEASE_INTERVAL: Duration = Duration::from_millis(600);
+const LEASE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The time between two looks at the placement.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
@@ -178,16 +178,23 @@
             None if gateway.peers.has_planner() => set_planner(&gateway, false),
             None => match take_over(&gateway).await {
                 Claim::Won => set_planner(&gateway, true),
+                // The lease of a planner that was killed outlives it, and while the
+                // store is away nobody can win it. Orders are safe without it, so one
+                // gateway stands in that all agree on.
+                Claim::Taken if gateway.peers.has_lost_planner() => stand_in(&gateway),
                 Claim::Taken => set_planner(&gateway, false),
-                // While the store is away nobody can win the lease. Orders are safe
-                // without it, so one gateway stands in that all agree on.
-                Claim::Unknown => set_planner(&gateway, gateway.peers.is_first(&gateway)),
+                Claim::Unknown => stand_in(&gateway),
             },
         }
         sleep(LEASE_INTERVAL).await;
     }
 }
 
+/// Plans without the lease if this is the first of the gateways that are heard.
+fn stand_in(gateway: &Gateway) {
+    set_planner(gateway, gateway.peers.is_first(gateway));
+}
+
 async fn renew(gateway: &Gateway, lease: LeaseId) {
     match gateway.store().keep_alive(lease).await {
         Ok(()) => {}
--- a/daemon/tests/gateway_site/mod.rs
+++ b/daemon/tests/gateway_site/mod.rs
@@ -1,5 +1,6 @@
 //! Gateways as processes of their own, before stand-ins of the users' platform.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -124,6 +125,11 @@
         assert!(status.unwrap().success());
     }
 
+    /// Kills the process.
+    pub async fn kill(&mut self) {
+        self.child.kill().await.unwrap();
+    }
+
     /// Waits for the end of the process.
     pub async fn ended(&mut self) -> ExitStatus {
         timeout(STATE_TIMEOUT, self.child.wait())
@@ -136,7 +142,7 @@
 /// A store, runners of one model and of one plain service, and a gateway.
 pub struct Site {
     pub store: Arc<SiteStore>,
-    _store_server: ServerHandle,
+    store_server: ServerHandle,
     pub runners: Arc<SiteRunners>,
     pub engines: Vec<RunnerHandle>,
     _ledgers: Vec<RunnerHandle>,
@@ -170,7 +176,7 @@
         let gateway = GatewayProcess::start(folder.path(), "front-1", address, peers, None);
         let site = Self {
             store,
-            _store_server: store_server,
+            store_server,
             runners,
             engines,
             _ledgers: ledgers,
@@ -208,6 +214,11 @@
         self.gateway.send(request).await
     }
 
+    /// Returns the address of the store.
+    pub fn store_address(&self) -> SocketAddr {
+        self.store_server.address()
+    }
+
     /// Returns the identifiers of the engines.
     pub fn engine_ids(&self) -> Vec<String> {
         self.engines
@@ -229,6 +240,17 @@
     HttpClient::new(address, deadlines)
 }
 
+/// Returns an address for the peers of another gateway.
+///
+/// Peers listen on the same port, each on a host of its own.
+pub fn neighbour(peers: SocketAddr) -> SocketAddr {
+    let IpAddr::V4(ip) = peers.ip() else {
+        panic!("hosts of tests have IPv4 addresses");
+    };
+    let [_, b, c, d] = ip.octets();
+    SocketAddr::from(([127, b ^ 0x80, c, d], peers.port()))
+}
+
 /// Waits until a condition holds.
 pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let end = Instant::now() + STATE_TIMEOUT;
--- a/daemon/tests/test_gateway.rs
+++ b/daemon/tests/test_gateway.rs
@@ -2,8 +2,6 @@
 
 mod gateway_site;
 
-use std::net::IpAddr;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use gateway_site::GatewayProcess;
@@ -266,11 +264,7 @@
     let store = refusing.serve(listener);
     // Peers listen on the same port, each on a host of its own.
     let known = site.gateway.peers;
-    let IpAddr::V4(known_ip) = known.ip() else {
-        panic!("hosts of tests have IPv4 addresses");
-    };
-    let [_, b, c, d] = known_ip.octets();
-    let own = SocketAddr::from(([127, b ^ 0x80, c, d], known.port()));
+    let own = gateway_site::neighbour(known);
     let folder = site.folder.path();
     let fresh = GatewayProcess::start(folder, "front-2", store.address(), own, Some(known));
     wait_until("the peer's knowledge is enough", async || {
@@ -319,6 +313,32 @@
     .await;
 }
 
+/// Replays a killed planner: its lease outlives it, and engines that were lost in the
+/// same moment were replaced only after the lease had lapsed.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_layers_are_replaced_though_a_killed_planner_still_holds_the_lease() {
+    let mut site = Site::start().await;
+    let known = site.gateway.peers;
+    let own = gateway_site::neighbour(known);
+    let store = site.store_address();
+    let folder = site.folder.path();
+    let other = GatewayProcess::start(folder, "front-2", store, own, Some(known));
+    wait_until("the other gateway has heard the planner", async || {
+        other.is_ready().await && other.log().contains("event=peer ")
+    })
+    .await;
+    // A lease that never lapses.
+    site.store.put("jujubewall/planner", b"front-1");
+    site.gateway.kill().await;
+    let placed = site.runners.orders("place").len();
+    site.engines.retain(|engine| !engine.id().ends_with("-0"));
+    wait_until("the lost layers are placed anew", async || {
+        let _ = other.send(stream_request("probe")).await;
+        site.runners.orders("place").len() > placed
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_termination_cuts_no_stream_and_ends_the_process() {
     let mut site = Site::start().await;
