gateway: let no draining gateway keep the others from planning

Cause: while the store is away the first gateway by name stands in as planner, and one that was told to stop is heard for as long as its streams last. A call to the silent store also held up the decision.

Ruled out: the kill of the planner (it resigned), unanswered orders.

Change: gateways tell that they drain, and those that do are passed over. Who stands in is decided apart from the network (routing::fleet::planner_watch), before the store is asked.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -6,7 +6,7 @@
 //! platform's seeds. One that the store turns away fetches the configuration and
 //! the upstreams' entries from a peer that the store serves.
 
-use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,6 +18,7 @@
 use jujubewall_routing::fleet::instances::ToldLayers;
 use jujubewall_routing::fleet::instances::ToldSlowdown;
 use jujubewall_routing::fleet::instances::ToldWork;
+use jujubewall_routing::fleet::planner_watch::PlannerWatch;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::id::MemberName;
@@ -60,10 +61,6 @@
 /// The time for which a peer's last message says what it knows now.
 const FRESH: Duration = Duration::from_millis(1_500);
 
-/// The time after which a planner that tells nothing counts as lost; peers tell about
-/// twice in it, and a datagram may be lost.
-const PLANNER_SILENCE: Duration = Duration::from_secs(1);
-
 /// The peers that a datagram names at most, so that it fits into one packet.
 const MAX_TOLD_PEERS: usize = 32;
 
@@ -87,6 +84,7 @@
     instances_revision: Revision,
     has_store: bool,
     is_planner: bool,
+    is_draining: bool,
     work: Vec<ToldWork>,
     doubts: Vec<u64>,
     layers: Vec<ToldLayers>,
@@ -98,7 +96,6 @@
 /// A peer that has been heard.
 #[derive(Clone, Debug)]
 struct Peer {
-    member: MemberName,
     heard_at: Instant,
     config_version: u64,
     instances_revision: Revision,
@@ -111,8 +108,7 @@
     heard: RefCell<HashMap<SocketAddr, Peer>>,
     /// Addresses that were named and have not been heard yet.
     named: RefCell<HashMap<SocketAddr, Instant>>,
-    /// When a peer last told that it gives the orders.
-    planner_heard_at: Cell<Option<Instant>>,
+    planner_watch: RefCell<PlannerWatch>,
     news: Notify,
 }
 
@@ -125,7 +121,7 @@
             own_address: settings.peer_address,
             heard: RefCell::new(HashMap::new()),
             named: RefCell::new(seeds.collect()),
-            planner_heard_at: Cell::new(None),
+            planner_watch: RefCell::new(PlannerWatch::new()),
             news: Notify::new(),
         }
     }
@@ -153,14 +149,16 @@
         let mut heard = self.heard.borrow_mut();
         let mut named = self.named.borrow_mut();
         named.remove(&from);
-        if telling.is_planner {
-            self.planner_heard_at.set(Some(Instant::now()));
-        }
+        self.planner_watch.borrow_mut().on_told(
+            &telling.member,
+            telling.is_planner,
+            telling.is_draining,
+            Instant::now(),
+        );
         let is_new = heard
             .insert(
                 from,
                 Peer {
-                    member: telling.member.clone(),
                     heard_at: Instant::now(),
                     config_version: telling.config_version,
                     instances_revision: telling.instances_revision,
@@ -206,28 +204,9 @@
         })
     }
 
-    /// Returns whether a peer has lately told that it gives the orders.
-    pub fn has_planner(&self) -> bool {
-        self.planner_heard_at
-            .get()
-            .is_some_and(|at| at.elapsed() < PLANNER_SILENCE)
-    }
-
-    /// Returns whether a peer gave the orders and has fallen silent.
-    pub fn has_lost_planner(&self) -> bool {
-        self.planner_heard_at
-            .get()
-            .is_some_and(|at| at.elapsed() >= PLANNER_SILENCE)
-    }
-
-    /// Returns whether this gateway's name is the first of those that are heard.
-    pub fn is_first(&self, gateway: &Gateway) -> bool {
-        let own = &gateway.settings().member;
-        let heard = self.heard.borrow();
-        heard
-            .values()
-            .filter(|peer| peer.heard_at.elapsed() < PLANNER_SILENCE)
-            .all(|peer| *own < peer.member)
+    /// Returns what the others tell of who plans.
+    pub fn planner_watch(&self) -> Ref<'_, PlannerWatch> {
+        self.planner_watch.borrow()
     }
 
     /// Returns a peer that the store serves.
@@ -284,6 +263,7 @@
         instances_revision: gateway.instances_revision(),
         has_store: gateway.store_link() == StoreLink::Up && gateway.is_synced(),
         is_planner,
+        is_draining: gateway.is_draining(),
         work: instances.told_work(),
         doubts: instances.told_doubts(Instant::now()),
         layers: instances.told_layers(),
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -174,25 +174,37 @@
         }
         match gateway.planner.lease.get() {
             Some(lease) => renew(&gateway, lease).await,
-            // Peers tell that they plan, so the store is asked only when none does.
-            None if gateway.peers.has_planner() => set_planner(&gateway, false),
-            None => match take_over(&gateway).await {
-                Claim::Won => set_planner(&gateway, true),
-                // The lease of a planner that was killed outlives it, and while the
-                // store is away nobody can win it. Orders are safe without it, so one
-                // gateway stands in that all agree on.
-                Claim::Taken if gateway.peers.has_lost_planner() => stand_in(&gateway),
-                Claim::Taken => set_planner(&gateway, false),
-                Claim::Unknown => stand_in(&gateway),
-            },
+            None => follow_planner(&gateway).await,
         }
         sleep(LEASE_INTERVAL).await;
     }
 }
 
+/// Sees to it that somebody plans.
+async fn follow_planner(gateway: &Gateway) {
+    let now = Instant::now();
+    // Peers tell that they plan, so the store is asked only when none does.
+    if gateway.peers.planner_watch().has_planner(now) {
+        set_planner(gateway, false);
+        return;
+    }
+    // A store that is away may leave the question about the lease unanswered for long.
+    if gateway.peers.planner_watch().has_lost_planner(now) {
+        stand_in(gateway);
+    }
+    match take_over(gateway).await {
+        Claim::Won => set_planner(gateway, true),
+        Claim::Taken if gateway.peers.planner_watch().has_lost_planner(now) => {}
+        Claim::Taken => set_planner(gateway, false),
+        Claim::Unknown => stand_in(gateway),
+    }
+}
+
 /// Plans without the lease if this is the first of the gateways that are heard.
 fn stand_in(gateway: &Gateway) {
-    set_planner(gateway, gateway.peers.is_first(gateway));
+    let own = gateway.settings().member.clone();
+    let is_first = gateway.peers.planner_watch().is_first(&own, Instant::now());
+    set_planner(gateway, is_first);
 }
 
 async fn renew(gateway: &Gateway, lease: LeaseId) {
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod events;
 pub mod instances;
 pub mod layer_path;
+pub mod planner_watch;
 pub mod repeat_budget;
 pub mod routes;
 pub mod service_choice;
