tests: notice seven wrong decisions that went unseen

Seven one-line faults in decision modules passed their package's own tests. Each has a test now, which was seen to fail with the fault planted:

- refusals drawn from the failures' savings: test_refusals_use_up_none_of_the_failures_savings
- no longest delay: test_delays_of_retries_stop_growing (the random test never reached it, as its attempts end first)
- the cost of removed items left queued: test_cancelled_work_is_not_waited_for
- a version dropped although no whole copy stays: test_last_whole_copy_of_a_version_is_never_dropped (a floor of zero)
- models without a whole copy filled first: test_engines_that_are_left_go_to_models_that_are_whole
- a told number equal to the highest refused, and a status with the same number taken as newer: test_equal_number_is_neither_old_nor_new

--- a/control/tests/test_plan.rs
+++ b/control/tests/test_plan.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use jujubewall_control::plan::coverage::Coverage;
+use jujubewall_control::plan::document::Assignments;
+use jujubewall_control::plan::document::EnginePlan;
 use jujubewall_control::plan::document::Plan;
 use jujubewall_control::plan::input::EngineReport;
 use jujubewall_control::plan::input::EngineView;
@@ -384,3 +386,62 @@
     let after = plan(&input, &before, &SETTINGS);
     assert_eq!(after.hold(&engine_name(0)).len(), 1);
 }
+
+/// Returns a fleet of two models of `layer_counts` and engines for `max_layers`.
+fn fleet(layer_counts: [u32; 2], max_layers: &[u32]) -> PlanInput {
+    PlanInput {
+        revision: Revision(1),
+        models: layer_counts
+            .into_iter()
+            .enumerate()
+            .map(|(index, layers)| (model_name(index), model(index, layers)))
+            .collect(),
+        engines: max_layers
+            .iter()
+            .enumerate()
+            .map(|(index, layers)| (engine_name(index), engine((*layers, 1_000, 0))))
+            .collect(),
+    }
+}
+
+/// Without a floor on the capacity, the last whole copy still stays.
+#[test]
+fn test_last_whole_copy_of_a_version_is_never_dropped() {
+    let settings = PlanSettings {
+        capacity_floor_permille: 0,
+        ..SETTINGS
+    };
+    let mut input = fleet([4, 4], &[4]);
+    input.models.remove(&model_name(1));
+    let before = plan(&input, &Plan::default(), &settings);
+    let engine = input.engines.get_mut(&engine_name(0)).unwrap();
+    follow(engine, &before, &engine_name(0));
+    let held = before.hold(&engine_name(0)).to_vec();
+    assert_eq!(held.len(), 1);
+    input.models.get_mut(&model_name(0)).unwrap().active_version = version(2);
+    let after = plan(&input, &before, &settings);
+    assert_eq!(after.hold(&engine_name(0)), held);
+}
+
+/// An engine that is left makes a whole model faster; it is no use to one of which layers
+/// are lost that it cannot hold.
+#[test]
+fn test_engines_that_are_left_go_to_models_that_are_whole() {
+    let input = fleet([4, 8], &[4, 3, 4]);
+    let mut before = Plan::default();
+    for (engine, model, end) in [(0, 0, 4), (1, 1, 3)] {
+        let target = Assignment {
+            model: model_name(model),
+            version: version(1),
+            layers: LayerRange::new(0, end),
+        };
+        let planned = EnginePlan {
+            target: Some(target.clone()),
+            hold: Assignments::from_iter([target]),
+        };
+        before.engines.insert(engine_name(engine), planned);
+    }
+    let after = plan(&input, &before, &SETTINGS);
+    let target = after.target(&engine_name(2)).unwrap();
+    assert_eq!(target.model, model_name(0));
+}
--- a/control/tests/test_reconcile.rs
+++ b/control/tests/test_reconcile.rs
@@ -399,3 +399,28 @@
     let confirmed = agent.authority().confirmed().map(Confirmed::number);
     assert_eq!(confirmed, Some(FencingNumber(9)));
 }
+
+/// An agent is told the same plan several times, by a watch and by its peers.
+#[test]
+fn test_equal_number_is_neither_old_nor_new() {
+    let now = Instant::now();
+    let mut agent = agent(now);
+    let read = agent
+        .on_tick(now)
+        .into_iter()
+        .find_map(|action| match action {
+            ReconcileAction::ReadPlan { token } => Some(token),
+            _ => None,
+        });
+    agent.on_plan_read(now, read.unwrap(), FencingNumber(9), plan(1));
+    agent.on_plan_told(now, FencingNumber(9), plan(1));
+    assert_eq!(agent.refused_numbers(), 0);
+    let status = |number| EngineStatus {
+        fencing: FencingNumber(number),
+        loaded: vec![],
+    };
+    agent.on_status(now, &engine_name(0), status(9));
+    assert!(agent.authority().confirmed().is_some());
+    agent.on_status(now, &engine_name(0), status(10));
+    assert!(agent.authority().confirmed().is_none());
+}
--- a/routing/tests/test_admission.rs
+++ b/routing/tests/test_admission.rs
@@ -83,6 +83,75 @@
     assert_eq!(released.refused.len(), 1);
 }
 
+/// Replays a caller that gives up a long request: those that come after it must not be
+/// refused for the time that it would have taken.
+#[test]
+fn test_cancelled_work_is_not_waited_for() {
+    for is_cancelled in [false, true] {
+        let mut now = Instant::now();
+        let mut admission = admission(1);
+        // One request of a cost of 100 takes a tenth of a second.
+        for id in 0..100 {
+            assert_matches!(admission.offer(now, request(now, id, 0)), Decision::Admit);
+            now += Duration::from_millis(100);
+            admission.on_finished(now, id, 100);
+        }
+        let mut last = 100;
+        while admission.in_flight() < admission.bound() {
+            assert_matches!(admission.offer(now, request(now, last, 0)), Decision::Admit);
+            last += 1;
+        }
+        let mut long = request(now, last, 0);
+        long.cost = 240;
+        assert_matches!(admission.offer(now, long), Decision::Queue);
+        let mut kept = request(now, last + 1, 0);
+        kept.cost = 10;
+        assert_matches!(admission.offer(now, kept), Decision::Queue);
+        if is_cancelled {
+            admission.cancel(now, last);
+        }
+        let next = admission.offer(now, request(now, last + 2, 0));
+        let is_queued = matches!(next, Decision::Queue);
+        assert_eq!(is_queued, is_cancelled);
+    }
+}
+
+#[test]
+fn test_refusals_use_up_none_of_the_failures_savings() {
+    let mut budget = RetryBudget::new(RetrySettings::default(), 1);
+    budget.on_first_attempt(&account(0));
+    let first = Attempt(1);
+    while budget
+        .try_retry(&account(0), first, RetryCause::Refusal)
+        .is_ok()
+    {}
+    let retry = budget.try_retry(&account(0), first, RetryCause::Failure);
+    assert!(retry.is_ok());
+}
+
+#[test]
+fn test_delays_of_retries_stop_growing() {
+    let settings = RetrySettings {
+        base_delay_ms: 100,
+        max_delay_ms: 400,
+        max_attempts: 100,
+        max_saved: 1_000,
+        ..RetrySettings::default()
+    };
+    let mut budget = RetryBudget::new(settings, 1);
+    budget.on_first_attempt(&account(0));
+    let delays: Vec<Duration> = (1..60)
+        .map(|attempt| {
+            let retry = budget.try_retry(&account(0), Attempt(attempt), RetryCause::Failure);
+            retry.unwrap()
+        })
+        .collect();
+    // Delays are drawn between zero and twice their mean.
+    let longest = delays.iter().max().unwrap();
+    assert!(*longest <= Duration::from_millis(800), "{longest:?}");
+    assert!(*longest > Duration::from_millis(400), "{longest:?}");
+}
+
 #[test]
 fn test_resumed_stream_starts_beyond_the_bound() {
     let now = Instant::now();
