soak: random faults against gateways as processes

Gateways run before the stand-ins of the store and of runners, behind loopback relays; a seed decides what is killed, stopped, paused, silenced, refused, lost, drained, replaced and reconfigured, in series and overlapping, with phases of planned work only.

The harness of the gateway's tests moved to testutils, where both use it. Runners of the stand-ins can be behind a relay, and each start is a new life.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -192,8 +192,8 @@
     /// Returns whether it fits.
     fn split_anew(&self, changes: &mut Vec<Placement>) -> bool {
         let mut engines = self.engines.clone();
-        let holes = self.holes(|_| true);
-        let hole = holes.first().map_or(0, |hole| hole.first);
+        let missing = self.holes(|_| true);
+        let hole = missing.first().map_or(0, |hole| hole.first);
         // Engines that hold nothing stand where layers are missing.
         engines.sort_by_key(|engine| {
             let first = engine.layers.map_or(hole, |layers| layers.first);
@@ -379,7 +379,7 @@
     /// Returns the number of copies that the group holds.
     fn copies(&self) -> u32 {
         let held = self.engines.iter().filter_map(|engine| engine.layers);
-        let held: u32 = held.map(|layers| layers.len()).sum();
+        let held: u32 = held.map(LayerRange::len).sum();
         ((held + self.spec.layer_count / 2) / self.spec.layer_count).max(1)
     }
 
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -267,10 +267,9 @@
         Ok(Err(failure)) if failure.kind() == ErrorKind::ConnectionRefused => {
             Reach::Lost(Evidence::Refused)
         }
-        Ok(Err(_)) => Reach::Lost(Evidence::Silent),
         // A process that was held up itself cannot tell who was late.
         Err(_) if started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP => Reach::Unknown,
-        Err(_) => Reach::Lost(Evidence::Silent),
+        Ok(Err(_)) | Err(_) => Reach::Lost(Evidence::Silent),
     }
 }
 
--- a/daemon/tests/test_gateway.rs
+++ b/daemon/tests/test_gateway.rs
@@ -1,16 +1,19 @@
 //! The gateway from a client's request to its answer, as a real process.
 
-mod gateway_site;
-
+use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
-use gateway_site::GatewayProcess;
-use gateway_site::Site;
-use gateway_site::all_events;
-use gateway_site::config;
-use gateway_site::request;
-use gateway_site::stream_request;
-use gateway_site::wait_until;
+use jujubewall_testutils::gateway_site::GatewayProcess;
+use jujubewall_testutils::gateway_site::GatewayStart;
+use jujubewall_testutils::gateway_site::LAYERS;
+use jujubewall_testutils::gateway_site::Site;
+use jujubewall_testutils::gateway_site::all_events;
+use jujubewall_testutils::gateway_site::config;
+use jujubewall_testutils::gateway_site::neighbour;
+use jujubewall_testutils::gateway_site::request;
+use jujubewall_testutils::gateway_site::stream_request;
+use jujubewall_testutils::gateway_site::wait_until;
 use jujubewall_testutils::http_server::ServerHandle;
 use jujubewall_testutils::site_runner::RunnerFault;
 use jujubewall_testutils::site_store::SiteStore;
@@ -20,6 +23,17 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_jujubewalld");
+
+/// The repeated sends that are allowed beside a fifth of the requests, which these
+/// tests never use up.
+const RETRY_BURST: u32 = 200;
+
+async fn start_site() -> Site {
+    Site::start(Path::new(PROGRAM), RETRY_BURST).await
+}
+
 fn header(answer: &hyper::Response<bytes::Bytes>, name: &str) -> String {
     let value = answer
         .headers()
@@ -30,7 +44,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_stream_and_call_are_served_with_what_runners_have_to_know() {
-    let site = Site::start().await;
+    let site = start_site().await;
     let answer = site.send(stream_request("s-1")).await.unwrap();
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.body(), all_events().as_bytes());
@@ -54,7 +68,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_requests_that_the_configuration_does_not_allow_are_refused() {
-    let site = Site::start().await;
+    let site = start_site().await;
     let status = async |request| site.send(request).await.unwrap().status().as_u16();
     assert_eq!(status(request("GET", "/nowhere/", "r-1")).await, 404);
     let mut foreign = request("GET", "/stock/7", "r-2");
@@ -70,7 +84,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_stream_goes_on_at_another_engine_after_its_last_whole_event() {
-    let site = Site::start().await;
+    let site = start_site().await;
     for (id, fault) in [
         ("cut", RunnerFault::CutAfter(5)),
         ("torn", RunnerFault::TornAfter(5)),
@@ -98,7 +112,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_order_whose_answer_is_lost_runs_once_and_is_not_called_unrun() {
-    let site = Site::start().await;
+    let site = start_site().await;
     for ledger in ["ledger-0", "ledger-1"] {
         site.runners.set_fault(ledger, RunnerFault::LoseAnswer);
     }
@@ -113,7 +127,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_refused_order_is_sent_elsewhere_or_truthfully_called_unrun() {
-    let site = Site::start().await;
+    let site = start_site().await;
     site.runners.set_fault("ledger-0", RunnerFault::Refuse);
     for index in 0..4 {
         let id = format!("o-{index}");
@@ -133,7 +147,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_answer_of_another_request_reaches_nobody() {
-    let site = Site::start().await;
+    let site = start_site().await;
     for ledger in ["ledger-0", "ledger-1"] {
         site.runners.set_fault(ledger, RunnerFault::AnswerAnother);
     }
@@ -144,7 +158,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_runners_own_failure_is_passed_on_unchanged() {
-    let site = Site::start().await;
+    let site = start_site().await;
     for ledger in ["ledger-0", "ledger-1"] {
         site.runners.set_fault(ledger, RunnerFault::Fail);
     }
@@ -158,7 +172,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_configurations_take_effect_and_never_go_back() {
-    let site = Site::start().await;
+    let site = start_site().await;
     let status = async |id: &str| {
         let answer = site.send(request("GET", "/stock/", id)).await;
         answer.unwrap().status().as_u16()
@@ -179,7 +193,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_foreign_entries_and_leaving_runners_get_no_request() {
-    let site = Site::start().await;
+    let site = start_site().await;
     site.store.put("servers/foreign", b"\xff");
     let unknown = json!({"service": "ledger", "state": "resting"});
     site.store
@@ -201,7 +215,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_without_engines_a_stream_is_rejected_at_once_with_a_time_to_come_back() {
-    let mut site = Site::start().await;
+    let mut site = start_site().await;
     let ids = site.engine_ids();
     site.engines.clear();
     for id in ids {
@@ -217,7 +231,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_lost_engine_is_replaced_in_its_domain() {
-    let mut site = Site::start().await;
+    let mut site = start_site().await;
     let lost = site.engines.remove(1);
     let id = lost.id().to_owned();
     drop(lost);
@@ -229,7 +243,7 @@
             .iter()
             .map(|layers| layers.len())
             .sum();
-        held >= 2 * gateway_site::LAYERS
+        held >= 2 * LAYERS
     })
     .await;
     assert!(!site.runners.orders("place").is_empty());
@@ -237,7 +251,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_requests_are_served_while_the_store_is_away() {
-    let site = Site::start().await;
+    let site = start_site().await;
     for mood in [
         StoreMood::Closing,
         StoreMood::Silent,
@@ -256,6 +270,24 @@
     .await;
 }
 
+/// Starts a second gateway, which knows the first one.
+fn start_second(
+    folder: &Path,
+    store: SocketAddr,
+    peers: SocketAddr,
+    known: SocketAddr,
+) -> GatewayProcess {
+    GatewayProcess::start(&GatewayStart {
+        program: Path::new(PROGRAM),
+        folder,
+        name: "front-2",
+        store,
+        peers,
+        seed: Some(known),
+        retry_burst: RETRY_BURST,
+    })
+}
+
 /// Starts a gateway that knows the site only through its first gateway.
 async fn start_turned_away(site: &Site) -> (GatewayProcess, ServerHandle) {
     let refusing = SiteStore::new();
@@ -264,9 +296,9 @@
     let store = refusing.serve(listener);
     // Peers listen on the same port, each on a host of its own.
     let known = site.gateway.peers;
-    let own = gateway_site::neighbour(known);
+    let own = neighbour(known);
     let folder = site.folder.path();
-    let fresh = GatewayProcess::start(folder, "front-2", store.address(), own, Some(known));
+    let fresh = start_second(folder, store.address(), own, known);
     wait_until("the peer's knowledge is enough", async || {
         fresh.is_ready().await
     })
@@ -276,7 +308,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_process_that_the_store_turns_away_learns_from_a_peer() {
-    let site = Site::start().await;
+    let site = start_site().await;
     let (fresh, _store) = start_turned_away(&site).await;
     let log = fresh.log();
     assert!(
@@ -292,7 +324,7 @@
 /// layers were not replaced until the store came back.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_layers_are_replaced_though_the_planner_left_while_the_store_is_away() {
-    let mut site = Site::start().await;
+    let mut site = start_site().await;
     let (fresh, _store) = start_turned_away(&site).await;
     site.store.set_mood(StoreMood::Refusing(503));
     site.gateway.terminate().await;
@@ -317,12 +349,12 @@
 /// same moment were replaced only after the lease had lapsed.
 #[tokio::test(flavor = "multi_thread")]
 async fn test_layers_are_replaced_though_a_killed_planner_still_holds_the_lease() {
-    let mut site = Site::start().await;
+    let mut site = start_site().await;
     let known = site.gateway.peers;
-    let own = gateway_site::neighbour(known);
+    let own = neighbour(known);
     let store = site.store_address();
     let folder = site.folder.path();
-    let other = GatewayProcess::start(folder, "front-2", store, own, Some(known));
+    let other = start_second(folder, store, own, known);
     wait_until("the other gateway has heard the planner", async || {
         other.is_ready().await && other.log().contains("event=peer ")
     })
@@ -341,7 +373,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_termination_cuts_no_stream_and_ends_the_process() {
-    let mut site = Site::start().await;
+    let mut site = start_site().await;
     let send = site.send(stream_request("s-1"));
     let stop = async {
         wait_until("the stream runs", async || !site.ran("s-1").is_empty()).await;
--- /dev/null
+++ b/soak/src/schedule.rs
@@ -0,0 +1,151 @@
+//! What fails, when, and for how long, by a seed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubewall_testutils::site_runner::RunnerFault;
+use jujubewall_testutils::site_store::StoreMood;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::sleep;
+
+use crate::world::GATEWAYS;
+use crate::world::World;
+
+/// The time for which only planned work is played, and then everything.
+const PHASE: Duration = Duration::from_secs(7);
+
+/// One thing that happens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Event {
+    Terminate(usize),
+    Configure,
+    RevokeKey,
+    DrainRunner(u64),
+    Kill(usize),
+    Pause(usize, Duration),
+    Store(StoreMood, Duration),
+    CompactStore,
+    SilenceStoreLink(usize),
+    SilenceRunners,
+    CrashRunner(u64, Duration),
+    FailRunner(u64, RunnerFault, Duration),
+}
+
+impl Event {
+    const fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Self::Terminate(_) | Self::Configure | Self::RevokeKey | Self::DrainRunner(_)
+        )
+    }
+}
+
+/// The events of a seed, in series and overlapping.
+pub struct Schedule {
+    rng: ChaCha8Rng,
+    played: usize,
+    phase_left: Duration,
+}
+
+impl Schedule {
+    /// Creates the schedule of a seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            played: 0,
+            phase_left: PHASE,
+        }
+    }
+
+    /// Returns the number of events played.
+    pub const fn played(&self) -> usize {
+        self.played
+    }
+
+    /// Waits for the next event and starts it; its end is played beside others.
+    pub async fn play_next(&mut self, world: &Arc<World>) {
+        let pause = Duration::from_millis(self.rng.random_range(50..900));
+        sleep(pause).await;
+        if let Some(left) = self.phase_left.checked_sub(pause) {
+            self.phase_left = left;
+        } else {
+            self.phase_left = PHASE;
+            world.set_planned_phase(!world.is_planned_phase()).await;
+        }
+        let event = self.draw();
+        if world.is_planned_phase() && !event.is_planned() {
+            return;
+        }
+        self.played += 1;
+        let world = Arc::clone(world);
+        let task = world.tasks();
+        task.spawn(async move { play(&world, event).await });
+    }
+
+    fn draw(&mut self) -> Event {
+        let rng = &mut self.rng;
+        let gateway = rng.random_range(0..GATEWAYS);
+        let runner: u64 = rng.random();
+        let span = Duration::from_millis(rng.random_range(100..2_500));
+        match rng.random_range(0..14) {
+            0 => Event::Terminate(gateway),
+            1 => Event::Configure,
+            2 => Event::RevokeKey,
+            3 => Event::DrainRunner(runner),
+            4 => Event::Kill(gateway),
+            5 | 6 => Event::Pause(gateway, span),
+            7 | 8 => {
+                let moods = [
+                    StoreMood::Refusing(503),
+                    StoreMood::Refusing(429),
+                    StoreMood::Closing,
+                    StoreMood::LosingReplies,
+                    StoreMood::Silent,
+                ];
+                Event::Store(moods[rng.random_range(0..moods.len())], span)
+            }
+            9 => Event::CompactStore,
+            10 => Event::SilenceStoreLink(gateway),
+            11 => Event::SilenceRunners,
+            12 => Event::CrashRunner(runner, span),
+            _ => {
+                let events = rng.random_range(0..20);
+                let faults = [
+                    RunnerFault::CutAfter(events),
+                    RunnerFault::TornAfter(events),
+                    RunnerFault::LoseAnswer,
+                    RunnerFault::Refuse,
+                    RunnerFault::Fail,
+                    RunnerFault::AnswerAnother,
+                ];
+                let fault = faults[rng.random_range(0..faults.len())];
+                Event::FailRunner(runner, fault, span)
+            }
+        }
+    }
+}
+
+async fn play(world: &Arc<World>, event: Event) {
+    if !event.is_planned() {
+        world.note_disturbance();
+    }
+    match event {
+        Event::Terminate(gateway) => world.restart_gateway(gateway, true).await,
+        Event::Configure => world.configure(),
+        Event::RevokeKey => world.revoke_key(),
+        Event::DrainRunner(pick) => world.replace_runner(pick, true, Duration::ZERO).await,
+        Event::Kill(gateway) => world.restart_gateway(gateway, false).await,
+        Event::Pause(gateway, span) => world.pause_gateway(gateway, span).await,
+        Event::Store(mood, span) => world.disturb_store(mood, span).await,
+        Event::CompactStore => world.compact_store(),
+        Event::SilenceStoreLink(gateway) => world.silence_store_link(gateway),
+        Event::SilenceRunners => world.silence_runners(),
+        Event::CrashRunner(pick, span) => world.replace_runner(pick, false, span).await,
+        Event::FailRunner(pick, fault, span) => world.fail_runner(pick, fault, span).await,
+    }
+    if !event.is_planned() {
+        world.note_disturbance();
+    }
+}
--- /dev/null
+++ b/soak/src/world.rs
@@ -0,0 +1,509 @@
+//! The gateways as processes, the stand-ins before which they run, and what was seen.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use jujubewall_testutils::gateway_site::ENGINES_PER_ZONE;
+use jujubewall_testutils::gateway_site::EVENTS;
+use jujubewall_testutils::gateway_site::GatewayProcess;
+use jujubewall_testutils::gateway_site::GatewayStart;
+use jujubewall_testutils::gateway_site::all_events;
+use jujubewall_testutils::gateway_site::config;
+use jujubewall_testutils::gateway_site::neighbour;
+use jujubewall_testutils::gateway_site::stream_request;
+use jujubewall_testutils::gateway_site::wait_until;
+use jujubewall_testutils::http_server::ServerHandle;
+use jujubewall_testutils::ports::free_address;
+use jujubewall_testutils::relay::Relay;
+use jujubewall_testutils::site_runner::RunnerFault;
+use jujubewall_testutils::site_runner::RunnerHandle;
+use jujubewall_testutils::site_runner::SiteRunners;
+use jujubewall_testutils::site_store::SiteStore;
+use jujubewall_testutils::site_store::StoreMood;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio_util::task::TaskTracker;
+
+use crate::promises::Bounds;
+use crate::promises::History;
+use crate::promises::Run;
+use crate::promises::Sent;
+
+/// The number of gateways.
+pub const GATEWAYS: usize = 2;
+
+/// The keys of clients, of which all but the first may be taken away.
+pub const KEYS: [&str; 4] = ["key-1", "key-2", "key-3", "key-4"];
+
+/// The bounds that the gateways' settings state.
+pub const BOUNDS: Bounds = Bounds {
+    drain: Duration::from_secs(2),
+    config_apply: Duration::from_secs(2),
+    retry_ratio: 0.2,
+    retry_burst: 20,
+    retry_window: Duration::from_secs(1),
+};
+
+/// The time without a disturbance after which bounds in time hold.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
+/// The time for which a leaving runner serves beyond the bound.
+const LINGER: Duration = Duration::from_millis(1_500);
+
+/// The time for which the balancer sends connections to a gateway that stops.
+const BALANCER_DELAY: Duration = Duration::from_secs(1);
+
+/// The time after which a process that has ended is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+
+/// A gateway as clients see it.
+#[derive(Clone, Copy, Debug)]
+pub struct GatewayView {
+    /// Its number.
+    pub index: usize,
+    /// The number of its life.
+    pub life: u64,
+    /// Its address for clients.
+    pub clients: std::net::SocketAddr,
+}
+
+struct Slot {
+    name: String,
+    peers: std::net::SocketAddr,
+    store_link: Relay,
+    process: AsyncMutex<GatewayProcess>,
+}
+
+#[derive(Default)]
+struct State {
+    views: Vec<Option<GatewayView>>,
+    running: HashSet<u64>,
+    lives: u64,
+    disturbed_at: Vec<Option<Instant>>,
+    store_disturbed_at: Option<Instant>,
+    disturbances: u64,
+    is_planned_phase: bool,
+    version: u64,
+    revoked: HashMap<&'static str, Instant>,
+    drained: HashMap<String, Instant>,
+    sent: Vec<Sent>,
+    runners: Vec<RunnerHandle>,
+    /// The runners that leave or are about to come back.
+    replaced: HashSet<String>,
+    replacements: u64,
+}
+
+/// All that runs.
+pub struct World {
+    program: PathBuf,
+    folder: PathBuf,
+    store: Arc<SiteStore>,
+    _store_server: ServerHandle,
+    fleet: Arc<SiteRunners>,
+    slots: Vec<Slot>,
+    state: Mutex<State>,
+    tasks: TaskTracker,
+}
+
+impl World {
+    /// Starts everything and waits until it serves.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start(program: &Path, folder: &Path) -> Arc<Self> {
+        let store = SiteStore::new();
+        let store_server = store.serve(listener().await);
+        let fleet = SiteRunners::new(&store, EVENTS);
+        let mut runners = Vec::new();
+        for zone in ["hall", "apron"] {
+            for index in 0..ENGINES_PER_ZONE {
+                let id = format!("{zone}-{index}");
+                runners.push(fleet.start_relayed(&id, "llm", zone, Some("card")).await);
+            }
+        }
+        for index in 0..3 {
+            let id = format!("ledger-{index}");
+            runners.push(fleet.start_relayed(&id, "ledger", "hall", None).await);
+        }
+        let mut state = State {
+            runners,
+            version: 7,
+            is_planned_phase: true,
+            ..State::default()
+        };
+        store.put("op/config", document(&state).as_bytes());
+        let mut slots: Vec<Slot> = Vec::new();
+        let mut peers = free_address();
+        for index in 0..GATEWAYS {
+            let name = format!("front-{index}");
+            let store_link = Relay::new(listener().await, store_server.address());
+            let seed = slots.first().map(|slot| slot.peers);
+            let process = GatewayProcess::start(&GatewayStart {
+                program,
+                folder,
+                name: &name,
+                store: store_link.address(),
+                peers,
+                seed,
+                retry_burst: BOUNDS.retry_burst,
+            });
+            state.begin_life(index, &process);
+            slots.push(Slot {
+                name,
+                peers,
+                store_link,
+                process: AsyncMutex::new(process),
+            });
+            peers = neighbour(peers);
+        }
+        let world = Arc::new(Self {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            store,
+            _store_server: store_server,
+            fleet,
+            slots,
+            state: Mutex::new(state),
+            tasks: TaskTracker::new(),
+        });
+        wait_until("the gateways serve", async || world.all_serve().await).await;
+        world
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the tracker of events that are being played.
+    pub fn tasks(&self) -> TaskTracker {
+        self.tasks.clone()
+    }
+
+    /// Returns a gateway to which the balancer sends connections.
+    pub fn pick_gateway(&self, pick: u64) -> Option<GatewayView> {
+        let state = self.state();
+        let views: Vec<GatewayView> = state.views.iter().flatten().copied().collect();
+        let index = pick.checked_rem(views.len() as u64)?;
+        views.get(usize::try_from(index).ok()?).copied()
+    }
+
+    /// Returns whether a life of a gateway still goes on.
+    pub fn is_running(&self, life: u64) -> bool {
+        self.state().running.contains(&life)
+    }
+
+    /// Returns whether a gateway and the store have been undisturbed for a while.
+    pub fn is_calm(&self, gateway: usize) -> bool {
+        let state = self.state();
+        let is_over = |at: Option<Instant>| at.is_none_or(|at| at.elapsed() > STABLE_WINDOW);
+        is_over(state.disturbed_at[gateway]) && is_over(state.store_disturbed_at)
+    }
+
+    /// Returns the number of disturbances that have begun or ended.
+    pub fn disturbances(&self) -> u64 {
+        self.state().disturbances
+    }
+
+    /// Counts the begin or the end of something that is not planned work.
+    pub fn note_disturbance(&self) {
+        self.state().disturbances += 1;
+    }
+
+    /// Returns whether only planned work is played.
+    pub fn is_planned_phase(&self) -> bool {
+        self.state().is_planned_phase
+    }
+
+    /// Begins a phase; one of planned work only once all disturbances are over.
+    pub async fn set_planned_phase(&self, is_planned: bool) {
+        if is_planned {
+            self.settle().await;
+            sleep(STABLE_WINDOW).await;
+        }
+        self.state().is_planned_phase = is_planned;
+    }
+
+    async fn settle(&self) {
+        self.tasks.close();
+        self.tasks.wait().await;
+        self.tasks.reopen();
+    }
+
+    /// Ends all disturbances.
+    pub async fn end_faults(&self) {
+        self.settle().await;
+        self.store.set_mood(StoreMood::Well);
+    }
+
+    /// Notes what a client got.
+    pub fn note_sent(&self, sent: Sent) {
+        self.state().sent.push(sent);
+    }
+
+    /// Returns what was seen so far.
+    pub fn history(&self) -> History {
+        let ran = self.fleet.ran();
+        let state = self.state();
+        History {
+            sent: state.sent.clone(),
+            runs: ran
+                .into_iter()
+                .map(|ran| Run {
+                    id: ran.id,
+                    runner: ran.runner,
+                    at: ran.at,
+                })
+                .collect(),
+            drained: state.drained.clone(),
+            revoked: state.revoked.clone(),
+        }
+    }
+
+    /// Stops a gateway, by request or without, and starts it again.
+    pub async fn restart_gateway(&self, index: usize, is_planned: bool) {
+        let slot = &self.slots[index];
+        let Ok(mut process) = slot.process.try_lock() else {
+            return;
+        };
+        self.state().disturbed_at[index] = Some(Instant::now());
+        if is_planned {
+            process.terminate().await;
+            sleep(BALANCER_DELAY).await;
+            self.state().views[index] = None;
+            process.ended().await;
+        } else {
+            process.kill().await;
+        }
+        self.state().end_life(index);
+        sleep(RESTART_DELAY).await;
+        self.start_again(index, &mut process);
+    }
+
+    fn start_again(&self, index: usize, process: &mut GatewayProcess) {
+        let slot = &self.slots[index];
+        let seed = &self.slots[(index + 1) % GATEWAYS];
+        *process = GatewayProcess::start(&GatewayStart {
+            program: &self.program,
+            folder: &self.folder,
+            name: &slot.name,
+            store: slot.store_link.address(),
+            peers: slot.peers,
+            seed: Some(seed.peers),
+            retry_burst: BOUNDS.retry_burst,
+        });
+        self.state().begin_life(index, process);
+    }
+
+    /// Stops a gateway's process for a time, in which it does not end.
+    pub async fn pause_gateway(&self, index: usize, span: Duration) {
+        let Ok(process) = self.slots[index].process.try_lock() else {
+            return;
+        };
+        self.state().disturbed_at[index] = Some(Instant::now());
+        process.pause().await;
+        sleep(span).await;
+        process.resume().await;
+        self.state().disturbed_at[index] = Some(Instant::now());
+    }
+
+    /// Kills all gateways at once and starts them again.
+    pub async fn kill_all_gateways(&self) {
+        self.note_disturbance();
+        let mut processes = Vec::new();
+        for slot in &self.slots {
+            processes.push(slot.process.lock().await);
+        }
+        for (index, process) in processes.iter_mut().enumerate() {
+            process.kill().await;
+            self.state().end_life(index);
+        }
+        // Requests that were sent since are not cut by planned work either.
+        self.note_disturbance();
+        sleep(RESTART_DELAY).await;
+        for (index, process) in processes.iter_mut().enumerate() {
+            self.start_again(index, process);
+        }
+    }
+
+    /// Returns whether all gateways serve streams within a time.
+    pub async fn serves_within(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if self.all_serve().await {
+                return true;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        false
+    }
+
+    async fn all_serve(&self) -> bool {
+        for slot in &self.slots {
+            let process = slot.process.lock().await;
+            let answer = process.send(stream_request("check")).await;
+            let is_whole = answer.is_ok_and(|answer| answer.body() == all_events().as_bytes());
+            if !is_whole || !process.is_ready().await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Writes a configuration that changes times only.
+    pub fn configure(&self) {
+        let mut state = self.state();
+        state.version += 3;
+        self.store.put("op/config", document(&state).as_bytes());
+    }
+
+    /// Takes a key away, unless only one is left.
+    pub fn revoke_key(&self) {
+        let mut state = self.state();
+        let left = KEYS
+            .iter()
+            .rev()
+            .find(|key| !state.revoked.contains_key(*key));
+        let Some(key) = left.filter(|key| **key != KEYS[0]) else {
+            return;
+        };
+        state.revoked.insert(key, Instant::now());
+        state.version += 1;
+        self.store.put("op/config", document(&state).as_bytes());
+    }
+
+    /// Treats calls to the store in another way for a time.
+    pub async fn disturb_store(&self, mood: StoreMood, span: Duration) {
+        self.state().store_disturbed_at = Some(Instant::now());
+        self.store.set_mood(mood);
+        sleep(span).await;
+        self.store.set_mood(StoreMood::Well);
+        self.state().store_disturbed_at = Some(Instant::now());
+    }
+
+    /// Lets the store forget its history.
+    pub fn compact_store(&self) {
+        self.state().store_disturbed_at = Some(Instant::now());
+        self.store.compact();
+    }
+
+    /// Silences a gateway's open connections to the store.
+    pub fn silence_store_link(&self, index: usize) {
+        self.state().disturbed_at[index] = Some(Instant::now());
+        self.slots[index].store_link.silence_open_connections();
+    }
+
+    /// Silences all open connections to runners.
+    pub fn silence_runners(&self) {
+        for runner in &self.state().runners {
+            runner.silence_open_connections();
+        }
+    }
+
+    /// Lets a runner do something wrong for a time.
+    pub async fn fail_runner(&self, pick: u64, fault: RunnerFault, span: Duration) {
+        let Some(id) = self.pick_runner(pick) else {
+            return;
+        };
+        self.fleet.set_fault(&id, fault);
+        sleep(span).await;
+        self.fleet.set_fault(&id, RunnerFault::None);
+    }
+
+    fn pick_runner(&self, pick: u64) -> Option<String> {
+        let state = self.state();
+        let index = pick.checked_rem(state.runners.len() as u64)?;
+        let runner = state.runners.get(usize::try_from(index).ok()?)?;
+        Some(runner.id().to_owned())
+    }
+
+    /// Lets a runner leave, with or without saying so; one like it comes.
+    pub async fn replace_runner(&self, pick: u64, is_planned: bool, pause: Duration) {
+        let Some(id) = self.pick_runner(pick) else {
+            return;
+        };
+        let Some(kind) = self.fleet.kind(&id) else {
+            return;
+        };
+        // One that leaves does not come back under its name.
+        if !self.state().replaced.insert(id.clone()) {
+            return;
+        }
+        if is_planned {
+            let new_id = {
+                let mut state = self.state();
+                state.replacements += 1;
+                format!("new-{}", state.replacements)
+            };
+            let new = self.fleet.start_relayed_like(&new_id, &kind).await;
+            self.state().runners.push(new);
+            sleep(LINGER).await;
+            self.fleet.drain(&id);
+            self.state().drained.insert(id.clone(), Instant::now());
+            sleep(BOUNDS.drain + LINGER).await;
+        }
+        let ended = {
+            let mut state = self.state();
+            let index = state.runners.iter().position(|runner| runner.id() == id);
+            index.map(|index| state.runners.swap_remove(index))
+        };
+        drop(ended);
+        if is_planned {
+            self.store.remove(&format!("servers/{id}"));
+            return;
+        }
+        sleep(pause).await;
+        let again = self.fleet.start_relayed_like(&id, &kind).await;
+        let mut state = self.state();
+        state.runners.push(again);
+        state.replaced.remove(&id);
+    }
+}
+
+impl State {
+    fn begin_life(&mut self, index: usize, process: &GatewayProcess) {
+        self.lives += 1;
+        let view = GatewayView {
+            index,
+            life: self.lives,
+            clients: process.clients,
+        };
+        self.running.insert(view.life);
+        if self.views.len() <= index {
+            self.views.push(None);
+            self.disturbed_at.push(None);
+        }
+        self.views[index] = Some(view);
+        self.disturbed_at[index] = Some(Instant::now());
+    }
+
+    fn end_life(&mut self, index: usize) {
+        if let Some(view) = self.views[index].take() {
+            self.running.remove(&view.life);
+        }
+        self.disturbed_at[index] = Some(Instant::now());
+    }
+}
+
+async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a free port")
+}
+
+/// Returns the configuration with the keys that are left.
+fn document(state: &State) -> String {
+    let mut document = config(state.version);
+    let keys = KEYS.iter().filter(|key| !state.revoked.contains_key(*key));
+    document["tenants"][0]["api_keys"] = json!(keys.collect::<Vec<_>>());
+    document["routes"][0]["timeout_ms"] = json!(7_000 + state.version % 5 * 500);
+    document.to_string()
+}
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -15,11 +15,6 @@
 use jujubewall_http_client::CallDeadlines;
 use jujubewall_http_client::HttpCallError;
 use jujubewall_http_client::HttpClient;
-use jujubewall_testutils::http_server::ServerHandle;
-use jujubewall_testutils::ports::free_address;
-use jujubewall_testutils::site_runner::RunnerHandle;
-use jujubewall_testutils::site_runner::SiteRunners;
-use jujubewall_testutils::site_store::SiteStore;
 use serde_json::Value;
 use serde_json::json;
 use tempfile::TempDir;
@@ -30,6 +25,12 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::http_server::ServerHandle;
+use crate::ports::free_address;
+use crate::site_runner::RunnerHandle;
+use crate::site_runner::SiteRunners;
+use crate::site_store::SiteStore;
+
 /// The events of each stream.
 pub const EVENTS: u64 = 20;
 
@@ -45,24 +46,54 @@
 /// The time between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How a gateway is started.
+#[derive(Clone, Debug)]
+pub struct GatewayStart<'a> {
+    /// The program.
+    pub program: &'a Path,
+    /// The folder for its settings and its log.
+    pub folder: &'a Path,
+    /// Its name.
+    pub name: &'a str,
+    /// The address of the store.
+    pub store: SocketAddr,
+    /// The address at which it listens for peers.
+    pub peers: SocketAddr,
+    /// A peer that it knows.
+    pub seed: Option<SocketAddr>,
+    /// The repeated sends that are allowed beside a fifth of the requests.
+    pub retry_burst: u32,
+}
+
 /// A gateway that is killed when it is dropped.
+#[derive(Debug)]
 pub struct GatewayProcess {
     child: Child,
+    /// The address for clients.
     pub clients: SocketAddr,
+    /// The address at which it says whether it takes connections.
     pub ready: SocketAddr,
+    /// The address for peers.
     pub peers: SocketAddr,
     log: PathBuf,
 }
 
 impl GatewayProcess {
-    /// Starts a gateway that listens for peers at `peers` and knows one of them.
-    pub fn start(
-        folder: &Path,
-        name: &str,
-        store: SocketAddr,
-        peers: SocketAddr,
-        seed: Option<SocketAddr>,
-    ) -> Self {
+    /// Starts a gateway.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its files cannot be written or the program does not start.
+    pub fn start(start: &GatewayStart<'_>) -> Self {
+        let GatewayStart {
+            program,
+            folder,
+            name,
+            store,
+            peers,
+            seed,
+            retry_burst,
+        } = *start;
         let [clients, ready, metrics] = [(); 3].map(|()| free_address());
         let document = json!({
             "metrics_port": metrics.port(),
@@ -76,7 +107,7 @@
                 "limits": {"max_fds": 4100},
                 "bounds": {
                     "drain_ms": 2000, "grace_s": 8, "config_apply_ms": 2000,
-                    "retry_budget_ratio": 0.2, "budget_window_s": 1, "retry_budget_burst": 200
+                    "retry_budget_ratio": 0.2, "budget_window_s": 1, "retry_budget_burst": retry_burst
                 },
                 "platform": {"address": store, "min_ttl_ms": 1000}
             }
@@ -84,11 +115,11 @@
         let settings = folder.join(format!("{name}.json"));
         std::fs::write(&settings, document.to_string()).unwrap();
         let log = folder.join(format!("{name}.log"));
-        let child = Command::new(env!("CARGO_BIN_EXE_jujubewalld"))
+        let child = Command::new(program)
             .arg("--gateway")
             .env("JUJUBEWALL_SETTINGS", &settings)
             .stdin(Stdio::null())
-            .stdout(std::fs::File::create(&log).unwrap())
+            .stdout(append(&log))
             .kill_on_drop(true)
             .spawn()
             .unwrap();
@@ -107,11 +138,19 @@
     }
 
     /// Returns the lines that the process has logged.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the log cannot be read.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
     }
 
     /// Returns whether the process says that it takes connections.
+    ///
+    /// # Panics
+    ///
+    /// Never, as the request is valid.
     pub async fn is_ready(&self) -> bool {
         let request = Request::get("/v1/ready").body(Bytes::new()).unwrap();
         let answer = client(self.ready).call(request).await;
@@ -119,18 +158,52 @@
     }
 
     /// Sends the termination signal.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
     pub async fn terminate(&self) {
+        self.signal("-TERM").await;
+    }
+
+    /// Stops the process until it is resumed.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub async fn pause(&self) {
+        self.signal("-STOP").await;
+    }
+
+    /// Resumes a process that was paused.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub async fn resume(&self) {
+        self.signal("-CONT").await;
+    }
+
+    async fn signal(&self, signal: &str) {
         let id = self.child.id().expect("the process runs").to_string();
-        let status = Command::new("kill").args(["-TERM", &id]).status().await;
+        let status = Command::new("kill").args([signal, &id]).status().await;
         assert!(status.unwrap().success());
     }
 
     /// Kills the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be killed.
     pub async fn kill(&mut self) {
         self.child.kill().await.unwrap();
     }
 
     /// Waits for the end of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not end in time.
     pub async fn ended(&mut self) -> ExitStatus {
         timeout(STATE_TIMEOUT, self.child.wait())
             .await
@@ -139,20 +212,34 @@
     }
 }
 
+fn append(path: &Path) -> std::fs::File {
+    let mut options = std::fs::OpenOptions::new();
+    options.create(true).append(true).open(path).unwrap()
+}
+
 /// A store, runners of one model and of one plain service, and a gateway.
 pub struct Site {
+    /// The store.
     pub store: Arc<SiteStore>,
     store_server: ServerHandle,
+    /// The runners.
     pub runners: Arc<SiteRunners>,
+    /// The running engines of the model.
     pub engines: Vec<RunnerHandle>,
     _ledgers: Vec<RunnerHandle>,
+    /// The first gateway.
     pub gateway: GatewayProcess,
+    /// The folder for settings and logs.
     pub folder: TempDir,
 }
 
 impl Site {
     /// Starts a site with two copies of the model, and waits until it serves.
-    pub async fn start() -> Self {
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start(program: &Path, retry_burst: u32) -> Self {
         let store = SiteStore::new();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_server = store.serve(listener);
@@ -173,7 +260,15 @@
         let folder = TempDir::new().unwrap();
         let address = store_server.address();
         let peers = free_address();
-        let gateway = GatewayProcess::start(folder.path(), "front-1", address, peers, None);
+        let gateway = GatewayProcess::start(&GatewayStart {
+            program,
+            folder: folder.path(),
+            name: "front-1",
+            store: address,
+            peers,
+            seed: None,
+            retry_burst,
+        });
         let site = Self {
             store,
             store_server,
@@ -243,6 +338,10 @@
 /// Returns an address for the peers of another gateway.
 ///
 /// Peers listen on the same port, each on a host of its own.
+///
+/// # Panics
+///
+/// Panics if the address is not IPv4.
 pub fn neighbour(peers: SocketAddr) -> SocketAddr {
     let IpAddr::V4(ip) = peers.ip() else {
         panic!("hosts of tests have IPv4 addresses");
@@ -252,6 +351,10 @@
 }
 
 /// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics if it does not hold in time.
 pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let end = Instant::now() + STATE_TIMEOUT;
     while !holds().await {
@@ -292,6 +395,10 @@
 }
 
 /// Builds a request for `path` with the key of a client account.
+///
+/// # Panics
+///
+/// Panics if the path is not valid.
 pub fn request(method: &str, path: &str, id: &str) -> Request<Bytes> {
     Request::builder()
         .method(method)
@@ -305,6 +412,10 @@
 }
 
 /// Builds a request that is answered by a stream.
+///
+/// # Panics
+///
+/// Panics if the identifier is not valid.
 pub fn stream_request(id: &str) -> Request<Bytes> {
     let mut request = request("POST", "/notes/1", id);
     let counts = "10,40".parse().unwrap();
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod fleet;
+pub mod gateway_site;
 pub mod host_list;
 pub mod http_server;
 pub mod key_value;
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -32,10 +32,15 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::relay::Relay;
 use crate::site_store::SiteStore;
 
+/// The start of the first runner, as it says.
+const FIRST_BORN_UNIX_MS: u64 = 1_770_000_000_000;
+
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -70,14 +75,25 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// When it began to run.
+    pub at: Instant,
+}
+
+/// What a runner is.
+#[derive(Clone, Debug)]
+pub struct RunnerKind {
+    /// The service.
+    pub service: String,
+    /// The zone.
+    pub zone: String,
+    /// The kind of accelerator, for a model engine.
+    pub accelerator: Option<String>,
 }
 
 #[derive(Debug)]
 struct RunnerState {
     address: SocketAddr,
-    service: String,
-    zone: String,
-    kind: Option<String>,
+    kind: RunnerKind,
     born: u64,
     orders: u64,
     layers: Option<LayerRange>,
@@ -91,6 +107,7 @@
     ran: Vec<RanRequest>,
     orders: Vec<(String, Value)>,
     event_count: u64,
+    births: u64,
 }
 
 /// The runners of one test, which pass activations among themselves in memory.
@@ -104,9 +121,17 @@
     id: String,
     fleet: Arc<SiteRunners>,
     task: JoinHandle<()>,
+    relay: Option<Relay>,
 }
 
 impl RunnerHandle {
+    /// Makes all open connections to the runner silent, if it is behind a relay.
+    pub fn silence_open_connections(&self) {
+        if let Some(relay) = &self.relay {
+            relay.silence_open_connections();
+        }
+    }
+
     /// Returns the identifier.
     pub fn id(&self) -> &str {
         &self.id
@@ -149,30 +174,80 @@
         id: &str,
         service: &str,
         zone: &str,
-        kind: Option<&str>,
+        accelerator: Option<&str>,
     ) -> RunnerHandle {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let runner = RunnerState {
-            address: listener.local_addr().expect("a listener has an address"),
-            service: service.to_owned(),
-            zone: zone.to_owned(),
-            kind: kind.map(ToOwned::to_owned),
-            born: 1_770_000_000_000,
-            orders: 0,
-            layers: None,
-            fault: RunnerFault::None,
-            is_draining: false,
-        };
-        self.state().runners.insert(id.to_owned(), runner);
+        let kind = runner_kind(service, zone, accelerator);
+        self.start_at(id, kind, listener, None)
+    }
+
+    /// Starts a runner that is reached over a relay, and writes its entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no socket can be bound.
+    pub async fn start_relayed(
+        self: &Arc<Self>,
+        id: &str,
+        service: &str,
+        zone: &str,
+        accelerator: Option<&str>,
+    ) -> RunnerHandle {
+        let kind = runner_kind(service, zone, accelerator);
+        self.start_relayed_like(id, &kind).await
+    }
+
+    /// Starts a runner of a kind that is reached over a relay, and writes its entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no socket can be bound.
+    pub async fn start_relayed_like(self: &Arc<Self>, id: &str, kind: &RunnerKind) -> RunnerHandle {
+        let bind = || TcpListener::bind("127.0.0.1:0");
+        let listener = bind().await.expect("a free port");
+        let target = listener.local_addr().expect("a listener has an address");
+        let relay = Relay::new(bind().await.expect("a free port"), target);
+        self.start_at(id, kind.clone(), listener, Some(relay))
+    }
+
+    fn start_at(
+        self: &Arc<Self>,
+        id: &str,
+        kind: RunnerKind,
+        listener: TcpListener,
+        relay: Option<Relay>,
+    ) -> RunnerHandle {
+        let own = listener.local_addr().expect("a listener has an address");
+        {
+            let mut state = self.state();
+            state.births += 1;
+            let runner = RunnerState {
+                address: relay.as_ref().map_or(own, Relay::address),
+                kind,
+                born: FIRST_BORN_UNIX_MS + state.births,
+                orders: 0,
+                layers: None,
+                fault: RunnerFault::None,
+                is_draining: false,
+            };
+            state.runners.insert(id.to_owned(), runner);
+        }
         self.write_entry(id);
         let task = tokio::spawn(accept_all(listener, Arc::clone(self), id.to_owned()));
         RunnerHandle {
             id: id.to_owned(),
             fleet: Arc::clone(self),
             task,
+            relay,
         }
     }
 
+    /// Returns what a runner is, if it runs.
+    pub fn kind(&self, id: &str) -> Option<RunnerKind> {
+        let state = self.state();
+        state.runners.get(id).map(|runner| runner.kind.clone())
+    }
+
     /// Sets what a runner does wrong from now on.
     pub fn set_fault(&self, id: &str, fault: RunnerFault) {
         if let Some(runner) = self.state().runners.get_mut(id) {
@@ -220,10 +295,11 @@
     fn write_entry(&self, id: &str) {
         let entry = self.state().runners.get(id).map(|runner| {
             json!({
-                "service": runner.service, "address": runner.address, "zone": runner.zone,
+                "service": runner.kind.service, "address": runner.address,
+                "zone": runner.kind.zone,
                 "version": "v1", "slots": 8, "cold_remaining_ms": 0, "seq": 1,
                 "state": if runner.is_draining { "draining" } else { "ready" },
-                "kind": runner.kind, "born": runner.born, "layers": layers_json(runner.layers),
+                "kind": runner.kind.accelerator, "born": runner.born, "layers": layers_json(runner.layers),
             })
         });
         if let Some(entry) = entry {
@@ -321,6 +397,7 @@
             runner: id.to_owned(),
             headers: headers.clone(),
             body,
+            at: Instant::now(),
         });
         if fault == RunnerFault::LoseAnswer {
             return Err(CutError);
@@ -346,6 +423,14 @@
     }
 }
 
+fn runner_kind(service: &str, zone: &str, accelerator: Option<&str>) -> RunnerKind {
+    RunnerKind {
+        service: service.to_owned(),
+        zone: zone.to_owned(),
+        accelerator: accelerator.map(ToOwned::to_owned),
+    }
+}
+
 /// Returns the address of the first part of a path that does not hold its layers.
 fn faulty_part(state: &FleetState, path: &str) -> Option<String> {
     path.split(',')
