--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod metrics;
 mod monitoring;
+mod path;
 mod peers;
 mod planner;
 mod probe;
--- /dev/null
+++ b/daemon/src/gateway/path.rs
@@ -0,0 +1,134 @@
+//! The path that a run takes, and its work there.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use jujubewall_platform::site::headers;
+use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_routing::fleet::layer_path::LayerPath;
+use jujubewall_routing::fleet::layer_path::NoPath;
+use jujubewall_routing::fleet::layer_path::StreamNeed;
+use jujubewall_routing::fleet::layer_path::choose_path;
+use jujubewall_routing::fleet::layer_path::part_work;
+use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::layer::LayerRange;
+use log::info;
+use smallvec::SmallVec;
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::gateway::request::ClientRequest;
+use crate::gateway::state::Gateway;
+
+/// The path of a run and its work there, counted while it exists.
+pub struct CountedPath {
+    /// The gateway that counts.
+    pub gateway: Rc<Gateway>,
+    /// The path.
+    pub path: LayerPath,
+    /// What the stream is expected to need.
+    pub need: StreamNeed,
+}
+
+impl CountedPath {
+    /// Counts a stream's work from now on.
+    pub fn new(gateway: &Rc<Gateway>, path: LayerPath, need: StreamNeed) -> Self {
+        let mut instances = gateway.instances_mut();
+        for part in &path.parts {
+            instances.begin_work(part.instance, &part_work(&need, part));
+        }
+        drop(instances);
+        Self {
+            gateway: Rc::clone(gateway),
+            path,
+            need,
+        }
+    }
+
+    /// Returns the engines of the path.
+    pub fn keys(&self) -> SmallVec<[InstanceKey; 16]> {
+        self.path.parts.iter().map(|part| part.instance).collect()
+    }
+}
+
+impl Drop for CountedPath {
+    fn drop(&mut self) {
+        let mut instances = self.gateway.instances_mut();
+        for part in &self.path.parts {
+            instances.end_work(part.instance, &part_work(&self.need, part));
+        }
+    }
+}
+
+/// Writes a path as an order names it.
+pub fn path_text(instances: &InstanceTable, path: &LayerPath) -> String {
+    let value = headers::path_value(path_hops(instances, path).into_iter());
+    value.to_str().unwrap_or_default().to_owned()
+}
+
+/// Returns the addresses and layers of a path.
+fn path_hops(
+    instances: &InstanceTable,
+    path: &LayerPath,
+) -> SmallVec<[(SocketAddr, LayerRange); 16]> {
+    path.parts
+        .iter()
+        .filter_map(|part| {
+            let tracked = instances.get(part.instance)?;
+            Some((tracked.instance.address, part.layers))
+        })
+        .collect()
+}
+
+/// A path with the addresses of its engines.
+pub struct ChosenPath {
+    /// The path.
+    pub path: LayerPath,
+    /// The addresses of its parts and their layers.
+    pub hops: SmallVec<[(SocketAddr, LayerRange); 16]>,
+    /// The first engine.
+    pub first: InstanceKey,
+    /// The address of the first engine.
+    pub first_address: SocketAddr,
+    /// The identifier of the first engine.
+    pub first_id: SmolStr,
+}
+
+/// Chooses the path of a run by what is believed now.
+pub fn choose(
+    gateway: &Gateway,
+    request: &ClientRequest,
+    spec: &EngineSpec,
+    need: &StreamNeed,
+    excluded: &[InstanceKey],
+) -> Result<ChosenPath, NoPath> {
+    let instances = gateway.instances();
+    let now = Instant::now();
+    let service = &request.service.name;
+    let may_cross = gateway.may_cross_domains(spec);
+    let path = choose_path(&instances, service, spec, need, excluded, may_cross, now)?;
+    if path.crossings > 0 {
+        gateway.note_crossing();
+    }
+    let hops = path_hops(&instances, &path);
+    let first = path.parts[0].instance;
+    let tracked = instances.get(first).ok_or(NoPath::LayerMissing(0))?;
+    info!(
+        "event=path id={} parts={} first={} token_ms={:.1} excluded={} config={} path={}",
+        request.id,
+        hops.len(),
+        tracked.instance.id,
+        path.token_ms,
+        excluded.len(),
+        request.config_version,
+        path_text(&instances, &path)
+    );
+    Ok(ChosenPath {
+        hops,
+        first,
+        first_address: tracked.instance.address,
+        first_id: tracked.instance.id.clone(),
+        path,
+    })
+}
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -20,13 +20,9 @@
 use jujubewall_platform::site::order::repath_order;
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
-use jujubewall_routing::fleet::instances::InstanceTable;
-use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
-use jujubewall_routing::fleet::layer_path::choose_path;
 use jujubewall_routing::fleet::layer_path::choose_rest;
-use jujubewall_routing::fleet::layer_path::part_work;
 use jujubewall_routing::fleet::silence;
 use jujubewall_routing::fleet::silence::PathState;
 use jujubewall_routing::fleet::silence::SilenceStep;
@@ -34,7 +30,6 @@
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::EngineState;
 use jujubewall_types::id::ServiceName;
-use jujubewall_types::layer::LayerRange;
 use log::info;
 use log::warn;
 use smallvec::SmallVec;
@@ -42,6 +37,8 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::gateway::path;
+use crate::gateway::path::CountedPath;
 use crate::gateway::probe;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::state::Gateway;
@@ -102,41 +99,6 @@
     pub body: Bytes,
 }
 
-/// The path of a run and its work there, counted while it exists.
-struct CountedPath {
-    gateway: Rc<Gateway>,
-    path: LayerPath,
-    need: StreamNeed,
-}
-
-impl CountedPath {
-    fn new(gateway: &Rc<Gateway>, path: LayerPath, need: StreamNeed) -> Self {
-        let mut instances = gateway.instances_mut();
-        for part in &path.parts {
-            instances.begin_work(part.instance, &part_work(&need, part));
-        }
-        drop(instances);
-        Self {
-            gateway: Rc::clone(gateway),
-            path,
-            need,
-        }
-    }
-
-    fn keys(&self) -> SmallVec<[InstanceKey; 16]> {
-        self.path.parts.iter().map(|part| part.instance).collect()
-    }
-}
-
-impl Drop for CountedPath {
-    fn drop(&mut self) {
-        let mut instances = self.gateway.instances_mut();
-        for part in &self.path.parts {
-            instances.end_work(part.instance, &part_work(&self.need, part));
-        }
-    }
-}
-
 /// A run that has been sent to its first engine.
 pub struct Run {
     work: CountedPath,
@@ -176,7 +138,8 @@
     ) -> Result<Self, RunFault> {
         let left = request.time_left().ok_or(RunFault::NoTime)?;
         let need = need_after(request, spec, last_event_id);
-        let chosen = choose(gateway, request, spec, &need, excluded)?;
+        let chosen = path::choose(gateway, request, spec, &need, excluded);
+        let chosen = chosen.map_err(RunFault::NoPath)?;
         let expected_gap = event_gap(chosen.path.token_ms);
         let mut run = Self {
             work: CountedPath::new(gateway, chosen.path, need),
@@ -455,7 +418,7 @@
                 &lost,
                 Instant::now(),
             );
-            path.map(|path| (path_text(&instances, &path), path))
+            path.map(|path| (path::path_text(&instances, &path), path))
         };
         let Some((text, path)) = chosen else {
             return false;
@@ -521,26 +484,6 @@
     }
 }
 
-/// Writes a path as an order names it.
-fn path_text(instances: &InstanceTable, path: &LayerPath) -> String {
-    let value = headers::path_value(path_hops(instances, path).into_iter());
-    value.to_str().unwrap_or_default().to_owned()
-}
-
-/// Returns the addresses and layers of a path.
-fn path_hops(
-    instances: &InstanceTable,
-    path: &LayerPath,
-) -> SmallVec<[(SocketAddr, LayerRange); 16]> {
-    path.parts
-        .iter()
-        .filter_map(|part| {
-            let tracked = instances.get(part.instance)?;
-            Some((tracked.instance.address, part.layers))
-        })
-        .collect()
-}
-
 /// Returns the expected time between two events.
 fn event_gap(token_ms: f64) -> Duration {
     Duration::from_secs_f64(TOKENS_PER_EVENT * token_ms / 1_000.0)
@@ -556,52 +499,3 @@
     }
     need
 }
-
-/// A path with the addresses of its engines.
-struct ChosenPath {
-    path: LayerPath,
-    hops: SmallVec<[(SocketAddr, LayerRange); 16]>,
-    first: InstanceKey,
-    first_address: SocketAddr,
-    first_id: SmolStr,
-}
-
-fn choose(
-    gateway: &Gateway,
-    request: &ClientRequest,
-    spec: &EngineSpec,
-    need: &StreamNeed,
-    excluded: &[InstanceKey],
-) -> Result<ChosenPath, RunFault> {
-    let instances = gateway.instances();
-    let now = Instant::now();
-    let service = &request.service.name;
-    let may_cross = gateway.may_cross_domains(spec);
-    let path = choose_path(&instances, service, spec, need, excluded, may_cross, now)
-        .map_err(RunFault::NoPath)?;
-    if path.crossings > 0 {
-        gateway.note_crossing();
-    }
-    let hops = path_hops(&instances, &path);
-    let first = path.parts[0].instance;
-    let tracked = instances
-        .get(first)
-        .ok_or(RunFault::NoPath(NoPath::LayerMissing(0)))?;
-    info!(
-        "event=path id={} parts={} first={} token_ms={:.1} excluded={} config={} path={}",
-        request.id,
-        hops.len(),
-        tracked.instance.id,
-        path.token_ms,
-        excluded.len(),
-        request.config_version,
-        path_text(&instances, &path)
-    );
-    Ok(ChosenPath {
-        hops,
-        first,
-        first_address: tracked.instance.address,
-        first_id: tracked.instance.id.clone(),
-        path,
-    })
-}
