soak: let runners fail beside the schedule

Runners now fail every few hundred milliseconds outside phases of planned work, by draws of their own, so that the schedule of a seed stays.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod world;
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -43,11 +44,13 @@
 pub async fn soak(program: &Path, folder: &Path, seed: u64, length: Duration) -> Report {
     let world = World::start(program, folder).await;
     let load = clients::start(&world, seed);
+    let failing = tokio::spawn(schedule::fail_runners(Arc::clone(&world), seed));
     let mut schedule = Schedule::new(seed);
     let end = Instant::now() + length;
     while Instant::now() < end {
         schedule.play_next(&world).await;
     }
+    failing.abort();
     world.end_faults().await;
     world.kill_all_gateways().await;
     let has_recovered = world.serves_within(RECOVERY).await;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -127,6 +127,35 @@
     }
 }
 
+/// Lets one runner after the other do something wrong, beside the schedule, until the
+/// task is ended: lost answers and refusals are what most promises are about.
+pub async fn fail_runners(world: Arc<World>, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    loop {
+        sleep(Duration::from_millis(rng.random_range(100..500))).await;
+        let runner = rng.random();
+        let events = rng.random_range(0..20);
+        let faults = [
+            RunnerFault::CutAfter(events),
+            RunnerFault::TornAfter(events),
+            RunnerFault::LoseAnswer,
+            RunnerFault::LoseAnswer,
+            RunnerFault::Refuse,
+            RunnerFault::Fail,
+            RunnerFault::AnswerAnother,
+        ];
+        let fault = faults[rng.random_range(0..faults.len())];
+        let span = Duration::from_millis(rng.random_range(100..800));
+        if world.is_planned_phase() {
+            continue;
+        }
+        let event = Event::FailRunner(runner, fault, span);
+        let world = Arc::clone(&world);
+        let task = world.tasks();
+        task.spawn(async move { play(&world, event).await });
+    }
+}
+
 async fn play(world: &Arc<World>, event: Event) {
     if !event.is_planned() {
         world.note_disturbance();
