placement: count no engines of a domain without a copy in another group

Cause: a domain that had lost too much memory to hold a copy was joined with the first other group.

Change: engines of small domains form a group if they can hold a copy together, or if there is no other group; else they keep what they hold.

test_hole_is_filled_whatever_a_domain_without_a_copy_holds failed before.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -6,7 +6,7 @@
 //! only, and the other copies of its domain stand in for its layers.
 //! So a path stays inside its domain, where links are wide, and the loss of a
 //! domain or of an engine leaves whole copies elsewhere. Domains too small for a
-//! copy are joined.
+//! copy are joined if they hold one together.
 //!
 //! The decision needs no memory of its own: it follows from what the engines
 //! hold, so a plan that is made twice is the same plan.
@@ -103,7 +103,7 @@
     changes
 }
 
-/// Returns the engines by domain, with domains that are too small joined.
+/// Returns the engines by domain, with domains that are too small joined to one group.
 fn groups<'a>(spec: &EngineSpec, engines: &'a [PlacedEngine]) -> Vec<Vec<&'a PlacedEngine>> {
     let mut domains: BTreeMap<&FailureDomainName, Vec<&PlacedEngine>> = BTreeMap::new();
     for engine in engines {
@@ -122,10 +122,10 @@
     if joined.is_empty() {
         return groups;
     }
+    // Engines that hold no copy together, while other domains do, keep what they hold:
+    // were they counted in another group, its own holes would seem to be filled.
     if memory_mb(&joined) >= needed_mb || groups.is_empty() {
         groups.push(joined);
-    } else if let Some(group) = groups.first_mut() {
-        group.extend(joined);
     }
     groups
 }
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -189,6 +189,20 @@
     assert_eq!(held.iter().map(|layers| layers.len()).sum::<u32>(), LAYERS);
 }
 
+/// Replays incident inc-8843: a domain that has lost too much to hold a copy was counted
+/// with another one, whose hole seemed to be filled and stayed to the end of the day.
+#[test]
+fn test_hole_is_filled_whatever_a_domain_without_a_copy_holds() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB), ("b", &DOMAIN_MB)]);
+    fleet.settle();
+    for index in [0, 1, 7, 8, 9, 10, 11, 12] {
+        fleet.engines.remove(format!("b-{index:02}").as_str());
+    }
+    fleet.engines.remove("a-01");
+    fleet.settle();
+    assert_eq!(fleet.depth("a"), 1);
+}
+
 #[test]
 fn test_neighbours_take_over_the_layers_of_a_small_lost_engine() {
     let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
