placement: let streams that pass a leaving engine finish

Cause: layers were given up at once wherever some were missing, also when an engine that leaves still ran them for the streams that it had.

Change: the planner sees engines that leave; where they still run all that is missing, engines let their streams finish before they load.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -70,6 +70,8 @@
     pub is_busy: bool,
     /// Whether it is so slow that its layers should be run by others.
     pub is_slow: bool,
+    /// Whether it serves only the streams that it has, and is about to end.
+    pub is_leaving: bool,
 }
 
 /// A change of the layers that an engine holds.
@@ -85,9 +87,10 @@
 
 /// Returns the changes that bring every group of engines nearer to a whole copy.
 ///
-/// `engines` are those that can be given work.
+/// Engines that leave are given nothing.
 pub fn place(spec: &EngineSpec, engines: &[PlacedEngine]) -> Vec<Placement> {
     let mut changes = Vec::new();
+    let leaving: Vec<&PlacedEngine> = engines.iter().filter(|engine| engine.is_leaving).collect();
     for mut group in groups(spec, engines) {
         // Engines with much memory next to each other take over for each other.
         group.sort_by(|a, b| {
@@ -97,6 +100,7 @@
         Group {
             spec,
             engines: group,
+            leaving: &leaving,
         }
         .place(&mut changes);
     }
@@ -106,7 +110,7 @@
 /// Returns the engines by domain, with domains that are too small joined to one group.
 fn groups<'a>(spec: &EngineSpec, engines: &'a [PlacedEngine]) -> Vec<Vec<&'a PlacedEngine>> {
     let mut domains: BTreeMap<&FailureDomainName, Vec<&PlacedEngine>> = BTreeMap::new();
-    for engine in engines {
+    for engine in engines.iter().filter(|engine| !engine.is_leaving) {
         domains
             .entry(&engine.failure_domain)
             .or_default()
@@ -134,6 +138,7 @@
 struct Group<'a> {
     spec: &'a EngineSpec,
     engines: Vec<&'a PlacedEngine>,
+    leaving: &'a [&'a PlacedEngine],
 }
 
 impl Group<'_> {
@@ -163,9 +168,28 @@
         let is_filled = self.fill(&holes, &free, &mut planned);
         // Engines that are busy may be filling the holes already.
         let is_settled = self.engines.iter().all(|engine| !engine.is_busy);
-        if is_filled || !is_settled || !self.split_anew(changes) {
-            changes.append(&mut planned);
+        let mut anew = Vec::new();
+        if !is_filled && is_settled && self.split_anew(&mut anew) {
+            planned = anew;
         }
+        // Streams that pass an engine which leaves can finish, so nothing cuts them.
+        if holes.iter().all(|hole| self.is_served_by_leaving(*hole)) {
+            for placement in &mut planned {
+                placement.give_up = GiveUp::Finish;
+            }
+        }
+        changes.append(&mut planned);
+    }
+
+    /// Returns whether engines that leave still run all layers of a hole.
+    fn is_served_by_leaving(&self, hole: LayerRange) -> bool {
+        let domains: Vec<_> = self.engines.iter().map(|e| &e.failure_domain).collect();
+        let held = self.leaving.iter();
+        let held: Vec<LayerRange> = held
+            .filter(|engine| domains.contains(&&engine.failure_domain))
+            .filter_map(|engine| engine.layers)
+            .collect();
+        (hole.first..hole.end).all(|layer| held.iter().any(|layers| layers.contains(layer)))
     }
 
     /// Returns engines whose layers others hold as well, each also when all before it
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -70,6 +70,7 @@
             layers: None,
             is_busy: false,
             is_slow: false,
+            is_leaving: false,
         };
         self.engines.insert(id.into(), engine);
     }
@@ -307,6 +308,20 @@
     assert!(giving_up.all(|order| order.give_up == GiveUp::Abort));
 }
 
+/// Replays a planned departure: the engine serves the streams that it has, and aborting
+/// them would cut what planned work must not cut.
+#[test]
+fn test_streams_that_pass_a_leaving_engine_finish() {
+    let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+    fleet.settle();
+    fleet.engines.get_mut("a-00").unwrap().is_leaving = true;
+    let engines: Vec<PlacedEngine> = fleet.engines.values().cloned().collect();
+    let orders = place(&spec(), &engines);
+    assert!(!orders.is_empty());
+    assert!(orders.iter().all(|order| order.give_up == GiveUp::Finish));
+    assert!(orders.iter().all(|order| order.id != "a-00"));
+}
+
 /// Replays a release: the new engine is there before the old one leaves.
 #[test]
 fn test_engine_whose_layers_others_hold_replaces_a_leaving_one() {
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -314,14 +314,12 @@
     }
 }
 
-/// Returns the engines that may hold layers, with those that they are to hold.
+/// Returns the engines that hold or may hold layers, with those that they are to hold.
 fn engines(gateway: &Gateway, service: &ServiceName, spec: &EngineSpec) -> Vec<PlacedEngine> {
     let open = gateway.planner.open.borrow();
     let instances = gateway.instances();
     instances
         .of_service(service)
-        .filter(|(_, tracked)| tracked.instance.state == InstanceState::Ready)
-        .filter(|(_, tracked)| tracked.leaving_since().is_none())
         .filter(|(_, tracked)| {
             let since = tracked.suspected_since();
             since.is_none_or(|since| since.elapsed() < LOSS_CONFIRMED)
@@ -339,6 +337,8 @@
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
                 is_slow: tracked.slowdown() >= SLOW_ENGINE,
+                is_leaving: instance.state == InstanceState::Draining
+                    || tracked.leaving_since().is_some(),
             })
         })
         .collect()
