--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -319,6 +319,7 @@
 
     /// Kills all gateways at once and starts them again.
     pub async fn kill_all_gateways(&self) {
+        self.state().is_planned_phase = false;
         self.note_disturbance();
         let mut processes = Vec::new();
         for slot in &self.slots {
@@ -328,8 +329,6 @@
             process.kill().await;
             self.state().end_life(index);
         }
-        // Requests that were sent since are not cut by planned work either.
-        self.note_disturbance();
         sleep(RESTART_DELAY).await;
         for (index, process) in processes.iter_mut().enumerate() {
             self.start_again(index, process);
