gateway, placement: one piece of code where two did the same

No change of behaviour. Rejections of calls and of streams are logged and answered in one place; an engine's report is read and decoded in one place, over a new connection or a kept one; the placement finds the missing layers and those of leaving engines once for a group.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -90,17 +90,20 @@
 /// Engines that leave are given nothing.
 pub fn place(spec: &EngineSpec, engines: &[PlacedEngine]) -> Vec<Placement> {
     let mut changes = Vec::new();
-    let leaving: Vec<&PlacedEngine> = engines.iter().filter(|engine| engine.is_leaving).collect();
     for mut group in groups(spec, engines) {
         // Engines with much memory next to each other take over for each other.
         group.sort_by(|a, b| {
             let by_memory = b.memory_mb.total_cmp(&a.memory_mb);
             by_memory.then_with(|| a.id.cmp(&b.id))
         });
+        let leaving = engines.iter().filter(|engine| {
+            let domain = &engine.failure_domain;
+            engine.is_leaving && group.iter().any(|known| known.failure_domain == *domain)
+        });
         Group {
             spec,
+            leaving: leaving.filter_map(|engine| engine.layers).collect(),
             engines: group,
-            leaving: &leaving,
         }
         .place(&mut changes);
     }
@@ -119,13 +122,10 @@
     let needed_mb = MIN_COPIES_OF_MEMORY * spec.layer_mb * f64::from(spec.layer_count);
     let memory_mb =
         |group: &[&PlacedEngine]| -> f64 { group.iter().map(|engine| engine.memory_mb).sum() };
-    let (mut groups, mut small): (Vec<_>, Vec<_>) = domains
+    let (mut groups, small): (Vec<_>, Vec<_>) = domains
         .into_values()
         .partition(|group| memory_mb(group) >= needed_mb);
-    let joined: Vec<&PlacedEngine> = small.drain(..).flatten().collect();
-    if joined.is_empty() {
-        return groups;
-    }
+    let joined: Vec<&PlacedEngine> = small.into_iter().flatten().collect();
     // Engines that hold no copy together, while other domains do, keep what they hold:
     // were they counted in another group, its own holes would seem to be filled.
     if memory_mb(&joined) >= needed_mb || groups.is_empty() {
@@ -138,7 +138,8 @@
 struct Group<'a> {
     spec: &'a EngineSpec,
     engines: Vec<&'a PlacedEngine>,
-    leaving: &'a [&'a PlacedEngine],
+    /// The layers that engines which leave still run for the streams that they have.
+    leaving: Vec<LayerRange>,
 }
 
 impl Group<'_> {
@@ -169,7 +170,7 @@
         // Engines that are busy may be filling the holes already.
         let is_settled = self.engines.iter().all(|engine| !engine.is_busy);
         let mut anew = Vec::new();
-        if !is_filled && is_settled && self.split_anew(&mut anew) {
+        if !is_filled && is_settled && self.split_anew(&holes, &mut anew) {
             planned = anew;
         }
         // Streams that pass an engine which leaves can finish, so nothing cuts them.
@@ -183,13 +184,8 @@
 
     /// Returns whether engines that leave still run all layers of a hole.
     fn is_served_by_leaving(&self, hole: LayerRange) -> bool {
-        let domains: Vec<_> = self.engines.iter().map(|e| &e.failure_domain).collect();
-        let held = self.leaving.iter();
-        let held: Vec<LayerRange> = held
-            .filter(|engine| domains.contains(&&engine.failure_domain))
-            .filter_map(|engine| engine.layers)
-            .collect();
-        (hole.first..hole.end).all(|layer| held.iter().any(|layers| layers.contains(layer)))
+        let is_served = |layer| self.leaving.iter().any(|layers| layers.contains(layer));
+        (hole.first..hole.end).all(is_served)
     }
 
     /// Returns engines whose layers others hold as well, each also when all before it
@@ -214,10 +210,9 @@
     /// Splits one copy among all engines, in the order in which they stand.
     ///
     /// Returns whether it fits.
-    fn split_anew(&self, changes: &mut Vec<Placement>) -> bool {
+    fn split_anew(&self, holes: &[LayerRange], changes: &mut Vec<Placement>) -> bool {
         let mut engines = self.engines.clone();
-        let missing = self.holes(|_| true);
-        let hole = missing.first().map_or(0, |hole| hole.first);
+        let hole = holes.first().map_or(0, |hole| hole.first);
         // Engines that hold nothing stand where layers are missing.
         engines.sort_by_key(|engine| {
             let first = engine.layers.map_or(hole, |layers| layers.first);
@@ -232,11 +227,11 @@
         if !self.split_among(whole, &engines, &mut planned) {
             return false;
         }
-        let holds = |placement: &Placement| {
+        let is_held = |placement: &Placement| {
             let engine = engines.iter().find(|engine| engine.id == placement.id);
             engine.and_then(|engine| engine.layers) == Some(placement.layers)
         };
-        changes.extend(planned.into_iter().filter(|placement| !holds(placement)));
+        changes.extend(planned.into_iter().filter(|placement| !is_held(placement)));
         true
     }
 
--- a/daemon/src/gateway/answer.rs
+++ b/daemon/src/gateway/answer.rs
@@ -18,6 +18,7 @@
 use hyper::header::TRAILER;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::header::UPGRADE;
+use log::info;
 
 use crate::gateway::body::ReplyBody;
 
@@ -66,6 +67,15 @@
     reply
 }
 
+/// Rejects a request that has not run in any of its sends, and tells when to come back.
+pub fn reject(id: &str, reason: &'static str, come_back_after: Duration, sends: u32) -> Reply {
+    info!(
+        "event=reject id={id} reason=\"{reason}\" come_back_ms={} sends={sends}",
+        come_back_after.as_millis()
+    );
+    not_run(reason, come_back_after)
+}
+
 /// Answers that a request has not run, and when to come back.
 pub fn not_run(reason: &'static str, come_back_after: Duration) -> Reply {
     let mut reply = own(StatusCode::SERVICE_UNAVAILABLE, reason);
--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -338,13 +338,7 @@
     fn reject(&mut self, reason: &'static str) -> Reply {
         self.outcome = "rejected";
         let wait = self.gateway.next_comeback(&self.request.service.name);
-        info!(
-            "event=reject id={} reason=\"{reason}\" come_back_ms={} sends={}",
-            self.request.id,
-            wait.as_millis(),
-            self.sends
-        );
-        answer::not_run(reason, wait)
+        answer::reject(&self.request.id, reason, wait, self.sends)
     }
 
     /// Answers a call that waited as long as its client or its route allows.
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -300,17 +300,7 @@
 /// Asks an engine for its fresh state; `None` if it does not answer in time.
 pub async fn ask_report(address: SocketAddr) -> Option<EngineState> {
     let answer = timeout(REPORT_TIMEOUT, get(address, REPORT_PATH)).await;
-    let (is_success, body) = answer.ok()??;
-    if !is_success {
-        return None;
-    }
-    match decode_report(&body) {
-        Ok(state) => Some(state),
-        Err(failure) => {
-            warn!("event=report_unreadable address={address} reason=\"{failure}\"");
-            None
-        }
-    }
+    read_report(address, answer.ok()??)
 }
 
 /// Asks an engine for its fresh state over a kept connection if there is one, which a
@@ -322,13 +312,18 @@
             Some(connection) => connection,
             None => Connection::open(address).await.ok()?,
         };
-        let answer = connection.send(request(address, REPORT_PATH)?).await.ok()?;
-        let is_success = answer.status().is_success();
-        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        let answer = get_over(&mut connection, address, REPORT_PATH).await?;
         gateway.connections.put(key, connection);
-        is_success.then_some(body)
+        Some(answer)
     };
-    let body = timeout(REPORT_TIMEOUT, exchange).await.ok()??;
+    let answer = timeout(REPORT_TIMEOUT, exchange).await;
+    read_report(address, answer.ok()??)
+}
+
+fn read_report(address: SocketAddr, (is_success, body): (bool, Bytes)) -> Option<EngineState> {
+    if !is_success {
+        return None;
+    }
     match decode_report(&body) {
         Ok(state) => Some(state),
         Err(failure) => {
@@ -356,9 +351,17 @@
 
 /// Fetches a path over a new connection.
 pub async fn get(address: SocketAddr, path: &str) -> Option<(bool, Bytes)> {
-    let request = request(address, path)?;
     let mut connection = Connection::open(address).await.ok()?;
-    let answer = connection.send(request).await.ok()?;
+    get_over(&mut connection, address, path).await
+}
+
+/// Fetches a path over a connection; returns whether that succeeded, and the body.
+async fn get_over(
+    connection: &mut Connection,
+    address: SocketAddr,
+    path: &str,
+) -> Option<(bool, Bytes)> {
+    let answer = connection.send(request(address, path)?).await.ok()?;
     let is_success = answer.status().is_success();
     let body = answer.into_body().collect().await.ok()?;
     Some((is_success, body.to_bytes()))
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -203,13 +203,7 @@
                 if reason != NO_ROOM {
                     wait = wait.max(REPAIR_WAIT);
                 }
-                info!(
-                    "event=reject id={} reason=\"{reason}\" come_back_ms={} sends={}",
-                    self.request.id,
-                    wait.as_millis(),
-                    self.sends
-                );
-                answer::not_run(reason, wait)
+                answer::reject(&self.request.id, reason, wait, self.sends)
             }
             Final::Unknown(reason) => {
                 self.outcome = "unknown";
