tests, soak: share fixtures, and leave the wire's names to the stand-ins

No assertion changes. The tests of the placement and of the paths take their model from testutils; the repair of a path and the plan of a fleet are called in one place each. The soak no longer spells the platform's keys and headers: the stand-ins write configurations and entries, and tell whether an answer is a request's own. What a runner may do wrong is listed once; lost answers still come twice as often beside the schedule, by another draw.

--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -5,43 +5,29 @@
 use jujubewall_control::placement::PlacedEngine;
 use jujubewall_control::placement::Placement;
 use jujubewall_control::placement::place;
-use jujubewall_types::fleet::EngineSpec;
+use jujubewall_testutils::engine_spec::LAYER_MB;
+use jujubewall_testutils::engine_spec::LAYERS;
+use jujubewall_testutils::engine_spec::engine_spec;
 use jujubewall_types::fleet::GiveUp;
 use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::layer::LayerRange;
 use proptest::prelude::*;
-use smallvec::SmallVec;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
-const LAYERS: u32 = 80;
-const LAYER_MB: f64 = 1_750.0;
-
 /// The memory of the accelerators of one domain of the users' sites.
 const DOMAIN_MB: [f64; 14] = [
     72_000.0, 36_000.0, 21_600.0, 21_600.0, 21_600.0, 21_600.0, 21_600.0, 14_400.0, 14_400.0,
     14_400.0, 14_400.0, 14_400.0, 14_400.0, 14_400.0,
 ];
 
-fn spec() -> EngineSpec {
-    EngineSpec {
-        slots: 192,
-        layer_count: LAYERS,
-        layer_mb: LAYER_MB,
-        token_context_bytes: 590_000.0,
-        activation_bytes: 29_500.0,
-        domain_link_mbps: 11_000.0,
-        step_ms: 0.85,
-        step_per_request_ms: 0.004,
-        step_per_context_kilotoken_ms: 0.005,
-        prompt_tokens_per_s: 196_000.0,
-        load_s: 14.0,
-        max_loads_at_once: 6,
-        stall_ms: 2_500.0,
-        usual_prompt_tokens: 772.0,
-        usual_answer_tokens: 174.0,
-        accelerators: SmallVec::new(),
-    }
+/// The memory of a domain of like engines, in which two copies fit.
+fn two_copies_mb() -> Vec<f64> {
+    [36_000.0, 36_000.0]
+        .into_iter()
+        .chain([21_600.0; 12])
+        .chain([14_400.0; 5])
+        .collect()
 }
 
 /// Engines that carry every order out at once.
@@ -75,10 +61,15 @@
         self.engines.insert(id.into(), engine);
     }
 
-    /// Plans once and returns the number of orders.
-    fn step(&mut self) -> usize {
+    /// Plans once.
+    fn plan(&self) -> Vec<Placement> {
         let engines: Vec<PlacedEngine> = self.engines.values().cloned().collect();
-        let orders = place(&spec(), &engines);
+        place(&engine_spec(), &engines)
+    }
+
+    /// Plans once, carries the orders out, and returns their number.
+    fn step(&mut self) -> usize {
+        let orders = self.plan();
         for order in &orders {
             let engine = self.engines.get_mut(&order.id).unwrap();
             assert!(
@@ -148,13 +139,7 @@
 /// read all their context at once.
 #[test]
 fn test_several_engines_stand_in_for_a_lost_one() {
-    // The memory of a domain of equal engines, of which two copies fit.
-    let memory: Vec<f64> = [36_000.0, 36_000.0]
-        .into_iter()
-        .chain([21_600.0; 12])
-        .chain([14_400.0; 5])
-        .collect();
-    let mut fleet = Fleet::new(&[("a", &memory)]);
+    let mut fleet = Fleet::new(&[("a", &two_copies_mb())]);
     fleet.settle();
     assert_eq!(fleet.depth("a"), 2);
     let engines: Vec<&PlacedEngine> = fleet.engines.values().collect();
@@ -255,11 +240,7 @@
 /// whose loss then breaks both copies.
 #[test]
 fn test_engines_that_return_one_after_the_other_make_both_copies_whole() {
-    let memory: Vec<f64> = [36_000.0, 36_000.0]
-        .into_iter()
-        .chain([21_600.0; 12])
-        .chain([14_400.0; 5])
-        .collect();
+    let memory = two_copies_mb();
     let mut fleet = Fleet::new(&[("a", &memory)]);
     fleet.settle();
     for index in [3, 8, 12, 15, 5, 10] {
@@ -297,8 +278,7 @@
     let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
     fleet.settle();
     fleet.engines.remove("a-00");
-    let engines: Vec<PlacedEngine> = fleet.engines.values().cloned().collect();
-    let orders = place(&spec(), &engines);
+    let orders = fleet.plan();
     let gives_up = |order: &&Placement| {
         let held = fleet.layers(&order.id);
         order.layers.first > held.first || order.layers.end < held.end
@@ -315,8 +295,7 @@
     let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
     fleet.settle();
     fleet.engines.get_mut("a-00").unwrap().is_leaving = true;
-    let engines: Vec<PlacedEngine> = fleet.engines.values().cloned().collect();
-    let orders = place(&spec(), &engines);
+    let orders = fleet.plan();
     assert!(!orders.is_empty());
     assert!(orders.iter().all(|order| order.give_up == GiveUp::Finish));
     assert!(orders.iter().all(|order| order.id != "a-00"));
--- a/daemon/tests/test_gateway.rs
+++ b/daemon/tests/test_gateway.rs
@@ -235,15 +235,9 @@
     let lost = site.engines.remove(1);
     let id = lost.id().to_owned();
     drop(lost);
-    site.store.remove(&format!("servers/{id}"));
+    site.runners.remove_entry(&id);
     wait_until("the rest of the domain holds the model", async || {
-        let held: u32 = site
-            .runners
-            .layers()
-            .iter()
-            .map(|layers| layers.len())
-            .sum();
-        held >= 2 * LAYERS
+        site.runners.held_layers() >= 2 * LAYERS
     })
     .await;
     assert!(!site.runners.orders("place").is_empty());
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -21,59 +21,22 @@
 use jujubewall_routing::fleet::service_choice::CALL_WORK;
 use jujubewall_routing::fleet::service_choice::NoUpstream;
 use jujubewall_routing::fleet::service_choice::choose_upstream;
-use jujubewall_types::fleet::AcceleratorSpec;
-use jujubewall_types::fleet::EngineSpec;
+use jujubewall_testutils::engine_spec::LAYERS;
+use jujubewall_testutils::engine_spec::engine_spec;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::ServiceName;
 use jujubewall_types::layer::LayerRange;
-use smallvec::smallvec;
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
-const LAYERS: u32 = 80;
-
 const NEED: StreamNeed = StreamNeed {
     prompt_tokens: 800.0,
     answer_tokens: 200.0,
 };
 
-fn spec() -> EngineSpec {
-    EngineSpec {
-        slots: 192,
-        layer_count: LAYERS,
-        layer_mb: 1_750.0,
-        token_context_bytes: 590_000.0,
-        activation_bytes: 29_500.0,
-        domain_link_mbps: 2_160.0,
-        step_ms: 0.85,
-        step_per_request_ms: 0.004,
-        step_per_context_kilotoken_ms: 0.005,
-        prompt_tokens_per_s: 196_000.0,
-        load_s: 14.0,
-        max_loads_at_once: 6,
-        stall_ms: 2_500.0,
-        usual_prompt_tokens: 772.0,
-        usual_answer_tokens: 174.0,
-        accelerators: smallvec![
-            AcceleratorSpec {
-                name: "large".into(),
-                memory_mb: 80_000.0,
-                step_factor: 1.5,
-                prompt_factor: 1.0,
-            },
-            AcceleratorSpec {
-                name: "small".into(),
-                memory_mb: 40_000.0,
-                step_factor: 15.0,
-                prompt_factor: 10.0,
-            },
-        ],
-    }
-}
-
 fn name() -> ServiceName {
     ServiceName::new("model").unwrap()
 }
@@ -130,7 +93,7 @@
         choose_path(
             &self.table,
             &name(),
-            &spec(),
+            &engine_spec(),
             &NEED,
             excluded,
             may_cross,
@@ -138,6 +101,31 @@
         )
     }
 
+    fn choose_rest(&self, old: &LayerPath, lost: &[InstanceKey]) -> Option<LayerPath> {
+        choose_rest(
+            &self.table,
+            &name(),
+            &engine_spec(),
+            &NEED,
+            old,
+            lost,
+            self.now,
+        )
+    }
+
+    /// Returns the path over the engines of domain "a" that hold twenty layers each.
+    fn path_of_a(&self) -> LayerPath {
+        let part = |first: u32| PathPart {
+            instance: self.keys[&format!("a-{first}")],
+            layers: LayerRange::new(first, first + 20),
+        };
+        LayerPath {
+            parts: [0, 20, 40, 60].map(part).into_iter().collect(),
+            token_ms: 20.0,
+            crossings: 0,
+        }
+    }
+
     fn begin(&mut self) -> Result<LayerPath, NoPath> {
         let path = self.choose(&[], false)?;
         for part in &path.parts {
@@ -262,42 +250,16 @@
 fn test_lost_middle_part_is_replaced_and_the_first_part_stays() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
     let stand_in = fleet.add("a", "large", LayerRange::new(15, 45));
-    let old = LayerPath {
-        parts: [0, 20, 40, 60]
-            .map(|first| PathPart {
-                instance: fleet.keys[&format!("a-{first}")],
-                layers: LayerRange::new(first, first + 20),
-            })
-            .into_iter()
-            .collect(),
-        token_ms: 20.0,
-        crossings: 0,
-    };
+    let old = fleet.path_of_a();
     let lost = [fleet.keys["a-20"]];
-    let rest = choose_rest(
-        &fleet.table,
-        &name(),
-        &spec(),
-        &NEED,
-        &old,
-        &lost,
-        fleet.now,
-    );
+    let rest = fleet.choose_rest(&old, &lost);
     let rest = rest.unwrap();
     assert_covers_all_layers_in_order(&rest);
     assert_eq!(rest.parts[0], old.parts[0]);
     assert_eq!(rest.parts[1].instance, stand_in);
     fleet.table.depart("a-15", fleet.now);
     // The other domain's engine would have to be sent all tokens so far.
-    let rest = choose_rest(
-        &fleet.table,
-        &name(),
-        &spec(),
-        &NEED,
-        &old,
-        &lost,
-        fleet.now,
-    );
+    let rest = fleet.choose_rest(&old, &lost);
     assert_eq!(rest, None);
 }
 
@@ -318,15 +280,7 @@
         fleet.add("a", "large", LayerRange::new(first, end));
     }
     let lost = fleet.keys["a-60"];
-    let part = |first: u32| PathPart {
-        instance: fleet.keys[&format!("a-{first}")],
-        layers: LayerRange::new(first, first + 20),
-    };
-    let old = LayerPath {
-        parts: [0, 20, 40, 60].map(part).into_iter().collect(),
-        token_ms: 20.0,
-        crossings: 0,
-    };
+    let old = fleet.path_of_a();
     for _ in 0..30 {
         for part in &old.parts {
             let work = part_work(&NEED, part);
@@ -334,15 +288,7 @@
         }
     }
     fleet.table.suspect(lost, Evidence::Refused, fleet.now);
-    let rest = choose_rest(
-        &fleet.table,
-        &name(),
-        &spec(),
-        &NEED,
-        &old,
-        &[lost],
-        fleet.now,
-    );
+    let rest = fleet.choose_rest(&old, &[lost]);
     let rest = rest.unwrap();
     assert_covers_all_layers_in_order(&rest);
     assert_eq!(rest.parts[..3], old.parts[..3]);
--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -9,6 +9,7 @@
 use jujubewall_http_client::HttpCallError;
 use jujubewall_http_client::HttpClient;
 use jujubewall_testutils::gateway_site::all_events;
+use jujubewall_testutils::gateway_site::is_own_answer;
 use jujubewall_testutils::gateway_site::request;
 use jujubewall_testutils::gateway_site::stream_request;
 use rand::RngExt as _;
@@ -129,15 +130,9 @@
         Kind::Stream => all_events(),
         Kind::Order | Kind::Stock => "done".to_owned(),
     };
-    let field = |name: &str| {
-        answer
-            .headers()
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-    };
     Outcome::Answer {
         status: answer.status().as_u16(),
         is_whole: answer.body() == whole.as_bytes(),
-        is_own: field("request-id") == Some(id) && field("response-stamp").is_some(),
+        is_own: is_own_answer(&answer, id),
     }
 }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -111,15 +111,7 @@
             11 => Event::SilenceRunners,
             12 => Event::CrashRunner(runner, span),
             _ => {
-                let events = rng.random_range(0..20);
-                let faults = [
-                    RunnerFault::CutAfter(events),
-                    RunnerFault::TornAfter(events),
-                    RunnerFault::LoseAnswer,
-                    RunnerFault::Refuse,
-                    RunnerFault::Fail,
-                    RunnerFault::AnswerAnother,
-                ];
+                let faults = runner_faults(rng.random_range(0..20));
                 let fault = faults[rng.random_range(0..faults.len())];
                 Event::FailRunner(runner, fault, span)
             }
@@ -127,6 +119,18 @@
     }
 }
 
+/// Returns what a runner may do wrong, with the events after which its streams end.
+const fn runner_faults(events: u64) -> [RunnerFault; 6] {
+    [
+        RunnerFault::CutAfter(events),
+        RunnerFault::TornAfter(events),
+        RunnerFault::LoseAnswer,
+        RunnerFault::Refuse,
+        RunnerFault::Fail,
+        RunnerFault::AnswerAnother,
+    ]
+}
+
 /// Lets one runner after the other do something wrong, beside the schedule, until the
 /// task is ended: lost answers and refusals are what most promises are about.
 pub async fn fail_runners(world: Arc<World>, seed: u64) {
@@ -134,17 +138,10 @@
     loop {
         sleep(Duration::from_millis(rng.random_range(100..500))).await;
         let runner = rng.random();
-        let events = rng.random_range(0..20);
-        let faults = [
-            RunnerFault::CutAfter(events),
-            RunnerFault::TornAfter(events),
-            RunnerFault::LoseAnswer,
-            RunnerFault::LoseAnswer,
-            RunnerFault::Refuse,
-            RunnerFault::Fail,
-            RunnerFault::AnswerAnother,
-        ];
-        let fault = faults[rng.random_range(0..faults.len())];
+        let faults = runner_faults(rng.random_range(0..20));
+        // Lost answers come twice as often as the others.
+        let drawn = rng.random_range(0..=faults.len());
+        let fault = *faults.get(drawn).unwrap_or(&RunnerFault::LoseAnswer);
         let span = Duration::from_millis(rng.random_range(100..800));
         if world.is_planned_phase() {
             continue;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 use jujubewall_testutils::gateway_site::GatewayProcess;
 use jujubewall_testutils::gateway_site::GatewayStart;
 use jujubewall_testutils::gateway_site::all_events;
-use jujubewall_testutils::gateway_site::config;
+use jujubewall_testutils::gateway_site::config_with;
 use jujubewall_testutils::gateway_site::neighbour;
 use jujubewall_testutils::gateway_site::stream_request;
 use jujubewall_testutils::gateway_site::wait_until;
@@ -24,10 +25,11 @@
 use jujubewall_testutils::relay::Relay;
 use jujubewall_testutils::site_runner::RunnerFault;
 use jujubewall_testutils::site_runner::RunnerHandle;
+use jujubewall_testutils::site_runner::RunnerKind;
 use jujubewall_testutils::site_runner::SiteRunners;
 use jujubewall_testutils::site_store::SiteStore;
 use jujubewall_testutils::site_store::StoreMood;
-use serde_json::json;
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::Instant;
@@ -74,12 +76,12 @@
     /// The number of its life.
     pub life: u64,
     /// Its address for clients.
-    pub clients: std::net::SocketAddr,
+    pub clients: SocketAddr,
 }
 
 struct Slot {
     name: String,
-    peers: std::net::SocketAddr,
+    peers: SocketAddr,
     store_link: Relay,
     process: AsyncMutex<GatewayProcess>,
 }
@@ -129,12 +131,14 @@
         for zone in ["hall", "apron"] {
             for index in 0..ENGINES_PER_ZONE {
                 let id = format!("{zone}-{index}");
-                runners.push(fleet.start_relayed(&id, "llm", zone, Some("card")).await);
+                let kind = RunnerKind::new("llm", zone, Some("card"));
+                runners.push(fleet.start_relayed(&id, &kind).await);
             }
         }
         for index in 0..3 {
             let id = format!("ledger-{index}");
-            runners.push(fleet.start_relayed(&id, "ledger", "hall", None).await);
+            let kind = RunnerKind::new("ledger", "hall", None);
+            runners.push(fleet.start_relayed(&id, &kind).await);
         }
         let mut state = State {
             runners,
@@ -142,7 +146,7 @@
             is_planned_phase: true,
             ..State::default()
         };
-        store.put("op/config", document(&state).as_bytes());
+        store.put_config(&document(&state));
         let mut slots: Vec<Slot> = Vec::new();
         let mut peers = free_address();
         for index in 0..GATEWAYS {
@@ -363,7 +367,7 @@
     pub fn configure(&self) {
         let mut state = self.state();
         state.version += 3;
-        self.store.put("op/config", document(&state).as_bytes());
+        self.store.put_config(&document(&state));
     }
 
     /// Takes a key away, unless only one is left.
@@ -378,7 +382,7 @@
         };
         state.revoked.insert(key, Instant::now());
         state.version += 1;
-        self.store.put("op/config", document(&state).as_bytes());
+        self.store.put_config(&document(&state));
     }
 
     /// Treats calls to the store in another way for a time.
@@ -444,7 +448,7 @@
                 state.replacements += 1;
                 format!("new-{}", state.replacements)
             };
-            let new = self.fleet.start_relayed_like(&new_id, &kind).await;
+            let new = self.fleet.start_relayed(&new_id, &kind).await;
             self.state().runners.push(new);
             sleep(LINGER).await;
             self.fleet.drain(&id);
@@ -458,11 +462,11 @@
         };
         drop(ended);
         if is_planned {
-            self.store.remove(&format!("servers/{id}"));
+            self.fleet.remove_entry(&id);
             return;
         }
         sleep(pause).await;
-        let again = self.fleet.start_relayed_like(&id, &kind).await;
+        let again = self.fleet.start_relayed(&id, &kind).await;
         let mut state = self.state();
         state.runners.push(again);
         state.replaced.remove(&id);
@@ -499,10 +503,8 @@
 }
 
 /// Returns the configuration with the keys that are left.
-fn document(state: &State) -> String {
-    let mut document = config(state.version);
+fn document(state: &State) -> Value {
     let keys = KEYS.iter().filter(|key| !state.revoked.contains_key(*key));
-    document["tenants"][0]["api_keys"] = json!(keys.collect::<Vec<_>>());
-    document["routes"][0]["timeout_ms"] = json!(7_000 + state.version % 5 * 500);
-    document.to_string()
+    let keys: Vec<&str> = keys.copied().collect();
+    config_with(state.version, &keys, 7_000 + state.version % 5 * 500)
 }
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -243,7 +243,7 @@
         let store = SiteStore::new();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_server = store.serve(listener);
-        store.put("op/config", config(7).to_string().as_bytes());
+        store.put_config(&config(7));
         let runners = SiteRunners::new(&store, EVENTS);
         let mut engines = Vec::new();
         for zone in ["hall", "apron"] {
@@ -288,13 +288,7 @@
         })
         .await;
         wait_until("two copies are placed", async || {
-            let held: u32 = self
-                .runners
-                .layers()
-                .iter()
-                .map(|layers| layers.len())
-                .sum();
-            held == 2 * LAYERS
+            self.runners.held_layers() == 2 * LAYERS
         })
         .await;
         wait_until("a stream is served", async || {
@@ -365,11 +359,17 @@
 
 /// Returns a configuration as the operator writes it.
 pub fn config(version: u64) -> Value {
+    config_with(version, &["key-1", "key-2"], 8_000)
+}
+
+/// Returns a configuration with the keys of its account and the time for which a stream
+/// may take, in milliseconds.
+pub fn config_with(version: u64, keys: &[&str], stream_timeout_ms: u64) -> Value {
     json!({
         "version": version,
         "routes": [
             {"name": "notes", "host": "desk.example", "path_prefix": "/notes/",
-             "kind": "streaming", "timeout_ms": 8000, "target_latency_ms": 500, "priority": 1,
+             "kind": "streaming", "timeout_ms": stream_timeout_ms, "target_latency_ms": 500, "priority": 1,
              "service": "llm", "max_attempts": 2, "stream_resume": true, "target_gap_ms": 200},
             {"name": "orders", "host": "desk.example", "path_prefix": "/orders/",
              "kind": "unsafe", "timeout_ms": 2000, "target_latency_ms": 300, "priority": 2,
@@ -390,7 +390,7 @@
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": "hall", "api_keys": ["key-1", "key-2"], "priority": 1}]
+        "tenants": [{"name": "hall", "api_keys": keys, "priority": 1}]
     })
 }
 
@@ -423,6 +423,13 @@
     request
 }
 
+/// Returns whether an answer names its request and the runner that gave it.
+pub fn is_own_answer(answer: &Response<Bytes>, id: &str) -> bool {
+    let fields = answer.headers();
+    fields.get("request-id").is_some_and(|value| value == id)
+        && fields.contains_key("response-stamp")
+}
+
 /// Returns the events of a whole stream.
 pub fn all_events() -> String {
     let events: Vec<String> = (0..EVENTS)
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod daemon;
 pub mod engine;
+pub mod engine_spec;
 pub mod fleet;
 pub mod gateway_site;
 pub mod host_list;
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -90,6 +90,17 @@
     pub accelerator: Option<String>,
 }
 
+impl RunnerKind {
+    /// Describes a runner of a service; a model engine has an accelerator.
+    pub fn new(service: &str, zone: &str, accelerator: Option<&str>) -> Self {
+        Self {
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            accelerator: accelerator.map(ToOwned::to_owned),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct RunnerState {
     address: SocketAddr,
@@ -177,7 +188,7 @@
         accelerator: Option<&str>,
     ) -> RunnerHandle {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let kind = runner_kind(service, zone, accelerator);
+        let kind = RunnerKind::new(service, zone, accelerator);
         self.start_at(id, kind, listener, None)
     }
 
@@ -186,23 +197,7 @@
     /// # Panics
     ///
     /// Panics if no socket can be bound.
-    pub async fn start_relayed(
-        self: &Arc<Self>,
-        id: &str,
-        service: &str,
-        zone: &str,
-        accelerator: Option<&str>,
-    ) -> RunnerHandle {
-        let kind = runner_kind(service, zone, accelerator);
-        self.start_relayed_like(id, &kind).await
-    }
-
-    /// Starts a runner of a kind that is reached over a relay, and writes its entry.
-    ///
-    /// # Panics
-    ///
-    /// Panics if no socket can be bound.
-    pub async fn start_relayed_like(self: &Arc<Self>, id: &str, kind: &RunnerKind) -> RunnerHandle {
+    pub async fn start_relayed(self: &Arc<Self>, id: &str, kind: &RunnerKind) -> RunnerHandle {
         let bind = || TcpListener::bind("127.0.0.1:0");
         let listener = bind().await.expect("a free port");
         let target = listener.local_addr().expect("a listener has an address");
@@ -278,6 +273,16 @@
             .collect()
     }
 
+    /// Removes the entry of a runner that has ended.
+    pub fn remove_entry(&self, id: &str) {
+        self.store.remove(&entry_key(id));
+    }
+
+    /// Returns the number of layers that all runners hold together.
+    pub fn held_layers(&self) -> u32 {
+        self.layers().iter().map(|layers| layers.len()).sum()
+    }
+
     /// Returns the layers that each runner holds.
     pub fn layers(&self) -> Vec<LayerRange> {
         let state = self.state();
@@ -303,8 +308,7 @@
             })
         });
         if let Some(entry) = entry {
-            self.store
-                .put(&format!("servers/{id}"), entry.to_string().as_bytes());
+            self.store.put(&entry_key(id), entry.to_string().as_bytes());
         }
     }
 
@@ -423,14 +427,6 @@
     }
 }
 
-fn runner_kind(service: &str, zone: &str, accelerator: Option<&str>) -> RunnerKind {
-    RunnerKind {
-        service: service.to_owned(),
-        zone: zone.to_owned(),
-        accelerator: accelerator.map(ToOwned::to_owned),
-    }
-}
-
 /// Returns the address of the first part of a path that does not hold its layers.
 fn faulty_part(state: &FleetState, path: &str) -> Option<String> {
     path.split(',')
@@ -450,6 +446,10 @@
         })
 }
 
+fn entry_key(id: &str) -> String {
+    format!("servers/{id}")
+}
+
 fn layers_json(layers: Option<LayerRange>) -> Value {
     layers.map_or(
         Value::Null,
--- a/testutils/src/site_store.rs
+++ b/testutils/src/site_store.rs
@@ -103,6 +103,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes a configuration, as the operator does.
+    pub fn put_config(&self, config: &Value) {
+        self.put("op/config", config.to_string().as_bytes());
+    }
+
     /// Removes an item past the interface.
     pub fn remove(&self, key: &str) {
         self.state().remove(key);
