soak: begin no disturbance while the earlier ones end

Cause: before a phase of planned work the soak waits until all disturbances are over, and for three seconds more, but runners that fail beside the schedule went on to fail in that time.

Change: a phase of its own in which disturbances end and none begins.

--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -72,10 +72,10 @@
             self.phase_left = left;
         } else {
             self.phase_left = PHASE;
-            world.set_planned_phase(!world.is_planned_phase()).await;
+            world.change_phase().await;
         }
         let event = self.draw();
-        if world.is_planned_phase() && !event.is_planned() {
+        if !event.is_planned() && !world.may_be_disturbed() {
             return;
         }
         self.played += 1;
@@ -143,7 +143,7 @@
         let drawn = rng.random_range(0..=faults.len());
         let fault = *faults.get(drawn).unwrap_or(&RunnerFault::LoseAnswer);
         let span = Duration::from_millis(rng.random_range(100..800));
-        if world.is_planned_phase() {
+        if !world.may_be_disturbed() {
             continue;
         }
         let event = Event::FailRunner(runner, fault, span);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -86,6 +86,18 @@
     process: AsyncMutex<GatewayProcess>,
 }
 
+/// What is played.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Phase {
+    /// Planned work only.
+    #[default]
+    PlannedOnly,
+    /// Planned work and disturbances.
+    Everything,
+    /// Disturbances end, and none begins.
+    Settling,
+}
+
 #[derive(Default)]
 struct State {
     views: Vec<Option<GatewayView>>,
@@ -94,7 +106,7 @@
     disturbed_at: Vec<Option<Instant>>,
     store_disturbed_at: Option<Instant>,
     disturbances: u64,
-    is_planned_phase: bool,
+    phase: Phase,
     version: u64,
     revoked: HashMap<&'static str, Instant>,
     drained: HashMap<String, Instant>,
@@ -143,7 +155,6 @@
         let mut state = State {
             runners,
             version: 7,
-            is_planned_phase: true,
             ..State::default()
         };
         store.put_config(&document(&state));
@@ -224,21 +235,29 @@
         self.state().disturbances += 1;
     }
 
-    /// Returns whether only planned work is played.
+    /// Returns whether only planned work is played, and all disturbances are over.
     pub fn is_planned_phase(&self) -> bool {
-        self.state().is_planned_phase
+        self.state().phase == Phase::PlannedOnly
     }
 
-    /// Begins a phase; one of planned work only once all disturbances are over.
-    pub async fn set_planned_phase(&self, is_planned: bool) {
-        if is_planned {
-            self.settle().await;
-            sleep(STABLE_WINDOW).await;
+    /// Returns whether disturbances may begin.
+    pub fn may_be_disturbed(&self) -> bool {
+        self.state().phase == Phase::Everything
+    }
+
+    /// Goes over from planned work to everything, or back once all disturbances are over.
+    pub async fn change_phase(&self) {
+        if self.is_planned_phase() {
+            self.state().phase = Phase::Everything;
+            return;
         }
-        self.state().is_planned_phase = is_planned;
+        self.settle().await;
+        sleep(STABLE_WINDOW).await;
+        self.state().phase = Phase::PlannedOnly;
     }
 
     async fn settle(&self) {
+        self.state().phase = Phase::Settling;
         self.tasks.close();
         self.tasks.wait().await;
         self.tasks.reopen();
@@ -323,7 +342,7 @@
 
     /// Kills all gateways at once and starts them again.
     pub async fn kill_all_gateways(&self) {
-        self.state().is_planned_phase = false;
+        // Requests that are in flight now are not cut by planned work.
         self.note_disturbance();
         let mut processes = Vec::new();
         for slot in &self.slots {
