--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -10,6 +10,7 @@
 mod body;
 mod call;
 mod clients;
+mod clock;
 mod followers;
 mod logging;
 mod metrics;
--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -1,4 +1,7 @@
 //! Following the store: the operator's configuration and the upstreams' entries.
+//!
+//! Every gateway reads both once when it starts. From then on only those follow that
+//! `jujubewall_routing::fleet::follow_duty` chooses, and the others learn from them.
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -25,7 +28,6 @@
 use tokio::time::sleep;
 
 use crate::gateway::state::Gateway;
-use crate::gateway::state::StoreLink;
 
 /// The time for which a watch waits without peers. Together with the time for its
 /// answer it is shorter than the bounds within which drains and configurations take
@@ -59,12 +61,21 @@
 /// their entries again, by the platform's protocol.
 const RETURN_GRACE: Duration = Duration::from_millis(2_300);
 
+/// The time between two looks at whether this gateway follows the store.
+const DUTY_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What follows the items under one prefix.
 trait Follower {
     /// Returns the prefix.
     fn prefix(&self) -> &'static str;
-    /// Takes over all items.
-    fn on_list(&self, gateway: &Gateway, items: Vec<Item>);
+    /// Returns the name under which reads of all items are counted.
+    fn list_event(&self) -> &'static str;
+    /// Returns the name under which watches are counted.
+    fn watch_event(&self) -> &'static str;
+    /// Takes over all items, as of a revision.
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, revision: Revision);
+    /// Notes that changes are not followed any more.
+    fn on_relieved(&self, gateway: &Gateway);
     /// Takes over one change.
     fn on_change(&self, gateway: &Gateway, change: ItemChange);
     /// Returns once peers have known more for a while.
@@ -81,7 +92,15 @@
 async fn follow(gateway: Rc<Gateway>, follower: impl Follower + 'static) {
     let mut pause = MIN_RETRY_PAUSE;
     let mut position: Option<Revision> = None;
+    let mut has_tried = false;
     loop {
+        if has_tried && !gateway.peers.follows() {
+            position = None;
+            follower.on_relieved(&gateway);
+            sleep(DUTY_POLL_INTERVAL).await;
+            continue;
+        }
+        has_tried = true;
         let result = match position {
             None => list(&gateway, &follower).await.map(Some),
             Some(after) => watch(&gateway, &follower, after).await,
@@ -111,7 +130,8 @@
 async fn list(gateway: &Gateway, follower: &impl Follower) -> Result<Revision, PlatformError> {
     let list = gateway.store().list(follower.prefix()).await?;
     note_store(gateway, true);
-    follower.on_list(gateway, list.items);
+    gateway.metrics.count(follower.list_event());
+    follower.on_list(gateway, list.items, list.watch_from);
     Ok(list.watch_from)
 }
 
@@ -124,7 +144,9 @@
     let store = gateway.store();
     let wait = (WATCH_WAIT_PER_PEER * gateway.peers.followers_of_store())
         .clamp(LONE_WATCH_WAIT, MAX_WATCH_WAIT);
+    gateway.metrics.count(follower.watch_event());
     let watched = tokio::select! {
+        () = relieved(gateway) => return Ok(None),
         watched = store.watch(follower.prefix(), after, wait) => watched?,
         // The watch is behind what peers know; a list shows what it missed.
         () = follower.is_behind(gateway) => {
@@ -154,6 +176,13 @@
     }
 }
 
+/// Returns once this gateway follows the store no more.
+async fn relieved(gateway: &Gateway) {
+    while gateway.peers.follows() {
+        sleep(DUTY_POLL_INTERVAL).await;
+    }
+}
+
 fn note_store(gateway: &Gateway, answered: bool) {
     if gateway.note_store(answered) {
         gateway.absences.on_store_return();
@@ -168,12 +197,22 @@
         CONFIG_KEY
     }
 
-    fn on_list(&self, gateway: &Gateway, items: Vec<Item>) {
+    fn list_event(&self) -> &'static str {
+        "store_list_config"
+    }
+
+    fn watch_event(&self) -> &'static str {
+        "store_watch_config"
+    }
+
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, _revision: Revision) {
         for item in items {
             self.on_change(gateway, ItemChange::Written(item));
         }
     }
 
+    fn on_relieved(&self, _gateway: &Gateway) {}
+
     fn on_change(&self, gateway: &Gateway, change: ItemChange) {
         let ItemChange::Written(item) = change else {
             return;
@@ -207,10 +246,19 @@
         INSTANCE_PREFIX
     }
 
-    fn on_list(&self, gateway: &Gateway, items: Vec<Item>) {
+    fn list_event(&self) -> &'static str {
+        "store_list_entries"
+    }
+
+    fn watch_event(&self) -> &'static str {
+        "store_watch_entries"
+    }
+
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, revision: Revision) {
         for item in &items {
             gateway.note_instances_revision(item.revision);
         }
+        gateway.entry_log_mut().restart(revision);
         let instances = items
             .iter()
             .filter_map(|item| decode(gateway, item))
@@ -218,17 +266,21 @@
         replace_instances(gateway, instances, "store");
     }
 
+    fn on_relieved(&self, gateway: &Gateway) {
+        gateway.entry_log_mut().stop();
+    }
+
     fn on_change(&self, gateway: &Gateway, change: ItemChange) {
         match change {
             ItemChange::Written(item) => {
-                gateway.note_instances_revision(item.revision);
+                note_change(gateway, &item.key, item.revision);
                 match decode(gateway, &item) {
                     Some(instance) => upsert(gateway, instance),
                     None => forget_key(gateway, &item.key),
                 }
             }
             ItemChange::Removed(key, revision) => {
-                gateway.note_instances_revision(revision);
+                note_change(gateway, &key, revision);
                 forget_key(gateway, &key);
             }
         }
@@ -253,6 +305,14 @@
     }
 }
 
+/// Notes the revision of a change, for this gateway and those that learn from it.
+fn note_change(gateway: &Gateway, key: &str, revision: Revision) {
+    gateway.note_instances_revision(revision);
+    if let Some(id) = key.strip_prefix(INSTANCE_PREFIX) {
+        gateway.entry_log_mut().note(revision, id);
+    }
+}
+
 fn decode(gateway: &Gateway, item: &Item) -> Option<Instance> {
     match decode_instance(&item.key, &item.value) {
         Ok(instance) => Some(instance),
@@ -291,6 +351,16 @@
     gateway.set_synced();
 }
 
+/// Takes over the changes of some upstreams' entries from a peer.
+pub fn change_instances(gateway: &Gateway, changed: Vec<Instance>, gone: &[SmolStr]) {
+    for instance in changed {
+        upsert(gateway, instance);
+    }
+    for id in gone {
+        forget(gateway, id);
+    }
+}
+
 fn upsert(gateway: &Gateway, instance: Instance) {
     gateway.absences.on_present(&instance.id);
     let is_change = gateway
@@ -384,7 +454,7 @@
 async fn forget_missing(gateway: Rc<Gateway>) {
     loop {
         sleep(MIN_RETRY_PAUSE).await;
-        if gateway.store_link() != StoreLink::Up {
+        if !gateway.is_store_up() {
             continue;
         }
         for id in gateway.absences.take_overdue() {
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     events: Family<EventLabel, Counter>,
     answer_time: Histogram,
     first_event_time: Histogram,
+    message_bytes: Counter,
     /// Requests in progress.
     pub in_flight: Gauge,
     /// The version of the configuration in force.
@@ -42,6 +43,7 @@
             events: Family::default(),
             answer_time: times(),
             first_event_time: times(),
+            message_bytes: Counter::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
         };
@@ -71,6 +73,11 @@
             "Time from a request to the first event of its stream",
             self.first_event_time.clone(),
         );
+        registry.register(
+            "message_bytes",
+            "Bytes of the messages sent to other gateways",
+            self.message_bytes.clone(),
+        );
         registry.register("in_flight", "Requests in progress", self.in_flight.clone());
         registry.register(
             "config_version",
@@ -91,6 +98,13 @@
         observe(&self.first_event_time, time);
     }
 
+    /// Counts a message to another gateway.
+    pub fn count_message(&self, bytes: usize) {
+        self.count("telling");
+        self.message_bytes
+            .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
     /// Counts an event.
     pub fn count(&self, event: &'static str) {
         self.events.get_or_create(&EventLabel { event }).inc();
--- a/daemon/src/gateway/monitoring.rs
+++ b/daemon/src/gateway/monitoring.rs
@@ -53,7 +53,8 @@
         let gateway = Rc::clone(&gateway);
         spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
-                let reply = reply(&gateway, request.uri().path());
+                let uri = request.uri();
+                let reply = reply(&gateway, uri.path(), uri.query());
                 async move { Ok::<_, Infallible>(reply) }
             });
             // The asker notices a broken connection itself.
@@ -66,13 +67,15 @@
     }
 }
 
-fn reply(gateway: &Gateway, path: &str) -> Reply {
+fn reply(gateway: &Gateway, path: &str, query: Option<&str>) -> Reply {
     match path {
         READY_PATH if gateway.is_ready() => answer::own(StatusCode::OK, "none"),
         READY_PATH => answer::own(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         METRICS_PATH => whole(Bytes::from(gateway.metrics.encode())),
         peers::CONFIG_PATH => peers::config_document(gateway).map_or_else(missing, whole),
-        peers::INSTANCES_PATH => peers::instances_document(gateway).map_or_else(missing, whole),
+        peers::INSTANCES_PATH => {
+            peers::instances_document(gateway, query).map_or_else(missing, whole)
+        }
         _ => missing(),
     }
 }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -1,222 +1,151 @@
 //! What gateways tell each other.
 //!
-//! Each gateway sends a small datagram to every other several times a second:
-//! its work in flight, the upstreams that it suspects, and the versions that it
-//! knows. Gateways learn of each other from these datagrams, starting from the
-//! platform's seeds. One that the store turns away fetches the configuration and
-//! the upstreams' entries from a peer that the store serves.
+//! The decisions are in `jujubewall_routing::fleet::spread` and beside it; this module
+//! holds the socket, gathers what is told, and fetches from peers what they know and this
+//! gateway does not.
 
+use std::cell::Cell;
 use std::cell::Ref;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use jujubewall_platform::site::settings::SiteSettings;
-use jujubewall_routing::fleet::instances::ToldLayers;
-use jujubewall_routing::fleet::instances::ToldSlowdown;
-use jujubewall_routing::fleet::instances::ToldWork;
-use jujubewall_routing::fleet::planner_watch::PlannerWatch;
+use jujubewall_routing::fleet::claims::Claim;
+use jujubewall_routing::fleet::claims::FollowerRole;
+use jujubewall_routing::fleet::follow_duty::FollowDuty;
+use jujubewall_routing::fleet::instances::ToldBeliefs;
+use jujubewall_routing::fleet::rendezvous;
+use jujubewall_routing::fleet::spread;
+use jujubewall_routing::fleet::spread::Receipt;
+use jujubewall_routing::fleet::spread::Spread;
+use jujubewall_routing::fleet::spread::Telling;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
-use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use log::info;
 use log::warn;
 use serde::Deserialize;
 use serde::Serialize;
+use smol_str::SmolStr;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use crate::gateway::clock;
 use crate::gateway::followers;
 use crate::gateway::planner;
 use crate::gateway::probe;
 use crate::gateway::state::Gateway;
-use crate::gateway::state::StoreLink;
 
 /// The path at which a peer gives the configuration.
 pub const CONFIG_PATH: &str = "/peer/config";
-/// The path at which a peer gives the upstreams' entries.
+/// The path at which a peer gives the upstreams' entries, all of them or, with a revision
+/// in the query, those that have changed since.
 pub const INSTANCES_PATH: &str = "/peer/instances";
 
-/// The shortest time between two datagrams to each peer; load changes little in it.
-const MIN_TELL_INTERVAL: Duration = Duration::from_millis(100);
+/// The buffer for one datagram: larger ones are not of this protocol.
+const DATAGRAM_BUFFER_BYTES: usize = 4 * 1024;
 
-/// The time between datagrams for each known peer, which bounds the messages that
-/// each gateway takes in to fifty a second.
-const TELL_INTERVAL_PER_PEER: Duration = Duration::from_millis(20);
+/// The time between two looks at whether a peer knows more, and at this gateway's duty.
+const RELAY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The shortest time between two datagrams even if there is news.
-const MIN_NEWS_INTERVAL: Duration = Duration::from_millis(5);
-
-/// The time after which a silent peer is forgotten.
-const PEER_LIFETIME: Duration = Duration::from_secs(20);
-
-/// The time for which a peer's last message says what it knows now.
-const FRESH: Duration = Duration::from_millis(1_500);
-
-/// The peers that a datagram names at most, so that it fits into one packet.
-const MAX_TOLD_PEERS: usize = 32;
-
-/// The largest datagram.
-const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
-
-/// The time between two looks at whether a peer knows more.
-const RELAY_INTERVAL: Duration = Duration::from_millis(300);
-
-/// The time for which a gateway leaves it to the store to give a newer configuration.
+/// The time for which a gateway that follows the store leaves it to the store to give a
+/// newer configuration.
 const MAX_BEHIND: Duration = Duration::from_millis(600);
 
+/// The time for which upstreams' entries may differ at the same revision before all are
+/// fetched: their changes may be on the way.
+const MAX_DIFFERING: Duration = Duration::from_millis(800);
+
 /// The time that a peer's answer may take.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What a gateway tells the others.
-#[derive(Deserialize, Serialize)]
-struct Telling {
-    member: MemberName,
-    config_version: u64,
-    instances_revision: Revision,
-    has_store: bool,
-    is_planner: bool,
-    is_draining: bool,
-    work: Vec<ToldWork>,
-    doubts: Vec<u64>,
-    layers: Vec<ToldLayers>,
-    /// The slow engines, told by the planner, which asks all of them.
-    slowdowns: Vec<ToldSlowdown>,
-    peers: Vec<SocketAddr>,
-}
+/// The gateways that look into an engine that one of them doubts.
+const INVESTIGATORS: usize = 3;
 
-/// A peer that has been heard.
-#[derive(Clone, Debug)]
-struct Peer {
-    heard_at: Instant,
-    config_version: u64,
-    instances_revision: Revision,
-    has_store: bool,
+/// Upstreams' entries as one gateway gives them to another.
+#[derive(Deserialize, Serialize)]
+struct EntriesDocument {
+    revision: Revision,
+    /// Whether `entries` are all there are.
+    is_whole: bool,
+    entries: Vec<Instance>,
+    /// The identifiers of upstreams whose entries are gone.
+    gone: Vec<SmolStr>,
 }
 
-/// The known gateways.
-pub struct PeerDirectory {
-    own_address: SocketAddr,
-    heard: RefCell<HashMap<SocketAddr, Peer>>,
-    /// Addresses that were named and have not been heard yet.
-    named: RefCell<HashMap<SocketAddr, Instant>>,
-    planner_watch: RefCell<PlannerWatch>,
-    news: Notify,
+/// The other gateways, and what this one does for all.
+pub struct Peers {
+    spread: RefCell<Spread>,
+    duty: RefCell<FollowDuty>,
+    follows: Cell<bool>,
+    incarnation: u64,
 }
 
-impl PeerDirectory {
-    /// Creates a directory that knows the seeds only.
-    pub fn new(settings: &SiteSettings) -> Self {
-        let now = Instant::now();
-        let seeds = settings.seed_peers.iter().map(|seed| (*seed, now));
+impl Peers {
+    /// Creates a directory that knows the seeds only. `draw` is a random number.
+    pub fn new(settings: &SiteSettings, draw: u64) -> Self {
+        let domain = rendezvous::name_digest(settings.failure_domain.as_str());
+        let spread = Spread::new(
+            settings.peer_address,
+            domain,
+            &settings.seed_peers,
+            draw,
+            Instant::now(),
+        );
         Self {
-            own_address: settings.peer_address,
-            heard: RefCell::new(HashMap::new()),
-            named: RefCell::new(seeds.collect()),
-            planner_watch: RefCell::new(PlannerWatch::new()),
-            news: Notify::new(),
+            spread: RefCell::new(spread),
+            duty: RefCell::new(FollowDuty::new()),
+            follows: Cell::new(false),
+            incarnation: clock::unix_ms(),
         }
     }
 
-    /// Tells the others at once what has just been found.
-    pub fn tell_now(&self) {
-        self.news.notify_one();
-    }
-
-    fn addresses(&self) -> Vec<SocketAddr> {
-        let heard = self.heard.borrow();
-        let named = self.named.borrow();
-        heard.keys().chain(named.keys()).copied().collect()
-    }
-
-    fn expire(&self) {
-        let is_fresh = |at: &Instant| at.elapsed() < PEER_LIFETIME;
-        self.heard
-            .borrow_mut()
-            .retain(|_, peer| is_fresh(&peer.heard_at));
-        self.named.borrow_mut().retain(|_, at| is_fresh(at));
-    }
-
-    fn on_telling(&self, from: SocketAddr, telling: &Telling) {
-        let mut heard = self.heard.borrow_mut();
-        let mut named = self.named.borrow_mut();
-        named.remove(&from);
-        self.planner_watch.borrow_mut().on_told(
-            &telling.member,
-            telling.is_planner,
-            telling.is_draining,
-            Instant::now(),
-        );
-        let is_new = heard
-            .insert(
-                from,
-                Peer {
-                    heard_at: Instant::now(),
-                    config_version: telling.config_version,
-                    instances_revision: telling.instances_revision,
-                    has_store: telling.has_store,
-                },
-            )
-            .is_none();
-        if is_new {
-            info!("event=peer member={} address={from}", telling.member);
-        }
-        for peer in &telling.peers {
-            if *peer != self.own_address && !heard.contains_key(peer) {
-                named.entry(*peer).or_insert_with(Instant::now);
-            }
-        }
+    /// Returns what is known of the other gateways.
+    pub fn spread(&self) -> Ref<'_, Spread> {
+        self.spread.borrow()
     }
 
-    /// Returns a peer that knows a newer configuration.
-    fn with_newer_config(&self, version: u64) -> Option<SocketAddr> {
-        let heard = self.heard.borrow();
-        heard
-            .iter()
-            .filter(|(_, peer)| peer.heard_at.elapsed() < FRESH)
-            .filter(|(_, peer)| peer.config_version > version)
-            .max_by_key(|(_, peer)| peer.config_version)
-            .map(|(address, _)| *address)
+    /// Returns whether this gateway follows the store for others.
+    pub fn follows(&self) -> bool {
+        self.follows.get()
     }
 
-    /// Returns the number of peers that follow the store as well.
+    /// Returns the number of other gateways that the store serves.
     pub fn followers_of_store(&self) -> u32 {
-        let heard = self.heard.borrow();
-        let followers = heard
-            .values()
-            .filter(|peer| peer.has_store && peer.heard_at.elapsed() < FRESH);
-        u32::try_from(followers.count()).unwrap_or(u32::MAX)
+        let spread = self.spread.borrow();
+        let live = spread
+            .claims()
+            .live(spread.pace().silence(), Instant::now());
+        u32::try_from(
+            live.filter(|claim| claim.follower == FollowerRole::Served)
+                .count(),
+        )
+        .unwrap_or(u32::MAX)
     }
 
     /// Returns whether a peer that follows the store knows newer entries.
     pub fn know_newer_instances(&self, revision: Revision) -> bool {
-        let heard = self.heard.borrow();
-        heard.values().any(|peer| {
-            peer.has_store && peer.heard_at.elapsed() < FRESH && peer.instances_revision > revision
-        })
-    }
-
-    /// Returns what the others tell of who plans.
-    pub fn planner_watch(&self) -> Ref<'_, PlannerWatch> {
-        self.planner_watch.borrow()
+        self.source(|claim| claim.instances_revision > revision)
+            .is_some()
     }
 
     /// Returns a peer that the store serves.
-    fn with_store(&self) -> Option<SocketAddr> {
-        let heard = self.heard.borrow();
-        heard
-            .iter()
-            .filter(|(_, peer)| peer.has_store && peer.heard_at.elapsed() < FRESH)
-            .max_by_key(|(_, peer)| peer.heard_at)
-            .map(|(address, _)| *address)
+    fn source(&self, fits: impl Fn(&Claim) -> bool) -> Option<Claim> {
+        let spread = self.spread.borrow();
+        spread.claims().source(
+            spread.own(),
+            spread.domain(),
+            spread.pace().silence(),
+            Instant::now(),
+            fits,
+        )
     }
 }
 
@@ -229,55 +158,92 @@
 }
 
 async fn tell_loop(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+    let mut next_at = Instant::now();
     loop {
-        let addresses = gateway.peers.addresses();
-        let count = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
-        sleep(MIN_NEWS_INTERVAL).await;
-        let interval = MIN_TELL_INTERVAL.max(TELL_INTERVAL_PER_PEER * count);
-        // Whether there is news or the time has come, all is told.
-        let _ = timeout(interval, gateway.peers.news.notified()).await;
-        gateway.peers.expire();
-        gateway.instances_mut().expire_peers(Instant::now());
-        let datagram = match postcard::to_stdvec(&telling(&gateway)) {
-            Ok(datagram) => datagram,
-            Err(failure) => {
-                warn!("event=telling_failed reason=\"{failure}\"");
-                continue;
-            }
+        let interval = gateway.peers.spread().pace().message_interval();
+        // A process that was held up does not make up for messages that it has left out.
+        next_at = (next_at + interval).max(Instant::now());
+        sleep_until(next_at).await;
+        let now = Instant::now();
+        gateway.instances_mut().expire_peers(now);
+        let target = gateway.peers.spread.borrow_mut().next_target(now);
+        let Some(target) = target else {
+            continue;
         };
-        for address in addresses {
-            // A lost datagram is made up for by the next one.
-            let _ = socket.try_send_to(&datagram, address);
+        match encode(telling(&gateway)) {
+            Ok(datagram) => {
+                // A lost datagram is made up for by the next one.
+                if let Err(failure) = socket.try_send_to(&datagram, target) {
+                    log::debug!("event=telling_lost to={target} reason=\"{failure}\"");
+                    gateway.metrics.count("telling_lost");
+                } else {
+                    gateway.metrics.count_message(datagram.len());
+                }
+            }
+            Err(failure) => warn!("event=telling_failed reason=\"{failure}\""),
         }
     }
 }
 
+fn encode(mut telling: Telling) -> Result<Vec<u8>, postcard::Error> {
+    let size =
+        |telling: &Telling| postcard::experimental::serialized_size(telling).unwrap_or(usize::MAX);
+    telling.fit(size, spread::MAX_MESSAGE_BYTES);
+    postcard::to_stdvec(&telling)
+}
+
 fn telling(gateway: &Gateway) -> Telling {
+    let now = Instant::now();
+    let own = own_claim(gateway);
+    let (claims, peers) = {
+        let mut spread = gateway.peers.spread.borrow_mut();
+        let silence = spread.pace().silence();
+        (spread.claims().to_pass_on(silence, now), spread.to_name())
+    };
     let instances = gateway.instances();
-    let mut peers: Vec<SocketAddr> = gateway.peers.heard.borrow().keys().copied().collect();
-    peers.truncate(MAX_TOLD_PEERS);
-    let is_planner = planner::is_planner(gateway);
     Telling {
+        protocol: spread::PROTOCOL,
         member: gateway.settings().member.clone(),
         config_version: gateway.config_version(),
-        instances_revision: gateway.instances_revision(),
-        has_store: gateway.store_link() == StoreLink::Up && gateway.is_synced(),
-        is_planner,
         is_draining: gateway.is_draining(),
         work: instances.told_work(),
-        doubts: instances.told_doubts(Instant::now()),
+        suspects: instances.told_suspects(),
+        failing: instances.told_failing(now),
         layers: instances.told_layers(),
-        slowdowns: if is_planner {
+        slowdowns: if own.planner.plans() {
             instances.told_slowdowns()
         } else {
             Vec::new()
         },
+        own,
+        claims,
         peers,
     }
 }
 
+fn own_claim(gateway: &Gateway) -> Claim {
+    let spread = gateway.peers.spread();
+    let follower = if !gateway.peers.follows() || gateway.is_draining() {
+        FollowerRole::None
+    } else if gateway.is_store_source() {
+        FollowerRole::Served
+    } else {
+        FollowerRole::Unserved
+    };
+    Claim {
+        holder: spread.own(),
+        domain: spread.domain(),
+        incarnation: gateway.peers.incarnation,
+        beat: spread.sent(),
+        planner: planner::role(gateway),
+        follower,
+        instances_revision: gateway.instances_revision(),
+        instances_digest: gateway.instances().entries_digest(),
+    }
+}
+
 async fn listen_loop(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0; DATAGRAM_BUFFER_BYTES];
     loop {
         let (len, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -287,90 +253,228 @@
                 continue;
             }
         };
-        let telling: Telling = match postcard::from_bytes(&buffer[..len]) {
-            Ok(telling) => telling,
+        let telling = match postcard::from_bytes::<Telling>(&buffer[..len]) {
+            Ok(telling) if telling.protocol == spread::PROTOCOL => telling,
+            Ok(_) => {
+                gateway.metrics.count("telling_foreign");
+                continue;
+            }
             Err(failure) => {
-                warn!("event=telling_unreadable from={from} reason=\"{failure}\"");
+                log::debug!("event=telling_unreadable from={from} reason=\"{failure}\"");
+                gateway.metrics.count("telling_unreadable");
                 continue;
             }
         };
-        gateway.peers.on_telling(from, &telling);
-        gateway.instances_mut().on_told_work(
-            &telling.member,
-            &telling.work,
-            &telling.doubts,
-            Instant::now(),
-        );
-        if gateway.store_link() != StoreLink::Up {
-            gateway.instances_mut().on_told_layers(&telling.layers);
-        }
-        if telling.is_planner && !planner::is_planner(&gateway) {
-            let slowdowns = &telling.slowdowns;
-            gateway.instances_mut().on_told_slowdowns(slowdowns);
+        on_telling(&gateway, from, &telling);
+    }
+}
+
+fn on_telling(gateway: &Rc<Gateway>, from: SocketAddr, telling: &Telling) {
+    let now = Instant::now();
+    let (receipt, lifetime) = {
+        let mut spread = gateway.peers.spread.borrow_mut();
+        let receipt = spread.on_telling(from, telling, now);
+        (receipt, spread.told_lifetime(telling.own.domain))
+    };
+    match receipt {
+        Receipt::Ignored => {
+            gateway.metrics.count("telling_ignored");
+            return;
         }
-        if !telling.doubts.is_empty() {
-            probe::look_into(&gateway, &telling.doubts);
+        Receipt::FirstOfPeer => info!("event=peer member={} address={from}", telling.member),
+        Receipt::News => {}
+    }
+    let beliefs = ToldBeliefs {
+        work: &telling.work,
+        suspects: &telling.suspects,
+        failing: &telling.failing,
+        lifetime,
+    };
+    let mut instances = gateway.instances_mut();
+    instances.on_told(&telling.member, &beliefs, now);
+    if !gateway.hears_store() {
+        instances.on_told_layers(&telling.layers);
+    }
+    if telling.own.planner.plans() && !planner::is_planner(gateway) {
+        instances.on_told_slowdowns(&telling.slowdowns);
+    }
+    drop(instances);
+    for suspect in &telling.suspects {
+        let is_chosen = gateway
+            .peers
+            .spread()
+            .is_chosen(*suspect, INVESTIGATORS, now);
+        if is_chosen {
+            probe::look_into(gateway, &[*suspect]);
         }
     }
 }
 
-/// Fetches from peers what the store does not give.
+/// Decides about this gateway's duty, and fetches from peers what the store does not give.
 async fn relay_loop(gateway: Rc<Gateway>) {
     let mut behind_since: Option<Instant> = None;
+    let mut differing_since: Option<Instant> = None;
     loop {
         sleep(RELAY_INTERVAL).await;
-        let newer = gateway.peers.with_newer_config(gateway.config_version());
-        behind_since = newer.and(behind_since.or_else(|| Some(Instant::now())));
+        decide_duty(&gateway);
+        let now = Instant::now();
+        let newer = {
+            let version = gateway.config_version();
+            let mut spread = gateway.peers.spread.borrow_mut();
+            spread.with_newer_config(version, now)
+        };
+        behind_since = newer.and(behind_since.or(Some(now)));
         // The store is about to give it as well, unless there is none at all yet.
         let is_due = gateway.routes().is_none()
+            || !gateway.is_store_source()
             || behind_since.is_some_and(|since| since.elapsed() >= MAX_BEHIND);
         if is_due
             && let Some(peer) = newer
-            && let Some(config) = fetch::<FleetConfig>(peer, CONFIG_PATH).await
+            && let Some(body) = fetch(peer, CONFIG_PATH).await
         {
-            gateway.apply_config(config, "peer");
+            match serde_json::from_slice::<FleetConfig>(&body) {
+                Ok(config) => gateway.apply_config(config, "peer"),
+                Err(failure) => warn!("event=peer_unreadable peer={peer} reason=\"{failure}\""),
+            }
         }
-        let is_lost = gateway.store_link() != StoreLink::Up || !gateway.is_synced();
-        if is_lost
-            && let Some(peer) = gateway.peers.with_store()
-            && let Some(instances) = fetch::<Vec<Instance>>(peer, INSTANCES_PATH).await
-        {
-            followers::replace_instances(&gateway, instances, "peer");
+        if gateway.is_store_source() {
+            differing_since = None;
+            continue;
         }
+        relay_entries(&gateway, &mut differing_since).await;
     }
 }
 
-async fn fetch<T: serde::de::DeserializeOwned>(peer: SocketAddr, path: &str) -> Option<T> {
-    let (is_success, body) = timeout(RELAY_TIMEOUT, probe::get(peer, path))
-        .await
-        .ok()??;
-    if !is_success {
-        return None;
+fn decide_duty(gateway: &Gateway) {
+    let follows = {
+        let spread = gateway.peers.spread();
+        let mut duty = gateway.peers.duty.borrow_mut();
+        // The planner gives the orders by the entries, so it follows them itself.
+        duty.step(&spread, gateway.is_store_up(), Instant::now()) || planner::is_planner(gateway)
+    };
+    if gateway.peers.follows.replace(follows) != follows {
+        info!(
+            "event=follows_store holds={follows} others={}",
+            gateway.peers.followers_of_store()
+        );
     }
-    match serde_json::from_slice(&body) {
-        Ok(document) => Some(document),
+}
+
+/// Takes over upstreams' entries from a peer that knows newer ones.
+async fn relay_entries(gateway: &Gateway, differing_since: &mut Option<Instant>) {
+    let revision = gateway.instances_revision();
+    let is_synced = gateway.is_synced();
+    let newer = |claim: &Claim| claim.instances_revision > revision || !is_synced;
+    if let Some(source) = gateway.peers.source(newer) {
+        *differing_since = None;
+        let path = if is_synced {
+            format!("{INSTANCES_PATH}?since={revision}")
+        } else {
+            INSTANCES_PATH.to_owned()
+        };
+        fetch_entries(gateway, source.holder, &path).await;
+        return;
+    }
+    let digest = gateway.instances().entries_digest();
+    let source = gateway
+        .peers
+        .source(|claim| claim.instances_revision == revision);
+    let differing = source.filter(|source| source.instances_digest != digest);
+    let now = Instant::now();
+    *differing_since = differing.and(differing_since.or(Some(now)));
+    if let Some(source) = differing
+        && differing_since.is_some_and(|since| since.elapsed() >= MAX_DIFFERING)
+    {
+        *differing_since = None;
+        info!(
+            "event=entries_differ peer={} revision={revision}",
+            source.holder
+        );
+        fetch_entries(gateway, source.holder, INSTANCES_PATH).await;
+    }
+}
+
+async fn fetch_entries(gateway: &Gateway, peer: SocketAddr, path: &str) {
+    let Some(body) = fetch(peer, path).await else {
+        return;
+    };
+    let document: EntriesDocument = match postcard::from_bytes(&body) {
+        Ok(document) => document,
         Err(failure) => {
             warn!("event=peer_unreadable peer={peer} path={path} reason=\"{failure}\"");
-            None
+            return;
         }
+    };
+    // The store's own word came first meanwhile.
+    if gateway.is_store_source() {
+        return;
+    }
+    if document.is_whole {
+        followers::replace_instances(gateway, document.entries, "peer");
+    } else {
+        followers::change_instances(gateway, document.entries, &document.gone);
     }
+    gateway.note_instances_revision(document.revision);
+}
+
+async fn fetch(peer: SocketAddr, path: &str) -> Option<Bytes> {
+    let (is_success, body) = timeout(RELAY_TIMEOUT, probe::get(peer, path))
+        .await
+        .ok()??;
+    is_success.then_some(body)
 }
 
 /// Returns the configuration in force for a peer.
 pub fn config_document(gateway: &Gateway) -> Option<Bytes> {
     let routes = gateway.routes()?;
-    serde_json::to_vec(routes.config()).ok().map(Bytes::from)
+    encoded(serde_json::to_vec(routes.config()))
 }
 
-/// Returns the upstreams' entries for a peer, unless this gateway lost the store too.
-pub fn instances_document(gateway: &Gateway) -> Option<Bytes> {
-    if gateway.store_link() != StoreLink::Up || !gateway.is_synced() {
+/// Returns the upstreams' entries for a peer, those that have changed since the revision in
+/// `query` if it names one, unless this gateway does not know them from the store.
+pub fn instances_document(gateway: &Gateway, query: Option<&str>) -> Option<Bytes> {
+    if !gateway.is_store_source() {
         return None;
     }
+    let since = query.and_then(|query| query.strip_prefix("since="));
+    let since = since.and_then(|since| since.parse().ok()).map(Revision);
     let instances = gateway.instances();
-    let entries: Vec<&Instance> = instances
-        .iter()
-        .map(|(_, tracked)| &tracked.instance)
-        .collect();
-    serde_json::to_vec(&entries).ok().map(Bytes::from)
+    let log = gateway.entry_log();
+    let changed = since.and_then(|since| log.since(since));
+    let document = match &changed {
+        Some(ids) => EntriesDocument {
+            revision: gateway.instances_revision(),
+            is_whole: false,
+            entries: ids
+                .iter()
+                .filter_map(|id| instances.by_id(id))
+                .map(|tracked| tracked.instance.clone())
+                .collect(),
+            gone: ids
+                .iter()
+                .filter(|id| instances.by_id(id).is_none())
+                .map(|id| (*id).clone())
+                .collect(),
+        },
+        None => EntriesDocument {
+            revision: gateway.instances_revision(),
+            is_whole: true,
+            entries: instances
+                .iter()
+                .map(|(_, tracked)| tracked.instance.clone())
+                .collect(),
+            gone: Vec::new(),
+        },
+    };
+    encoded(postcard::to_stdvec(&document))
+}
+
+fn encoded<E: std::fmt::Display>(body: Result<Vec<u8>, E>) -> Option<Bytes> {
+    match body {
+        Ok(body) => Some(Bytes::from(body)),
+        Err(failure) => {
+            warn!("event=document_failed reason=\"{failure}\"");
+            None
+        }
+    }
 }
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -20,7 +20,11 @@
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::place_order;
 use jujubewall_platform::site::store::WriteOutcome;
+use jujubewall_routing::fleet::claims::PlannerRole;
 use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::planner_turn::HoldUpWatch;
+use jujubewall_routing::fleet::planner_turn::PlannerStep;
+use jujubewall_routing::fleet::planner_turn::PlannerTurn;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::EngineState;
 use jujubewall_types::fleet::InstanceState;
@@ -28,14 +32,15 @@
 use jujubewall_types::id::ServiceName;
 use jujubewall_types::layer::LayerRange;
 use log::info;
+use log::warn;
 use smol_str::SmolStr;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::gateway::clock;
 use crate::gateway::probe;
 use crate::gateway::state::Gateway;
-use crate::gateway::state::StoreLink;
 
 /// The key whose lease shows who plans.
 const PLANNER_KEY: &str = "jujubewall/planner";
@@ -130,7 +135,6 @@
     if !is_news {
         return;
     }
-    gateway.peers.tell_now();
     if let Some(tracked) = gateway.instances().get(key) {
         info!(
             "event=slowdown upstream={} factor={factor:.1} in_flight={}",
@@ -145,6 +149,17 @@
     gateway.planner.is_planner.get()
 }
 
+/// Returns whether this gateway gives the orders, and whether it holds the lease.
+pub fn role(gateway: &Gateway) -> PlannerRole {
+    if !is_planner(gateway) {
+        PlannerRole::None
+    } else if gateway.planner.lease.get().is_some() {
+        PlannerRole::HoldsLease
+    } else {
+        PlannerRole::StandsIn
+    }
+}
+
 /// Gives the lease up, so that another gateway takes over at once.
 pub async fn resign(gateway: &Gateway) {
     set_planner(gateway, false);
@@ -168,48 +183,45 @@
 }
 
 async fn hold_lease(gateway: Rc<Gateway>) {
+    let mut turn = PlannerTurn::new();
     loop {
         if gateway.is_draining() {
             return;
         }
         match gateway.planner.lease.get() {
             Some(lease) => renew(&gateway, lease).await,
-            None => follow_planner(&gateway).await,
+            None => follow_planner(&gateway, &mut turn).await,
         }
         sleep(LEASE_INTERVAL).await;
     }
 }
 
 /// Sees to it that somebody plans.
-async fn follow_planner(gateway: &Gateway) {
-    let now = Instant::now();
-    // Peers tell that they plan, so the store is asked only when none does.
-    if gateway.peers.planner_watch().has_planner(now) {
-        set_planner(gateway, false);
+async fn follow_planner(gateway: &Gateway, turn: &mut PlannerTurn) {
+    // Only who follows the store sees the engines' entries at first hand.
+    if !gateway.peers.follows() {
         return;
     }
+    let step = turn.step(&gateway.peers.spread(), is_planner(gateway), Instant::now());
+    let PlannerStep::TakeOver { stands_in } = step else {
+        set_planner(gateway, false);
+        return;
+    };
     // A store that is away may leave the question about the lease unanswered for long.
-    if gateway.peers.planner_watch().has_lost_planner(now) {
-        stand_in(gateway);
+    if stands_in {
+        set_planner(gateway, true);
     }
     match take_over(gateway).await {
-        Claim::Won => set_planner(gateway, true),
-        Claim::Taken if gateway.peers.planner_watch().has_lost_planner(now) => {}
-        Claim::Taken => set_planner(gateway, false),
-        Claim::Unknown => stand_in(gateway),
+        Claim::Taken => set_planner(gateway, stands_in),
+        // Orders are safe without the lease, and while the store does not say, nobody
+        // else can win it either.
+        Claim::Won | Claim::Unknown => set_planner(gateway, true),
     }
 }
 
-/// Plans without the lease if this is the first of the gateways that are heard.
-fn stand_in(gateway: &Gateway) {
-    let own = gateway.settings().member.clone();
-    let is_first = gateway.peers.planner_watch().is_first(&own, Instant::now());
-    set_planner(gateway, is_first);
-}
-
 async fn renew(gateway: &Gateway, lease: LeaseId) {
     match gateway.store().keep_alive(lease).await {
-        Ok(()) => {}
+        Ok(()) => set_planner(gateway, true),
         Err(PlatformError::LeaseLapsed) => {
             gateway.planner.lease.set(None);
             set_planner(gateway, false);
@@ -221,6 +233,10 @@
             if !matches!(failure, PlatformError::RateLimited) {
                 gateway.note_store(false);
             }
+            // After a hold-up the lease is no permission until it has been confirmed.
+            if !is_planner(gateway) {
+                gateway.planner.lease.set(None);
+            }
         }
     }
 }
@@ -268,8 +284,14 @@
 
 async fn plan_loop(gateway: Rc<Gateway>) {
     let mut settled = Settled::default();
+    let mut held_up = HoldUpWatch::new(clock::boot_time());
     loop {
         sleep(PLAN_INTERVAL).await;
+        if held_up.was_held_up(clock::boot_time()) && is_planner(&gateway) {
+            warn!("event=planner_held_up");
+            gateway.metrics.count("planner_held_up");
+            set_planner(&gateway, false);
+        }
         if !gateway.planner.is_planner.get() {
             continue;
         }
@@ -460,7 +482,7 @@
             placement.id,
             placement.layers,
             placement.give_up,
-            gateway.store_link() == StoreLink::Up
+            gateway.is_store_up()
         );
         on_answer(
             &gateway,
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -161,7 +161,6 @@
         }
     }
     gateway.connections.forget(key);
-    gateway.peers.tell_now();
     gateway.suspicions.notify_waiters();
     gateway.metrics.count("suspected");
     if let Some(tracked) = gateway.instances().get(key) {
@@ -185,14 +184,21 @@
     }
 }
 
-/// Looks into upstreams that another gateway doubts.
+/// Looks into upstreams that another gateway suspects.
 pub fn look_into(gateway: &Rc<Gateway>, told: &[u64]) {
     let keys = gateway.instances().unsuspected_of(told);
     ask_whether_reachable(gateway, &keys, PEER_DOUBT_INTERVAL, "doubted by a peer");
 }
 
-/// Asks the parts of a silent path whether they take a connection.
+/// Asks the parts of a silent path whether they take a connection; if others suspect some
+/// of them, only these.
 pub fn look_into_parts(gateway: &Rc<Gateway>, keys: &[InstanceKey]) {
+    let suspected = gateway.instances().suspected_by_others(keys);
+    let keys = if suspected.is_empty() {
+        keys
+    } else {
+        &suspected
+    };
     ask_whether_reachable(gateway, keys, PART_INTERVAL, "a stream is silent");
 }
 
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use jujubewall_platform::site::settings::SiteSettings;
 use jujubewall_platform::site::store::StoreClient;
 use jujubewall_routing::fleet::comeback::Comeback;
+use jujubewall_routing::fleet::entry_log::EntryLog;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::crossing_streams_per_s;
 use jujubewall_routing::fleet::repeat_budget::RepeatBounds;
@@ -30,13 +31,13 @@
 
 use crate::gateway::followers::Absences;
 use crate::gateway::metrics::GatewayMetrics;
-use crate::gateway::peers::PeerDirectory;
+use crate::gateway::peers::Peers;
 use crate::gateway::planner::PlannerState;
 use crate::gateway::upstreams::Connections;
 
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StoreLink {
+enum StoreLink {
     /// The last call was answered.
     Up,
     /// Calls have failed since.
@@ -58,6 +59,7 @@
     in_flight: Cell<usize>,
     is_draining: Cell<bool>,
     store_link: Cell<StoreLink>,
+    entry_log: RefCell<EntryLog>,
     /// Wakes silent streams when an upstream is newly suspected.
     pub suspicions: Notify,
     /// The counters and times.
@@ -65,7 +67,7 @@
     /// Connections to upstreams.
     pub connections: Connections,
     /// The other gateways.
-    pub peers: PeerDirectory,
+    pub peers: Peers,
     /// What the planner remembers.
     pub planner: PlannerState,
     /// Upstreams whose entries the store lost while it was away.
@@ -77,7 +79,8 @@
     pub fn new(settings: SiteSettings) -> Rc<Self> {
         let store = Rc::new(StoreClient::new(settings.store_address));
         let budget = RepeatBudget::new(repeat_bounds(&settings.bounds), Instant::now());
-        let peers = PeerDirectory::new(&settings);
+        let mut rng: SmallRng = rand::make_rng();
+        let peers = Peers::new(&settings, rng.next_u64());
         Rc::new(Self {
             store: RefCell::new(store),
             routes: RefCell::new(None),
@@ -87,10 +90,11 @@
             budget: RefCell::new(budget),
             last_crossing: Cell::new(None),
             comebacks: RefCell::new(HashMap::new()),
-            rng: RefCell::new(rand::make_rng()),
+            rng: RefCell::new(rng),
             in_flight: Cell::new(0),
             is_draining: Cell::new(false),
             store_link: Cell::new(StoreLink::Up),
+            entry_log: RefCell::new(EntryLog::new()),
             suspicions: Notify::new(),
             metrics: GatewayMetrics::new(),
             connections: Connections::new(),
@@ -132,9 +136,32 @@
         Rc::clone(&self.store.borrow())
     }
 
-    /// Returns whether the store answers.
-    pub fn store_link(&self) -> StoreLink {
-        self.store_link.get()
+    /// Returns whether the last call to the store was answered.
+    pub fn is_store_up(&self) -> bool {
+        self.store_link.get() == StoreLink::Up
+    }
+
+    /// Returns whether this gateway knows all upstreams' entries from the store itself.
+    pub fn is_store_source(&self) -> bool {
+        self.peers.follows()
+            && self.is_store_up()
+            && self.is_synced()
+            && self.entry_log.borrow().is_running()
+    }
+
+    /// Returns whether this gateway learns of changes, from the store or through a peer.
+    pub fn hears_store(&self) -> bool {
+        self.is_store_source() || self.peers.followers_of_store() > 0
+    }
+
+    /// Returns the changes of upstreams' entries that the store told this gateway.
+    pub fn entry_log(&self) -> Ref<'_, EntryLog> {
+        self.entry_log.borrow()
+    }
+
+    /// Returns the changes of upstreams' entries, to add to them.
+    pub fn entry_log_mut(&self) -> RefMut<'_, EntryLog> {
+        self.entry_log.borrow_mut()
     }
 
     /// Notes whether the store answered a call.
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -26,6 +26,7 @@
 mod told;
 
 use self::told::PeerWork;
+pub use self::told::ToldBeliefs;
 pub use self::told::ToldLayers;
 pub use self::told::ToldSlowdown;
 pub use self::told::ToldWork;
@@ -50,10 +51,14 @@
 /// again twice in this time.
 const SILENCE_IS_AN_END: Duration = Duration::from_millis(700);
 
-/// The entries that have to speak against an upstream before others avoid it too, so
-/// that one entry with a broken link does not speak for all.
+/// The entries that an upstream has to have taken no connection from before others avoid
+/// it too, so that one entry with a broken link does not speak for all.
 const WITNESSES: usize = 2;
 
+/// The part of all entries at which runs have to have failed before others avoid an
+/// upstream too: in a large fleet some run fails nearly everywhere.
+const FAILING_SHARE: f64 = 0.06;
+
 /// The part of all upstreams that an entry speaks against at most; one that speaks
 /// against more has lost its own link.
 const MAX_DOUBTED_SHARE: f64 = 0.34;
@@ -473,12 +478,20 @@
         if tracked.is_avoided(now) {
             return true;
         }
-        let witnesses = self
+        let peers = self.peers.len();
+        let suspecting = self
+            .peers
+            .values()
+            .filter(|peer| peer.suspects.contains(&tracked.digest));
+        if suspecting.count() >= WITNESSES.min(peers.max(1)) {
+            return true;
+        }
+        let failing = self
             .peers
             .values()
-            .filter(|peer| peer.doubts.contains(&tracked.digest))
-            .count();
-        witnesses >= WITNESSES.min(self.peers.len().max(1))
+            .filter(|peer| peer.failing.contains(&tracked.digest));
+        let needed = (FAILING_SHARE * peers as f64).max(WITNESSES.min(peers.max(1)) as f64);
+        failing.count() as f64 >= needed
     }
 
     /// Notes the outcome of a request for the failure rate.
@@ -506,6 +519,17 @@
         }
     }
 
+    /// Returns those of `keys` that another entry suspects.
+    pub fn suspected_by_others(&self, keys: &[InstanceKey]) -> Vec<InstanceKey> {
+        let is_suspected = |key: &&InstanceKey| {
+            self.instances.get(**key).is_some_and(|tracked| {
+                let mut peers = self.peers.values();
+                peers.any(|peer| peer.suspects.contains(&tracked.digest))
+            })
+        };
+        keys.iter().filter(is_suspected).copied().collect()
+    }
+
     /// Returns the upstreams that another entry suspects and this one does not.
     pub fn unsuspected_of(&self, told: &[u64]) -> Vec<InstanceKey> {
         self.instances
--- a/routing/src/fleet/instances/told.rs
+++ b/routing/src/fleet/instances/told.rs
@@ -7,28 +7,73 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::layer::LayerRange;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
+use twox_hash::XxHash64;
 
 use super::InstanceTable;
 use super::MAX_DOUBTED_SHARE;
 use super::Tracked;
 use super::Work;
 
-/// The time for which what another entry told is counted; it tells several times
-/// in this span.
-const PEER_WORK_LIFETIME: Duration = Duration::from_millis(1_500);
+/// The tokens times layers that one step of a told work's memory stands for, so that
+/// messages stay small; a stream holds some thousands of them at each part of its path.
+const TOKEN_LAYERS_PER_STEP: f64 = 256.0;
 
 /// The work of one entry at one upstream, as entries tell it to each other.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ToldWork {
-    /// The digest of the upstream's identifier.
-    pub instance: u64,
-    /// The work in flight.
-    pub work: Work,
+    /// The lower half of the digest of the upstream's life.
+    instance: u32,
+    requests: u32,
+    first_requests: u32,
+    /// The memory, in steps of [`TOKEN_LAYERS_PER_STEP`].
+    token_layer_steps: u32,
+}
+
+impl ToldWork {
+    /// Creates what is told of the work at the upstream with a digest.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn new(digest: u64, work: &Work) -> Self {
+        Self {
+            instance: half(digest),
+            requests: work.requests,
+            first_requests: work.first_requests,
+            token_layer_steps: (work.token_layers / TOKEN_LAYERS_PER_STEP).ceil() as u32,
+        }
+    }
+
+    fn work(&self) -> Work {
+        Work {
+            requests: self.requests,
+            first_requests: self.first_requests,
+            token_layers: f64::from(self.token_layer_steps) * TOKEN_LAYERS_PER_STEP,
+        }
+    }
+}
+
+/// Returns the lower half of a digest, which tells thousands of upstreams apart: two that
+/// share it would count each other's work.
+#[allow(clippy::cast_possible_truncation)]
+const fn half(digest: u64) -> u32 {
+    digest as u32
+}
+
+/// What an entry told another in one message about upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct ToldBeliefs<'a> {
+    /// Its work in flight.
+    pub work: &'a [ToldWork],
+    /// The digests of upstreams that did not take a connection from it.
+    pub suspects: &'a [u64],
+    /// The digests of upstreams at which its runs have lately failed.
+    pub failing: &'a [u64],
+    /// The time for which this counts, unless it tells something newer.
+    pub lifetime: Duration,
 }
 
 /// The layers that an engine reported to an entry, as entries tell it to each other.
@@ -52,10 +97,12 @@
 /// What an entry has told of its work.
 #[derive(Debug)]
 pub(super) struct PeerWork {
-    told_at: Instant,
-    work: HashMap<u64, Work>,
-    /// The digests of the upstreams against which the entry speaks.
-    pub(super) doubts: HashSet<u64>,
+    counts_until: Instant,
+    work: HashMap<u32, Work>,
+    /// The digests of the upstreams that took no connection from the entry.
+    pub(super) suspects: HashSet<u64>,
+    /// The digests of the upstreams at which the entry's runs failed.
+    pub(super) failing: HashSet<u64>,
 }
 
 impl InstanceTable {
@@ -110,37 +157,35 @@
         self.instances
             .values()
             .filter(|tracked| tracked.own.requests > 0)
-            .map(|tracked| ToldWork {
-                instance: tracked.digest,
-                work: tracked.own,
-            })
+            .map(|tracked| ToldWork::new(tracked.digest, &tracked.own))
             .collect()
     }
 
     /// Takes over the work that another entry has in flight, and its doubts.
-    pub fn on_told_work(
-        &mut self,
-        peer: &MemberName,
-        told: &[ToldWork],
-        doubts: &[u64],
-        now: Instant,
-    ) {
-        let work = told.iter().map(|told| (told.instance, told.work)).collect();
-        let most_doubts = MAX_DOUBTED_SHARE * self.instances.len() as f64;
-        let has_own_link = doubts.len() as f64 <= most_doubts.max(1.0);
-        let doubts = doubts.iter().copied().filter(|_| has_own_link).collect();
+    pub fn on_told(&mut self, peer: &MemberName, told: &ToldBeliefs<'_>, now: Instant) {
+        let most = (MAX_DOUBTED_SHARE * self.instances.len() as f64).max(1.0);
+        // Whoever speaks against so many has lost its own link.
+        let credible = |digests: &[u64]| -> HashSet<u64> {
+            let is_credible = digests.len() as f64 <= most;
+            let digests = digests.iter().copied();
+            digests.filter(|_| is_credible).collect()
+        };
         let told = PeerWork {
-            told_at: now,
-            work,
-            doubts,
+            counts_until: now + told.lifetime,
+            work: told
+                .work
+                .iter()
+                .map(|told| (told.instance, told.work()))
+                .collect(),
+            suspects: credible(told.suspects),
+            failing: credible(told.failing),
         };
         self.peers.insert(peer.clone(), told);
     }
 
-    /// Forgets entries that have told nothing for a while.
+    /// Forgets what entries told that have told nothing newer for a while.
     pub fn expire_peers(&mut self, now: Instant) {
-        self.peers
-            .retain(|_, peer| now.saturating_duration_since(peer.told_at) < PEER_WORK_LIFETIME);
+        self.peers.retain(|_, peer| now < peer.counts_until);
     }
 
     /// Returns this entry's share of what all entries may use together: half of it in
@@ -166,19 +211,40 @@
     pub fn total_work(&self, tracked: &Tracked) -> Work {
         let mut total = tracked.own;
         for peer in self.peers.values() {
-            if let Some(work) = peer.work.get(&tracked.digest) {
+            if let Some(work) = peer.work.get(&half(tracked.digest)) {
                 total.add(work);
             }
         }
         total
     }
 
-    /// Returns the digests of the doubted upstreams, to be told to the others.
-    pub fn told_doubts(&self, now: Instant) -> Vec<u64> {
-        self.instances
+    /// Returns the digests of the upstreams that take no connection, to be told to the
+    /// others.
+    pub fn told_suspects(&self) -> Vec<u64> {
+        self.digests(|tracked| tracked.suspected_since.is_some())
+    }
+
+    /// Returns the digests of the upstreams at which runs have lately failed here, to be
+    /// told to the others.
+    pub fn told_failing(&self, now: Instant) -> Vec<u64> {
+        self.digests(|tracked| tracked.is_avoided(now))
+    }
+
+    fn digests(&self, fits: impl Fn(&Tracked) -> bool) -> Vec<u64> {
+        let fitting = self.instances.values().filter(|tracked| fits(tracked));
+        fitting.map(|tracked| tracked.digest).collect()
+    }
+
+    /// Returns a number that changes with the upstreams' entries, so that entries can tell
+    /// whether they know the same.
+    pub fn entries_digest(&self) -> u64 {
+        let known = self
+            .instances
             .values()
-            .filter(|tracked| tracked.suspected_since.is_some() || tracked.is_avoided(now))
-            .map(|tracked| tracked.digest)
-            .collect()
+            .filter(|tracked| tracked.departed_at.is_none());
+        known.fold(0, |digest, tracked| {
+            let state = u64::from(tracked.instance.state == InstanceState::Draining);
+            digest ^ XxHash64::oneshot(state, &tracked.digest.to_be_bytes())
+        })
     }
 }
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -10,14 +10,25 @@
 //! | [`repeat_budget`] | whether a request may be sent once more | retry storms |
 //! | [`comeback`] | when a rejected client comes back | bursts above capacity |
 //! | [`events`] | which events of a stream are passed on | torn and doubled events |
+//! | [`spread`], [`pace`] | whom an entry tells what it knows, and when | fleets of any size, lost messages |
+//! | [`claims`] | who holds a duty for all | killed, frozen and cut-off entries |
+//! | [`follow_duty`] | who follows the store | a store with few calls, or that turns some away |
+//! | [`planner_turn`] | who gives orders when nobody does | a planner that is lost or held up |
+//! | [`entry_log`] | what of the upstreams' entries is new to another entry | many changes at once |
 //! | [`silence`] | when a silent stream is given up | dark and cut-off parts |
 
+pub mod claims;
 pub mod comeback;
+pub mod entry_log;
 pub mod events;
+pub mod follow_duty;
 pub mod instances;
 pub mod layer_path;
-pub mod planner_watch;
+pub mod pace;
+pub mod planner_turn;
+pub mod rendezvous;
 pub mod repeat_budget;
 pub mod routes;
 pub mod service_choice;
 pub mod silence;
+pub mod spread;
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -9,8 +9,8 @@
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::instances::Suspicion;
+use jujubewall_routing::fleet::instances::ToldBeliefs;
 use jujubewall_routing::fleet::instances::ToldWork;
-use jujubewall_routing::fleet::instances::Work;
 use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathPart;
@@ -135,6 +135,17 @@
         Ok(path)
     }
 
+    fn tell(&mut self, peer: &str, work: &[ToldWork], suspects: &[u64], failing: &[u64]) {
+        let told = ToldBeliefs {
+            work,
+            suspects,
+            failing,
+            lifetime: Duration::from_secs(1),
+        };
+        let peer = MemberName::new(peer).unwrap();
+        self.table.on_told(&peer, &told, self.now);
+    }
+
     fn domain_of(&self, path: &LayerPath) -> String {
         let first = self.table.get(path.parts[0].instance).unwrap();
         first.instance.failure_domain.to_string()
@@ -188,22 +199,9 @@
 fn test_work_told_by_other_entries_counts_until_they_fall_silent() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
     let mut other = Fleet::with_copies(&["a", "b"]);
-    for _ in 0..3 {
-        other.begin().unwrap();
-    }
-    let peer = MemberName::new("other").unwrap();
-    let told: Vec<ToldWork> = other.table.told_work();
-    let full: Vec<ToldWork> = told
-        .iter()
-        .map(|told| ToldWork {
-            instance: told.instance,
-            work: Work {
-                token_layers: 1e12,
-                ..told.work
-            },
-        })
-        .collect();
-    fleet.table.on_told_work(&peer, &full, &[], fleet.now);
+    while other.begin().is_ok() {}
+    let told = other.table.told_work();
+    fleet.tell("other", &told, &[], &[]);
     assert_eq!(fleet.choose(&[], false), Err(NoPath::NoRoom));
     fleet.table.expire_peers(fleet.now + Duration::from_secs(2));
     assert!(fleet.choose(&[], false).is_ok());
@@ -375,25 +373,52 @@
     let mut teller = Fleet::with_copies(&["a", "b"]);
     let doubted = teller.keys["a-0"];
     teller.table.note_failed_run(doubted, teller.now);
-    let doubts = teller.table.told_doubts(teller.now);
+    let doubts = teller.table.told_failing(teller.now);
     let is_doubted = |fleet: &Fleet| {
         let tracked = fleet.table.get(fleet.keys["a-0"]).unwrap();
         fleet.table.is_doubted(tracked, fleet.now)
     };
-    let tell = |fleet: &mut Fleet, peer: &str, doubts: &[u64]| {
-        let peer = MemberName::new(peer).unwrap();
-        fleet.table.on_told_work(&peer, &[], doubts, fleet.now);
-    };
-    tell(&mut fleet, "one", &doubts);
-    tell(&mut fleet, "two", &[]);
+    fleet.tell("one", &[], &[], &doubts);
+    fleet.tell("two", &[], &[], &[]);
     assert!(!is_doubted(&fleet));
-    tell(&mut fleet, "two", &doubts);
+    fleet.tell("two", &[], &[], &doubts);
     assert!(is_doubted(&fleet));
     let all: Vec<u64> = (0..8).chain(doubts.iter().copied()).collect();
-    tell(&mut fleet, "two", &all);
+    fleet.tell("two", &[], &[], &all);
+    assert!(!is_doubted(&fleet));
+    // The same for an engine that takes no connection.
+    fleet.tell("one", &[], &doubts, &[]);
+    assert!(!is_doubted(&fleet));
+    fleet.tell("two", &[], &doubts, &[]);
+    assert!(is_doubted(&fleet));
+    fleet.tell("two", &[], &all, &[]);
     assert!(!is_doubted(&fleet));
 }
 
+/// Replays a fleet of a hundred entries, in which a run fails somewhere at any time: two
+/// of them barred an engine for all.
+#[test]
+fn test_failures_at_a_few_of_many_entries_bar_no_engine_for_all() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let mut teller = Fleet::with_copies(&["a", "b"]);
+    let key = teller.keys["a-0"];
+    teller.table.note_failed_run(key, teller.now);
+    let failing = teller.table.told_failing(teller.now)[0];
+    let is_doubted = |fleet: &Fleet| {
+        let tracked = fleet.table.get(fleet.keys["a-0"]).unwrap();
+        fleet.table.is_doubted(tracked, fleet.now)
+    };
+    for peer in 0..102 {
+        let failing: &[u64] = if peer < 4 { &[failing] } else { &[] };
+        fleet.tell(&format!("other-{peer}"), &[], &[], failing);
+    }
+    assert!(!is_doubted(&fleet));
+    for peer in 4..10 {
+        fleet.tell(&format!("other-{peer}"), &[], &[], &[failing]);
+    }
+    assert!(is_doubted(&fleet));
+}
+
 #[test]
 fn test_new_life_under_an_old_id_starts_without_work_and_suspicion() {
     let mut fleet = Fleet::with_copies(&["a"]);
