paths: prefer the own domain, draw among near costs, expect what others send

Cause: all gateways took the cheapest path by work that had been told up to two seconds before, in the same order everywhere. After all gateways have started anew, nobody has told of any work, and the cheapest copy is given nearly all streams at once.

Change: a gateway prefers the engines of its own domain, spills over in an order of its own, varies costs by a draw, and counts what others that choose alike will have sent since they told. The tokens of an event come from the configuration (they were taken for two).

--- a/daemon/src/gateway/path.rs
+++ b/daemon/src/gateway/path.rs
@@ -8,9 +8,12 @@
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
+use jujubewall_routing::fleet::layer_path::PathChoice;
+use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::layer_path::choose_path;
 use jujubewall_routing::fleet::layer_path::part_work;
+use jujubewall_routing::fleet::rendezvous;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::layer::LayerRange;
 use log::info;
@@ -35,8 +38,9 @@
     /// Counts a stream's work from now on.
     pub fn new(gateway: &Rc<Gateway>, path: LayerPath, need: StreamNeed) -> Self {
         let mut instances = gateway.instances_mut();
+        let now = Instant::now();
         for part in &path.parts {
-            instances.begin_work(part.instance, &part_work(&need, part));
+            instances.begin_work(part.instance, &part_work(&need, part), now);
         }
         drop(instances);
         Self {
@@ -105,9 +109,20 @@
 ) -> Result<ChosenPath, NoPath> {
     let instances = gateway.instances();
     let now = Instant::now();
-    let service = &request.service.name;
-    let may_cross = gateway.may_cross_domains(spec);
-    let path = choose_path(&instances, service, spec, need, excluded, may_cross, now)?;
+    let settings = gateway.settings();
+    let choice = PathChoice {
+        service: &request.service.name,
+        spec,
+        need,
+        excluded,
+        may_cross: gateway.may_cross_domains(spec),
+        preference: Preference {
+            own_domain: Some(&settings.failure_domain),
+            entry: rendezvous::key(settings.peer_address),
+            draw: gateway.draw(),
+        },
+    };
+    let path = choose_path(&instances, &choice, now)?;
     if path.crossings > 0 {
         gateway.note_crossing();
     }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -31,7 +31,6 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
-use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -152,9 +151,14 @@
 /// Starts to tell and to listen.
 pub fn start(gateway: &Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    spawn_local(tell_loop(Rc::clone(gateway), Rc::clone(&socket)));
-    spawn_local(listen_loop(Rc::clone(gateway), socket));
-    spawn_local(relay_loop(Rc::clone(gateway)));
+    let telling = Rc::clone(&socket);
+    gateway.spawn_loop("tell", move |gateway| {
+        tell_loop(gateway, Rc::clone(&telling))
+    });
+    gateway.spawn_loop("listen", move |gateway| {
+        listen_loop(gateway, Rc::clone(&socket))
+    });
+    gateway.spawn_loop("relay", relay_loop);
 }
 
 async fn tell_loop(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
@@ -318,6 +322,9 @@
         sleep(RELAY_INTERVAL).await;
         decide_duty(&gateway);
         let now = Instant::now();
+        let own_domain = gateway.settings().failure_domain.clone();
+        let sharing = gateway.peers.spread().sharing(own_domain, now);
+        gateway.instances_mut().set_sharing(sharing);
         let newer = {
             let version = gateway.config_version();
             let mut spread = gateway.peers.spread.borrow_mut();
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -23,6 +23,7 @@
 use jujubewall_types::fleet::Service;
 use smol_str::SmolStr;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::gateway::answer::strip_connection_headers;
 
@@ -30,6 +31,16 @@
 /// no upstream can answer within it.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
+/// The shortest time without an event after which a client leaves, by the platform's
+/// protocol.
+const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The objectives to the first event after which a client leaves, by the same.
+const PATIENCE_IN_TARGETS: u32 = 4;
+
+/// The pauses that a route allows after which a client leaves, by the same.
+const PATIENCE_IN_GAPS: u32 = 8;
+
 /// The priority of the platform's scale that the least urgent routes get.
 const MAX_PRIORITY: u32 = 9;
 
@@ -72,14 +83,21 @@
     TooLarge,
     /// The client stopped sending.
     Cut,
+    /// The client took longer than its route allows.
+    TooSlow,
 }
 
-/// Reads a body of at most `max_bytes`.
-pub async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyFault> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
-        Err(_) => Err(BodyFault::Cut),
+/// Reads a body of at most `max_bytes` within `limit`.
+pub async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    limit: Duration,
+) -> Result<Bytes, BodyFault> {
+    match timeout(limit, Limited::new(body, max_bytes).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
+        Ok(Err(_)) => Err(BodyFault::Cut),
+        Err(_) => Err(BodyFault::TooSlow),
     }
 }
 
@@ -116,6 +134,16 @@
         }
     }
 
+    /// Returns the time without an event after which the client leaves, by the platform's
+    /// protocol.
+    pub fn client_patience(&self) -> Duration {
+        let target = Duration::from_millis(self.route.target_latency_ms);
+        let gap = Duration::from_millis(self.route.target_gap_ms);
+        MIN_CLIENT_PATIENCE
+            .max(target * PATIENCE_IN_TARGETS)
+            .max(gap * PATIENCE_IN_GAPS)
+    }
+
     /// Returns the time that is left, or `None` if no upstream can answer within it.
     pub fn time_left(&self) -> Option<Duration> {
         let left = self.give_up_at.checked_duration_since(Instant::now())?;
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -21,6 +21,8 @@
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::layer_path::NoPath;
+use jujubewall_routing::fleet::layer_path::PathChoice;
+use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::layer_path::choose_rest;
 use jujubewall_routing::fleet::silence;
@@ -45,9 +47,6 @@
 use crate::gateway::upstreams::Connection;
 use crate::gateway::upstreams::SendFault;
 
-/// The tokens that one event of a stream holds at least.
-const TOKENS_PER_EVENT: f64 = 2.0;
-
 /// The time between two questions to the first engine of a silent path.
 const ASK_INTERVAL: Duration = Duration::from_millis(350);
 
@@ -110,7 +109,10 @@
     request_id: SmolStr,
     expected_gap: Duration,
     has_begun: bool,
-    last_bytes_at: Option<Instant>,
+    last_event_at: Option<Instant>,
+    /// The time that this run has been waited for since its last whole event.
+    silence: Duration,
+    client_patience: Duration,
     is_queued: bool,
     may_move: bool,
     connection: Option<Connection>,
@@ -140,7 +142,7 @@
         let need = need_after(request, spec, last_event_id);
         let chosen = path::choose(gateway, request, spec, &need, excluded);
         let chosen = chosen.map_err(RunFault::NoPath)?;
-        let expected_gap = event_gap(chosen.path.token_ms);
+        let expected_gap = event_gap(spec, chosen.path.token_ms);
         let mut run = Self {
             work: CountedPath::new(gateway, chosen.path, need),
             service: request.service.name.clone(),
@@ -151,7 +153,9 @@
             request_id: request.id.clone(),
             expected_gap,
             has_begun: false,
-            last_bytes_at: None,
+            last_event_at: None,
+            silence: Duration::ZERO,
+            client_patience: request.client_patience(),
             is_queued: false,
             may_move: request.route.is_resumable,
             connection: None,
@@ -212,13 +216,16 @@
     /// Checks the head of the answer.
     async fn accept(mut self, answer: Response<Incoming>) -> Result<Self, RunFault> {
         let (head, body) = answer.into_parts();
-        if headers::says_not_run(head.status, &head.headers) {
+        let answered = headers::request_id(&head.headers);
+        let is_others = answered.as_ref().is_some_and(|id| *id != self.request_id);
+        // A late copy of another request's refusal says nothing of this one.
+        if !is_others && headers::says_not_run(head.status, &head.headers) {
             return Err(RunFault::NotRun(
                 self.note_faulty(&head.headers, head.status),
             ));
         }
-        let is_own = headers::request_id(&head.headers).is_some_and(|id| id == self.request_id)
-            && head.headers.contains_key(headers::RESPONSE_STAMP);
+        let is_own =
+            !is_others && answered.is_some() && head.headers.contains_key(headers::RESPONSE_STAMP);
         if !is_own {
             warn!(
                 "event=foreign_answer id={} upstream={} status={}",
@@ -274,7 +281,6 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
-                    self.note_bytes();
                     self.body = Some(body);
                     return Ok(RunStep::Bytes(bytes));
                 }
@@ -289,9 +295,10 @@
         }
     }
 
-    /// Notes that the whole path lives, and how often its tokens come.
-    fn note_bytes(&mut self) {
+    /// Notes that whole events have come: the whole path lives. Single bytes prove nothing.
+    pub fn note_events(&mut self) {
         let now = Instant::now();
+        self.silence = Duration::ZERO;
         let mut instances = self.work.gateway.instances_mut();
         let keys = self.work.path.parts.iter().map(|part| part.instance);
         instances.note_alive(keys, now);
@@ -300,7 +307,7 @@
             instances.note_sound_run(self.first);
         }
         drop(instances);
-        if let Some(last) = self.last_bytes_at.replace(now) {
+        if let Some(last) = self.last_event_at.replace(now) {
             let gap = now - last;
             self.expected_gap =
                 self.expected_gap.mul_f64(1.0 - GAP_WEIGHT) + gap.mul_f64(GAP_WEIGHT);
@@ -341,20 +348,26 @@
     /// Waits for `future`, and looks into the path when it is silent for long.
     async fn with_patience<T>(&mut self, future: impl Future<Output = T>) -> Result<T, RunFault> {
         let mut future = pin!(future);
-        let mut silent_since = Instant::now();
+        let mut waiting_since = Instant::now();
         let mut asked_at: Option<Instant> = None;
         loop {
-            tokio::select! {
+            let output = tokio::select! {
                 biased;
-                output = future.as_mut() => return Ok(output),
-                () = self.work.gateway.suspicions.notified() => {}
-                () = sleep(silence::LOOK_INTERVAL) => {}
+                output = future.as_mut() => Some(output),
+                () = self.work.gateway.suspicions.notified() => None,
+                () = sleep(silence::LOOK_INTERVAL) => None,
+            };
+            let now = Instant::now();
+            self.silence += now - std::mem::replace(&mut waiting_since, now);
+            if let Some(output) = output {
+                return Ok(output);
             }
             let lost = self.lost_part();
             let stream = SilentStream {
                 has_begun: self.has_begun,
-                silence: silent_since.elapsed(),
+                silence: self.silence,
                 expected_gap: self.expected_gap,
+                client_patience: self.client_patience,
                 path: match lost {
                     Some(_) => PathState::PartLost,
                     None if self.is_queued => PathState::Queued,
@@ -378,7 +391,7 @@
                             }
                         }
                     }
-                    silent_since = Instant::now();
+                    self.silence = Duration::ZERO;
                 }
                 SilenceStep::AskFirst => {
                     probe::look_into_parts(&self.work.gateway, &self.work.keys());
@@ -404,20 +417,25 @@
     async fn repath(&mut self) -> bool {
         let gateway = Rc::clone(&self.work.gateway);
         let lost = self.lost_parts();
-        if !self.has_begun || lost.contains(&self.first) || self.repaths >= MAX_REPATHS {
+        // Without a part that is known as lost, the same path would be chosen again.
+        let may_repath = self.has_begun && !lost.is_empty() && !lost.contains(&self.first);
+        if !may_repath || self.repaths >= MAX_REPATHS {
             return false;
         }
         let chosen = {
             let instances = gateway.instances();
-            let path = choose_rest(
-                &instances,
-                &self.service,
-                &self.spec,
-                &self.work.need,
-                &self.work.path,
-                &lost,
-                Instant::now(),
-            );
+            let choice = PathChoice {
+                service: &self.service,
+                spec: &self.spec,
+                need: &self.work.need,
+                excluded: &lost,
+                may_cross: false,
+                preference: Preference {
+                    draw: gateway.draw(),
+                    ..Preference::default()
+                },
+            };
+            let path = choose_rest(&instances, &choice, &self.work.path, Instant::now());
             path.map(|path| (path::path_text(&instances, &path), path))
         };
         let Some((text, path)) = chosen else {
@@ -485,17 +503,17 @@
 }
 
 /// Returns the expected time between two events.
-fn event_gap(token_ms: f64) -> Duration {
-    Duration::from_secs_f64(TOKENS_PER_EVENT * token_ms / 1_000.0)
+fn event_gap(spec: &EngineSpec, token_ms: f64) -> Duration {
+    Duration::from_secs_f64(spec.tokens_per_event * token_ms / 1_000.0)
 }
 
 /// Returns what the rest of a stream needs: the events so far are read again.
 fn need_after(request: &ClientRequest, spec: &EngineSpec, last: Option<u64>) -> StreamNeed {
     let mut need = request.need(spec);
     if let Some(last) = last {
-        let written = last as f64 * TOKENS_PER_EVENT;
+        let written = last as f64 * spec.tokens_per_event;
         need.prompt_tokens += written;
-        need.answer_tokens = (need.answer_tokens - written).max(TOKENS_PER_EVENT);
+        need.answer_tokens = (need.answer_tokens - written).max(spec.tokens_per_event);
     }
     need
 }
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -279,6 +279,7 @@
                 if events.is_empty() {
                     return Ok(None);
                 }
+                run.note_events();
                 self.timing.on_events(self.request.received_at);
                 Ok(Some(Next::Events(events)))
             }
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -23,13 +23,17 @@
 use tokio::time::Instant;
 use twox_hash::XxHash64;
 
+mod recent;
 mod told;
 
+use self::recent::RecentWork;
+pub use self::recent::Sharing;
 use self::told::PeerWork;
 pub use self::told::ToldBeliefs;
 pub use self::told::ToldLayers;
 pub use self::told::ToldSlowdown;
 pub use self::told::ToldWork;
+use self::told::TotalWork;
 
 new_key_type! {
     /// The key of one life of an upstream.
@@ -90,8 +94,8 @@
 
 impl Work {
     fn add(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.first_requests += other.first_requests;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.first_requests = self.first_requests.saturating_add(other.first_requests);
         self.token_layers += other.token_layers;
     }
 
@@ -131,6 +135,7 @@
     /// Whether the layers are newer than the entry.
     has_reported_layers: bool,
     own: Work,
+    recent: RecentWork,
     departed_at: Option<Instant>,
     leaving_since: Option<Instant>,
     suspected_since: Option<Instant>,
@@ -151,6 +156,7 @@
             instance,
             has_reported_layers: false,
             own: Work::default(),
+            recent: RecentWork::new(now),
             departed_at: None,
             leaving_since: None,
             suspected_since: None,
@@ -230,6 +236,9 @@
     by_id: BTreeMap<SmolStr, InstanceKey>,
     by_service: HashMap<ServiceName, Vec<InstanceKey>>,
     peers: HashMap<MemberName, PeerWork>,
+    /// The work of all other entries, by half of the upstream's digest.
+    told_totals: HashMap<u32, TotalWork>,
+    sharing: Sharing,
 }
 
 impl InstanceTable {
@@ -506,7 +515,8 @@
     }
 
     /// Counts work that this entry has given to an upstream.
-    pub fn begin_work(&mut self, key: InstanceKey, work: &Work) {
+    pub fn begin_work(&mut self, key: InstanceKey, work: &Work, now: Instant) {
+        self.note_recent(key, work, now);
         if let Some(tracked) = self.instances.get_mut(key) {
             tracked.own.add(work);
         }
--- a/routing/src/fleet/instances/told.rs
+++ b/routing/src/fleet/instances/told.rs
@@ -3,7 +3,6 @@
 //! The work that other entries have in flight is told by them, since an upstream's own
 //! report lags and all entries would herd after it.
 
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -46,14 +45,6 @@
             token_layer_steps: (work.token_layers / TOKEN_LAYERS_PER_STEP).ceil() as u32,
         }
     }
-
-    fn work(&self) -> Work {
-        Work {
-            requests: self.requests,
-            first_requests: self.first_requests,
-            token_layers: f64::from(self.token_layer_steps) * TOKEN_LAYERS_PER_STEP,
-        }
-    }
 }
 
 /// Returns the lower half of a digest, which tells thousands of upstreams apart: two that
@@ -94,11 +85,41 @@
     pub factor: f64,
 }
 
+/// The work of all other entries at one upstream, kept up as they tell.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct TotalWork {
+    pub(super) requests: u64,
+    first_requests: u64,
+    token_layer_steps: u64,
+}
+
+impl TotalWork {
+    fn add(&mut self, told: &ToldWork) {
+        self.requests += u64::from(told.requests);
+        self.first_requests += u64::from(told.first_requests);
+        self.token_layer_steps += u64::from(told.token_layer_steps);
+    }
+
+    fn remove(&mut self, told: &ToldWork) {
+        self.requests -= u64::from(told.requests);
+        self.first_requests -= u64::from(told.first_requests);
+        self.token_layer_steps -= u64::from(told.token_layer_steps);
+    }
+
+    fn work(&self) -> Work {
+        Work {
+            requests: u32::try_from(self.requests).unwrap_or(u32::MAX),
+            first_requests: u32::try_from(self.first_requests).unwrap_or(u32::MAX),
+            token_layers: self.token_layer_steps as f64 * TOKEN_LAYERS_PER_STEP,
+        }
+    }
+}
+
 /// What an entry has told of its work.
 #[derive(Debug)]
 pub(super) struct PeerWork {
     counts_until: Instant,
-    work: HashMap<u32, Work>,
+    work: Vec<ToldWork>,
     /// The digests of the upstreams that took no connection from the entry.
     pub(super) suspects: HashSet<u64>,
     /// The digests of the upstreams at which the entry's runs failed.
@@ -148,7 +169,12 @@
     pub fn on_told_slowdowns(&mut self, told: &[ToldSlowdown]) {
         for tracked in self.instances.values_mut() {
             let slow = told.iter().find(|told| told.instance == tracked.digest);
-            tracked.slowdown = slow.map_or(1.0, |told| told.factor);
+            let factor = slow.map_or(1.0, |told| told.factor);
+            tracked.slowdown = if factor.is_finite() {
+                factor.max(1.0)
+            } else {
+                1.0
+            };
         }
     }
 
@@ -172,48 +198,63 @@
         };
         let told = PeerWork {
             counts_until: now + told.lifetime,
-            work: told
-                .work
-                .iter()
-                .map(|told| (told.instance, told.work()))
-                .collect(),
+            work: told.work.to_vec(),
             suspects: credible(told.suspects),
             failing: credible(told.failing),
         };
-        self.peers.insert(peer.clone(), told);
+        for told in &told.work {
+            self.told_totals.entry(told.instance).or_default().add(told);
+        }
+        if let Some(before) = self.peers.insert(peer.clone(), told) {
+            self.forget_told(&before);
+        }
+    }
+
+    /// Takes what an entry told out of the totals.
+    fn forget_told(&mut self, before: &PeerWork) {
+        for told in &before.work {
+            if let Some(total) = self.told_totals.get_mut(&told.instance) {
+                total.remove(told);
+            }
+        }
     }
 
     /// Forgets what entries told that have told nothing newer for a while.
     pub fn expire_peers(&mut self, now: Instant) {
-        self.peers.retain(|_, peer| now < peer.counts_until);
+        let overdue: Vec<MemberName> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now >= peer.counts_until)
+            .map(|(member, _)| member.clone())
+            .collect();
+        for member in overdue {
+            if let Some(before) = self.peers.remove(&member) {
+                self.forget_told(&before);
+            }
+        }
+        // Upstreams at which nobody has work, or which are gone.
+        self.told_totals.retain(|_, total| total.requests > 0);
     }
 
     /// Returns this entry's share of what all entries may use together: half of it in
     /// equal parts, and half by the work in flight, since clients spread unevenly.
     pub fn own_share(&self) -> f64 {
-        let own: u32 = self
+        let own: u64 = self
             .instances
             .values()
-            .map(|known| known.own.requests)
-            .sum();
-        let others: u32 = self
-            .peers
-            .values()
-            .flat_map(|peer| peer.work.values())
-            .map(|work| work.requests)
+            .map(|known| u64::from(known.own.requests))
             .sum();
+        let others: u64 = self.told_totals.values().map(|total| total.requests).sum();
         let equal = 1.0 / (self.peers.len() + 1) as f64;
-        let by_work = f64::from(own) / f64::from((own + others).max(1));
+        let by_work = own as f64 / (own + others).max(1) as f64;
         f64::midpoint(equal, by_work)
     }
 
     /// Returns the work that all entries have in flight at an upstream.
     pub fn total_work(&self, tracked: &Tracked) -> Work {
         let mut total = tracked.own;
-        for peer in self.peers.values() {
-            if let Some(work) = peer.work.get(&half(tracked.digest)) {
-                total.add(work);
-            }
+        if let Some(told) = self.told_totals.get(&half(tracked.digest)) {
+            total.add(&told.work());
         }
         total
     }
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -5,6 +5,11 @@
 //! that has no memory left for the context of the whole stream, or no place for
 //! another first part, is not considered: preempted context is read again, at
 //! the cost of every stream beside it.
+//!
+//! What other entries have in flight is known late, so entries that all took the
+//! cheapest path would take the same one. Each therefore prefers the engines of its own
+//! failure domain, whose load it knows soonest, spills over to the others in an order of
+//! its own, and draws among paths of nearly the same cost.
 
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::id::FailureDomainName;
@@ -12,6 +17,7 @@
 use jujubewall_types::layer::LayerRange;
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use twox_hash::XxHash64;
 
 use super::instances::InstanceKey;
 use super::instances::InstanceTable;
@@ -55,6 +61,17 @@
 /// entries tell each other is a few hundred milliseconds old.
 const MAX_SLOT_SHARE: f64 = 0.85;
 
+/// The factor on the cost of a path outside the entry's own failure domain, at least: it
+/// is taken once the own domain is crowded by as much more.
+const MIN_FOREIGN_FACTOR: f64 = 1.25;
+
+/// What an entry adds to that factor by its own order of the other domains, at most.
+const FOREIGN_FACTOR_SPREAD: f64 = 0.3;
+
+/// The part of its cost by which an engine's cost is varied at each choice, at most. Costs
+/// differ by this much within the time in which work is told.
+const DRAW_SPREAD: f64 = 0.25;
+
 /// The cost of an engine that fails every request, in seconds.
 const FAILURE_COST_S: f64 = 10.0;
 
@@ -74,6 +91,59 @@
     }
 }
 
+/// How an entry chooses among paths of nearly the same cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Preference<'a> {
+    /// The failure domain whose engines the entry prefers; `None` prefers none.
+    pub own_domain: Option<&'a FailureDomainName>,
+    /// A number of the entry's own, from which its order of the other domains follows.
+    pub entry: u64,
+    /// A number drawn for this choice; zero varies no cost.
+    pub draw: u64,
+}
+
+impl Preference<'_> {
+    /// Returns the factor on the cost of an engine.
+    fn factor(&self, candidate: &Candidate<'_>) -> f64 {
+        let varied = if self.draw == 0 {
+            1.0
+        } else {
+            let id = candidate.tracked.instance.id.as_bytes();
+            1.0 + DRAW_SPREAD * unit(XxHash64::oneshot(self.draw, id))
+        };
+        let domain = &candidate.tracked.instance.failure_domain;
+        match self.own_domain {
+            Some(own) if own != domain => {
+                let order = unit(XxHash64::oneshot(self.entry, domain.as_str().as_bytes()));
+                varied * (MIN_FOREIGN_FACTOR + FOREIGN_FACTOR_SPREAD * order)
+            }
+            _ => varied,
+        }
+    }
+}
+
+/// Maps a number to the range from zero to one.
+fn unit(number: u64) -> f64 {
+    number as f64 / u64::MAX as f64
+}
+
+/// A stream for which a path is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct PathChoice<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Its engines.
+    pub spec: &'a EngineSpec,
+    /// What the stream is expected to need.
+    pub need: &'a StreamNeed,
+    /// Engines that have failed it before.
+    pub excluded: &'a [InstanceKey],
+    /// Whether the path may leave a failure domain.
+    pub may_cross: bool,
+    /// How the entry chooses among paths of nearly the same cost.
+    pub preference: Preference<'a>,
+}
+
 /// One part of a path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PathPart {
@@ -130,7 +200,10 @@
     key: InstanceKey,
     tracked: &'a Tracked,
     layers: LayerRange,
+    /// The work that is known of.
     work: Work,
+    /// The work with what others are expected to have given since they told of theirs.
+    expected: Work,
     memory_mb: f64,
     step_factor: f64,
     prompt_factor: f64,
@@ -140,20 +213,17 @@
 
 /// Chooses the path of one stream.
 ///
-/// `excluded` are engines that have failed it before. Engines of which there are
-/// doubts are used only if there is no path without them. A path that leaves a
-/// failure domain is the last resort, and only if `may_cross`: a few streams that
-/// do fill the link for all.
+/// Engines that are expected to be full by now, or of which there are doubts, are used only
+/// if there is no path without them. A
+/// path that leaves a failure domain is the last resort: a few streams that do fill the
+/// link for all.
 pub fn choose_path(
     table: &InstanceTable,
-    service: &ServiceName,
-    spec: &EngineSpec,
-    need: &StreamNeed,
-    excluded: &[InstanceKey],
-    may_cross: bool,
+    choice: &PathChoice<'_>,
     now: Instant,
 ) -> Result<LayerPath, NoPath> {
-    let candidates = candidates(table, service, spec, excluded);
+    let PathChoice { spec, need, .. } = *choice;
+    let candidates = candidates(table, choice.service, spec, choice.excluded, now);
     let with_room: Vec<&Candidate<'_>> = candidates
         .iter()
         .filter(|candidate| candidate.has_room(spec, need))
@@ -163,14 +233,26 @@
         .filter(|candidate| !table.is_doubted(candidate.tracked, now))
         .copied()
         .collect();
-    for usable in [&trusted, &with_room] {
-        if let Ok(path) = cheapest(usable, spec, need, 0, now)
-            && (may_cross || path.crossings == 0)
+    let roomy: Vec<&Candidate<'_>> = trusted
+        .iter()
+        .filter(|candidate| candidate.is_expected_to_have_room(spec, need))
+        .copied()
+        .collect();
+    let search = Search {
+        spec,
+        need,
+        from: 0,
+        preference: choice.preference,
+        now,
+    };
+    for usable in [&roomy, &trusted, &with_room] {
+        if let Ok(path) = search.cheapest(usable)
+            && (choice.may_cross || path.crossings == 0)
         {
             return Ok(path);
         }
     }
-    Err(why_none(&candidates, spec, need, now))
+    Err(search.why_none(&candidates))
 }
 
 /// Returns how many streams a second may leave a failure domain over all entries.
@@ -180,28 +262,27 @@
     MAX_LINK_SHARE * spec.domain_link_mbps * 1_000_000.0 / bits.max(1.0)
 }
 
-/// Chooses the rest of a path anew, behind its first part.
+/// Chooses the rest of a path anew, behind its first part and without the excluded engines.
 ///
 /// Parts of the old path keep their memory, so they are kept wherever they lie. The
 /// new ones read all tokens so far, as do those of every other stream that the lost
 /// part broke: a tail of the path that is replaced for the sake of its load holds all
 /// of them up for several hundred milliseconds. Activations of all tokens so far pass
-/// to the new parts, so none of them may lie in another failure domain. Returns `None`
-/// if there is no such path.
+/// to the new parts, so none of them may lie in another failure domain. The streams that
+/// lost the same part spread over its stand-ins by the draw, since all of them choose in
+/// the same moment. Returns `None` if there is no such path.
 pub fn choose_rest(
     table: &InstanceTable,
-    service: &ServiceName,
-    spec: &EngineSpec,
-    need: &StreamNeed,
+    choice: &PathChoice<'_>,
     old: &LayerPath,
-    lost: &[InstanceKey],
     now: Instant,
 ) -> Option<LayerPath> {
+    let PathChoice { spec, need, .. } = *choice;
     let first = old.parts.first()?.clone();
     let domain = &table.get(first.instance)?.instance.failure_domain;
-    let mut excluded: SmallVec<[InstanceKey; 8]> = SmallVec::from_slice(lost);
+    let mut excluded: SmallVec<[InstanceKey; 8]> = SmallVec::from_slice(choice.excluded);
     excluded.push(first.instance);
-    let mut candidates = candidates(table, service, spec, &excluded);
+    let mut candidates = candidates(table, choice.service, spec, &excluded, now);
     candidates.retain(|candidate| candidate.tracked.instance.failure_domain == *domain);
     let was_part = |key: InstanceKey| old.parts.iter().any(|part| part.instance == key);
     // An engine that is to run other layers than before reads the stream again, so that
@@ -224,7 +305,17 @@
             .iter()
             .filter(|candidate| was_part(candidate.key) || candidate.has_room(spec, need))
             .collect();
-        if let Ok(mut rest) = cheapest(&usable, spec, need, first.layers.end, now) {
+        let search = Search {
+            spec,
+            need,
+            from: first.layers.end,
+            preference: Preference {
+                draw: choice.preference.draw,
+                ..Preference::default()
+            },
+            now,
+        };
+        if let Ok(mut rest) = search.cheapest(&usable) {
             rest.parts.insert(0, first);
             return (rest.parts.len() <= MAX_PARTS).then_some(rest);
         }
@@ -237,90 +328,95 @@
     service: &ServiceName,
     spec: &EngineSpec,
     excluded: &[InstanceKey],
+    now: Instant,
 ) -> Vec<Candidate<'a>> {
     table
         .of_service(service)
         .filter(|(key, tracked)| tracked.is_usable() && !excluded.contains(key))
-        .filter_map(|(key, tracked)| Candidate::new(table, spec, key, tracked))
+        .filter_map(|(key, tracked)| Candidate::new(table, spec, key, tracked, now))
         .collect()
 }
 
-/// Tells whether more room would have given a path.
-fn why_none(
-    candidates: &[Candidate<'_>],
-    spec: &EngineSpec,
-    need: &StreamNeed,
+/// The search for the cheapest path from a layer on.
+struct Search<'a> {
+    spec: &'a EngineSpec,
+    need: &'a StreamNeed,
+    from: u32,
+    preference: Preference<'a>,
     now: Instant,
-) -> NoPath {
-    let all: Vec<&Candidate<'_>> = candidates.iter().collect();
-    match cheapest(&all, spec, need, 0, now) {
-        Ok(path) if path.crossings > 0 => NoPath::OnlyAcrossDomains,
-        Ok(_) => NoPath::NoRoom,
-        Err(layer) => NoPath::LayerMissing(layer),
-    }
 }
 
-/// Returns the cheapest path from layer `from` on.
-fn cheapest(
-    candidates: &[&Candidate<'_>],
-    spec: &EngineSpec,
-    need: &StreamNeed,
-    from: u32,
-    now: Instant,
-) -> Result<LayerPath, u32> {
-    let mut domains: SmallVec<[&FailureDomainName; 4]> = SmallVec::new();
-    let mut edges = Vec::with_capacity(candidates.len());
-    for candidate in candidates {
-        let name = &candidate.tracked.instance.failure_domain;
-        let domain = domains.iter().position(|known| *known == name);
-        let domain = domain.unwrap_or_else(|| {
-            domains.push(name);
-            domains.len() - 1
-        });
-        let layers = candidate.layers_with_place(spec);
-        // The search starts at layer zero, so the layers are counted from `from`.
-        let layers = LayerRange::new(
-            layers.first.saturating_sub(from),
-            layers.end.saturating_sub(from),
-        );
-        edges.push(PathEdge {
-            layers,
-            domain,
-            cost_per_layer_s: candidate.cost_per_layer_s(spec, need),
-            cost_per_stage_s: need.answer_tokens * STAGE_DELAY_MS / 1_000.0
-                + FAILURE_COST_S * candidate.tracked.failure_rate(now),
-        });
-    }
-    let links = DomainLinks {
-        crossing_s: CROSSING_COST_S,
-    };
-    let layer_count = spec.layer_count.saturating_sub(from);
-    let hops = cheapest_path(&edges, layer_count, domains.len(), &links)?;
-    let hops = merge_revisits(&hops);
-    if hops.len() > MAX_PARTS {
-        return Err(hops[MAX_PARTS].layers.first);
+impl Search<'_> {
+    /// Tells whether more room would have given a path.
+    fn why_none(&self, candidates: &[Candidate<'_>]) -> NoPath {
+        let all: Vec<&Candidate<'_>> = candidates.iter().collect();
+        match self.cheapest(&all) {
+            Ok(path) if path.crossings > 0 => NoPath::OnlyAcrossDomains,
+            Ok(_) => NoPath::NoRoom,
+            Err(layer) => NoPath::LayerMissing(layer),
+        }
     }
-    let token_ms = hops
-        .iter()
-        .map(|hop| {
-            let candidate = candidates[hop.edge];
-            let layer_ms = candidate.step_ms_per_layer(spec, need.context_tokens());
-            STAGE_DELAY_MS + f64::from(hop.layers.len()) * layer_ms
+
+    /// Returns the cheapest path, or the first layer that none reaches.
+    fn cheapest(&self, candidates: &[&Candidate<'_>]) -> Result<LayerPath, u32> {
+        let Self {
+            spec, need, from, ..
+        } = *self;
+        let mut domains: SmallVec<[&FailureDomainName; 4]> = SmallVec::new();
+        let mut edges = Vec::with_capacity(candidates.len());
+        for candidate in candidates {
+            let name = &candidate.tracked.instance.failure_domain;
+            let domain = domains.iter().position(|known| *known == name);
+            let domain = domain.unwrap_or_else(|| {
+                domains.push(name);
+                domains.len() - 1
+            });
+            let layers = candidate.layers_with_place(spec);
+            // The search starts at layer zero, so the layers are counted from `from`.
+            let layers = LayerRange::new(
+                layers.first.saturating_sub(from),
+                layers.end.saturating_sub(from),
+            );
+            let factor = self.preference.factor(candidate);
+            edges.push(PathEdge {
+                layers,
+                domain,
+                cost_per_layer_s: factor * candidate.cost_per_layer_s(spec, need),
+                cost_per_stage_s: need.answer_tokens * STAGE_DELAY_MS / 1_000.0
+                    + FAILURE_COST_S * candidate.tracked.failure_rate(self.now),
+            });
+        }
+        let links = DomainLinks {
+            crossing_s: CROSSING_COST_S,
+        };
+        let layer_count = spec.layer_count.saturating_sub(from);
+        let hops = cheapest_path(&edges, layer_count, domains.len(), &links)?;
+        let hops = merge_revisits(&hops);
+        if hops.len() > MAX_PARTS {
+            return Err(hops[MAX_PARTS].layers.first);
+        }
+        let token_ms = hops
+            .iter()
+            .map(|hop| {
+                let candidate = candidates[hop.edge];
+                let layer_ms = candidate.step_ms_per_layer(spec, need.context_tokens());
+                STAGE_DELAY_MS + f64::from(hop.layers.len()) * layer_ms
+            })
+            .sum();
+        let crossings = hops
+            .windows(2)
+            .filter(|pair| edges[pair[0].edge].domain != edges[pair[1].edge].domain)
+            .count();
+        let parts = hops.iter().map(|hop| PathPart {
+            instance: candidates[hop.edge].key,
+            layers: LayerRange::new(hop.layers.first + from, hop.layers.end + from),
+        });
+        Ok(LayerPath {
+            parts: parts.collect(),
+            token_ms,
+            crossings,
         })
-        .sum();
-    let crossings = hops
-        .windows(2)
-        .filter(|pair| edges[pair[0].edge].domain != edges[pair[1].edge].domain)
-        .count();
-    let parts = hops.iter().map(|hop| PathPart {
-        instance: candidates[hop.edge].key,
-        layers: LayerRange::new(hop.layers.first + from, hop.layers.end + from),
-    });
-    Ok(LayerPath {
-        parts: parts.collect(),
-        token_ms,
-        crossings,
-    })
+    }
 }
 
 impl<'a> Candidate<'a> {
@@ -329,6 +425,7 @@
         spec: &EngineSpec,
         key: InstanceKey,
         tracked: &'a Tracked,
+        now: Instant,
     ) -> Option<Self> {
         let instance = &tracked.instance;
         let layers = instance.layers?;
@@ -338,6 +435,7 @@
             tracked,
             layers,
             work: table.total_work(tracked),
+            expected: table.expected_work(tracked, now),
             memory_mb: accelerator.memory_mb,
             step_factor: accelerator.step_factor * tracked.slowdown(),
             prompt_factor: accelerator.prompt_factor * tracked.slowdown(),
@@ -347,10 +445,19 @@
 
     /// Returns whether the context of the whole stream fits beside the others.
     fn has_room(&self, spec: &EngineSpec, need: &StreamNeed) -> bool {
+        self.fits_beside(&self.work, spec, need)
+    }
+
+    /// The same with what others are expected to have given.
+    fn is_expected_to_have_room(&self, spec: &EngineSpec, need: &StreamNeed) -> bool {
+        self.fits_beside(&self.expected, spec, need)
+    }
+
+    fn fits_beside(&self, work: &Work, spec: &EngineSpec, need: &StreamNeed) -> bool {
         let layers = f64::from(self.layers.len());
         let free_bytes = (self.memory_mb - layers * spec.layer_mb).max(0.0) * 1_000_000.0;
         let free_token_layers = MAX_CONTEXT_SHARE * free_bytes / spec.token_layer_bytes();
-        self.work.token_layers + need.context_tokens() * layers <= free_token_layers
+        work.token_layers + need.context_tokens() * layers <= free_token_layers
     }
 
     /// Returns the layers for which the engine takes another request.
@@ -372,7 +479,7 @@
     /// carries about the part of them that the engine's layers make up.
     fn step_ms_per_layer(&self, spec: &EngineSpec, context_tokens: f64) -> f64 {
         let share = f64::from(self.layers.len()) / f64::from(spec.layer_count);
-        let batch = 1.0 + f64::from(self.work.requests) * share;
+        let batch = 1.0 + f64::from(self.expected.requests) * share;
         let per_request_ms = spec.step_per_request_ms
             + spec.step_per_context_kilotoken_ms * context_tokens / 1_000.0;
         let step_ms = (spec.step_ms + batch * per_request_ms) * self.step_factor;
@@ -392,7 +499,7 @@
         let read_ms = 1_000.0 * need.prompt_tokens / spec.prompt_tokens_per_s * self.prompt_factor
             / f64::from(spec.layer_count);
         let usual_crowd = CROWD_SHARE_OF_SLOTS * f64::from(spec.slots.max(1));
-        let crowd = 1.0 + f64::from(self.work.requests) / usual_crowd;
+        let crowd = 1.0 + f64::from(self.expected.requests) / usual_crowd;
         (decode_ms + read_ms) * crowd / 1_000.0
     }
 }
--- a/routing/src/fleet/service_choice.rs
+++ b/routing/src/fleet/service_choice.rs
@@ -53,10 +53,11 @@
         }
         any_usable = true;
         let slots = f64::from(tracked.instance.slots.max(1));
-        let calls_per_slot = f64::from(table.total_work(tracked).requests) / slots;
-        if calls_per_slot >= MAX_CALLS_PER_SLOT {
+        // What others are only expected to have sent fills no upstream.
+        if f64::from(table.total_work(tracked).requests) / slots >= MAX_CALLS_PER_SLOT {
             continue;
         }
+        let calls_per_slot = f64::from(table.expected_work(tracked, now).requests) / slots;
         let load = calls_per_slot + FAILURE_WEIGHT * tracked.failure_rate(now);
         let tie = draw.rotate_left(u32::try_from(index % 64).unwrap_or(0));
         let is_better = best.is_none_or(|(known, known_tie, _)| {
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -30,10 +30,10 @@
 /// The factor on the expected time between events that a sound path rarely exceeds.
 const USUAL_SPREAD: f64 = 4.0;
 
-/// The silence after which a path is given up although its first engine answers and
-/// has no queue: clients leave after two seconds, and another path needs some of that
-/// time. A full engine's requests are not sent to the next one, which is full as well.
-const MAX_SILENCE: Duration = Duration::from_millis(1_200);
+/// The part of its client's patience after which a silent path is given up although its
+/// first engine answers and has no queue: another path needs the rest of that time. A full
+/// engine's requests are not sent to the next one, which is full as well.
+const MAX_SILENCE_SHARE: f64 = 0.6;
 
 /// What is known of a silent stream.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -44,6 +44,8 @@
     pub silence: Duration,
     /// The expected time between two events.
     pub expected_gap: Duration,
+    /// The time without an event after which the client leaves.
+    pub client_patience: Duration,
     /// What is known of the path.
     pub path: PathState,
     /// Whether the stream may go on over another path.
@@ -83,7 +85,8 @@
             SilenceStep::Wait
         };
     }
-    if stream.silence >= MAX_SILENCE && stream.may_move && stream.path != PathState::Queued {
+    let max_silence = stream.client_patience.mul_f64(MAX_SILENCE_SHARE);
+    if stream.silence >= max_silence && stream.may_move && stream.path != PathState::Queued {
         return SilenceStep::GiveUp;
     }
     let patience = patience(stream);
--- a/routing/src/fleet/spread.rs
+++ b/routing/src/fleet/spread.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::id::MemberName;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -21,6 +22,7 @@
 
 use super::claims::Claim;
 use super::claims::Claims;
+use super::instances::Sharing;
 use super::instances::ToldLayers;
 use super::instances::ToldSlowdown;
 use super::instances::ToldWork;
@@ -304,6 +306,26 @@
             .map(|(address, peer)| (*address, peer))
     }
 
+    /// Returns how many others give work to the same upstreams as this entry does, which is
+    /// of the failure domain `own`.
+    ///
+    /// Those of this domain spill over to the others in orders of their own.
+    pub fn sharing(&self, own: FailureDomainName, now: Instant) -> Sharing {
+        let mut domains: Vec<u64> = self.present(now).map(|(_, peer)| peer.domain).collect();
+        let near = domains.iter().filter(|domain| **domain == self.domain);
+        let near = near.count();
+        domains.sort_unstable();
+        domains.dedup();
+        let others = domains.iter().filter(|domain| **domain != self.domain);
+        Sharing {
+            own_domain: Some(own),
+            near: near as f64,
+            far: near as f64 / others.count().max(1) as f64,
+            // Each ring takes every other message, and beliefs are half a turn old.
+            age: Pace::new(2 * near).turn() / 2,
+        }
+    }
+
     /// Returns the time for which the work that an entry of `domain` told is counted.
     pub fn told_lifetime(&self, domain: u64) -> Duration {
         let ring = self.peers.values();
--- a/routing/tests/test_fleet_decisions.rs
+++ b/routing/tests/test_fleet_decisions.rs
@@ -257,6 +257,7 @@
         has_begun: true,
         silence: Duration::from_millis(silence_ms),
         expected_gap: Duration::from_millis(30),
+        client_patience: Duration::from_secs(2),
         path: PathState::Whole,
         may_move: true,
     }
@@ -270,6 +271,23 @@
     assert_eq!(on_silence(&silent(1_300)), SilenceStep::GiveUp);
 }
 
+/// Replays a slow but sound stream, whose route allows long pauses and whose client waits
+/// for as long: it was led elsewhere after a fixed time.
+#[test]
+fn test_slow_stream_is_not_given_up_while_its_client_waits() {
+    let slow = SilentStream {
+        expected_gap: Duration::from_millis(900),
+        client_patience: Duration::from_secs(8),
+        ..silent(3_000)
+    };
+    assert_eq!(on_silence(&slow), SilenceStep::AskParts);
+    let stalled = SilentStream {
+        silence: Duration::from_secs(5),
+        ..slow
+    };
+    assert_eq!(on_silence(&stalled), SilenceStep::GiveUp);
+}
+
 #[test]
 fn test_lost_part_ends_a_run_within_the_pause_that_clients_accept() {
     let lost = SilentStream {
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -13,7 +13,9 @@
 use jujubewall_routing::fleet::instances::ToldWork;
 use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
+use jujubewall_routing::fleet::layer_path::PathChoice;
 use jujubewall_routing::fleet::layer_path::PathPart;
+use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::layer_path::choose_path;
 use jujubewall_routing::fleet::layer_path::choose_rest;
@@ -90,27 +92,36 @@
     }
 
     fn choose(&self, excluded: &[InstanceKey], may_cross: bool) -> Result<LayerPath, NoPath> {
-        choose_path(
-            &self.table,
-            &name(),
-            &engine_spec(),
-            &NEED,
+        self.choose_by(&Preference::default(), excluded, may_cross)
+    }
+
+    fn choose_by(
+        &self,
+        preference: &Preference<'_>,
+        excluded: &[InstanceKey],
+        may_cross: bool,
+    ) -> Result<LayerPath, NoPath> {
+        let choice = PathChoice {
+            service: &name(),
+            spec: &engine_spec(),
+            need: &NEED,
             excluded,
             may_cross,
-            self.now,
-        )
+            preference: *preference,
+        };
+        choose_path(&self.table, &choice, self.now)
     }
 
     fn choose_rest(&self, old: &LayerPath, lost: &[InstanceKey]) -> Option<LayerPath> {
-        choose_rest(
-            &self.table,
-            &name(),
-            &engine_spec(),
-            &NEED,
-            old,
-            lost,
-            self.now,
-        )
+        let choice = PathChoice {
+            service: &name(),
+            spec: &engine_spec(),
+            need: &NEED,
+            excluded: lost,
+            may_cross: false,
+            preference: Preference::default(),
+        };
+        choose_rest(&self.table, &choice, old, self.now)
     }
 
     /// Returns the path over the engines of domain "a" that hold twenty layers each.
@@ -130,7 +141,7 @@
         let path = self.choose(&[], false)?;
         for part in &path.parts {
             self.table
-                .begin_work(part.instance, &part_work(&NEED, part));
+                .begin_work(part.instance, &part_work(&NEED, part), self.now);
         }
         Ok(path)
     }
@@ -282,7 +293,7 @@
     for _ in 0..30 {
         for part in &old.parts {
             let work = part_work(&NEED, part);
-            fleet.table.begin_work(part.instance, &work);
+            fleet.table.begin_work(part.instance, &work, fleet.now);
         }
     }
     fleet.table.suspect(lost, Evidence::Refused, fleet.now);
@@ -423,7 +434,7 @@
 fn test_new_life_under_an_old_id_starts_without_work_and_suspicion() {
     let mut fleet = Fleet::with_copies(&["a"]);
     let old = fleet.keys["a-0"];
-    fleet.table.begin_work(old, &CALL_WORK);
+    fleet.table.begin_work(old, &CALL_WORK, fleet.now);
     fleet.table.suspect(old, Evidence::Refused, fleet.now);
     let mut instance = fleet.table.by_id("a-0").unwrap().instance.clone();
     instance.born_unix_ms += 1;
@@ -465,7 +476,7 @@
     }
     let slow = fleet.keys["a-0"];
     for _ in 0..6 {
-        fleet.table.begin_work(slow, &CALL_WORK);
+        fleet.table.begin_work(slow, &CALL_WORK, fleet.now);
     }
     let mut chosen: HashMap<InstanceKey, u32> = HashMap::new();
     let end = loop {
@@ -475,7 +486,7 @@
             .sum();
         match choose_upstream(&fleet.table, &name(), &[], draw, fleet.now) {
             Ok(key) => {
-                fleet.table.begin_work(key, &CALL_WORK);
+                fleet.table.begin_work(key, &CALL_WORK, fleet.now);
                 *chosen.entry(key).or_default() += 1;
             }
             Err(end) => break end,
@@ -512,7 +523,7 @@
     assert_eq!(share(&fleet, fleet.now), 0);
     let later = fleet.now + Duration::from_mins(1);
     let other = fleet.keys["a-1"];
-    fleet.table.begin_work(other, &CALL_WORK);
+    fleet.table.begin_work(other, &CALL_WORK, fleet.now);
     assert!(share(&fleet, later) > 0);
 }
 
@@ -539,7 +550,7 @@
 fn test_upstream_without_an_entry_goes_on_with_the_work_it_has() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
     let departed = fleet.keys["a-20"];
-    fleet.table.begin_work(departed, &CALL_WORK);
+    fleet.table.begin_work(departed, &CALL_WORK, fleet.now);
     fleet.table.depart("a-20", fleet.now);
     let path = fleet.choose(&[], true).unwrap();
     assert_eq!(fleet.domain_of(&path), "b");
--- a/testutils/src/engine_spec.rs
+++ b/testutils/src/engine_spec.rs
@@ -23,6 +23,7 @@
         step_ms: 0.85,
         step_per_request_ms: 0.004,
         step_per_context_kilotoken_ms: 0.005,
+        tokens_per_event: 2.0,
         prompt_tokens_per_s: 196_000.0,
         load_s: 14.0,
         max_loads_at_once: 6,
--- a/types/src/fleet.rs
+++ b/types/src/fleet.rs
@@ -112,6 +112,8 @@
     pub step_per_request_ms: f64,
     /// What each thousand tokens of context of a request add to a step.
     pub step_per_context_kilotoken_ms: f64,
+    /// The tokens that a pass writes for each request, which come as one event.
+    pub tokens_per_event: f64,
     /// The prompt tokens that are read a second over all layers.
     pub prompt_tokens_per_s: f64,
     /// The time to load all layers.
