--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -40,7 +40,6 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
-use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -92,7 +91,10 @@
     monitoring::start(&gateway, metrics);
     monitoring::start(&gateway, peer_calls);
     let listening = clients::start(&gateway, clients);
-    spawn_local(reload_settings(Rc::clone(&gateway), path.to_owned()));
+    let path = path.to_owned();
+    gateway.spawn_loop("reload_settings", move |gateway| {
+        reload_settings(gateway, path.clone())
+    });
     wait_for_stop().await?;
     drain(&gateway, &listening).await;
     Ok(())
@@ -124,9 +126,17 @@
     planner::resign(gateway).await;
     sleep(BALANCER_NOTICE.min(grace / 2)).await;
     listening.stop();
+    let stopped_at = Instant::now();
     loop {
         sleep(DRAIN_POLL_INTERVAL).await;
-        match draining.step(Instant::now(), gateway.in_flight()) {
+        // Unused connections have closed; the others still wait for a request or its answer.
+        let waiting = if stopped_at.elapsed() < clients::FIRST_REQUEST_WAIT + DRAIN_POLL_INTERVAL {
+            listening.open()
+        } else {
+            0
+        };
+        let in_flight = gateway.in_flight().max(waiting);
+        match draining.step(Instant::now(), in_flight) {
             DrainStep::Wait(waiting) => draining = waiting,
             DrainStep::Stop(stopped) => {
                 info!("event=stop cut_off={}", stopped.cut_off());
--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -85,7 +85,8 @@
 
 impl CountedCall {
     fn new(gateway: &Rc<Gateway>, key: InstanceKey) -> Self {
-        gateway.instances_mut().begin_work(key, &CALL_WORK);
+        let now = Instant::now();
+        gateway.instances_mut().begin_work(key, &CALL_WORK, now);
         Self {
             gateway: Rc::clone(gateway),
             key,
@@ -249,11 +250,8 @@
                     return (key, CallEnd::Lost);
                 }
             };
-            let is_own = headers::request_id(answer.headers()).is_some_and(|id| id == request_id);
-            (
-                key,
-                read_answer(&gateway, key, connection, answer, is_own).await,
-            )
+            let end = read_answer(&gateway, key, connection, answer, &request_id).await;
+            (key, end)
         };
         Ok(Box::pin(send))
     }
@@ -366,13 +364,16 @@
     key: InstanceKey,
     connection: Connection,
     answer: Response<Incoming>,
-    is_own: bool,
+    request_id: &str,
 ) -> CallEnd {
     let (head, mut body) = answer.into_parts();
-    if headers::says_not_run(head.status, &head.headers) {
+    let answered = headers::request_id(&head.headers);
+    let is_others = answered.as_ref().is_some_and(|id| id != request_id);
+    // A late copy of another request's refusal says nothing of this one.
+    if !is_others && headers::says_not_run(head.status, &head.headers) {
         return CallEnd::NotRun;
     }
-    if !is_own || !head.headers.contains_key(headers::RESPONSE_STAMP) {
+    if is_others || answered.is_none() || !head.headers.contains_key(headers::RESPONSE_STAMP) {
         warn!("event=foreign_answer status={}", head.status);
         return CallEnd::Lost;
     }
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -1,10 +1,12 @@
 //! Clients' connections and requests.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt as _;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
@@ -23,10 +25,12 @@
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::gateway::answer;
 use crate::gateway::answer::Reply;
@@ -44,6 +48,14 @@
 /// The descriptors that are kept free for upstreams, the store and files.
 const RESERVED_DESCRIPTORS: usize = 1_000;
 
+/// The connections that wait for being accepted at most, by the system's usual limit.
+const MAX_BACKLOG: usize = 4_096;
+
+/// The time for which a connection that has just been accepted may take to send its first
+/// request when the process stops; clients send it at once, over links with up to half a
+/// second of queue.
+pub const FIRST_REQUEST_WAIT: Duration = Duration::from_secs(1);
+
 /// The time beyond the promised one for which an unused connection is kept.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
@@ -56,9 +68,15 @@
 /// The listener for clients.
 pub struct Listening {
     stop: watch::Sender<bool>,
+    open: Rc<Cell<usize>>,
 }
 
 impl Listening {
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// Accepts no further connection, and closes each one after its request.
     pub fn stop(&self) {
         self.stop.send_replace(true);
@@ -68,41 +86,93 @@
 /// Starts to serve clients.
 pub fn start(gateway: &Rc<Gateway>, socket: TcpListener) -> Listening {
     let (stop, stopped) = watch::channel(false);
-    spawn_local(accept_loop(Rc::clone(gateway), socket, stopped));
-    Listening { stop }
+    let open = Rc::new(Cell::new(0));
+    let socket = Rc::new(RefCell::new(Some(Rc::new(socket))));
+    let counted = Rc::clone(&open);
+    gateway.spawn_loop("clients", move |gateway| {
+        let socket = Rc::clone(&socket);
+        let open = Rc::clone(&counted);
+        let stopped = stopped.clone();
+        async move {
+            let listener = socket.borrow().clone();
+            if let Some(listener) = listener {
+                accept_loop(gateway, &listener, open, stopped).await;
+            }
+            // Closes the listener.
+            socket.take();
+        }
+    });
+    Listening { stop, open }
 }
 
 async fn accept_loop(
     gateway: Rc<Gateway>,
-    socket: TcpListener,
+    socket: &TcpListener,
+    open: Rc<Cell<usize>>,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
     loop {
         let accepted = tokio::select! {
-            _ = stopped.wait_for(|stop| *stop) => return,
+            _ = stopped.wait_for(|stop| *stop) => break,
             accepted = socket.accept() => accepted,
         };
-        let max_open = gateway.settings().max_descriptors;
-        let max_open = max_open.saturating_sub(RESERVED_DESCRIPTORS);
         match accepted {
-            Ok((stream, _)) if open.get() < max_open => {
-                open.set(open.get() + 1);
-                let open = Rc::clone(&open);
-                let gateway = Rc::clone(&gateway);
-                let stopped = stopped.clone();
-                spawn_local(async move {
-                    serve_connection(&gateway, stream, stopped).await;
-                    open.set(open.get() - 1);
-                });
-            }
-            Ok(_) => gateway.metrics.count("connection_refused"),
+            Ok((stream, _)) => admit(&gateway, stream, &open, &stopped),
             Err(failure) => {
                 warn!("event=accept_failed reason=\"{failure}\"");
                 sleep(ACCEPT_RETRY_INTERVAL).await;
             }
         }
     }
+    // Connections that were opened before the stop are served like the others.
+    for _ in 0..MAX_BACKLOG {
+        match socket.accept().now_or_never() {
+            Some(Ok((stream, _))) => admit(&gateway, stream, &open, &stopped),
+            Some(Err(failure)) => warn!("event=accept_failed reason=\"{failure}\""),
+            None => return,
+        }
+    }
+}
+
+/// Serves a connection unless too many are open.
+fn admit(
+    gateway: &Rc<Gateway>,
+    stream: TcpStream,
+    open: &Rc<Cell<usize>>,
+    stopped: &watch::Receiver<bool>,
+) {
+    let max_open = gateway.settings().max_descriptors;
+    if open.get() >= max_open.saturating_sub(RESERVED_DESCRIPTORS) {
+        gateway.metrics.count("connection_refused");
+        return;
+    }
+    let open = OpenConnection::new(open);
+    let gateway = Rc::clone(gateway);
+    let stopped = stopped.clone();
+    spawn_local(async move {
+        let _open = open;
+        serve_connection(&gateway, stream, stopped).await;
+    });
+}
+
+/// Counts a connection as open while it exists.
+struct OpenConnection {
+    count: Rc<Cell<usize>>,
+}
+
+impl OpenConnection {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self {
+            count: Rc::clone(count),
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
 }
 
 async fn serve_connection(
@@ -114,7 +184,9 @@
     let _ = stream.set_nodelay(true);
     let limits = limits(gateway);
     let idle = Duration::from_millis(limits.idle_timeout_ms) + IDLE_SLACK;
+    let first_request = Notify::new();
     let service = service_fn(|request| {
+        first_request.notify_one();
         let gateway = Rc::clone(gateway);
         async move { Ok::<_, Infallible>(serve_request(&gateway, request).await) }
     });
@@ -124,12 +196,19 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut is_stopping = false;
+    // A connection that has just been accepted is given time for its first request, since
+    // the library closes one at once that it has read nothing from.
+    let may_close = async {
+        let _ = stopped.wait_for(|stop| *stop).await;
+        let _ = timeout(FIRST_REQUEST_WAIT, first_request.notified()).await;
+    };
+    let mut may_close = std::pin::pin!(may_close);
+    let mut is_closing = false;
     loop {
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = stopped.wait_for(|stop| *stop), if !is_stopping => {
-                is_stopping = true;
+            () = may_close.as_mut(), if !is_closing => {
+                is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
         }
@@ -177,7 +256,9 @@
     };
     gateway.count_request(&service.name);
     let in_flight = gateway.begin_request();
-    let body = match read_body(body, routes.config().limits.max_body_bytes).await {
+    let max_bytes = routes.config().limits.max_body_bytes;
+    let limit = Duration::from_millis(route.timeout_ms);
+    let body = match read_body(body, max_bytes, limit).await {
         Ok(body) => body,
         Err(BodyFault::TooLarge) => {
             return refuse(
@@ -190,6 +271,14 @@
         Err(BodyFault::Cut) => {
             return refuse(&routes, &parts, StatusCode::BAD_REQUEST, "body incomplete");
         }
+        Err(BodyFault::TooSlow) => {
+            return refuse(
+                &routes,
+                &parts,
+                StatusCode::REQUEST_TIMEOUT,
+                "body too slow",
+            );
+        }
     };
     let admission = Admission {
         route,
--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -23,7 +23,6 @@
 use log::info;
 use log::warn;
 use smol_str::SmolStr;
-use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -84,9 +83,11 @@
 
 /// Starts to follow the store.
 pub fn start(gateway: &Rc<Gateway>) {
-    spawn_local(follow(Rc::clone(gateway), ConfigFollower));
-    spawn_local(follow(Rc::clone(gateway), InstanceFollower));
-    spawn_local(forget_missing(Rc::clone(gateway)));
+    gateway.spawn_loop("follow_config", |gateway| follow(gateway, ConfigFollower));
+    gateway.spawn_loop("follow_entries", |gateway| {
+        follow(gateway, InstanceFollower)
+    });
+    gateway.spawn_loop("forget_missing", forget_missing);
 }
 
 async fn follow(gateway: Rc<Gateway>, follower: impl Follower + 'static) {
--- a/daemon/src/gateway/monitoring.rs
+++ b/daemon/src/gateway/monitoring.rs
@@ -37,10 +37,13 @@
 
 /// Starts to answer on a socket.
 pub fn start(gateway: &Rc<Gateway>, socket: TcpListener) {
-    spawn_local(accept_loop(Rc::clone(gateway), socket));
+    let socket = Rc::new(socket);
+    gateway.spawn_loop("monitoring", move |gateway| {
+        accept_loop(gateway, Rc::clone(&socket))
+    });
 }
 
-async fn accept_loop(gateway: Rc<Gateway>, socket: TcpListener) {
+async fn accept_loop(gateway: Rc<Gateway>, socket: Rc<TcpListener>) {
     loop {
         let stream = match socket.accept().await {
             Ok((stream, _)) => stream,
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
@@ -72,9 +73,13 @@
 /// The time that a health check may take; it waits for a free place.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The largest answer that is read: a configuration from a peer, which the platform's
+/// store limits to one megabyte in its own format.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
 /// Starts to ask suspected upstreams until they answer.
 pub fn start(gateway: &Rc<Gateway>) {
-    spawn_local(probe_suspects(Rc::clone(gateway)));
+    gateway.spawn_loop("probe_suspects", probe_suspects);
 }
 
 async fn probe_suspects(gateway: Rc<Gateway>) {
@@ -369,8 +374,15 @@
 ) -> Option<(bool, Bytes)> {
     let answer = connection.send(request(address, path)?).await.ok()?;
     let is_success = answer.status().is_success();
-    let body = answer.into_body().collect().await.ok()?;
-    Some((is_success, body.to_bytes()))
+    // An upstream in trouble may send bytes without end.
+    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+    match body.collect().await {
+        Ok(body) => Some((is_success, body.to_bytes())),
+        Err(failure) => {
+            warn!("event=answer_unreadable address={address} path={path} reason=\"{failure}\"");
+            None
+        }
+    }
 }
 
 fn request(address: SocketAddr, path: &str) -> Option<Request<Full<Bytes>>> {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -34,6 +34,7 @@
 use crate::gateway::peers::Peers;
 use crate::gateway::planner::PlannerState;
 use crate::gateway::upstreams::Connections;
+use crate::supervise::spawn_supervised;
 
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -276,6 +277,20 @@
         }
     }
 
+    /// Runs a task of the gateway that has to go on whatever happens in it.
+    pub fn spawn_loop<F>(self: &Rc<Self>, name: &'static str, run: impl Fn(Rc<Self>) -> F + 'static)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let counting = Rc::clone(self);
+        let gateway = Rc::clone(self);
+        spawn_supervised(
+            name,
+            move || counting.metrics.count("task_failed"),
+            move || run(Rc::clone(&gateway)),
+        );
+    }
+
     /// Counts a client's request for a service.
     pub fn count_request(&self, service: &ServiceName) {
         self.budget.borrow_mut().on_request(service, Instant::now());
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod process;
 pub mod server;
 pub mod settings;
+pub mod supervise;
 pub mod vocabulary;
--- /dev/null
+++ b/daemon/tests/test_gateway_faults.rs
@@ -0,0 +1,326 @@
+//! The gateway before upstreams, clients and peers in trouble.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use jujubewall_testutils::gateway_site::GatewayProcess;
+use jujubewall_testutils::gateway_site::GatewayStart;
+use jujubewall_testutils::gateway_site::Site;
+use jujubewall_testutils::gateway_site::all_events;
+use jujubewall_testutils::gateway_site::neighbour;
+use jujubewall_testutils::gateway_site::request;
+use jujubewall_testutils::gateway_site::stream_request;
+use jujubewall_testutils::gateway_site::wait_until;
+use jujubewall_testutils::raw_runner::RawAnswer;
+use jujubewall_testutils::raw_runner::RawRunner;
+use jujubewall_testutils::site_runner::RunnerFault;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_jujubewalld");
+
+/// The repeated sends that are allowed beside a fifth of the requests, which these
+/// tests never use up.
+const RETRY_BURST: u32 = 200;
+
+/// The memory of the smallest host on the users' sites, in bytes.
+const SMALLEST_HOST_BYTES: u64 = 160 * 1024 * 1024;
+
+async fn start_site() -> Site {
+    Site::start(Path::new(PROGRAM), RETRY_BURST).await
+}
+
+/// Starts a site whose plain service is run by one raw runner.
+async fn start_raw_site(answer: RawAnswer) -> (Site, RawRunner) {
+    let site = start_site().await;
+    let raw = RawRunner::start(&site.store, "raw-0", answer).await;
+    for ledger in ["ledger-0", "ledger-1"] {
+        site.runners.remove_entry(ledger);
+    }
+    wait_until("only the raw runner is known", async || {
+        let log = site.gateway.log();
+        log.contains("event=upstream id=raw-0")
+            && log.contains("event=upstream_gone id=ledger-0")
+            && log.contains("event=upstream_gone id=ledger-1")
+    })
+    .await;
+    (site, raw)
+}
+
+/// Operators' report: a server sent a second copy of an answer, late, on a connection that
+/// was in use again.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_second_copy_of_an_answer_reaches_nobody() {
+    let (site, _raw) = start_raw_site(RawAnswer::CopyFirst).await;
+    for index in 0..6 {
+        let id = format!("q-{index}");
+        let answer = site.send(request("GET", "/stock/", &id)).await.unwrap();
+        let is_own = answer.status() == 200 && answer.body() == format!("answer {id}").as_bytes();
+        let is_unknown = answer.status() == 502 && !answer.headers().contains_key("response-stamp");
+        assert!(is_own || is_unknown, "{id}: {answer:?}");
+    }
+    let log = site.gateway.log();
+    assert!(log.contains("event=foreign_answer"), "{log}");
+}
+
+/// The same with the copy of a refusal: a request that runs was called unrun.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_copy_of_another_requests_refusal_does_not_make_one_unrun() {
+    let site = start_site().await;
+    for upstream in site
+        .engine_ids()
+        .iter()
+        .map(String::as_str)
+        .chain(["ledger-0", "ledger-1"])
+    {
+        site.runners.set_fault(upstream, RunnerFault::RefuseAnother);
+    }
+    for (request, id) in [
+        (request("POST", "/orders/", "o-1"), "o-1"),
+        (request("GET", "/stock/", "q-1"), "q-1"),
+        (stream_request("s-1"), "s-1"),
+    ] {
+        let answer = site.send(request).await.unwrap();
+        assert!(!site.ran(id).is_empty());
+        assert_eq!(answer.status(), 502, "{id}");
+    }
+    assert_eq!(site.ran("o-1").len(), 1);
+}
+
+/// Operators' report: stalled streams that sent a byte now and then never ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_that_only_drips_goes_on_elsewhere_before_its_client_leaves() {
+    let site = start_site().await;
+    for engine in site.engine_ids() {
+        site.runners.set_fault(&engine, RunnerFault::DripAfter(5));
+    }
+    let send = site.send(stream_request("drip"));
+    let mend = async {
+        wait_until("the stream has run", async || !site.ran("drip").is_empty()).await;
+        for engine in site.engine_ids() {
+            site.runners.set_fault(&engine, RunnerFault::None);
+        }
+    };
+    let begun = Instant::now();
+    let (answer, ()) = tokio::join!(send, mend);
+    let answer = answer.unwrap_or_else(|failure| panic!("{failure}: {}", site.gateway.log()));
+    assert_eq!(answer.body(), all_events().as_bytes());
+    // Clients leave after two seconds without an event.
+    assert!(begun.elapsed() < Duration::from_secs(3));
+}
+
+/// Operators' report: servers in trouble send bytes that are no answer until the caller
+/// closes.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_answers_without_end_are_ended_and_cost_no_memory() {
+    for answer in [
+        RawAnswer::EndlessHead,
+        RawAnswer::EndlessNoise,
+        RawAnswer::DrippingNoise,
+    ] {
+        let (site, _raw) = start_raw_site(answer).await;
+        let begun = Instant::now();
+        let sends = (0..8).map(|index| {
+            let id = format!("q-{index}");
+            let site = &site;
+            async move { site.send(request("GET", "/stock/", &id)).await.unwrap() }
+        });
+        for answered in futures_util::future::join_all(sends).await {
+            assert!(answered.status().is_server_error(), "{answer:?}");
+            assert_ne!(answered.status(), 503, "{answer:?}: it was sent");
+        }
+        // The route allows two seconds.
+        assert!(begun.elapsed() < Duration::from_millis(2_500), "{answer:?}");
+        let stream = site.send(stream_request("s-1")).await.unwrap();
+        assert_eq!(stream.body(), all_events().as_bytes(), "{answer:?}");
+        assert!(site.gateway.peak_memory_bytes() < SMALLEST_HOST_BYTES);
+    }
+}
+
+/// A body without end belongs to the answer, so it is passed on; a client that does not
+/// read it must not fill the gateway's memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_body_without_end_that_nobody_reads_costs_no_memory() {
+    let (site, _raw) = start_raw_site(RawAnswer::EndlessBody).await;
+    let mut clients = Vec::new();
+    for index in 0..8 {
+        let mut client = TcpStream::connect(site.gateway.clients).await.unwrap();
+        let head = head("GET", "/stock/", &format!("q-{index}"), 0);
+        client.write_all(head.as_bytes()).await.unwrap();
+        clients.push(client);
+    }
+    sleep(Duration::from_secs(2)).await;
+    assert!(site.gateway.peak_memory_bytes() < SMALLEST_HOST_BYTES);
+    let stream = site.send(stream_request("s-1")).await.unwrap();
+    assert_eq!(stream.body(), all_events().as_bytes());
+}
+
+fn head(method: &str, path: &str, id: &str, length: usize) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: desk.example\r\nauthorization: Bearer key-1\r\n\
+         request-id: {id}\r\ndeadline-ms: 6000\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+/// Reads what comes until a text has come, or the connection ends.
+async fn read_until(client: &mut TcpStream, text: &str) -> String {
+    let mut bytes = Vec::new();
+    loop {
+        let read = timeout(Duration::from_secs(5), client.read_buf(&mut bytes)).await;
+        let read = read.expect("something comes in time").unwrap_or(0);
+        let known = String::from_utf8_lossy(&bytes).into_owned();
+        if read == 0 || known.contains(text) {
+            return known;
+        }
+    }
+}
+
+/// A client that sends its body byte by byte is answered once its route's time is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_client_that_drips_its_body_is_answered_in_time_and_has_not_run() {
+    let site = start_site().await;
+    let mut client = TcpStream::connect(site.gateway.clients).await.unwrap();
+    let begun = Instant::now();
+    let (mut receiver, mut sender) = client.split();
+    sender
+        .write_all(head("POST", "/orders/", "o-slow", 100).as_bytes())
+        .await
+        .unwrap();
+    let drip = async {
+        while sender.write_all(b"b").await.is_ok() {
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    let mut answer = [0; 12];
+    tokio::select! {
+        () = drip => panic!("the connection was closed without an answer"),
+        read = receiver.read_exact(&mut answer) => { read.unwrap(); }
+        () = sleep(Duration::from_secs(5)) => panic!("no answer"),
+    }
+    assert_eq!(&answer, b"HTTP/1.1 408");
+    // The route allows two seconds.
+    assert!(begun.elapsed() < Duration::from_millis(2_500));
+    assert!(site.ran("o-slow").is_empty());
+}
+
+/// Operators' report: during a planned stop, requests that had just been accepted were cut
+/// off without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_connection_accepted_just_before_the_stop_gets_its_answer() {
+    let mut site = start_site().await;
+    site.gateway.terminate().await;
+    // The listener closes about 2.4 s after the signal.
+    sleep(Duration::from_millis(2_200)).await;
+    let mut waiting = Vec::new();
+    for _ in 0..4 {
+        waiting.push(TcpStream::connect(site.gateway.clients).await.unwrap());
+    }
+    // Connections that never send anything do not hold the stop up for long.
+    let silent = TcpStream::connect(site.gateway.clients).await.unwrap();
+    wait_until("the listener is closed", async || {
+        TcpStream::connect(site.gateway.clients).await.is_err()
+    })
+    .await;
+    sleep(Duration::from_millis(300)).await;
+    for (index, client) in waiting.iter_mut().enumerate() {
+        let head = head("GET", "/stock/", &format!("late-{index}"), 0);
+        client.write_all(head.as_bytes()).await.unwrap();
+        let answer = read_until(client, "done").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{index}: {answer:?}");
+    }
+    assert!(site.gateway.ended().await.success());
+    drop(silent);
+}
+
+fn start_second(site: &Site) -> GatewayProcess {
+    GatewayProcess::start(&GatewayStart {
+        program: Path::new(PROGRAM),
+        folder: site.folder.path(),
+        name: "front-2",
+        store: site.store_address(),
+        peers: neighbour(site.gateway.peers),
+        seed: Some(site.gateway.peers),
+        retry_burst: RETRY_BURST,
+    })
+}
+
+/// Operators' report: a process that had been paused acted on a permission that had run out
+/// meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_planner_that_was_paused_plans_again_only_with_its_lease_confirmed() {
+    let mut site = start_site().await;
+    let other = start_second(&site);
+    wait_until("the other gateway has heard the planner", async || {
+        other.is_ready().await && other.log().contains("event=peer ")
+    })
+    .await;
+    site.gateway.pause().await;
+    wait_until("the other gateway plans", async || {
+        other.log().contains("event=planner holds=true")
+    })
+    .await;
+    site.engines.retain(|engine| !engine.id().ends_with("-0"));
+    site.gateway.resume().await;
+    wait_until("the hold-up is noticed", async || {
+        site.gateway.log().contains("event=planner_held_up")
+    })
+    .await;
+    wait_until("a stream is served", async || {
+        let answer = other.send(stream_request("after")).await;
+        answer.is_ok_and(|answer| answer.body() == all_events().as_bytes())
+    })
+    .await;
+    // What the first one did after the pause, it did as the planner that all know.
+    sleep(Duration::from_secs(2)).await;
+    let plans = |log: &str| {
+        let last = log
+            .lines()
+            .rfind(|line| line.contains("event=planner holds="));
+        last.is_some_and(|line| line.contains("holds=true"))
+    };
+    let planners = [plans(&site.gateway.log()), plans(&other.log())];
+    assert_eq!(planners.iter().filter(|plans| **plans).count(), 1);
+}
+
+/// Operators' report: one malformed message took a whole process down.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_malformed_messages_harm_nothing() {
+    let site = start_site().await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let peers: SocketAddr = site.gateway.peers;
+    for len in [0, 1, 7, 100, 1_400, 5_000] {
+        for byte in [0x00, 0x01, 0x7f, 0x80, 0xff] {
+            socket.send_to(&vec![byte; len], peers).await.unwrap();
+        }
+    }
+    for text in [
+        "",
+        "GET\r\n\r\n",
+        "\0\0\0\0\r\n\r\n",
+        "POST /orders/ HTTP/9.9\r\n\r\n",
+    ] {
+        for address in [site.gateway.clients, site.gateway.ready, peers] {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            client.write_all(text.as_bytes()).await.unwrap();
+        }
+    }
+    let query = "/peer/instances?since=-1";
+    let mut client = TcpStream::connect(peers).await.unwrap();
+    let ask = format!("GET {query} HTTP/1.1\r\nhost: peer\r\n\r\n");
+    client.write_all(ask.as_bytes()).await.unwrap();
+    assert!(
+        read_until(&mut client, "\r\n\r\n")
+            .await
+            .starts_with("HTTP/1.1 200")
+    );
+    let answer = site.send(stream_request("s-1")).await.unwrap();
+    assert_eq!(answer.body(), all_events().as_bytes());
+    assert!(site.gateway.is_ready().await);
+}
--- a/http-client/src/client.rs
+++ b/http-client/src/client.rs
@@ -25,7 +25,7 @@
 use crate::error::HttpCallError;
 
 /// The largest reply that is read, in bytes.
-const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 /// The time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -157,6 +157,20 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
+    /// Returns the most memory that the process has used so far, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let id = self.child.id().expect("the process runs");
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        kilobytes.unwrap().trim().parse::<u64>().unwrap() * 1_024
+    }
+
     /// Sends the termination signal.
     ///
     /// # Panics
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -44,6 +44,9 @@
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// The time between two single bytes of a stalled stream.
+const DRIP_INTERVAL: Duration = Duration::from_millis(100);
+
 /// What a runner does wrong with the next requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RunnerFault {
@@ -62,6 +65,10 @@
     Fail,
     /// The answer belongs to another request.
     AnswerAnother,
+    /// The request runs, and a late copy of another one's refusal is answered.
+    RefuseAnother,
+    /// After so many events, single bytes come that end no event.
+    DripAfter(u64),
 }
 
 /// A request that ran.
@@ -407,6 +414,7 @@
             return Err(CutError);
         }
         let mut reply = match fault {
+            RunnerFault::RefuseAnother => not_run(),
             RunnerFault::Fail => plain(500, "failure"),
             _ if path.is_empty() => plain(200, "done"),
             _ => {
@@ -417,7 +425,7 @@
             }
         };
         let request_id = match fault {
-            RunnerFault::AnswerAnother => "another".to_owned(),
+            RunnerFault::AnswerAnother | RunnerFault::RefuseAnother => "another".to_owned(),
             _ => text("request-id"),
         };
         let fields = reply.headers_mut();
@@ -478,6 +486,15 @@
         for id in first..count {
             sleep(EVENT_INTERVAL).await;
             let sent = id - first;
+            if fault == RunnerFault::DripAfter(sent) {
+                while events
+                    .send(Ok(Frame::data(Bytes::from_static(b"d"))))
+                    .is_ok()
+                {
+                    sleep(DRIP_INTERVAL).await;
+                }
+                return;
+            }
             let event = format!("id: {id}\ndata: word\n\n");
             let is_torn = fault == RunnerFault::TornAfter(sent);
             let bytes = if is_torn { &event[..7] } else { &event };
