placement: put one copy of each domain on its fastest engines

Change: where a domain holds several copies, one stands on its fastest engines with 1.3 times the memory of the model, the others share the rest. An engine that comes back fills what a copy misses before it relieves the tightest layers.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -4,6 +4,11 @@
 //! enough memory for context, each engine as many layers as its memory allows
 //! beside an equal amount of context. A lost engine breaks the streams of one copy
 //! only, and the other copies of its domain stand in for its layers.
+//! One copy stands on the fastest engines of its domain, with enough memory beside it for
+//! the context of most streams there. A token passes it in a fraction of the time that
+//! slow engines take for some of its layers, so streams end sooner, hold less context at
+//! a time, and fewer of them are broken when something is lost.
+//!
 //! So a path stays inside its domain, where links are wide, and the loss of a
 //! domain or of an engine leaves whole copies elsewhere. Domains too small for a
 //! copy are joined if they hold one together.
@@ -55,6 +60,10 @@
 /// The memory of a domain, in copies of the model, from which it holds one.
 const MIN_COPIES_OF_MEMORY: f64 = 1.35;
 
+/// The memory of the engines of the fast copy, in copies of the model: the rest of it holds
+/// the context of the streams there.
+const FAST_COPY_OF_MEMORY: f64 = 1.3;
+
 /// An engine as the placement sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacedEngine {
@@ -64,6 +73,8 @@
     pub failure_domain: FailureDomainName,
     /// The memory for weights and context.
     pub memory_mb: f64,
+    /// The factor on the time of its decoding steps.
+    pub step_factor: f64,
     /// The layers that it holds, or will hold when its order is done.
     pub layers: Option<LayerRange>,
     /// Whether an order is being carried out.
@@ -243,43 +254,53 @@
     fn split_all(&self, changes: &mut Vec<Placement>) {
         let whole = LayerRange::new(0, self.spec.layer_count);
         for copies in (1..=self.max_copies()).rev() {
-            let mut planned = Vec::new();
-            let fits = self
-                .deal(copies)
-                .iter_mut()
-                .enumerate()
-                .all(|(index, engines)| {
+            let dealt = [self.deal_by_speed(copies), deal(&self.engines, copies)];
+            for mut dealt in dealt {
+                let mut planned = Vec::new();
+                let fits = dealt.iter_mut().enumerate().all(|(index, engines)| {
                     if index % 2 == 1 {
                         engines.reverse();
                     }
                     self.split_among(whole, engines, &mut planned)
                 });
-            if fits {
-                changes.append(&mut planned);
-                return;
+                if fits {
+                    changes.append(&mut planned);
+                    return;
+                }
             }
         }
     }
 
+    /// Deals the fastest engines to one copy, and the others evenly to the rest.
+    fn deal_by_speed(&self, copies: usize) -> Vec<Vec<&PlacedEngine>> {
+        if copies < 2 {
+            return deal(&self.engines, copies);
+        }
+        let mut by_speed = self.engines.clone();
+        // Those of equal speed stay in the order of their memory.
+        by_speed.sort_by(|a, b| a.step_factor.total_cmp(&b.step_factor));
+        let needed_mb = FAST_COPY_OF_MEMORY * self.copy_mb();
+        let mut memory_mb = 0.0;
+        let fast = by_speed.iter().take_while(|engine| {
+            let is_needed = memory_mb < needed_mb;
+            memory_mb += engine.memory_mb;
+            is_needed
+        });
+        let (fast, slow) = by_speed.split_at(fast.count());
+        let mut dealt = vec![fast.to_vec()];
+        dealt.extend(deal(slow, copies - 1));
+        dealt
+    }
+
+    fn copy_mb(&self) -> f64 {
+        self.spec.layer_mb * f64::from(self.spec.layer_count)
+    }
+
     /// Returns the number of copies that leave enough memory for context.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn max_copies(&self) -> usize {
         let memory_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
-        let copy_mb = self.spec.layer_mb * f64::from(self.spec.layer_count);
-        ((MAX_COPIES_SHARE * memory_mb / copy_mb) as usize).max(1)
-    }
-
-    /// Deals the engines, largest first, to the copy with the least memory so far.
-    fn deal(&self, copies: usize) -> Vec<Vec<&PlacedEngine>> {
-        let mut dealt: Vec<(f64, Vec<&PlacedEngine>)> = vec![(0.0, Vec::new()); copies];
-        for engine in &self.engines {
-            let smallest = dealt.iter_mut().min_by(|a, b| a.0.total_cmp(&b.0));
-            if let Some((memory_mb, engines)) = smallest {
-                *memory_mb += engine.memory_mb;
-                engines.push(engine);
-            }
-        }
-        dealt.into_iter().map(|(_, engines)| engines).collect()
+        ((MAX_COPIES_SHARE * memory_mb / self.copy_mb()) as usize).max(1)
     }
 
     /// Splits a range of missing layers by memory. Returns whether it fits.
@@ -464,22 +485,25 @@
             .max_by_key(|(engine, layers)| self.fair_layers(engine).saturating_sub(layers.len()))
     }
 
-    /// Gives engines that hold nothing the layers with the least room for context.
+    /// Gives engines that hold nothing layers that some copy misses, or else those with the
+    /// least room for context.
     fn relieve(&self, empty: &[&PlacedEngine], changes: &mut Vec<Placement>) {
         let mut room = self.context_room();
+        let mut depth = self.depth();
         for engine in empty {
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let wanted = (self.layer_share(engine).round() as u32).max(1);
-            let len = wanted
-                .min(self.max_layers(engine))
-                .min(self.spec.layer_count);
+            let most = self.max_layers(engine).min(self.spec.layer_count);
+            let thin = longest_below(&depth, self.copies());
+            let len = wanted.max(thin.len()).min(most);
             if len == 0 {
                 continue;
             }
-            let layers = tightest(&room, len);
+            let layers = tightest(&room, len, thin);
             let added_mb = self.free_mb(engine, layers.len()) / f64::from(layers.len());
             for layer in layers.first..layers.end {
                 room[layer as usize] += added_mb;
+                depth[layer as usize] += 1;
             }
             changes.push(Placement {
                 id: engine.id.clone(),
@@ -509,6 +533,19 @@
     }
 }
 
+/// Deals the engines, largest first, to the copy with the least memory so far.
+fn deal<'a>(engines: &[&'a PlacedEngine], copies: usize) -> Vec<Vec<&'a PlacedEngine>> {
+    let mut dealt: Vec<(f64, Vec<&PlacedEngine>)> = vec![(0.0, Vec::new()); copies];
+    for engine in engines {
+        let smallest = dealt.iter_mut().min_by(|a, b| a.0.total_cmp(&b.0));
+        if let Some((memory_mb, engines)) = smallest {
+            *memory_mb += engine.memory_mb;
+            engines.push(engine);
+        }
+    }
+    dealt.into_iter().map(|(_, engines)| engines).collect()
+}
+
 /// Returns an engine's memory as a weight for splitting layers.
 ///
 /// The weight is large beside the number of layers, so that rounding does not
@@ -518,16 +555,36 @@
     (engine.memory_mb.max(0.0) * 1_000.0) as u64
 }
 
-/// Returns the range of `len` layers whose layers have the least room together.
-fn tightest(room: &[f64], len: u32) -> LayerRange {
+/// Returns the longest range of layers that fewer than `copies` engines hold.
+fn longest_below(depth: &[u32], copies: u32) -> LayerRange {
+    let mut longest = LayerRange::new(0, 0);
+    let mut first = 0;
+    for (layer, holders) in depth.iter().enumerate() {
+        let end = bound(layer + 1);
+        if *holders >= copies {
+            first = end;
+        } else if end - first > longest.len() {
+            longest = LayerRange::new(first, end);
+        }
+    }
+    longest
+}
+
+/// Returns the range of `len` layers whose layers have the least room together, of those
+/// that share the most layers with `wanted`.
+fn tightest(room: &[f64], len: u32, wanted: LayerRange) -> LayerRange {
     let len = len as usize;
-    let sums = room
-        .windows(len)
-        .enumerate()
-        .map(|(first, window)| (window.iter().sum::<f64>(), first));
-    let first = sums
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map_or(0, |(_, first)| first);
-    let bound = |layer: usize| u32::try_from(layer).unwrap_or(u32::MAX);
+    let windows = room.windows(len).enumerate().map(|(first, window)| {
+        let shared_end = bound(first + len).min(wanted.end);
+        let shared = shared_end.saturating_sub(bound(first).max(wanted.first));
+        (shared, window.iter().sum::<f64>(), first)
+    });
+    let first = windows
+        .min_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)))
+        .map_or(0, |(_, _, first)| first);
     LayerRange::new(bound(first), bound(first + len))
 }
+
+fn bound(layer: usize) -> u32 {
+    u32::try_from(layer).unwrap_or(u32::MAX)
+}
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -100,9 +100,9 @@
 
 /// Starts to plan whenever this gateway holds the lease.
 pub fn start(gateway: &Rc<Gateway>) {
-    spawn_local(hold_lease(Rc::clone(gateway)));
-    spawn_local(plan_loop(Rc::clone(gateway)));
-    spawn_local(watch_slowdowns(Rc::clone(gateway)));
+    gateway.spawn_loop("hold_lease", hold_lease);
+    gateway.spawn_loop("plan", plan_loop);
+    gateway.spawn_loop("watch_slowdowns", watch_slowdowns);
 }
 
 /// Asks all engines how fast they are, which their entries do not say.
@@ -356,6 +356,7 @@
                 id: instance.id.clone(),
                 failure_domain: instance.failure_domain.clone(),
                 memory_mb: accelerator.memory_mb,
+                step_factor: accelerator.step_factor,
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
                 is_slow: tracked.slowdown() >= SLOW_ENGINE,
