budget: take equal parts of the burst, and learn what engines hold that refuse

Each gateway took a part of the common burst that followed from the load it believed in; beliefs of others' load are stale, and just after a start hardly any others are known, so the parts summed to more than the whole. The repeats were asked for because engines still ran the streams of the killed gateways: nobody told of these, so engines seemed empty and refused.

Ruled out: sends that are not counted (every arrival after a refusal takes from the budget).

Change: equal parts by the entries that were heard or named, none of the burst in the first second. An engine that refuses is asked for the context that it holds; what nobody tells of counts for three seconds, in which such streams end.

--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -122,6 +122,27 @@
 pub fn look_into_refusal(gateway: &Rc<Gateway>, key: InstanceKey) {
     ask_whether_reachable(gateway, &[key], BROKEN_INTERVAL, "it refused a path");
     spawn_local(ask_whether_it_leaves(Rc::clone(gateway), key));
+    if gateway.instances_mut().may_ask_load(key, Instant::now()) {
+        spawn_local(ask_load(Rc::clone(gateway), key));
+    }
+}
+
+/// Asks an engine for the context that it holds.
+async fn ask_load(gateway: Rc<Gateway>, key: InstanceKey) {
+    let Some(report) = ask_report_often(&gateway, key).await else {
+        return;
+    };
+    let now = Instant::now();
+    let mut instances = gateway.instances_mut();
+    instances.note_load(key, report.context_token_layers, now);
+    if let Some(tracked) = instances.get(key) {
+        info!(
+            "event=load upstream={} token_layers={:.0} unaccounted={:.0}",
+            tracked.instance.id,
+            report.context_token_layers,
+            instances.unaccounted_token_layers(tracked, now)
+        );
+    }
 }
 
 async fn ask_whether_it_leaves(gateway: Rc<Gateway>, key: InstanceKey) {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -298,7 +298,7 @@
 
     /// Takes one repeated send from the budget, if it allows it.
     pub fn try_repeat(&self, service: &ServiceName) -> bool {
-        let burst_share = self.instances.borrow().own_share();
+        let burst_share = self.peers.spread().equal_share();
         let now = Instant::now();
         let mut budget = self.budget.borrow_mut();
         let may_repeat = budget.try_repeat(service, burst_share, now);
@@ -313,7 +313,7 @@
 
     /// Returns whether this gateway may lead another stream across failure domains.
     pub fn may_cross_domains(&self, spec: &EngineSpec) -> bool {
-        let per_s = crossing_streams_per_s(spec) * self.instances.borrow().own_share();
+        let per_s = crossing_streams_per_s(spec) * self.peers.spread().equal_share();
         self.last_crossing
             .get()
             .is_none_or(|last| last.elapsed().as_secs_f64() * per_s >= 1.0)
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -25,6 +25,7 @@
 
 mod recent;
 mod told;
+mod unaccounted;
 
 use self::recent::RecentWork;
 pub use self::recent::Sharing;
@@ -34,6 +35,7 @@
 pub use self::told::ToldSlowdown;
 pub use self::told::ToldWork;
 use self::told::TotalWork;
+use self::unaccounted::UnaccountedWork;
 
 new_key_type! {
     /// The key of one life of an upstream.
@@ -136,6 +138,7 @@
     has_reported_layers: bool,
     own: Work,
     recent: RecentWork,
+    unaccounted: UnaccountedWork,
     departed_at: Option<Instant>,
     leaving_since: Option<Instant>,
     suspected_since: Option<Instant>,
@@ -157,6 +160,7 @@
             has_reported_layers: false,
             own: Work::default(),
             recent: RecentWork::new(now),
+            unaccounted: UnaccountedWork::new(now),
             departed_at: None,
             leaving_since: None,
             suspected_since: None,
--- a/routing/src/fleet/instances/told.rs
+++ b/routing/src/fleet/instances/told.rs
@@ -236,20 +236,6 @@
         self.told_totals.retain(|_, total| total.requests > 0);
     }
 
-    /// Returns this entry's share of what all entries may use together: half of it in
-    /// equal parts, and half by the work in flight, since clients spread unevenly.
-    pub fn own_share(&self) -> f64 {
-        let own: u64 = self
-            .instances
-            .values()
-            .map(|known| u64::from(known.own.requests))
-            .sum();
-        let others: u64 = self.told_totals.values().map(|total| total.requests).sum();
-        let equal = 1.0 / (self.peers.len() + 1) as f64;
-        let by_work = own as f64 / (own + others).max(1) as f64;
-        f64::midpoint(equal, by_work)
-    }
-
     /// Returns the work that all entries have in flight at an upstream.
     pub fn total_work(&self, tracked: &Tracked) -> Work {
         let mut total = tracked.own;
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -204,6 +204,8 @@
     work: Work,
     /// The work with what others are expected to have given since they told of theirs.
     expected: Work,
+    /// The context beside it that the engine said it holds, in tokens times layers.
+    unaccounted_token_layers: f64,
     memory_mb: f64,
     step_factor: f64,
     prompt_factor: f64,
@@ -436,6 +438,7 @@
             layers,
             work: table.total_work(tracked),
             expected: table.expected_work(tracked, now),
+            unaccounted_token_layers: table.unaccounted_token_layers(tracked, now),
             memory_mb: accelerator.memory_mb,
             step_factor: accelerator.step_factor * tracked.slowdown(),
             prompt_factor: accelerator.prompt_factor * tracked.slowdown(),
@@ -457,7 +460,8 @@
         let layers = f64::from(self.layers.len());
         let free_bytes = (self.memory_mb - layers * spec.layer_mb).max(0.0) * 1_000_000.0;
         let free_token_layers = MAX_CONTEXT_SHARE * free_bytes / spec.token_layer_bytes();
-        work.token_layers + need.context_tokens() * layers <= free_token_layers
+        let held = work.token_layers + self.unaccounted_token_layers;
+        held + need.context_tokens() * layers <= free_token_layers
     }
 
     /// Returns the layers for which the engine takes another request.
--- a/routing/src/fleet/repeat_budget.rs
+++ b/routing/src/fleet/repeat_budget.rs
@@ -2,9 +2,10 @@
 //!
 //! The platform bounds repeated sends over all entries in any span of a fixed
 //! length. Each entry keeps to its part without asking the others: the ratio of
-//! its own requests, and its share of the burst. A process that has just
+//! its own requests, and an equal share of the burst. A process that has just
 //! started knows neither what was sent before nor how many entries there are, so
-//! its part of the burst grows over the first window.
+//! its part of the burst grows over the first window, from the time on in which it
+//! has heard of all entries.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -20,6 +21,9 @@
 /// they are.
 const USED_SHARE: f64 = 0.85;
 
+/// The time after its start in which a process hears of all entries.
+const DISCOVERY: Duration = Duration::from_secs(1);
+
 /// The bounds of repeated sends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatBounds {
@@ -75,7 +79,7 @@
         let buckets = &self.services[service];
         let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = buckets.iter().map(|bucket| bucket.repeats).sum();
-        let age = now.saturating_duration_since(self.started_at);
+        let age = now.saturating_duration_since(self.started_at + DISCOVERY);
         let known_share = (age.as_secs_f64() / bounds.window.as_secs_f64()).min(1.0);
         let burst = known_share * bounds.burst * burst_share;
         let allowed = USED_SHARE * (bounds.ratio * f64::from(requests) + burst);
--- a/routing/src/fleet/spread.rs
+++ b/routing/src/fleet/spread.rs
@@ -306,6 +306,14 @@
             .map(|(address, peer)| (*address, peer))
     }
 
+    /// Returns this entry's part of what all entries may use together: an equal one, so that
+    /// the parts of all are never more than the whole, whatever each believes of the load.
+    ///
+    /// Entries that were only named count as well: just after a start few have been heard.
+    pub fn equal_share(&self) -> f64 {
+        1.0 / (1 + self.peers.len() + self.named.len()) as f64
+    }
+
     /// Returns how many others give work to the same upstreams as this entry does, which is
     /// of the failure domain `own`.
     ///
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -218,6 +218,28 @@
     assert!(fleet.choose(&[], false).is_ok());
 }
 
+/// Replays the moment after all entries have started anew: an engine still holds the context
+/// of streams that nobody tells of, and refuses what seems to fit.
+#[test]
+fn test_engine_that_says_it_is_full_gets_no_stream_until_its_orphans_have_ended() {
+    let mut fleet = Fleet::with_copies(&["a"]);
+    assert!(fleet.choose(&[], false).is_ok());
+    let full = fleet.keys["a-20"];
+    assert!(fleet.table.may_ask_load(full, fleet.now));
+    assert!(!fleet.table.may_ask_load(full, fleet.now));
+    fleet.table.note_load(full, 1e9, fleet.now);
+    assert_eq!(fleet.choose(&[], false), Err(NoPath::NoRoom));
+    fleet.now += Duration::from_secs(4);
+    assert!(fleet.choose(&[], false).is_ok());
+    // What is known of is not counted twice.
+    fleet.begin().unwrap();
+    let tracked = fleet.table.get(full).unwrap();
+    let known = tracked.own_work().token_layers;
+    fleet.table.note_load(full, known, fleet.now);
+    let tracked = fleet.table.get(full).unwrap();
+    assert!(fleet.table.unaccounted_token_layers(tracked, fleet.now) < 1.0);
+}
+
 #[test]
 fn test_suspected_draining_and_excluded_engines_get_no_new_stream() {
     let mut fleet = Fleet::with_copies(&["a", "b", "c"]);
--- a/routing/tests/test_fleet_spread.rs
+++ b/routing/tests/test_fleet_spread.rs
@@ -13,6 +13,8 @@
 use jujubewall_routing::fleet::planner_turn::HoldUpWatch;
 use jujubewall_routing::fleet::planner_turn::PlannerStep;
 use jujubewall_routing::fleet::planner_turn::PlannerTurn;
+use jujubewall_routing::fleet::repeat_budget::RepeatBounds;
+use jujubewall_routing::fleet::repeat_budget::RepeatBudget;
 use jujubewall_routing::fleet::spread::MAX_MESSAGE_BYTES;
 use jujubewall_routing::fleet::spread::PROTOCOL;
 use jujubewall_routing::fleet::spread::Receipt;
@@ -20,6 +22,7 @@
 use jujubewall_routing::fleet::spread::Telling;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
+use jujubewall_types::id::ServiceName;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::Strategy;
 use proptest::prelude::any;
@@ -383,6 +386,58 @@
     }
 }
 
+/// Replays a storm of repeats after all entries were killed: each took a part of the common
+/// burst by the load that it believed in, and together they took it three times.
+#[test]
+fn test_repeats_of_all_entries_stay_within_the_common_budget_after_a_restart() {
+    let size = 103;
+    let mut fleet = Fleet::new(size, 0.02, 41);
+    fleet.run_for(START);
+    for index in 0..size {
+        fleet.restart(index, 2);
+    }
+    let service = ServiceName::new("desk").unwrap();
+    let bounds = RepeatBounds {
+        ratio: 0.2,
+        burst: 390.0,
+        window: Duration::from_secs(10),
+    };
+    let start = fleet.now;
+    let mut budgets: Vec<RepeatBudget> = (0..size)
+        .map(|_| RepeatBudget::new(bounds, start))
+        .collect();
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for step in 0..140_usize {
+        fleet.run_for(Duration::from_millis(100));
+        let now = fleet.now;
+        for (index, budget) in budgets.iter_mut().enumerate() {
+            let share = fleet.entries[index].as_ref().unwrap().spread.equal_share();
+            // About 340 requests a second, most of them at some of the entries.
+            if (index + step) % (1 + index % 5) == 0 {
+                budget.on_request(&service, now);
+                requests.push(now);
+            }
+            while budget.try_repeat(&service, share, now) {
+                repeats.push(now);
+            }
+        }
+    }
+    for step in 0..140 {
+        let from = start + Duration::from_millis(100) * step;
+        let within = |times: &[Instant]| {
+            let times = times.iter();
+            times
+                .filter(|at| **at >= from && **at < from + bounds.window)
+                .count() as f64
+        };
+        let allowed = bounds.ratio * within(&requests) + bounds.burst;
+        let sent = within(&repeats);
+        assert!(sent <= allowed, "{sent} of {allowed} from {step}");
+    }
+    assert!(repeats.len() > 300, "only {} repeats", repeats.len());
+}
+
 /// Replays a store that turns away the entries that follow it, and serves others.
 #[test]
 fn test_entries_that_the_store_turns_away_leave_the_duty_to_others() {
--- a/types/src/fleet.rs
+++ b/types/src/fleet.rs
@@ -238,6 +238,8 @@
     pub slowdown: f64,
     /// The requests that wait for a place.
     pub queued: u32,
+    /// The tokens of context times layers that cannot yield.
+    pub context_token_layers: f64,
     /// The requests that wait for a lost part of their path, with its address.
     pub stalled: SmallVec<[StalledRequest; 4]>,
 }
