gateway: notice lost engines by the events of all streams, and share the reading

Cause: a stream looked into its path after 60 ms or two event gaps, one lost engine was proved in up to 70 ms, and all streams that lost it went to the domain that their gateway prefers, where one path read 33 of them and the other 13. Changes: - The silence of an engine is judged by the events of all streams that pass it. - A second connection is tried beside the first one, and a lost part ends a run at once, also if it was suspected between two waits. - Streams that moved prefer no domain, the tokens that wait for an engine to be read cost, and those with the least to read go first. - A gateway that is told to stop listens while no other one takes requests, takes what certainly ends, and tells the rest when another one is back.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -31,6 +31,7 @@
 
 use eyre::WrapErr as _;
 use jujubewall_platform::site::settings::SiteSettings;
+use jujubewall_routing::fleet::leaving::Leaving;
 use jujubewall_routing::lifecycle::DrainStep;
 use jujubewall_routing::lifecycle::Lifecycle;
 use log::error;
@@ -42,13 +43,10 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::gateway::state::Gateway;
 
-/// The time for which a draining process still accepts connections: the balancer
-/// asks for readiness once a second and needs two misses.
-const BALANCER_NOTICE: Duration = Duration::from_millis(2_400);
-
 /// The time before the kill at which a draining process stops by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
 
@@ -120,11 +118,23 @@
 async fn drain(gateway: &Rc<Gateway>, listening: &clients::Listening) {
     let grace = Duration::from_millis(gateway.settings().bounds.grace_ms());
     let started = Instant::now();
-    let mut draining = Lifecycle::new().drain(started, grace.saturating_sub(STOP_MARGIN));
+    let grace = grace.saturating_sub(STOP_MARGIN);
+    let mut draining = Lifecycle::new().drain(started, grace);
+    let leaving = Leaving::new(started, grace);
     info!("event=drain in_flight={}", gateway.in_flight());
-    gateway.begin_drain();
+    gateway.begin_drain(leaving);
     planner::resign(gateway).await;
-    sleep(BALANCER_NOTICE.min(grace / 2)).await;
+    sleep_until(leaving.notice_end()).await;
+    // A client whose connection is refused finds another gateway at once. If there is none, it
+    // is told here when to come back.
+    let last_stop = started + grace.saturating_sub(clients::FIRST_REQUEST_WAIT);
+    while gateway.streams_in_flight() > 0 && Instant::now() < last_stop {
+        let all_leave_since = gateway.peers.spread().all_leave_since(Instant::now());
+        if all_leave_since.is_none() {
+            break;
+        }
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
     listening.stop();
     let stopped_at = Instant::now();
     loop {
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -18,6 +18,8 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use jujubewall_platform::site::headers;
+use jujubewall_routing::fleet::leaving::Arrival;
+use jujubewall_routing::fleet::leaving::Others;
 use jujubewall_routing::fleet::routes::RouteTable;
 use jujubewall_types::fleet::ClientLimits;
 use jujubewall_types::fleet::RequestKind;
@@ -287,6 +289,10 @@
         config_version: routes.config().version,
     };
     let request = ClientRequest::new(parts, body, &admission, received_at);
+    if let Some(wait) = rejected_for(gateway, &request) {
+        gateway.metrics.count("rejected_leaving");
+        return answer::reject(&request.id, "this gateway is about to stop", wait, 0);
+    }
     match (&service.engine, route.kind) {
         (Some(spec), RequestKind::Stream) => {
             stream::answer(gateway, request, spec.clone(), in_flight).await
@@ -295,6 +301,20 @@
     }
 }
 
+/// Returns the time for which a request is rejected because this gateway stops before it
+/// would certainly have ended.
+fn rejected_for(gateway: &Gateway, request: &ClientRequest) -> Option<Duration> {
+    let leaving = gateway.leaving()?;
+    let now = Instant::now();
+    let longest = request.give_up_at.saturating_duration_since(now);
+    let all_leave_since = gateway.peers.spread().all_leave_since(now);
+    let others = all_leave_since.map_or(Others::Take, Others::LeaveSince);
+    match leaving.on_request(longest, others, now) {
+        Arrival::Taken => None,
+        Arrival::Rejected(wait) => Some(wait),
+    }
+}
+
 /// Answers a request that the configuration does not allow.
 fn refuse(
     routes: &RouteTable,
--- a/daemon/src/gateway/path.rs
+++ b/daemon/src/gateway/path.rs
@@ -9,6 +9,7 @@
 use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathChoice;
+use jujubewall_routing::fleet::layer_path::PathPart;
 use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::layer_path::choose_path;
@@ -32,6 +33,10 @@
     pub path: LayerPath,
     /// What the stream is expected to need.
     pub need: StreamNeed,
+    /// The engines that read the stream's tokens, with tokens times layers.
+    reading: SmallVec<[(InstanceKey, f64); 16]>,
+    /// Whether events of the stream have come over the path.
+    flows: bool,
 }
 
 impl CountedPath {
@@ -47,6 +52,42 @@
             gateway: Rc::clone(gateway),
             path,
             need,
+            reading: SmallVec::new(),
+            flows: false,
+        }
+    }
+
+    /// Counts the stream's tokens as waiting to be read by those parts that `reads` holds
+    /// for.
+    pub fn begin_reading(&mut self, tokens: f64, reads: impl Fn(&PathPart) -> bool) {
+        self.end_reading();
+        let mut instances = self.gateway.instances_mut();
+        for part in self.path.parts.iter().filter(|part| reads(part)) {
+            let token_layers = tokens * f64::from(part.layers.len());
+            instances.begin_reading(part.instance, token_layers);
+            self.reading.push((part.instance, token_layers));
+        }
+    }
+
+    /// Counts the stream's tokens as read.
+    pub fn end_reading(&mut self) {
+        if self.reading.is_empty() {
+            return;
+        }
+        let mut instances = self.gateway.instances_mut();
+        for (key, token_layers) in self.reading.drain(..) {
+            instances.end_reading(key, token_layers);
+        }
+    }
+
+    /// Counts the stream as one whose events pass through the engines of the path.
+    pub fn begin_flow(&mut self) {
+        if std::mem::replace(&mut self.flows, true) {
+            return;
+        }
+        let mut instances = self.gateway.instances_mut();
+        for part in &self.path.parts {
+            instances.begin_flow(part.instance);
         }
     }
 
@@ -58,9 +99,13 @@
 
 impl Drop for CountedPath {
     fn drop(&mut self) {
+        self.end_reading();
         let mut instances = self.gateway.instances_mut();
         for part in &self.path.parts {
             instances.end_work(part.instance, &part_work(&self.need, part));
+            if self.flows {
+                instances.end_flow(part.instance);
+            }
         }
     }
 }
@@ -99,13 +144,15 @@
     pub first_id: SmolStr,
 }
 
-/// Chooses the path of a run by what is believed now.
+/// Chooses the path of a run by what is believed now; of one that `is_moved`, another path
+/// was lost.
 pub fn choose(
     gateway: &Gateway,
     request: &ClientRequest,
     spec: &EngineSpec,
     need: &StreamNeed,
     excluded: &[InstanceKey],
+    is_moved: bool,
 ) -> Result<ChosenPath, NoPath> {
     let instances = gateway.instances();
     let now = Instant::now();
@@ -117,7 +164,8 @@
         excluded,
         may_cross: gateway.may_cross_domains(spec),
         preference: Preference {
-            own_domain: Some(&settings.failure_domain),
+            // All domains share the reading of streams that lost their path.
+            own_domain: (!is_moved).then_some(&settings.failure_domain),
             entry: rendezvous::key(settings.peer_address),
             draw: gateway.draw(),
         },
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -47,16 +47,23 @@
 /// The looks between two questions to an upstream that has long been silent.
 const RARE_PROBE_LOOKS: u32 = 4;
 
-/// The time within which an upstream takes a connection; a round trip is about a
-/// millisecond.
-const REACH_TIMEOUT: Duration = Duration::from_millis(35);
+/// The time within which an upstream takes a connection, in all attempts together; a round
+/// trip is about a millisecond.
+const REACH_TIMEOUT: Duration = Duration::from_millis(30);
+
+/// The time after which a further connection is tried beside one that is not open yet, since
+/// a lossy link may have dropped its first packet.
+const REACH_RETRY: Duration = Duration::from_millis(10);
 
 /// The time by which a timer may be late before the process counts as held up.
 const MAX_HELD_UP: Duration = Duration::from_millis(10);
 
+/// The time between two looks at whether events pass through all engines that streams use.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(8);
+
 /// The time between two questions whether a part of silent paths is reachable: an
 /// engine that was so a moment ago is more likely slow than lost.
-const PART_INTERVAL: Duration = Duration::from_millis(500);
+const PART_INTERVAL: Duration = Duration::from_millis(150);
 
 /// The time between two questions to an upstream whose connections break.
 const BROKEN_INTERVAL: Duration = Duration::from_millis(20);
@@ -80,6 +87,23 @@
 /// Starts to ask suspected upstreams until they answer.
 pub fn start(gateway: &Rc<Gateway>) {
     gateway.spawn_loop("probe_suspects", probe_suspects);
+    gateway.spawn_loop("watch_silence", watch_silence);
+}
+
+/// Looks into engines through which no events pass although streams do.
+async fn watch_silence(gateway: Rc<Gateway>) {
+    loop {
+        let slept_at = Instant::now();
+        sleep(SILENCE_INTERVAL).await;
+        // Events that came while this process was held up are still to be read.
+        if slept_at.elapsed() > SILENCE_INTERVAL + MAX_HELD_UP {
+            continue;
+        }
+        let silent = gateway.instances().silent(Instant::now());
+        if !silent.is_empty() {
+            look_into_parts(&gateway, &silent);
+        }
+    }
 }
 
 async fn probe_suspects(gateway: Rc<Gateway>) {
@@ -187,7 +211,7 @@
         }
     }
     gateway.connections.forget(key);
-    gateway.suspicions.notify_waiters();
+    gateway.announce_suspicion();
     gateway.metrics.count("suspected");
     if let Some(tracked) = gateway.instances().get(key) {
         warn!(
@@ -271,37 +295,57 @@
 
 /// Tries whether an upstream takes a connection within a short time.
 ///
-/// A second connection is tried if the first one is silent, since a lossy link may
-/// have dropped its first packet. With it goes one to `control`, an upstream that has
-/// just shown that it lives: if that is silent too, this process's own link is full or
-/// held up, which says nothing of the upstream.
+/// If none is open soon, a further one is tried, and with it one to `control`, an upstream
+/// that has just shown that it lives: if that is silent too, this process's own link is full
+/// or held up, which says nothing of the upstream.
 async fn reach(address: SocketAddr, control: Option<SocketAddr>) -> Reach {
-    match connect_soon(address).await {
-        Reach::Lost(Evidence::Silent) => {}
-        reached => return reached,
-    }
-    let Some(control) = control else {
-        return connect_soon(address).await;
+    let started = Instant::now();
+    let first = connect(address, REACH_TIMEOUT);
+    let further = async {
+        sleep(REACH_RETRY).await;
+        let limit = REACH_TIMEOUT - REACH_RETRY;
+        let Some(control) = control else {
+            return (connect(address, limit).await, true);
+        };
+        let (reached, control) = tokio::join!(connect(address, limit), connect(control, limit));
+        (reached, control != Connect::Silent)
+    };
+    let (first, (second, is_own_link_sound)) = tokio::select! {
+        first = answered(first) => (first, (Connect::Silent, true)),
+        further = further => (Connect::Silent, further),
     };
-    let (reached, control) = tokio::join!(connect_soon(address), connect_soon(control));
-    match (reached, control) {
-        (Reach::Lost(Evidence::Silent), Reach::Lost(Evidence::Silent) | Reach::Unknown) => {
+    match (first, second) {
+        (Connect::Open, _) | (_, Connect::Open) => Reach::Answers,
+        (Connect::Refused, _) | (_, Connect::Refused) => Reach::Lost(Evidence::Refused),
+        // A process that was held up itself cannot tell who was late.
+        _ if !is_own_link_sound || started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP => {
             Reach::Unknown
         }
-        (reached, _) => reached,
+        _ => Reach::Lost(Evidence::Silent),
     }
 }
 
-async fn connect_soon(address: SocketAddr) -> Reach {
-    let started = Instant::now();
-    match timeout(REACH_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Reach::Answers,
-        Ok(Err(failure)) if failure.kind() == ErrorKind::ConnectionRefused => {
-            Reach::Lost(Evidence::Refused)
-        }
-        // A process that was held up itself cannot tell who was late.
-        Err(_) if started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP => Reach::Unknown,
-        Ok(Err(_)) | Err(_) => Reach::Lost(Evidence::Silent),
+/// What became of one connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Connect {
+    Open,
+    Refused,
+    Silent,
+}
+
+/// Waits for a connection that is opened or refused, and for ever if it is neither.
+async fn answered(connect: impl Future<Output = Connect>) -> Connect {
+    match connect.await {
+        Connect::Silent => std::future::pending().await,
+        answered => answered,
+    }
+}
+
+async fn connect(address: SocketAddr, limit: Duration) -> Connect {
+    match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Connect::Open,
+        Ok(Err(failure)) if failure.kind() == ErrorKind::ConnectionRefused => Connect::Refused,
+        Ok(Err(_)) | Err(_) => Connect::Silent,
     }
 }
 
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -115,6 +115,8 @@
     client_patience: Duration,
     is_queued: bool,
     may_move: bool,
+    /// The suspicions that had arisen when this run last looked for lost parts.
+    known_suspicions: u64,
     connection: Option<Connection>,
     body: Option<Incoming>,
     /// The head of the answer.
@@ -140,11 +142,14 @@
     ) -> Result<Self, RunFault> {
         let left = request.time_left().ok_or(RunFault::NoTime)?;
         let need = need_after(request, spec, last_event_id);
-        let chosen = path::choose(gateway, request, spec, &need, excluded);
+        let is_moved = last_event_id.is_some() || !excluded.is_empty();
+        let chosen = path::choose(gateway, request, spec, &need, excluded, is_moved);
         let chosen = chosen.map_err(RunFault::NoPath)?;
         let expected_gap = event_gap(spec, chosen.path.token_ms);
+        let mut work = CountedPath::new(gateway, chosen.path, need);
+        work.begin_reading(need.prompt_tokens, |_| true);
         let mut run = Self {
-            work: CountedPath::new(gateway, chosen.path, need),
+            work,
             service: request.service.name.clone(),
             spec: Rc::clone(spec),
             repaths: 0,
@@ -158,6 +163,7 @@
             client_patience: request.client_patience(),
             is_queued: false,
             may_move: request.route.is_resumable,
+            known_suspicions: gateway.suspicion_count(),
             connection: None,
             body: None,
             headers: HeaderMap::new(),
@@ -299,14 +305,16 @@
     pub fn note_events(&mut self) {
         let now = Instant::now();
         self.silence = Duration::ZERO;
+        self.work.end_reading();
         let mut instances = self.work.gateway.instances_mut();
         let keys = self.work.path.parts.iter().map(|part| part.instance);
-        instances.note_alive(keys, now);
+        instances.note_alive(keys, self.expected_gap, now);
         if !self.has_begun {
             self.has_begun = true;
             instances.note_sound_run(self.first);
         }
         drop(instances);
+        self.work.begin_flow();
         if let Some(last) = self.last_event_at.replace(now) {
             let gap = now - last;
             self.expected_gap =
@@ -351,11 +359,20 @@
         let mut waiting_since = Instant::now();
         let mut asked_at: Option<Instant> = None;
         loop {
+            let gateway = Rc::clone(&self.work.gateway);
+            let suspicions = gateway.suspicion_count();
+            // Suspicions that arose between two waits have notified nobody here.
+            let wait = if suspicions == self.known_suspicions {
+                silence::next_look(&self.silent_stream(None))
+            } else {
+                Duration::ZERO
+            };
+            self.known_suspicions = suspicions;
             let output = tokio::select! {
                 biased;
                 output = future.as_mut() => Some(output),
-                () = self.work.gateway.suspicions.notified() => None,
-                () = sleep(silence::LOOK_INTERVAL) => None,
+                () = gateway.suspicions.notified() => None,
+                () = sleep(wait) => None,
             };
             let now = Instant::now();
             self.silence += now - std::mem::replace(&mut waiting_since, now);
@@ -363,18 +380,7 @@
                 return Ok(output);
             }
             let lost = self.lost_part();
-            let stream = SilentStream {
-                has_begun: self.has_begun,
-                silence: self.silence,
-                expected_gap: self.expected_gap,
-                client_patience: self.client_patience,
-                path: match lost {
-                    Some(_) => PathState::PartLost,
-                    None if self.is_queued => PathState::Queued,
-                    None => PathState::Whole,
-                },
-                may_move: self.may_move,
-            };
+            let stream = self.silent_stream(lost);
             match silence::on_silence(&stream) {
                 SilenceStep::Wait => {}
                 SilenceStep::AskParts => {
@@ -410,6 +416,22 @@
         }
     }
 
+    /// Describes the run while it gives nothing.
+    fn silent_stream(&self, lost: Option<InstanceKey>) -> SilentStream {
+        SilentStream {
+            has_begun: self.has_begun,
+            silence: self.silence,
+            expected_gap: self.expected_gap,
+            client_patience: self.client_patience,
+            path: match lost {
+                Some(_) => PathState::PartLost,
+                None if self.is_queued => PathState::Queued,
+                None => PathState::Whole,
+            },
+            may_move: self.may_move,
+        }
+    }
+
     /// Leads the run around its lost parts. Returns whether it goes on.
     ///
     /// The parts that are kept need not read the tokens so far again, and the run
@@ -454,7 +476,11 @@
         gateway.metrics.count("repath");
         if is_done {
             let need = self.work.need;
-            self.work = CountedPath::new(&gateway, path, need);
+            let mut work = CountedPath::new(&gateway, path, need);
+            work.begin_reading(need.context_tokens(), |part| {
+                !self.work.path.parts.contains(part)
+            });
+            self.work = work;
         }
         is_done
     }
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use jujubewall_routing::fleet::entry_log::EntryLog;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::crossing_streams_per_s;
+use jujubewall_routing::fleet::leaving::Leaving;
 use jujubewall_routing::fleet::repeat_budget::RepeatBounds;
 use jujubewall_routing::fleet::repeat_budget::RepeatBudget;
 use jujubewall_routing::fleet::routes::RouteTable;
@@ -58,11 +59,13 @@
     comebacks: RefCell<HashMap<ServiceName, Comeback>>,
     rng: RefCell<SmallRng>,
     in_flight: Cell<usize>,
-    is_draining: Cell<bool>,
+    streams_in_flight: Cell<usize>,
+    leaving: Cell<Option<Leaving>>,
     store_link: Cell<StoreLink>,
     entry_log: RefCell<EntryLog>,
     /// Wakes silent streams when an upstream is newly suspected.
     pub suspicions: Notify,
+    suspicion_count: Cell<u64>,
     /// The counters and times.
     pub metrics: GatewayMetrics,
     /// Connections to upstreams.
@@ -93,10 +96,12 @@
             comebacks: RefCell::new(HashMap::new()),
             rng: RefCell::new(rng),
             in_flight: Cell::new(0),
-            is_draining: Cell::new(false),
+            streams_in_flight: Cell::new(0),
+            leaving: Cell::new(None),
             store_link: Cell::new(StoreLink::Up),
             entry_log: RefCell::new(EntryLog::new()),
             suspicions: Notify::new(),
+            suspicion_count: Cell::new(0),
             metrics: GatewayMetrics::new(),
             connections: Connections::new(),
             peers,
@@ -227,6 +232,17 @@
         self.instances.borrow_mut()
     }
 
+    /// Returns the number of times that an upstream was newly suspected.
+    pub fn suspicion_count(&self) -> u64 {
+        self.suspicion_count.get()
+    }
+
+    /// Makes all streams look whether their path passes an upstream that is now suspected.
+    pub fn announce_suspicion(&self) {
+        self.suspicion_count.set(self.suspicion_count.get() + 1);
+        self.suspicions.notify_waiters();
+    }
+
     /// Returns the newest revision of an upstream's entry that was taken over.
     pub fn instances_revision(&self) -> Revision {
         self.instances_revision.get()
@@ -250,17 +266,37 @@
 
     /// Returns whether the gateway takes new connections.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining.get() && self.is_synced.get() && self.routes.borrow().is_some()
+        !self.is_draining() && self.is_synced.get() && self.routes.borrow().is_some()
     }
 
     /// Tells the balancer to send no further connections.
-    pub fn begin_drain(&self) {
-        self.is_draining.set(true);
+    pub fn begin_drain(&self, leaving: Leaving) {
+        self.leaving.set(Some(leaving));
+    }
+
+    /// Returns what this gateway still takes if it is about to stop.
+    pub fn leaving(&self) -> Option<Leaving> {
+        self.leaving.get()
     }
 
     /// Returns whether the gateway is about to stop.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.get()
+        self.leaving.get().is_some()
+    }
+
+    /// Returns the number of streams in progress.
+    pub fn streams_in_flight(&self) -> usize {
+        self.streams_in_flight.get()
+    }
+
+    /// Counts a stream as in progress, or as ended.
+    pub fn count_stream(&self, has_begun: bool) {
+        let count = self.streams_in_flight.get();
+        self.streams_in_flight.set(if has_begun {
+            count + 1
+        } else {
+            count.saturating_sub(1)
+        });
     }
 
     /// Returns the number of requests in progress.
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -50,6 +50,10 @@
 /// about a second.
 const REPAIR_WAIT: Duration = Duration::from_secs(1);
 
+/// The time by which a stream that has lost its run goes behind others for each token that
+/// has to be read again: those with the least to read come first.
+const READ_ORDER_PER_TOKEN: Duration = Duration::from_micros(10);
+
 /// What the relay gives next.
 enum Next {
     /// Whole events.
@@ -109,6 +113,7 @@
         let time = self.request.received_at.elapsed();
         self.gateway.metrics.count_outcome(self.outcome, time);
         self.gateway.note_end(&self.request.service.name);
+        self.gateway.count_stream(false);
         info!(
             "event=end id={} route={} outcome={} sends={} last_event={} first_ms={} longest_gap_ms={} \
              ms={} config={}",
@@ -133,6 +138,7 @@
     in_flight: InFlight,
 ) -> Reply {
     let filter = EventFilter::new(request.last_event_id());
+    gateway.count_stream(true);
     let mut relay = Box::new(Relay {
         gateway: Rc::clone(gateway),
         filter,
@@ -247,6 +253,11 @@
                 continue;
             }
             self.after_fault(fault)?;
+            if let Some(last) = self.filter.last_id() {
+                let need = self.request.need(&self.spec);
+                let tokens = need.prompt_tokens + last as f64 * self.spec.tokens_per_event;
+                sleep(READ_ORDER_PER_TOKEN.mul_f64(tokens)).await;
+            }
         }
     }
 
--- a/routing/src/fleet/follow_duty.rs
+++ b/routing/src/fleet/follow_duty.rs
@@ -139,7 +139,7 @@
                 let surplus_since = is_surplus.then(|| surplus_since.unwrap_or(now));
                 let has_others = spread
                     .present(now)
-                    .any(|(_, peer)| peer.domain == spread.domain() && !peer.is_draining);
+                    .any(|(_, peer)| peer.domain == spread.domain() && peer.leaves_since.is_none());
                 let lasts = |since: Option<Instant>, limit: Duration| {
                     since.is_some_and(|since| now.saturating_duration_since(since) >= limit)
                 };
@@ -185,7 +185,7 @@
     let before = spread
         .present(now)
         .filter(|(address, peer)| {
-            peer.domain == spread.domain() && !peer.is_draining && !is_holder(*address)
+            peer.domain == spread.domain() && peer.leaves_since.is_none() && !is_holder(*address)
         })
         .filter(|(address, _)| rendezvous::score(duty, *address) < own_score)
         .count();
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -19,6 +19,7 @@
 use serde::Serialize;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 use twox_hash::XxHash64;
@@ -70,7 +71,15 @@
 const MAX_DOUBTED_SHARE: f64 = 0.34;
 
 /// The time for which a token that passed through an upstream shows that it lives.
-const ALIVE_FOR: Duration = Duration::from_millis(50);
+const ALIVE_FOR: Duration = Duration::from_millis(20);
+
+/// The usual times between two events of one stream after which the silence of an upstream
+/// is looked into, however few streams pass it.
+const SILENCE_SPREAD: f64 = 1.4;
+
+/// The events of all streams that pass an upstream which are missed before its silence is
+/// looked into.
+const EVENTS_MISSED: f64 = 12.0;
 
 /// The time for which an upstream that gave tokens is expected to take connections:
 /// clients leave after about two seconds of silence, and events come many times as
@@ -137,6 +146,8 @@
     /// Whether the layers are newer than the entry.
     has_reported_layers: bool,
     own: Work,
+    /// The tokens times layers that this entry's streams wait for it to read.
+    unread_token_layers: f64,
     recent: RecentWork,
     unaccounted: UnaccountedWork,
     departed_at: Option<Instant>,
@@ -147,6 +158,9 @@
     avoided_until: Option<Instant>,
     asked_at: Option<Instant>,
     alive_at: Option<Instant>,
+    /// The streams of this entry whose events pass through it.
+    flowing: u32,
+    event_gap: Duration,
     failure_rate: f64,
     failure_rate_at: Instant,
     slowdown: f64,
@@ -159,6 +173,7 @@
             instance,
             has_reported_layers: false,
             own: Work::default(),
+            unread_token_layers: 0.0,
             recent: RecentWork::new(now),
             unaccounted: UnaccountedWork::new(now),
             departed_at: None,
@@ -169,6 +184,8 @@
             avoided_until: None,
             asked_at: None,
             alive_at: None,
+            flowing: 0,
+            event_gap: Duration::ZERO,
             failure_rate: 0.0,
             failure_rate_at: now,
             slowdown: 1.0,
@@ -214,6 +231,11 @@
         &self.own
     }
 
+    /// Returns the tokens times layers that this entry's streams wait for the engine to read.
+    pub const fn unread_token_layers(&self) -> f64 {
+        self.unread_token_layers
+    }
+
     /// Returns the factor by which the engine's passes take longer than those of a sound
     /// one.
     pub const fn slowdown(&self) -> f64 {
@@ -446,15 +468,56 @@
         }
     }
 
-    /// Notes that a token has passed through upstreams.
-    pub fn note_alive(&mut self, keys: impl Iterator<Item = InstanceKey>, now: Instant) {
+    /// Notes that an event of a stream has passed through upstreams, and the usual time
+    /// between two events of such a stream.
+    pub fn note_alive(
+        &mut self,
+        keys: impl Iterator<Item = InstanceKey>,
+        event_gap: Duration,
+        now: Instant,
+    ) {
         for key in keys {
             if let Some(tracked) = self.instances.get_mut(key) {
                 tracked.alive_at = Some(now);
+                tracked.event_gap = event_gap;
             }
         }
     }
 
+    /// Counts a stream whose events pass through an upstream.
+    pub fn begin_flow(&mut self, key: InstanceKey) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.flowing += 1;
+        }
+    }
+
+    /// Counts a stream as passing through an upstream no more.
+    pub fn end_flow(&mut self, key: InstanceKey) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.flowing = tracked.flowing.saturating_sub(1);
+        }
+    }
+
+    /// Returns the upstreams whose silence is long enough to be looked into.
+    ///
+    /// Events of many streams pass an upstream nearly all the time, so that its loss shows
+    /// long before one of them alone would have noticed.
+    pub fn silent(&self, now: Instant) -> SmallVec<[InstanceKey; 16]> {
+        let is_silent = |tracked: &Tracked| {
+            let missed = (EVENTS_MISSED / f64::from(tracked.flowing)).min(SILENCE_SPREAD);
+            let usual = tracked.event_gap.mul_f64(missed).max(ALIVE_FOR);
+            tracked
+                .alive_at
+                .is_some_and(|at| now.saturating_duration_since(at) >= usual)
+        };
+        self.instances
+            .iter()
+            .filter(|(_, tracked)| tracked.flowing > 0 && tracked.suspected_since.is_none())
+            .filter(|(_, tracked)| is_silent(tracked))
+            .map(|(key, _)| key)
+            .collect()
+    }
+
     /// Returns whether an upstream may be asked now whether it answers, and counts it
     /// as asked: several streams and peers may want to know at once.
     ///
@@ -533,6 +596,20 @@
         }
     }
 
+    /// Counts tokens times layers as waiting to be read.
+    pub fn begin_reading(&mut self, key: InstanceKey, token_layers: f64) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.unread_token_layers += token_layers;
+        }
+    }
+
+    /// Counts tokens times layers as read, or as not to be read any more.
+    pub fn end_reading(&mut self, key: InstanceKey, token_layers: f64) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.unread_token_layers = (tracked.unread_token_layers - token_layers).max(0.0);
+        }
+    }
+
     /// Returns those of `keys` that another entry suspects.
     pub fn suspected_by_others(&self, keys: &[InstanceKey]) -> Vec<InstanceKey> {
         let is_suspected = |key: &&InstanceKey| {
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -385,6 +385,7 @@
                 domain,
                 cost_per_layer_s: factor * candidate.cost_per_layer_s(spec, need),
                 cost_per_stage_s: need.answer_tokens * STAGE_DELAY_MS / 1_000.0
+                    + candidate.reading_wait_s(spec)
                     + FAILURE_COST_S * candidate.tracked.failure_rate(self.now),
             });
         }
@@ -490,6 +491,18 @@
         step_ms / f64::from(spec.layer_count)
     }
 
+    /// Returns the time until the engine has read what streams wait for already.
+    ///
+    /// Streams that lose an engine are all read again elsewhere at the same time, so they
+    /// have to spread over all copies for their clients to notice no pause.
+    fn reading_wait_s(&self, spec: &EngineSpec) -> f64 {
+        if self.is_kept {
+            return 0.0;
+        }
+        let per_s = spec.prompt_tokens_per_s * f64::from(spec.layer_count);
+        self.tracked.unread_token_layers() * self.prompt_factor / per_s
+    }
+
     /// Returns the cost of each layer for one stream.
     ///
     /// The cost grows with the requests in flight even where their steps are
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 //! | [`planner_turn`] | who gives orders when nobody does | a planner that is lost or held up |
 //! | [`entry_log`] | what of the upstreams' entries is new to another entry | many changes at once |
 //! | [`silence`] | when a silent stream is given up | dark and cut-off parts |
+//! | [`leaving`] | what an entry takes that is about to stop | entries stopped one after the other |
 
 pub mod claims;
 pub mod comeback;
@@ -24,6 +25,7 @@
 pub mod follow_duty;
 pub mod instances;
 pub mod layer_path;
+pub mod leaving;
 pub mod pace;
 pub mod planner_turn;
 pub mod rendezvous;
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -8,19 +8,15 @@
 
 use std::time::Duration;
 
-/// The silence after which a path with a lost part is given up: tokens that had
-/// passed the part have arrived by then.
-const LOST_PART_SILENCE: Duration = Duration::from_millis(30);
-
 /// The shortest silence between events after which the parts are asked.
 const MIN_GAP_LOOK: Duration = Duration::from_millis(60);
 
-/// The shortest silence before the first event after which the parts are asked.
-const MIN_FIRST_LOOK: Duration = Duration::from_millis(200);
-
 /// The factor on the expected time between events after which the parts are asked.
 const LOOK_SPREAD: f64 = 2.0;
 
+/// The shortest silence before the first event after which the parts are asked.
+const MIN_FIRST_LOOK: Duration = Duration::from_millis(200);
+
 /// The shortest silence between events after which the first engine is asked.
 const MIN_GAP_SILENCE: Duration = Duration::from_millis(250);
 
@@ -79,11 +75,7 @@
 /// Decides what is done about a silent stream.
 pub fn on_silence(stream: &SilentStream) -> SilenceStep {
     if stream.path == PathState::PartLost {
-        return if stream.silence >= LOST_PART_SILENCE {
-            SilenceStep::GiveUp
-        } else {
-            SilenceStep::Wait
-        };
+        return SilenceStep::GiveUp;
     }
     let max_silence = stream.client_patience.mul_f64(MAX_SILENCE_SHARE);
     if stream.silence >= max_silence && stream.may_move && stream.path != PathState::Queued {
@@ -124,6 +116,13 @@
     floor.max(stream.expected_gap.mul_f64(USUAL_SPREAD))
 }
 
-/// The time between two looks at a silent stream, which bounds how late a part
-/// that was found lost by another stream is noticed.
-pub const LOOK_INTERVAL: Duration = Duration::from_millis(35);
+/// The longest time between two looks at a silent stream.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Returns the time until the next look at a silent stream.
+pub fn next_look(stream: &SilentStream) -> Duration {
+    match look_after(stream).checked_sub(stream.silence) {
+        Some(left) if !left.is_zero() => left,
+        _ => LOOK_INTERVAL,
+    }
+}
--- a/routing/src/fleet/spread.rs
+++ b/routing/src/fleet/spread.rs
@@ -113,8 +113,8 @@
     pub heard_at: Instant,
     /// The version of the configuration that it has put in force.
     pub config_version: u64,
-    /// Whether it is about to stop.
-    pub is_draining: bool,
+    /// Since when it is known to be about to stop.
+    pub leaves_since: Option<Instant>,
 }
 
 /// What became of a message.
@@ -262,12 +262,13 @@
             return Receipt::Ignored;
         }
         self.named.remove(&from);
+        let before = self.peers.get(&from).and_then(|peer| peer.leaves_since);
         let peer = Peer {
             member: telling.member.clone(),
             domain: telling.own.domain,
             heard_at: now,
             config_version: telling.config_version,
-            is_draining: telling.is_draining,
+            leaves_since: telling.is_draining.then_some(before.unwrap_or(now)),
         };
         let is_first = self.peers.insert(from, peer).is_none();
         for claim in telling
@@ -306,6 +307,17 @@
             .map(|(address, peer)| (*address, peer))
     }
 
+    /// Returns since when the entry leaves that began to before all others, or `None` if one
+    /// of the others takes requests.
+    pub fn all_leave_since(&self, now: Instant) -> Option<Instant> {
+        let mut earliest = None;
+        for (_, peer) in self.present(now) {
+            let since = peer.leaves_since?;
+            earliest = Some(earliest.map_or(since, |known: Instant| known.min(since)));
+        }
+        earliest
+    }
+
     /// Returns this entry's part of what all entries may use together: an equal one, so that
     /// the parts of all are never more than the whole, whatever each believes of the load.
     ///
@@ -368,7 +380,9 @@
     /// domains is not taken for a loss by all of them.
     pub fn is_chosen(&self, subject: u64, count: usize, now: Instant) -> bool {
         let mut best: BTreeMap<u64, (u64, SocketAddr)> = BTreeMap::new();
-        let others = self.present(now).filter(|(_, peer)| !peer.is_draining);
+        let others = self
+            .present(now)
+            .filter(|(_, peer)| peer.leaves_since.is_none());
         let all = others
             .map(|(address, peer)| (address, peer.domain))
             .chain([(self.own, self.domain)]);
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -39,6 +39,9 @@
     answer_tokens: 200.0,
 };
 
+/// The usual time between two events of a stream.
+const GAP: Duration = Duration::from_millis(44);
+
 fn name() -> ServiceName {
     ServiceName::new("model").unwrap()
 }
@@ -372,8 +375,10 @@
     let newer = fleet.keys["b-20"];
     let address = |fleet: &Fleet, key| fleet.table.get(key).unwrap().instance.address;
     let later = fleet.now + Duration::from_millis(100);
-    fleet.table.note_alive([older].into_iter(), fleet.now);
-    fleet.table.note_alive([newer, silent].into_iter(), later);
+    fleet.table.note_alive([older].into_iter(), GAP, fleet.now);
+    fleet
+        .table
+        .note_alive([newer, silent].into_iter(), GAP, later);
     let control = |fleet: &Fleet, now| fleet.table.control_for(silent, now);
     assert_eq!(control(&fleet, later), Some(address(&fleet, newer)));
     fleet.table.suspect(newer, Evidence::Silent, later);
@@ -475,7 +480,7 @@
     let mut fleet = Fleet::with_copies(&["a"]);
     let key = fleet.keys["a-0"];
     let interval = Duration::from_millis(500);
-    fleet.table.note_alive([key].into_iter(), fleet.now);
+    fleet.table.note_alive([key].into_iter(), GAP, fleet.now);
     assert!(!fleet.table.may_ask(key, interval, fleet.now));
     let later = fleet.now + Duration::from_millis(100);
     assert!(fleet.table.may_ask(key, interval, later));
@@ -625,3 +630,71 @@
     assert!(planner.table.told_layers().is_empty());
     assert_eq!(other.table.by_id("a-0").unwrap().instance.layers, extended);
 }
+
+/// Replays the loss of an engine under fifty streams: their events pass it all the time, so
+/// its silence shows within a fraction of the time between two events of one of them.
+#[test]
+fn test_silence_of_an_engine_shows_the_sooner_the_more_streams_pass_it() {
+    let mut fleet = Fleet::with_copies(&["hall"]);
+    let (busy, quiet) = (fleet.keys["hall-0"], fleet.keys["hall-20"]);
+    for _ in 0..50 {
+        fleet.table.begin_flow(busy);
+    }
+    fleet.table.begin_flow(quiet);
+    fleet
+        .table
+        .note_alive([busy, quiet].into_iter(), GAP, fleet.now);
+    let silent = |after_ms: u64| {
+        let now = fleet.now + Duration::from_millis(after_ms);
+        fleet.table.silent(now).to_vec()
+    };
+    assert!(silent(10).is_empty());
+    assert_eq!(silent(30), [busy]);
+    assert_eq!(silent(100).len(), 2);
+}
+
+#[test]
+fn test_silence_of_an_engine_without_streams_is_usual() {
+    let mut fleet = Fleet::with_copies(&["hall"]);
+    let key = fleet.keys["hall-0"];
+    fleet.table.begin_flow(key);
+    fleet.table.note_alive([key].into_iter(), GAP, fleet.now);
+    fleet.table.end_flow(key);
+    let later = fleet.now + Duration::from_secs(1);
+    assert!(fleet.table.silent(later).is_empty());
+}
+
+/// Replays the loss of an engine of a domain with one copy: all its streams are read again at
+/// the same time, and a copy that reads more than its part of them holds them up for longer
+/// than their clients accept.
+#[test]
+fn test_streams_that_lost_their_path_are_read_by_all_other_copies() {
+    let mut fleet = Fleet::with_copies(&["hall", "apron", "yard"]);
+    let lost = fleet.keys["hall-20"];
+    fleet.table.suspect(lost, Evidence::Silent, fleet.now);
+    // One copy has more to do before.
+    let busy = fleet.keys["yard-0"];
+    for _ in 0..10 {
+        let work = CALL_WORK;
+        fleet.table.begin_work(busy, &work, fleet.now);
+    }
+    let mut tokens: HashMap<String, f64> = HashMap::new();
+    for index in 0..46_u32 {
+        let preference = Preference {
+            draw: u64::from(index) + 1,
+            ..Preference::default()
+        };
+        let path = fleet.choose_by(&preference, &[lost], false).unwrap();
+        let prompt_tokens = f64::from(200 + 40 * (index % 40));
+        for part in &path.parts {
+            let token_layers = prompt_tokens * f64::from(part.layers.len());
+            fleet.table.begin_reading(part.instance, token_layers);
+        }
+        let first = fleet.table.get(path.parts[0].instance).unwrap();
+        let domain = first.instance.failure_domain.as_str().to_owned();
+        *tokens.entry(domain).or_default() += prompt_tokens;
+    }
+    let all: f64 = tokens.values().sum();
+    let most = tokens.values().copied().fold(0.0, f64::max);
+    assert!(most <= 2.0 / 3.0 * all, "{tokens:?}");
+}
