placement: give an engine one order at a time

Cause: an engine whose layers others hold filled one hole and, as a neighbour, was extended into another in the same look. Change: an engine with an order is neither taken nor extended again. The property test of losses and returns found two orders for one engine before.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -408,10 +408,13 @@
         let mut free = free.to_vec();
         let mut is_filled = true;
         for &hole in holes {
-            if self.extend_neighbours(hole, &mut Vec::new()) {
-                self.extend_neighbours(hole, changes);
+            let mut extended = changes.clone();
+            if self.extend_neighbours(hole, &mut extended) {
+                *changes = extended;
                 continue;
             }
+            // An engine gets one order at a time.
+            free.retain(|engine| !has_order(changes, engine));
             let mut taken = Vec::new();
             let mut room = 0;
             while room < hole.len()
@@ -481,8 +484,8 @@
         if hole.is_empty() {
             return true;
         }
-        let before = self.neighbour(|layers| layers.end == hole.first);
-        let after = self.neighbour(|layers| layers.first == hole.end);
+        let before = self.neighbour(changes, |layers| layers.end == hole.first);
+        let after = self.neighbour(changes, |layers| layers.first == hole.end);
         let room = |neighbour: Option<(&PlacedEngine, LayerRange)>| {
             neighbour.map_or(0, |(engine, layers)| {
                 self.fair_layers(engine).saturating_sub(layers.len())
@@ -509,11 +512,17 @@
         by_before + by_after == hole.len()
     }
 
-    /// Returns the engine with the most room among those whose layers fit.
-    fn neighbour(&self, fits: impl Fn(LayerRange) -> bool) -> Option<(&PlacedEngine, LayerRange)> {
+    /// Returns the engine with the most room among those whose layers fit and that have no
+    /// order yet.
+    fn neighbour(
+        &self,
+        changes: &[Placement],
+        fits: impl Fn(LayerRange) -> bool,
+    ) -> Option<(&PlacedEngine, LayerRange)> {
         let engines = self.engines.iter();
         engines
             .filter(|engine| !engine.is_busy && !engine.is_slow)
+            .filter(|engine| !has_order(changes, engine))
             .filter_map(|engine| Some((*engine, engine.layers?)))
             .filter(|(_, layers)| fits(*layers))
             .max_by_key(|(engine, layers)| self.fair_layers(engine).saturating_sub(layers.len()))
@@ -567,6 +576,11 @@
     }
 }
 
+/// Returns whether an engine is ordered to change its layers.
+fn has_order(changes: &[Placement], engine: &PlacedEngine) -> bool {
+    changes.iter().any(|placement| placement.id == engine.id)
+}
+
 /// Deals the engines, largest first, to the copy with the least memory so far.
 fn deal<'a>(engines: &[&'a PlacedEngine], copies: usize) -> Vec<Vec<&'a PlacedEngine>> {
     let mut dealt: Vec<(f64, Vec<&PlacedEngine>)> = vec![(0.0, Vec::new()); copies];
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -1,6 +1,7 @@
 //! Which engine of a fleet holds which layers, through losses and returns.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use jujubewall_control::placement::PlacedEngine;
 use jujubewall_control::placement::Placement;
@@ -85,7 +86,9 @@
     /// Plans once, carries the orders out, and returns their number.
     fn step(&mut self) -> usize {
         let orders = self.plan();
+        let mut ordered = BTreeSet::new();
         for order in &orders {
+            assert!(ordered.insert(&order.id), "two orders for {}", order.id);
             let engine = self.engines.get_mut(&order.id).unwrap();
             assert!(
                 f64::from(order.layers.len()) * LAYER_MB <= engine.memory_mb,
