gateway: obey upstreams that say that they leave, or want nothing for a time

An upstream says in all its answers that it leaves; none of these answers was read for it, so that it got requests until its entry said so. A refusal may name a time in which the upstream wants nothing from this gateway. Change: both are read from every answer of an upstream, of calls, streams, health checks, reports and orders. What an upstream says of its leaving holds for its life, also while the store or a health check says otherwise; the part that a refusal names is meant before the engine that passes it on, which is asked itself. A pause takes the upstream out of all choices of this gateway and stops its questions; a client that is rejected meanwhile comes back when the first pause ends. What one gateway hears is not told to the others: the pause is meant for this one, and the store's entry tells of the leaving.

--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -336,6 +336,7 @@
     fn reject(&mut self, reason: &'static str) -> Reply {
         self.outcome = "rejected";
         let wait = self.gateway.next_comeback(&self.request.service.name);
+        let wait = self.gateway.wait_for_resume(&self.request.service.name, wait);
         answer::reject(&self.request.id, reason, wait, self.sends)
     }
 
@@ -360,13 +361,14 @@
 }
 
 async fn read_answer(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     key: InstanceKey,
     connection: Connection,
     answer: Response<Incoming>,
     request_id: &str,
 ) -> CallEnd {
     let (head, mut body) = answer.into_parts();
+    probe::note_answer(gateway, key, head.status, &head.headers);
     let answered = headers::request_id(&head.headers);
     let is_others = answered.as_ref().is_some_and(|id| id != request_id);
     // A late copy of another request's refusal says nothing of this one.
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -337,7 +337,7 @@
             || behind_since.is_some_and(|since| since.elapsed() >= MAX_BEHIND);
         if is_due
             && let Some(peer) = newer
-            && let Some(body) = fetch(peer, CONFIG_PATH).await
+            && let Some(body) = fetch(&gateway, peer, CONFIG_PATH).await
         {
             match serde_json::from_slice::<FleetConfig>(&body) {
                 Ok(config) => gateway.apply_config(config, "peer"),
@@ -368,7 +368,7 @@
 }
 
 /// Takes over upstreams' entries from a peer that knows newer ones.
-async fn relay_entries(gateway: &Gateway, differing_since: &mut Option<Instant>) {
+async fn relay_entries(gateway: &Rc<Gateway>, differing_since: &mut Option<Instant>) {
     let revision = gateway.instances_revision();
     let is_synced = gateway.is_synced();
     let newer = |claim: &Claim| claim.instances_revision > revision || !is_synced;
@@ -401,8 +401,8 @@
     }
 }
 
-async fn fetch_entries(gateway: &Gateway, peer: SocketAddr, path: &str) {
-    let Some(body) = fetch(peer, path).await else {
+async fn fetch_entries(gateway: &Rc<Gateway>, peer: SocketAddr, path: &str) {
+    let Some(body) = fetch(gateway, peer, path).await else {
         return;
     };
     let document: EntriesDocument = match postcard::from_bytes(&body) {
@@ -424,8 +424,8 @@
     gateway.note_instances_revision(document.revision);
 }
 
-async fn fetch(peer: SocketAddr, path: &str) -> Option<Bytes> {
-    let (is_success, body) = timeout(RELAY_TIMEOUT, probe::get(peer, path))
+async fn fetch(gateway: &Rc<Gateway>, peer: SocketAddr, path: &str) -> Option<Bytes> {
+    let (is_success, body) = timeout(RELAY_TIMEOUT, probe::get(gateway, peer, path))
         .await
         .ok()??;
     is_success.then_some(body)
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -114,8 +114,10 @@
         }
         let engines: Vec<InstanceKey> = {
             let instances = gateway.instances();
+            let now = Instant::now();
             let engines = instances.iter().filter(|(_, tracked)| {
-                tracked.is_usable() && tracked.instance.accelerator.is_some()
+                let may_be_asked = tracked.is_usable() && !tracked.is_paused(now);
+                may_be_asked && tracked.instance.accelerator.is_some()
             });
             engines.map(|(key, _)| key).collect()
         };
@@ -396,7 +398,7 @@
     for (id, address) in overdue {
         let gateway = Rc::clone(gateway);
         spawn_local(async move {
-            let report = probe::ask_report(address).await;
+            let report = probe::ask_report(&gateway, address).await;
             on_report(&gateway, &id, report);
         });
     }
@@ -477,7 +479,7 @@
     let gateway = Rc::clone(gateway);
     spawn_local(async move {
         let body = place_order(placement.layers, placement.give_up, expected_count);
-        let answer = probe::order(address, body).await;
+        let answer = probe::order(&gateway, address, body).await;
         info!(
             "event=order id={} layers={} give_up={:?} expected={expected_count} answer={answer:?} \
              store={}",
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -12,11 +12,16 @@
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
+use jujubewall_platform::site::headers;
 use jujubewall_platform::site::order::ORDER_PATH;
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::order_answer;
@@ -121,6 +126,9 @@
         }
         let suspected = gateway.instances().suspected();
         for (key, suspected_since) in suspected {
+            if is_paused(&gateway, key) {
+                continue;
+            }
             let silent_looks = suspected_since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
             let silent_looks = u32::try_from(silent_looks).unwrap_or(u32::MAX);
             if silent_looks <= FREQUENT_PROBES || silent_looks.is_multiple_of(RARE_PROBE_LOOKS) {
@@ -130,6 +138,13 @@
     }
 }
 
+/// Returns whether an upstream wants nothing from this gateway for now.
+fn is_paused(gateway: &Gateway, key: InstanceKey) -> bool {
+    let instances = gateway.instances();
+    let tracked = instances.get(key);
+    tracked.is_some_and(|tracked| tracked.is_paused(Instant::now()))
+}
+
 async fn clear_if_it_answers(gateway: Rc<Gateway>, key: InstanceKey) {
     if answers(&gateway, key).await {
         clear(&gateway, key);
@@ -146,7 +161,7 @@
 pub fn look_into_refusal(gateway: &Rc<Gateway>, key: InstanceKey) {
     ask_whether_reachable(gateway, &[key], BROKEN_INTERVAL, "it refused a path");
     spawn_local(ask_whether_it_leaves(Rc::clone(gateway), key));
-    if gateway.instances_mut().may_ask_load(key, Instant::now()) {
+    if !is_paused(gateway, key) && gateway.instances_mut().may_ask_load(key, Instant::now()) {
         spawn_local(ask_load(Rc::clone(gateway), key));
     }
 }
@@ -170,6 +185,9 @@
 }
 
 async fn ask_whether_it_leaves(gateway: Rc<Gateway>, key: InstanceKey) {
+    if is_paused(&gateway, key) {
+        return;
+    }
     let target = gateway.instances().get(key).map(|tracked| {
         let instance = &tracked.instance;
         (
@@ -188,7 +206,7 @@
     let Some(path) = health_path else {
         return;
     };
-    let Ok(Some((is_healthy, _))) = timeout(HEALTH_TIMEOUT, get(address, &path)).await else {
+    let Ok(Some((is_healthy, _))) = timeout(HEALTH_TIMEOUT, get(&gateway, address, &path)).await else {
         return;
     };
     let now = Instant::now();
@@ -198,6 +216,71 @@
     }
 }
 
+/// Takes over what the head of an upstream's answer says of itself, and of the upstream that
+/// it names as at fault.
+pub fn note_answer(gateway: &Rc<Gateway>, key: InstanceKey, status: StatusCode, head: &HeaderMap) {
+    let named = headers::faulty_upstream(head);
+    let named = named.and_then(|address| gateway.instances().at_address(address));
+    let named = named.filter(|named| *named != key);
+    if headers::says_leaving(head) {
+        // A refusal for the sake of another part may pass on what that part said.
+        note_says_leaving(gateway, named.unwrap_or(key));
+        if named.is_some() {
+            spawn_local(ask_whether_it_leaves(Rc::clone(gateway), key));
+        }
+    }
+    match headers::requested_pause(status, head) {
+        Ok(None) => {}
+        Ok(Some(pause)) => {
+            note_pause(gateway, key, pause);
+            if let Some(named) = named {
+                note_pause(gateway, named, pause);
+            }
+        }
+        Err(value) => {
+            gateway.metrics.count("pause_unreadable");
+            info!("event=pause_unreadable value=\"{value}\"");
+        }
+    }
+}
+
+fn note_answer_from(gateway: &Rc<Gateway>, address: SocketAddr, answer: &Response<Incoming>) {
+    let key = gateway.instances().at_address(address);
+    if let Some(key) = key {
+        note_answer(gateway, key, answer.status(), answer.headers());
+    }
+}
+
+fn note_says_leaving(gateway: &Gateway, key: InstanceKey) {
+    let is_news = gateway
+        .instances_mut()
+        .note_says_leaving(key, Instant::now());
+    if !is_news {
+        return;
+    }
+    gateway.connections.forget(key);
+    gateway.metrics.count("upstream_says_leaving");
+    if let Some(tracked) = gateway.instances().get(key) {
+        info!("event=says_leaving upstream={}", tracked.instance.id);
+    }
+}
+
+fn note_pause(gateway: &Gateway, key: InstanceKey, pause: Duration) {
+    let is_longer = gateway.instances_mut().pause(key, pause, Instant::now());
+    if !is_longer {
+        return;
+    }
+    gateway.metrics.count("upstream_paused");
+    if let Some(tracked) = gateway.instances().get(key) {
+        info!(
+            "event=paused upstream={} pause_ms={} in_flight={}",
+            tracked.instance.id,
+            pause.as_millis(),
+            tracked.own_work().requests
+        );
+    }
+}
+
 /// Notes direct evidence against an upstream.
 pub fn suspect(gateway: &Gateway, key: InstanceKey, evidence: Evidence, reason: &str) {
     let now = Instant::now();
@@ -350,7 +433,7 @@
 }
 
 /// Returns whether an upstream answers over a new connection.
-async fn answers(gateway: &Gateway, key: InstanceKey) -> bool {
+async fn answers(gateway: &Rc<Gateway>, key: InstanceKey) -> bool {
     let target = gateway.instances().get(key).map(|tracked| {
         let instance = &tracked.instance;
         (instance.address, instance.service.clone())
@@ -366,29 +449,29 @@
             .then(|| service.health_path.clone())
     });
     match health_path {
-        Some(path) => timeout(HEALTH_TIMEOUT, get(address, &path))
+        Some(path) => timeout(HEALTH_TIMEOUT, get(gateway, address, &path))
             .await
             .is_ok_and(|answer| answer.is_some_and(|(is_success, _)| is_success)),
-        None => ask_report(address).await.is_some(),
+        None => ask_report(gateway, address).await.is_some(),
     }
 }
 
 /// Asks an engine for its fresh state; `None` if it does not answer in time.
-pub async fn ask_report(address: SocketAddr) -> Option<EngineState> {
-    let answer = timeout(REPORT_TIMEOUT, get(address, REPORT_PATH)).await;
+pub async fn ask_report(gateway: &Rc<Gateway>, address: SocketAddr) -> Option<EngineState> {
+    let answer = timeout(REPORT_TIMEOUT, get(gateway, address, REPORT_PATH)).await;
     read_report(address, answer.ok()??)
 }
 
 /// Asks an engine for its fresh state over a kept connection if there is one, which a
 /// regular question can use: its silence proves nothing.
-pub async fn ask_report_often(gateway: &Gateway, key: InstanceKey) -> Option<EngineState> {
+pub async fn ask_report_often(gateway: &Rc<Gateway>, key: InstanceKey) -> Option<EngineState> {
     let address = gateway.instances().get(key)?.instance.address;
     let exchange = async {
         let mut connection = match gateway.connections.take(key) {
             Some(connection) => connection,
             None => Connection::open(address).await.ok()?,
         };
-        let answer = get_over(&mut connection, address, REPORT_PATH).await?;
+        let answer = get_over(gateway, &mut connection, address, REPORT_PATH).await?;
         gateway.connections.put(key, connection);
         Some(answer)
     };
@@ -411,7 +494,11 @@
 
 /// Gives an engine an order over a new connection; `None` if it does not answer in
 /// time, in which case it may carry the order out later.
-pub async fn order(address: SocketAddr, body: Bytes) -> Option<OrderAnswer> {
+pub async fn order(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    body: Bytes,
+) -> Option<OrderAnswer> {
     let mut request = request(address, ORDER_PATH)?;
     *request.method_mut() = Method::POST;
     *request.body_mut() = Full::new(body);
@@ -420,24 +507,31 @@
     let exchange = async {
         let mut connection = Connection::open(address).await.ok()?;
         let answer = connection.send(request).await.ok()?;
+        note_answer_from(gateway, address, &answer);
         Some(order_answer(answer.status()))
     };
     timeout(ORDER_TIMEOUT, exchange).await.ok()?
 }
 
 /// Fetches a path over a new connection.
-pub async fn get(address: SocketAddr, path: &str) -> Option<(bool, Bytes)> {
+pub async fn get(
+    gateway: &Rc<Gateway>,
+    address: SocketAddr,
+    path: &str,
+) -> Option<(bool, Bytes)> {
     let mut connection = Connection::open(address).await.ok()?;
-    get_over(&mut connection, address, path).await
+    get_over(gateway, &mut connection, address, path).await
 }
 
 /// Fetches a path over a connection; returns whether that succeeded, and the body.
 async fn get_over(
+    gateway: &Rc<Gateway>,
     connection: &mut Connection,
     address: SocketAddr,
     path: &str,
 ) -> Option<(bool, Bytes)> {
     let answer = connection.send(request(address, path)?).await.ok()?;
+    note_answer_from(gateway, address, &answer);
     let is_success = answer.status().is_success();
     // An upstream in trouble may send bytes without end.
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -222,6 +222,8 @@
     /// Checks the head of the answer.
     async fn accept(mut self, answer: Response<Incoming>) -> Result<Self, RunFault> {
         let (head, body) = answer.into_parts();
+        let gateway = &self.work.gateway;
+        probe::note_answer(gateway, self.first, head.status, &head.headers);
         let answered = headers::request_id(&head.headers);
         let is_others = answered.as_ref().is_some_and(|id| *id != self.request_id);
         // A late copy of another request's refusal says nothing of this one.
@@ -408,7 +410,7 @@
                     let report = tokio::select! {
                         biased;
                         output = future.as_mut() => return Ok(output),
-                        report = probe::ask_report(self.first_address) => report,
+                        report = probe::ask_report(&gateway, self.first_address) => report,
                     };
                     self.note_report(report);
                 }
@@ -465,7 +467,7 @@
         };
         self.repaths += 1;
         let body = repath_order(&self.request_id, &text);
-        let answer = probe::order(self.first_address, body).await;
+        let answer = probe::order(&gateway, self.first_address, body).await;
         let is_done = matches!(answer, Some(OrderAnswer::Begun | OrderAnswer::Holds));
         info!(
             "event=repath id={} lost={} parts={} answer={answer:?} path={text}",
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -37,6 +37,10 @@
 use crate::gateway::upstreams::Connections;
 use crate::supervise::spawn_supervised;
 
+/// The longest time to come back that is told for the sake of an upstream that wants no
+/// requests: others are likely to have places before.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(4);
+
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreLink {
@@ -366,6 +370,15 @@
         self.with_comeback(service, Comeback::next_wait)
     }
 
+    /// Returns the time after which a rejected client should come back if some upstreams of
+    /// the service want no requests for now: at least until the first of them does.
+    pub fn wait_for_resume(&self, service: &ServiceName, wait: Duration) -> Duration {
+        let now = Instant::now();
+        let resume = self.instances().next_resume(service, now);
+        let pause = resume.map(|at| at.saturating_duration_since(now));
+        wait.max(pause.unwrap_or_default().min(MAX_RESUME_WAIT))
+    }
+
     /// Notes that a request of a service has ended.
     pub fn note_end(&self, service: &ServiceName) {
         self.with_comeback(service, Comeback::on_end);
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -209,6 +209,7 @@
                 if reason != NO_ROOM {
                     wait = wait.max(REPAIR_WAIT);
                 }
+                wait = self.gateway.wait_for_resume(service, wait);
                 answer::reject(&self.request.id, reason, wait, self.sends)
             }
             Final::Unknown(reason) => {
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -152,6 +152,10 @@
     unaccounted: UnaccountedWork,
     departed_at: Option<Instant>,
     leaving_since: Option<Instant>,
+    /// Whether the upstream itself has said in this life that it ends.
+    has_said_leaving: bool,
+    /// The end of the time for which the upstream wants no requests from this entry.
+    paused_until: Option<Instant>,
     suspected_since: Option<Instant>,
     has_refused: bool,
     failed_runs_in_a_row: u32,
@@ -178,6 +182,8 @@
             unaccounted: UnaccountedWork::new(now),
             departed_at: None,
             leaving_since: None,
+            has_said_leaving: false,
+            paused_until: None,
             suspected_since: None,
             has_refused: false,
             failed_runs_in_a_row: 0,
@@ -200,6 +206,11 @@
             && self.suspected_since.is_none()
     }
 
+    /// Returns whether the upstream wants no requests from this entry for now.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether this life of the upstream may still go on.
     ///
     /// One that is merely silent counts as standing until it has been so for a while,
@@ -423,6 +434,8 @@
         let Some(tracked) = self.instances.get_mut(key) else {
             return false;
         };
+        // What it has said of this life holds to its end, whatever a later answer shows.
+        let is_leaving = is_leaving || tracked.has_said_leaving;
         let is_news = tracked.leaving_since.is_some() != is_leaving;
         if is_news {
             tracked.leaving_since = is_leaving.then_some(now);
@@ -430,6 +443,36 @@
         is_news
     }
 
+    /// Notes that an upstream says in an answer that it is about to end. Returns whether that
+    /// is new.
+    pub fn note_says_leaving(&mut self, key: InstanceKey, now: Instant) -> bool {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.has_said_leaving = true;
+        }
+        self.note_leaving(key, true, now)
+    }
+
+    /// Notes that an upstream wants no requests from this entry for a time. Returns whether
+    /// it lasts longer than what was known.
+    pub fn pause(&mut self, key: InstanceKey, pause: Duration, now: Instant) -> bool {
+        let Some(tracked) = self.instances.get_mut(key) else {
+            return false;
+        };
+        let until = Some(now + pause);
+        let is_longer = tracked.paused_until < until;
+        tracked.paused_until = tracked.paused_until.max(until);
+        is_longer
+    }
+
+    /// Returns when the first of a service's upstreams takes requests again that want none
+    /// for now.
+    pub fn next_resume(&self, service: &ServiceName, now: Instant) -> Option<Instant> {
+        self.of_service(service)
+            .filter(|(_, tracked)| tracked.is_usable() && tracked.is_paused(now))
+            .filter_map(|(_, tracked)| tracked.paused_until)
+            .min()
+    }
+
     /// Returns the upstreams that say themselves that they leave.
     pub fn leaving(&self) -> Vec<InstanceKey> {
         self.instances
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -335,6 +335,7 @@
     table
         .of_service(service)
         .filter(|(key, tracked)| tracked.is_usable() && !excluded.contains(key))
+        .filter(|(_, tracked)| !tracked.is_paused(now))
         .filter_map(|(key, tracked)| Candidate::new(table, spec, key, tracked, now))
         .collect()
 }
--- a/routing/src/fleet/service_choice.rs
+++ b/routing/src/fleet/service_choice.rs
@@ -48,7 +48,7 @@
     let mut best: Option<(f64, u64, InstanceKey)> = None;
     let mut any_usable = false;
     for (index, (key, tracked)) in table.of_service(service).enumerate() {
-        if !tracked.is_usable() || excluded.contains(&key) {
+        if !tracked.is_usable() || tracked.is_paused(now) || excluded.contains(&key) {
             continue;
         }
         any_usable = true;
