store: tell the eras of a store apart that comes back from an older copy

The store may come back from a copy some seconds old. Revisions and leases are given out again: a watch from one of the era before would go on over other contents, peers compared revisions that mean different things, a lease would be renewed that is another gateway's now, and the copy's entries would take back a draining or drop upstreams that have not written theirs again. Change: a position in the store is its era and a revision, in watches, in what peers tell and in what they fetch from each other. A new era, learnt from any answer of the store or from a peer, ends watches, gives the lease up, gives upstreams time to write their entries, and has all read once more after it. What was known of lives that go on stays until they write again, a draining life never becomes ready, and the configuration never goes back.

--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -336,7 +336,9 @@
     fn reject(&mut self, reason: &'static str) -> Reply {
         self.outcome = "rejected";
         let wait = self.gateway.next_comeback(&self.request.service.name);
-        let wait = self.gateway.wait_for_resume(&self.request.service.name, wait);
+        let wait = self
+            .gateway
+            .wait_for_resume(&self.request.service.name, wait);
         answer::reject(&self.request.id, reason, wait, self.sends)
     }
 
--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -19,12 +19,14 @@
 use jujubewall_platform::site::store::Watched;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
-use jujubewall_types::id::Revision;
+use jujubewall_types::id::StoreEra;
+use jujubewall_types::id::StorePosition;
 use log::info;
 use log::warn;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::gateway::state::Gateway;
 
@@ -71,12 +73,12 @@
     fn list_event(&self) -> &'static str;
     /// Returns the name under which watches are counted.
     fn watch_event(&self) -> &'static str;
-    /// Takes over all items, as of a revision.
-    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, revision: Revision);
+    /// Takes over all items, as of a position.
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, position: StorePosition);
     /// Notes that changes are not followed any more.
     fn on_relieved(&self, gateway: &Gateway);
-    /// Takes over one change.
-    fn on_change(&self, gateway: &Gateway, change: ItemChange);
+    /// Takes over one change of an era.
+    fn on_change(&self, gateway: &Gateway, change: ItemChange, era: StoreEra);
     /// Returns once peers have known more for a while.
     async fn is_behind(&self, gateway: &Gateway);
 }
@@ -92,7 +94,8 @@
 
 async fn follow(gateway: Rc<Gateway>, follower: impl Follower + 'static) {
     let mut pause = MIN_RETRY_PAUSE;
-    let mut position: Option<Revision> = None;
+    let mut position: Option<StorePosition> = None;
+    let mut listed_at = Instant::now();
     let mut has_tried = false;
     loop {
         if has_tried && !gateway.peers.follows() {
@@ -103,8 +106,11 @@
         }
         has_tried = true;
         let result = match position {
-            None => list(&gateway, &follower).await.map(Some),
-            Some(after) => watch(&gateway, &follower, after).await,
+            None => {
+                listed_at = Instant::now();
+                list(&gateway, &follower).await.map(Some)
+            }
+            Some(after) => watch(&gateway, &follower, after, listed_at).await,
         };
         match result {
             Ok(next) => {
@@ -128,8 +134,11 @@
     }
 }
 
-async fn list(gateway: &Gateway, follower: &impl Follower) -> Result<Revision, PlatformError> {
-    let list = gateway.store().list(follower.prefix()).await?;
+async fn list(gateway: &Gateway, follower: &impl Follower) -> Result<StorePosition, PlatformError> {
+    let store = gateway.store();
+    let list = store.list(follower.prefix()).await;
+    gateway.note_store_era(store.era());
+    let list = list?;
     note_store(gateway, true);
     gateway.metrics.count(follower.list_event());
     follower.on_list(gateway, list.items, list.watch_from);
@@ -140,27 +149,31 @@
 async fn watch(
     gateway: &Gateway,
     follower: &impl Follower,
-    after: Revision,
-) -> Result<Option<Revision>, PlatformError> {
+    after: StorePosition,
+    listed_at: Instant,
+) -> Result<Option<StorePosition>, PlatformError> {
     let store = gateway.store();
     let wait = (WATCH_WAIT_PER_PEER * gateway.peers.followers_of_store())
         .clamp(LONE_WATCH_WAIT, MAX_WATCH_WAIT);
     gateway.metrics.count(follower.watch_event());
     let watched = tokio::select! {
         () = relieved(gateway) => return Ok(None),
-        watched = store.watch(follower.prefix(), after, wait) => watched?,
+        () = outdated(gateway, after.era) => return Ok(None),
+        () = gateway.absences.era_settled(listed_at) => return Ok(None),
+        watched = store.watch(follower.prefix(), after, wait) => watched,
         // The watch is behind what peers know; a list shows what it missed.
         () = follower.is_behind(gateway) => {
             info!("event=watch_behind prefix={}", follower.prefix());
             return Ok(None);
         }
     };
-    match watched {
+    gateway.note_store_era(store.era());
+    match watched? {
         Watched::Changes(changes, next) => {
             note_store(gateway, true);
             let has_changes = !changes.is_empty();
             for change in changes {
-                follower.on_change(gateway, change);
+                follower.on_change(gateway, change, next.era);
             }
             if has_changes {
                 sleep(CHANGE_PAUSE).await;
@@ -177,6 +190,13 @@
     }
 }
 
+/// Returns once the store's era is another one.
+async fn outdated(gateway: &Gateway, era: StoreEra) {
+    while gateway.instances_position().era <= era {
+        sleep(DUTY_POLL_INTERVAL).await;
+    }
+}
+
 /// Returns once this gateway follows the store no more.
 async fn relieved(gateway: &Gateway) {
     while gateway.peers.follows() {
@@ -206,15 +226,15 @@
         "store_watch_config"
     }
 
-    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, _revision: Revision) {
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, position: StorePosition) {
         for item in items {
-            self.on_change(gateway, ItemChange::Written(item));
+            self.on_change(gateway, ItemChange::Written(item), position.era);
         }
     }
 
     fn on_relieved(&self, _gateway: &Gateway) {}
 
-    fn on_change(&self, gateway: &Gateway, change: ItemChange) {
+    fn on_change(&self, gateway: &Gateway, change: ItemChange, _era: StoreEra) {
         let ItemChange::Written(item) = change else {
             return;
         };
@@ -255,14 +275,24 @@
         "store_watch_entries"
     }
 
-    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, revision: Revision) {
+    fn on_list(&self, gateway: &Gateway, items: Vec<Item>, position: StorePosition) {
+        let StorePosition { era, revision } = position;
         for item in &items {
-            gateway.note_instances_revision(item.revision);
+            let revision = item.revision;
+            gateway.note_instances_position(StorePosition { era, revision });
         }
         gateway.entry_log_mut().restart(revision);
+        let is_settling = gateway.absences.is_era_settling();
         let instances = items
             .iter()
             .filter_map(|item| decode(gateway, item))
+            // The copy shows lives that go on as they were some seconds before.
+            .map(|instance| match gateway.instances().by_id(&instance.id) {
+                Some(known) if is_settling && known.is_same_life(&instance) => {
+                    known.instance.clone()
+                }
+                _ => instance,
+            })
             .collect();
         replace_instances(gateway, instances, "store");
     }
@@ -271,17 +301,18 @@
         gateway.entry_log_mut().stop();
     }
 
-    fn on_change(&self, gateway: &Gateway, change: ItemChange) {
+    fn on_change(&self, gateway: &Gateway, change: ItemChange, era: StoreEra) {
+        let position = |revision| StorePosition { era, revision };
         match change {
             ItemChange::Written(item) => {
-                note_change(gateway, &item.key, item.revision);
+                note_change(gateway, &item.key, position(item.revision));
                 match decode(gateway, &item) {
                     Some(instance) => upsert(gateway, instance),
                     None => forget_key(gateway, &item.key),
                 }
             }
             ItemChange::Removed(key, revision) => {
-                note_change(gateway, &key, revision);
+                note_change(gateway, &key, position(revision));
                 forget_key(gateway, &key);
             }
         }
@@ -293,7 +324,7 @@
             sleep(BEHIND_POLL_INTERVAL).await;
             if !gateway
                 .peers
-                .know_newer_instances(gateway.instances_revision())
+                .know_newer_instances(gateway.instances_position())
             {
                 behind_since = None;
                 continue;
@@ -306,11 +337,11 @@
     }
 }
 
-/// Notes the revision of a change, for this gateway and those that learn from it.
-fn note_change(gateway: &Gateway, key: &str, revision: Revision) {
-    gateway.note_instances_revision(revision);
+/// Notes the position of a change, for this gateway and those that learn from it.
+fn note_change(gateway: &Gateway, key: &str, position: StorePosition) {
+    gateway.note_instances_position(position);
     if let Some(id) = key.strip_prefix(INSTANCE_PREFIX) {
-        gateway.entry_log_mut().note(revision, id);
+        gateway.entry_log_mut().note(position.revision, id);
     }
 }
 
@@ -408,6 +439,8 @@
 #[derive(Default)]
 pub struct Absences {
     grace_end: Cell<Option<Instant>>,
+    /// When entries of a new era show what upstreams have written in it.
+    era_settled_at: Cell<Option<Instant>>,
     missing: std::cell::RefCell<HashMap<SmolStr, Instant>>,
 }
 
@@ -417,6 +450,27 @@
         self.grace_end.set(Some(Instant::now() + RETURN_GRACE));
     }
 
+    /// Gives upstreams time to write again what the store has lost.
+    pub fn on_new_era(&self) {
+        self.on_store_return();
+        self.era_settled_at.set(Some(Instant::now() + RETURN_GRACE));
+    }
+
+    /// Returns whether entries may still be those of an older copy.
+    fn is_era_settling(&self) -> bool {
+        let settled_at = self.era_settled_at.get();
+        settled_at.is_some_and(|at| Instant::now() < at)
+    }
+
+    /// Returns when upstreams have written their entries in a new era again, if all were
+    /// last read before.
+    async fn era_settled(&self, listed_at: Instant) {
+        match self.era_settled_at.get() {
+            Some(at) if listed_at < at => sleep_until(at).await,
+            _ => std::future::pending().await,
+        }
+    }
+
     fn on_present(&self, id: &str) {
         self.missing.borrow_mut().remove(id);
     }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -24,7 +24,7 @@
 use jujubewall_routing::fleet::spread::Telling;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
-use jujubewall_types::id::Revision;
+use jujubewall_types::id::StorePosition;
 use log::info;
 use log::warn;
 use serde::Deserialize;
@@ -71,7 +71,7 @@
 /// Upstreams' entries as one gateway gives them to another.
 #[derive(Deserialize, Serialize)]
 struct EntriesDocument {
-    revision: Revision,
+    position: StorePosition,
     /// Whether `entries` are all there are.
     is_whole: bool,
     entries: Vec<Instance>,
@@ -130,8 +130,8 @@
     }
 
     /// Returns whether a peer that follows the store knows newer entries.
-    pub fn know_newer_instances(&self, revision: Revision) -> bool {
-        self.source(|claim| claim.instances_revision > revision)
+    pub fn know_newer_instances(&self, position: StorePosition) -> bool {
+        self.source(|claim| claim.instances_position > position)
             .is_some()
     }
 
@@ -241,7 +241,7 @@
         beat: spread.sent(),
         planner: planner::role(gateway),
         follower,
-        instances_revision: gateway.instances_revision(),
+        instances_position: gateway.instances_position(),
         instances_digest: gateway.instances().entries_digest(),
     }
 }
@@ -288,6 +288,9 @@
         Receipt::FirstOfPeer => info!("event=peer member={} address={from}", telling.member),
         Receipt::News => {}
     }
+    let told = telling.claims.iter().chain([&telling.own]);
+    let newest_era = told.map(|claim| claim.instances_position.era).max();
+    gateway.note_store_era(newest_era.unwrap_or_default());
     let beliefs = ToldBeliefs {
         work: &telling.work,
         suspects: &telling.suspects,
@@ -369,13 +372,13 @@
 
 /// Takes over upstreams' entries from a peer that knows newer ones.
 async fn relay_entries(gateway: &Rc<Gateway>, differing_since: &mut Option<Instant>) {
-    let revision = gateway.instances_revision();
+    let position = gateway.instances_position();
     let is_synced = gateway.is_synced();
-    let newer = |claim: &Claim| claim.instances_revision > revision || !is_synced;
+    let newer = |claim: &Claim| claim.instances_position > position || !is_synced;
     if let Some(source) = gateway.peers.source(newer) {
         *differing_since = None;
         let path = if is_synced {
-            format!("{INSTANCES_PATH}?since={revision}")
+            format!("{INSTANCES_PATH}?since={position}")
         } else {
             INSTANCES_PATH.to_owned()
         };
@@ -385,7 +388,7 @@
     let digest = gateway.instances().entries_digest();
     let source = gateway
         .peers
-        .source(|claim| claim.instances_revision == revision);
+        .source(|claim| claim.instances_position == position);
     let differing = source.filter(|source| source.instances_digest != digest);
     let now = Instant::now();
     *differing_since = differing.and(differing_since.or(Some(now)));
@@ -394,7 +397,7 @@
     {
         *differing_since = None;
         info!(
-            "event=entries_differ peer={} revision={revision}",
+            "event=entries_differ peer={} position={position}",
             source.holder
         );
         fetch_entries(gateway, source.holder, INSTANCES_PATH).await;
@@ -416,12 +419,17 @@
     if gateway.is_store_source() {
         return;
     }
+    gateway.note_store_era(document.position.era);
+    // An answer of an earlier era may name what has been lost since.
+    if document.position.era < gateway.instances_position().era {
+        return;
+    }
     if document.is_whole {
         followers::replace_instances(gateway, document.entries, "peer");
     } else {
         followers::change_instances(gateway, document.entries, &document.gone);
     }
-    gateway.note_instances_revision(document.revision);
+    gateway.note_instances_position(document.position);
 }
 
 async fn fetch(gateway: &Rc<Gateway>, peer: SocketAddr, path: &str) -> Option<Bytes> {
@@ -444,13 +452,15 @@
         return None;
     }
     let since = query.and_then(|query| query.strip_prefix("since="));
-    let since = since.and_then(|since| since.parse().ok()).map(Revision);
+    let since = since.and_then(|since| since.parse::<StorePosition>().ok());
+    let era = gateway.instances_position().era;
+    let since = since.filter(|since| since.era == era);
     let instances = gateway.instances();
     let log = gateway.entry_log();
-    let changed = since.and_then(|since| log.since(since));
+    let changed = since.and_then(|since| log.since(since.revision));
     let document = match &changed {
         Some(ids) => EntriesDocument {
-            revision: gateway.instances_revision(),
+            position: gateway.instances_position(),
             is_whole: false,
             entries: ids
                 .iter()
@@ -464,7 +474,7 @@
                 .collect(),
         },
         None => EntriesDocument {
-            revision: gateway.instances_revision(),
+            position: gateway.instances_position(),
             is_whole: true,
             entries: instances
                 .iter()
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -98,6 +98,17 @@
     counts: RefCell<HashMap<SmolStr, (u64, u64)>>,
 }
 
+impl PlannerState {
+    /// Gives up a lease that the store does not know any more: its identifier may be given
+    /// to another gateway.
+    pub fn forget_lease(&self) {
+        if self.lease.take().is_some() {
+            info!("event=lease_forgotten");
+            self.is_planner.set(false);
+        }
+    }
+}
+
 /// Starts to plan whenever this gateway holds the lease.
 pub fn start(gateway: &Rc<Gateway>) {
     gateway.spawn_loop("hold_lease", hold_lease);
@@ -222,7 +233,13 @@
 }
 
 async fn renew(gateway: &Gateway, lease: LeaseId) {
-    match gateway.store().keep_alive(lease).await {
+    let renewed = gateway.store().keep_alive(lease).await;
+    gateway.note_store_era(gateway.store().era());
+    // A new era began: the lease is gone, whoever may have been given its identifier.
+    if gateway.planner.lease.get() != Some(lease) {
+        return;
+    }
+    match renewed {
         Ok(()) => set_planner(gateway, true),
         Err(PlatformError::LeaseLapsed) => {
             gateway.planner.lease.set(None);
@@ -266,7 +283,10 @@
 
 async fn try_take_over(gateway: &Gateway) -> Result<Claim, PlatformError> {
     let store = gateway.store();
-    if store.get(PLANNER_KEY).await?.is_some() {
+    let is_taken = store.get(PLANNER_KEY).await?.is_some();
+    let era = store.era();
+    gateway.note_store_era(era);
+    if is_taken {
         return Ok(Claim::Taken);
     }
     let shortest = Duration::from_millis(gateway.settings().min_lease_ttl_ms);
@@ -275,7 +295,10 @@
     let outcome = store
         .write_if(PLANNER_KEY, Revision(0), member, lease)
         .await?;
+    gateway.note_store_era(store.era());
     match outcome {
+        // The lease may be another gateway's, given out again.
+        WriteOutcome::Done(_) if store.era() != era => Ok(Claim::Taken),
         WriteOutcome::Done(_) => {
             gateway.planner.lease.set(Some(lease));
             Ok(Claim::Won)
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -206,7 +206,8 @@
     let Some(path) = health_path else {
         return;
     };
-    let Ok(Some((is_healthy, _))) = timeout(HEALTH_TIMEOUT, get(&gateway, address, &path)).await else {
+    let Ok(Some((is_healthy, _))) = timeout(HEALTH_TIMEOUT, get(&gateway, address, &path)).await
+    else {
         return;
     };
     let now = Instant::now();
@@ -494,11 +495,7 @@
 
 /// Gives an engine an order over a new connection; `None` if it does not answer in
 /// time, in which case it may carry the order out later.
-pub async fn order(
-    gateway: &Rc<Gateway>,
-    address: SocketAddr,
-    body: Bytes,
-) -> Option<OrderAnswer> {
+pub async fn order(gateway: &Rc<Gateway>, address: SocketAddr, body: Bytes) -> Option<OrderAnswer> {
     let mut request = request(address, ORDER_PATH)?;
     *request.method_mut() = Method::POST;
     *request.body_mut() = Full::new(body);
@@ -514,11 +511,7 @@
 }
 
 /// Fetches a path over a new connection.
-pub async fn get(
-    gateway: &Rc<Gateway>,
-    address: SocketAddr,
-    path: &str,
-) -> Option<(bool, Bytes)> {
+pub async fn get(gateway: &Rc<Gateway>, address: SocketAddr, path: &str) -> Option<(bool, Bytes)> {
     let mut connection = Connection::open(address).await.ok()?;
     get_over(gateway, &mut connection, address, path).await
 }
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -23,6 +23,8 @@
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::id::Revision;
 use jujubewall_types::id::ServiceName;
+use jujubewall_types::id::StoreEra;
+use jujubewall_types::id::StorePosition;
 use log::info;
 use log::warn;
 use rand::Rng as _;
@@ -57,7 +59,7 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     instances: RefCell<InstanceTable>,
     is_synced: Cell<bool>,
-    instances_revision: Cell<Revision>,
+    instances_position: Cell<StorePosition>,
     budget: RefCell<RepeatBudget>,
     last_crossing: Cell<Option<Instant>>,
     comebacks: RefCell<HashMap<ServiceName, Comeback>>,
@@ -94,7 +96,7 @@
             routes: RefCell::new(None),
             instances: RefCell::new(InstanceTable::new()),
             is_synced: Cell::new(false),
-            instances_revision: Cell::new(Revision(0)),
+            instances_position: Cell::new(StorePosition::default()),
             budget: RefCell::new(budget),
             last_crossing: Cell::new(None),
             comebacks: RefCell::new(HashMap::new()),
@@ -247,15 +249,45 @@
         self.suspicions.notify_waiters();
     }
 
-    /// Returns the newest revision of an upstream's entry that was taken over.
-    pub fn instances_revision(&self) -> Revision {
-        self.instances_revision.get()
+    /// Returns the newest position in the store of an upstream's entry that was taken over.
+    pub fn instances_position(&self) -> StorePosition {
+        self.instances_position.get()
     }
 
-    /// Notes the revision of an upstream's entry that was taken over.
-    pub fn note_instances_revision(&self, revision: Revision) {
-        let newest = self.instances_revision.get().max(revision);
-        self.instances_revision.set(newest);
+    /// Notes the position of an upstream's entry that was taken over.
+    pub fn note_instances_position(&self, position: StorePosition) {
+        let newest = self.instances_position.get().max(position);
+        self.instances_position.set(newest);
+    }
+
+    /// Takes over the era of the store that an answer of it, or a peer, has named.
+    ///
+    /// A new era means that the store has lost what it had acknowledged in the last seconds
+    /// of the one before. No position and no lease of that one holds any more, and upstreams
+    /// are given time to write their entries again. What this gateway knows beside that
+    /// stays: the configuration never goes back, nor does what upstreams have said of
+    /// themselves.
+    pub fn note_store_era(&self, era: StoreEra) {
+        let known = self.instances_position.get().era;
+        if era <= known {
+            return;
+        }
+        let is_first = known == StoreEra::default();
+        info!(
+            "event=store_era era={era} before={known} config={}",
+            self.config_version()
+        );
+        self.instances_position.set(StorePosition {
+            era,
+            revision: Revision(0),
+        });
+        if is_first {
+            return;
+        }
+        self.metrics.count("store_era");
+        self.entry_log.borrow_mut().stop();
+        self.absences.on_new_era();
+        self.planner.forget_lease();
     }
 
     /// Notes that the upstreams' entries have been read once.
--- a/routing/src/fleet/claims.rs
+++ b/routing/src/fleet/claims.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jujubewall_types::id::Revision;
+use jujubewall_types::id::StorePosition;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -77,8 +77,8 @@
     pub planner: PlannerRole,
     /// Whether it follows the store.
     pub follower: FollowerRole,
-    /// The newest revision of an upstream's entry that it has taken over.
-    pub instances_revision: Revision,
+    /// The newest position in the store of an upstream's entry that it has taken over.
+    pub instances_position: StorePosition,
     /// The digest of the upstreams' entries that it knows.
     pub instances_digest: u64,
 }
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Returns whether an entry is of this life of the upstream.
+    pub fn is_same_life(&self, instance: &Instance) -> bool {
+        self.instance.born_unix_ms == instance.born_unix_ms
+            && self.instance.service == instance.service
+            && self.instance.address == instance.address
+    }
+
     /// Returns whether the upstream may be given new work.
     pub fn is_usable(&self) -> bool {
         self.instance.state == InstanceState::Ready
@@ -291,19 +298,33 @@
     pub fn upsert(&mut self, instance: Instance, now: Instant) -> InstanceKey {
         if let Some(&key) = self.by_id.get(&instance.id) {
             let known = &mut self.instances[key];
-            let is_same_life = known.instance.born_unix_ms == instance.born_unix_ms
-                && known.instance.service == instance.service
-                && known.instance.address == instance.address;
-            if is_same_life {
+            if known.is_same_life(&instance) {
+                let has_left = known.instance.state == InstanceState::Draining;
                 known.instance = instance;
+                // A life that drains ends, whatever an older copy of its entry says.
+                if has_left {
+                    known.instance.state = InstanceState::Draining;
+                }
                 known.has_reported_layers = false;
                 return key;
             }
             self.remove_key(key);
         }
+        let before = self
+            .instances
+            .values()
+            .find(|tracked| tracked.instance.id == instance.id && tracked.is_same_life(&instance));
+        let was_leaving = before.is_some_and(|before| {
+            before.has_said_leaving || before.instance.state == InstanceState::Draining
+        });
         let id = instance.id.clone();
         let service = instance.service.clone();
-        let key = self.instances.insert(Tracked::new(instance, now));
+        let mut tracked = Tracked::new(instance, now);
+        if was_leaving {
+            tracked.has_said_leaving = true;
+            tracked.leaving_since = Some(now);
+        }
+        let key = self.instances.insert(tracked);
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         key
--- a/routing/src/fleet/spread.rs
+++ b/routing/src/fleet/spread.rs
@@ -30,7 +30,7 @@
 use super::rendezvous;
 
 /// Marks a message of this protocol; other datagrams are not read further.
-pub const PROTOCOL: u32 = 0x6a77_0002;
+pub const PROTOCOL: u32 = 0x6a77_0003;
 
 /// The largest message, which fits into one packet of a usual link.
 pub const MAX_MESSAGE_BYTES: usize = 1_400;
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -698,3 +698,73 @@
     let most = tokens.values().copied().fold(0.0, f64::max);
     assert!(most <= 2.0 / 3.0 * all, "{tokens:?}");
 }
+
+#[test]
+fn test_what_an_upstream_says_of_its_leaving_holds_for_its_life() {
+    let mut fleet = Fleet::with_copies(&["hall"]);
+    let key = fleet.keys["hall-0"];
+    assert!(fleet.table.note_says_leaving(key, fleet.now));
+    fleet.table.note_leaving(key, false, fleet.now);
+    assert!(!fleet.table.get(key).unwrap().is_usable());
+    // Its entry goes, and an older copy brings it back.
+    let entry = fleet.table.get(key).unwrap().instance.clone();
+    fleet.table.depart(&entry.id, fleet.now);
+    let again = fleet.table.upsert(entry.clone(), fleet.now);
+    assert!(!fleet.table.get(again).unwrap().is_usable());
+    // Another life under the same name is another upstream.
+    let next_life = Instance {
+        born_unix_ms: entry.born_unix_ms + 1,
+        ..entry
+    };
+    let next = fleet.table.upsert(next_life, fleet.now);
+    assert!(fleet.table.get(next).unwrap().is_usable());
+}
+
+#[test]
+fn test_draining_life_does_not_become_ready_again() {
+    let mut fleet = Fleet::with_copies(&["hall"]);
+    let key = fleet.keys["hall-0"];
+    let ready = fleet.table.get(key).unwrap().instance.clone();
+    let draining = Instance {
+        state: InstanceState::Draining,
+        ..ready.clone()
+    };
+    fleet.table.upsert(draining, fleet.now);
+    fleet.table.upsert(ready, fleet.now);
+    assert!(!fleet.table.get(key).unwrap().is_usable());
+}
+
+/// Replays refusals of half of the engines that want nothing for a second: the others take
+/// over, and the paused ones serve again when their time is over.
+#[test]
+fn test_paused_engines_are_on_no_path_until_their_time_is_over() {
+    let mut fleet = Fleet::with_copies(&["hall", "yard"]);
+    let paused = fleet.keys["hall-20"];
+    let pause = Duration::from_secs(1);
+    assert!(fleet.table.pause(paused, pause, fleet.now));
+    // A shorter wish does not end a longer one.
+    assert!(!fleet.table.pause(paused, pause / 2, fleet.now));
+    for draw in 1..50 {
+        let preference = Preference {
+            draw,
+            ..Preference::default()
+        };
+        let path = fleet.choose_by(&preference, &[], false).unwrap();
+        assert!(path.parts.iter().all(|part| part.instance != paused));
+    }
+    assert_eq!(
+        fleet.table.next_resume(&name(), fleet.now),
+        Some(fleet.now + pause)
+    );
+    fleet.now += pause;
+    assert_eq!(fleet.table.next_resume(&name(), fleet.now), None);
+    let is_used = (1..50).any(|draw| {
+        let preference = Preference {
+            draw,
+            ..Preference::default()
+        };
+        let path = fleet.choose_by(&preference, &[], false).unwrap();
+        path.parts.iter().any(|part| part.instance == paused)
+    });
+    assert!(is_used);
+}
--- a/routing/tests/test_fleet_spread.rs
+++ b/routing/tests/test_fleet_spread.rs
@@ -23,6 +23,7 @@
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::id::ServiceName;
+use jujubewall_types::id::StorePosition;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::Strategy;
 use proptest::prelude::any;
@@ -122,7 +123,7 @@
                 (true, false) => FollowerRole::Unserved,
                 (true, true) => FollowerRole::Served,
             },
-            instances_revision: Revision(1),
+            instances_position: StorePosition::default(),
             instances_digest: 0,
         }
     }
@@ -486,7 +487,7 @@
             PlannerRole::None => FollowerRole::None,
             _ => FollowerRole::Served,
         },
-        instances_revision: Revision(1),
+        instances_position: StorePosition::default(),
         instances_digest: 0,
     };
     let mut entry = Entry::new(0, 1, &[], now);
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -69,6 +69,10 @@
     RefuseAnother,
     /// After so many events, single bytes come that end no event.
     DripAfter(u64),
+    /// All answers say that the runner leaves, while its entry does not.
+    SayLeaving,
+    /// The request is refused, and no other one is wanted for a time, as the header says.
+    RefuseFor(&'static str),
 }
 
 /// A request that ran.
@@ -123,6 +127,8 @@
 struct FleetState {
     runners: HashMap<String, RunnerState>,
     ran: Vec<RanRequest>,
+    /// The requests that reached a runner, refused ones too: runner and time.
+    arrived: Vec<(String, Instant)>,
     orders: Vec<(String, Value)>,
     event_count: u64,
     births: u64,
@@ -270,6 +276,21 @@
         self.state().ran.clone()
     }
 
+    /// Returns when requests reached a runner, refused ones too.
+    pub fn arrived(&self, runner: &str) -> Vec<Instant> {
+        let state = self.state();
+        let arrived = state.arrived.iter().filter(|(id, _)| id == runner);
+        arrived.map(|(_, at)| *at).collect()
+    }
+
+    /// Writes the entries of all runners again, as they do when the store has lost them.
+    pub fn rewrite_entries(&self) {
+        let ids: Vec<String> = self.state().runners.keys().cloned().collect();
+        for id in ids {
+            self.write_entry(&id);
+        }
+    }
+
     /// Returns the orders of a kind that were accepted, with their runners.
     pub fn orders(&self, op: &str) -> Vec<(String, Value)> {
         let state = self.state();
@@ -326,12 +347,23 @@
     ) -> Result<Response<ReplyBody>, CutError> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| CutError)?.to_bytes();
-        match parts.uri.path() {
-            "/v1/report" => Ok(self.report(&id)),
-            "/v1/order" => Ok(self.order(&id, &body)),
-            "/health" => Ok(plain(200, &id)),
-            _ => self.run(&id, &parts.headers, body),
+        let mut reply = match parts.uri.path() {
+            "/v1/report" => self.report(&id),
+            "/v1/order" => self.order(&id, &body),
+            "/health" => plain(200, &id),
+            _ => {
+                let arrival = (id.clone(), Instant::now());
+                self.state().arrived.push(arrival);
+                self.run(&id, &parts.headers, body)?
+            }
+        };
+        let state = self.state();
+        let runner = state.runners.get(&id);
+        if runner.is_some_and(|runner| runner.fault == RunnerFault::SayLeaving) {
+            let value = hyper::header::HeaderValue::from_static("1");
+            reply.headers_mut().insert("server-leaving", value);
         }
+        Ok(reply)
     }
 
     fn report(&self, id: &str) -> Response<ReplyBody> {
@@ -403,6 +435,12 @@
         if fault == RunnerFault::Refuse {
             return Ok(not_run());
         }
+        if let RunnerFault::RefuseFor(pause) = fault {
+            let mut refusal = not_run();
+            let value = hyper::header::HeaderValue::from_static(pause);
+            refusal.headers_mut().insert("retry-after", value);
+            return Ok(refusal);
+        }
         state.ran.push(RanRequest {
             id: text("request-id"),
             runner: id.to_owned(),
--- a/testutils/src/site_store.rs
+++ b/testutils/src/site_store.rs
@@ -43,6 +43,7 @@
     Silent,
 }
 
+#[derive(Clone)]
 struct StoredItem {
     value: String,
     revision: u64,
@@ -55,9 +56,20 @@
     end: Instant,
 }
 
+/// What comes back of a store that is restored.
+#[derive(Clone, Default)]
+struct Copy {
+    revision: u64,
+    items: BTreeMap<String, StoredItem>,
+    removals: Vec<(u64, String)>,
+    last_lease: u64,
+}
+
 #[derive(Default)]
 struct State {
     mood: StoreMood,
+    era: u64,
+    copy: Copy,
     revision: u64,
     items: BTreeMap<String, StoredItem>,
     /// The removals with their revisions.
@@ -121,6 +133,33 @@
         state.items.get(key).map(|item| item.value.clone())
     }
 
+    /// Keeps a copy, for [`Self::restore`].
+    pub fn keep_copy(&self) {
+        let mut state = self.state();
+        state.copy = Copy {
+            revision: state.revision,
+            items: state.items.clone(),
+            removals: state.removals.clone(),
+            last_lease: state.last_lease,
+        };
+    }
+
+    /// Comes back from the copy: all that was written since is lost, leases too, and a new
+    /// era begins, in which revisions and leases are given out again.
+    pub fn restore(&self) {
+        let mut state = self.state();
+        let copy = state.copy.clone();
+        state.revision = copy.revision;
+        state.items = copy.items;
+        state.removals = copy.removals;
+        state.last_lease = copy.last_lease;
+        state.leases.clear();
+        state.compacted = 0;
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Drops the history, so that older watches cannot go on.
     pub fn compact(&self) {
         let mut state = self.state();
@@ -141,7 +180,7 @@
             {
                 let mut state = self.state();
                 state.expire_leases();
-                if after < state.compacted {
+                if after < state.compacted || after > state.revision {
                     return json_reply(410, &json!({}));
                 }
                 let events = state.events(&prefix, after);
@@ -180,6 +219,17 @@
 #[async_trait]
 impl HttpHandler for SiteStore {
     async fn handle(&self, request: Request<Bytes>) -> ServerAnswer {
+        let mut answer = self.answer_in_mood(request).await;
+        if let ServerAnswer::Reply(reply) = &mut answer {
+            let era = self.state().era;
+            reply.headers_mut().insert("store-era", era.into());
+        }
+        answer
+    }
+}
+
+impl SiteStore {
+    async fn answer_in_mood(&self, request: Request<Bytes>) -> ServerAnswer {
         let mood = {
             let mut state = self.state();
             state.calls += 1;
--- a/types/src/id.rs
+++ b/types/src/id.rs
@@ -1,6 +1,8 @@
 //! Names and counters that identify things.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use schemars::JsonSchema;
 use serde::Deserialize;
@@ -176,6 +178,42 @@
     /// The revision of a value in the key-value service.
     Revision, u64
 }
+counter_type! {
+    /// One more than the number by which the key-value service tells its eras apart, which
+    /// rises when it comes back from an older copy; zero if it has named none.
+    StoreEra, u64
+}
+
+/// A point in the history of the key-value service.
+///
+/// One that has come back from an older copy gives revisions out again, so that a revision
+/// says nothing without its era.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct StorePosition {
+    /// The era.
+    pub era: StoreEra,
+    /// The revision.
+    pub revision: Revision,
+}
+
+impl fmt::Display for StorePosition {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
+impl FromStr for StorePosition {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (era, revision) = text.split_once('.').unwrap_or((text, ""));
+        Ok(Self {
+            era: StoreEra(era.parse()?),
+            revision: Revision(revision.parse()?),
+        })
+    }
+}
+
 counter_type! {
     /// The number that orders conflicting authorities; a lower one is refused.
     FencingNumber, u64
