placement: count engines as leaving whose entry went without a doubt

An engine ended without having said so; its entry went while it still served sixty streams. Its layers counted as missing, so that an engine on the paths of the same streams gave its own ones up at once. Ruled out: a crash (no engine was suspected), the route's time (10 of 20 s). Change: an engine whose entry went and that nobody suspects counts as one that leaves for six seconds, so that nothing is broken off for its layers.

--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -365,13 +365,15 @@
 fn engines(gateway: &Gateway, service: &ServiceName, spec: &EngineSpec) -> Vec<PlacedEngine> {
     let open = gateway.planner.open.borrow();
     let instances = gateway.instances();
-    instances
-        .of_service(service)
-        .filter(|(_, tracked)| {
-            let since = tracked.suspected_since();
-            since.is_none_or(|since| since.elapsed() < LOSS_CONFIRMED)
-        })
-        .filter_map(|(_, tracked)| {
+    let present = instances.of_service(service).filter(|(_, tracked)| {
+        let since = tracked.suspected_since();
+        since.is_none_or(|since| since.elapsed() < LOSS_CONFIRMED)
+    });
+    let present = present.map(|(_, tracked)| (tracked, false));
+    let lingering = instances.lingering(service, Instant::now());
+    present
+        .chain(lingering.map(|tracked| (tracked, true)))
+        .filter_map(|(tracked, is_lingering)| {
             let instance = &tracked.instance;
             let accelerator = spec.accelerator(instance.accelerator.as_deref()?)?;
             let order = open
@@ -386,7 +388,8 @@
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
                 is_slow: tracked.slowdown() >= SLOW_ENGINE,
-                is_leaving: instance.state == InstanceState::Draining
+                is_leaving: is_lingering
+                    || instance.state == InstanceState::Draining
                     || tracked.leaving_since().is_some(),
             })
         })
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -54,6 +54,9 @@
 /// work in flight lasts.
 const DEPARTED_LIFETIME: Duration = Duration::from_secs(30);
 
+/// The time for which an upstream whose entry is gone may go on with what it has.
+const LINGERING_TIME: Duration = Duration::from_secs(6);
+
 /// The time after which a silent upstream counts as ended or cut off; it is asked
 /// again twice in this time.
 const SILENCE_IS_AN_END: Duration = Duration::from_millis(700);
@@ -412,6 +415,24 @@
             .map(|&key| (key, &self.instances[key]))
     }
 
+    /// Returns the upstreams of a service whose entry went lately although nothing speaks
+    /// against them.
+    ///
+    /// Some upstreams end without having said so: their entry goes, and they still serve
+    /// what they have for a while.
+    pub fn lingering<'a>(
+        &'a self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Tracked> {
+        let is_recent = move |at: Instant| now.saturating_duration_since(at) < LINGERING_TIME;
+        self.instances
+            .values()
+            .filter(move |tracked| tracked.departed_at.is_some_and(is_recent))
+            .filter(|tracked| tracked.suspected_since.is_none())
+            .filter(move |tracked| tracked.instance.service == *service)
+    }
+
     /// Returns the upstreams that have an entry.
     pub fn iter(&self) -> impl Iterator<Item = (InstanceKey, &Tracked)> {
         self.instances
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -768,3 +768,25 @@
     });
     assert!(is_used);
 }
+
+/// Replays hunted day `mix` 944462360779: an engine ended without having said so. Its entry
+/// went while it still served sixty streams, and the layers of others on their paths were
+/// given up at once, as after a crash.
+#[test]
+fn test_engine_whose_entry_went_without_a_doubt_still_serves_for_a_while() {
+    let mut fleet = Fleet::with_copies(&["hall"]);
+    let (left, lost) = (fleet.keys["hall-0"], fleet.keys["hall-20"]);
+    fleet.table.suspect(lost, Evidence::Refused, fleet.now);
+    for key in [left, lost] {
+        let id = fleet.table.get(key).unwrap().instance.id.clone();
+        fleet.table.depart(&id, fleet.now);
+    }
+    let lingering = |after: Duration| -> Vec<String> {
+        let lingering = fleet.table.lingering(&name(), fleet.now + after);
+        lingering
+            .map(|tracked| tracked.instance.id.to_string())
+            .collect()
+    };
+    assert_eq!(lingering(Duration::from_secs(2)), ["hall-0"]);
+    assert!(lingering(Duration::from_secs(30)).is_empty());
+}
