--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -397,7 +397,7 @@
 /// of them to pass leave the domain broken for as long.
 #[test]
 fn test_layers_are_given_up_at_once_where_others_are_missing() {
-    let mut given_up = 0;
+    let mut abandoned = 0;
     for index in 0..TIGHT_MB.len() {
         let mut fleet = Fleet::new(&[("a", &TIGHT_MB)]);
         fleet.settle();
@@ -409,10 +409,10 @@
         };
         for order in orders.iter().filter(gives_up) {
             assert_eq!(order.give_up, GiveUp::Abort, "{index}: {}", order.id);
-            given_up += 1;
+            abandoned += 1;
         }
     }
-    assert!(given_up > 0);
+    assert!(abandoned > 0);
 }
 
 /// Replays a planned departure: the engine serves the streams that it has, and aborting
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -52,14 +52,14 @@
 /// The looks between two questions to an upstream that has long been silent.
 const RARE_PROBE_LOOKS: u32 = 4;
 
-/// The time within which an upstream takes a connection, in all attempts together; a round
-/// trip is about a millisecond.
-const REACH_TIMEOUT: Duration = Duration::from_millis(30);
-
 /// The time after which a further connection is tried beside one that is not open yet, since
 /// a lossy link may have dropped its first packet.
 const REACH_RETRY: Duration = Duration::from_millis(10);
 
+/// The time within which an upstream takes the further connection; a round trip is about a
+/// millisecond.
+const REACH_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// The time by which a timer may be late before the process counts as held up.
 const MAX_HELD_UP: Duration = Duration::from_millis(10);
 
@@ -384,14 +384,15 @@
 /// or held up, which says nothing of the upstream.
 async fn reach(address: SocketAddr, control: Option<SocketAddr>) -> Reach {
     let started = Instant::now();
-    let first = connect(address, REACH_TIMEOUT);
+    let limit = REACH_RETRY + REACH_TIMEOUT;
+    let first = connect(address, limit);
     let further = async {
         sleep(REACH_RETRY).await;
-        let limit = REACH_TIMEOUT - REACH_RETRY;
         let Some(control) = control else {
-            return (connect(address, limit).await, true);
+            return (connect(address, REACH_TIMEOUT).await, true);
         };
-        let (reached, control) = tokio::join!(connect(address, limit), connect(control, limit));
+        let further = connect(address, REACH_TIMEOUT);
+        let (reached, control) = tokio::join!(further, connect(control, REACH_TIMEOUT));
         (reached, control != Connect::Silent)
     };
     let (first, (second, is_own_link_sound)) = tokio::select! {
@@ -402,9 +403,7 @@
         (Connect::Open, _) | (_, Connect::Open) => Reach::Answers,
         (Connect::Refused, _) | (_, Connect::Refused) => Reach::Lost(Evidence::Refused),
         // A process that was held up itself cannot tell who was late.
-        _ if !is_own_link_sound || started.elapsed() > REACH_TIMEOUT + MAX_HELD_UP => {
-            Reach::Unknown
-        }
+        _ if !is_own_link_sound || started.elapsed() > limit + MAX_HELD_UP => Reach::Unknown,
         _ => Reach::Lost(Evidence::Silent),
     }
 }
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -782,7 +782,8 @@
         fleet.table.depart(&id, fleet.now);
     }
     let lingering = |after: Duration| -> Vec<String> {
-        let lingering = fleet.table.lingering(&name(), fleet.now + after);
+        let service = name();
+        let lingering = fleet.table.lingering(&service, fleet.now + after);
         lingering
             .map(|tracked| tracked.instance.id.to_string())
             .collect()
