testutils: choose addresses while no program is being started

Cause: a program that is being started holds copies of all open sockets of the test process until it replaces its image. The sockets with which free_address probes an address lived on in such a copy for a moment after they were closed, and the user of the address failed with "address in use".

Ruled out: two choices of one address (each index is given out once for a process, and the host part is the process's own).

Change: the choice of an address and the start of a program exclude each other.

--- a/cli/tests/test_fleet.rs
+++ b/cli/tests/test_fleet.rs
@@ -3,8 +3,10 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Output;
+use std::process::Stdio;
 
 use jujubewall_testutils::fleet::Fleet;
+use jujubewall_testutils::program;
 use jujubewall_testutils::site::OPERATOR_KEY;
 use jujubewall_testutils::site::OTHER_OPERATOR_KEY;
 use jujubewall_testutils::site::PARTNER;
@@ -26,13 +28,16 @@
 
 async fn run(fleet: &Fleet, key: &str, arguments: &[&str]) -> Output {
     let entry = fleet.entries[1].address("operator_address").to_string();
-    Command::new(TOOL)
+    let mut command = Command::new(TOOL);
+    command
         .args(arguments)
         .env("JUJUBEWALL_ENTRY", entry)
         .env("JUJUBEWALL_OPERATOR_KEY", key)
-        .output()
-        .await
-        .expect("the tool can be started")
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    let tool = program::spawn(&mut command).expect("the tool can be started");
+    tool.wait_with_output().await.expect("the tool ends")
 }
 
 fn document(output: &Output) -> Value {
--- a/testutils/src/daemon.rs
+++ b/testutils/src/daemon.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::client::HttpUser;
+use crate::program;
 
 /// The time within which a daemon starts, stops or reaches a state.
 pub const PROCESS_TIMEOUT: Duration = Duration::from_secs(20);
@@ -38,16 +39,16 @@
     pub fn spawn(binary: &Path, settings: &Path) -> Self {
         let text = std::fs::read_to_string(settings).expect("the settings can be read");
         let log = std::fs::File::create(settings.with_extension("log")).expect("a log can be made");
-        let child = Command::new(binary)
+        let mut command = Command::new(binary);
+        command
             .arg("--settings")
             .arg(settings)
             .env("RUST_LOG", "info")
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
-            .kill_on_drop(true)
-            .spawn()
-            .expect("the daemon can be started");
+            .kill_on_drop(true);
+        let child = program::spawn(&mut command).expect("the daemon can be started");
         Self {
             child,
             settings_path: settings.to_owned(),
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -27,6 +27,7 @@
 
 use crate::http_server::ServerHandle;
 use crate::ports::free_address;
+use crate::program;
 use crate::site_runner::RunnerHandle;
 use crate::site_runner::SiteRunners;
 use crate::site_store::SiteStore;
@@ -115,14 +116,14 @@
         let settings = folder.join(format!("{name}.json"));
         std::fs::write(&settings, document.to_string()).unwrap();
         let log = folder.join(format!("{name}.log"));
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .arg("--gateway")
             .env("JUJUBEWALL_SETTINGS", &settings)
             .stdin(Stdio::null())
             .stdout(append(&log))
-            .kill_on_drop(true)
-            .spawn()
-            .unwrap();
+            .kill_on_drop(true);
+        let child = program::spawn(&mut command).unwrap();
         Self {
             child,
             clients,
@@ -200,8 +201,8 @@
 
     async fn signal(&self, signal: &str) {
         let id = self.child.id().expect("the process runs").to_string();
-        let status = Command::new("kill").args([signal, &id]).status().await;
-        assert!(status.unwrap().success());
+        let mut kill = program::spawn(Command::new("kill").args([signal, &id])).unwrap();
+        assert!(kill.wait().await.unwrap().success());
     }
 
     /// Kills the process.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod model_fold;
 pub mod notes;
 pub mod ports;
+pub mod program;
 pub mod raw_runner;
 pub mod relay;
 pub mod service;
--- a/testutils/src/ports.rs
+++ b/testutils/src/ports.rs
@@ -5,6 +5,9 @@
 use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::process;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
@@ -16,17 +19,31 @@
 
 static GIVEN_OUT: AtomicU32 = AtomicU32::new(0);
 
+static INHERITABLE_SOCKETS: Mutex<()> = Mutex::new(());
+
+/// Keeps the choice of an address and the start of a program apart.
+///
+/// A program that is being started holds copies of the sockets that are open in this process
+/// until it replaces its image, so a socket that probes an address could outlive its close.
+pub(crate) fn lock_inheritable_sockets() -> MutexGuard<'static, ()> {
+    INHERITABLE_SOCKETS
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns a loopback address that is free for TCP and UDP.
 ///
 /// Every test process has a host part of its own, made from its identifier, so
 /// that no two of them and no outgoing connection can take one another's ports
 /// between the choice of an address and its use. No port is given out twice by
-/// one test process.
+/// one test process, and no program that [`crate::program::spawn`] starts
+/// meanwhile inherits the sockets that probe it.
 ///
 /// # Panics
 ///
 /// Panics if every port is taken.
 pub fn free_address() -> SocketAddr {
+    let _guard = lock_inheritable_sockets();
     for _ in 0..PORT_COUNT {
         let index = GIVEN_OUT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
         let port = u16::try_from(FIRST_PORT + index).unwrap_or_default();
