diagnosis: count from logs how requests ended, and trace one to its cause

Cause: the table of lost worth by moment was made by hand from logs, and three of its reasons (pause after a loss, late first event, account) could not be read from the lines at all.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod keys;
 mod keys_generate;
+mod losses;
 mod note;
 mod note_check;
 mod note_diff;
@@ -14,13 +15,14 @@
 mod settings_schema;
 mod show;
 mod status;
+mod trace;
 mod upstreams;
 
 use argh::FromArgs;
 
 use crate::exit::CommandFailure;
 
-/// Checks and submits release notes, and shows what the fleet does.
+/// Checks and submits release notes, shows what the fleet does, and reads its logs.
 #[derive(Debug, FromArgs)]
 pub struct Jujubewall {
     #[argh(subcommand)]
@@ -32,9 +34,11 @@
 enum Command {
     Audit(audit::AuditCommand),
     Keys(keys::KeysCommand),
+    Losses(losses::LossesCommand),
     Note(note::NoteCommand),
     Settings(settings::SettingsCommand),
     Status(status::StatusCommand),
+    Trace(trace::TraceCommand),
     Upstreams(upstreams::UpstreamsCommand),
 }
 
@@ -44,9 +48,11 @@
         match self.command {
             Command::Audit(command) => command.run().await,
             Command::Keys(command) => command.run(),
+            Command::Losses(command) => command.run(),
             Command::Note(command) => command.run().await,
             Command::Settings(command) => command.run(),
             Command::Status(command) => command.run().await,
+            Command::Trace(command) => command.run(),
             Command::Upstreams(command) => command.run().await,
         }
     }
--- a/cli/src/render.rs
+++ b/cli/src/render.rs
@@ -2,6 +2,7 @@
 
 mod audit;
 pub mod keys;
+pub mod losses;
 pub mod note;
 pub mod settings;
 mod status;
--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -338,3 +338,39 @@
     let committed = include_str!("../../docs/settings.schema.json");
     assert_eq!(schema.strip_prefix("exit 0\n"), Some(committed));
 }
+
+const GATEWAY_LOG: &str = "\
+0.1 front-1 time=1.0 level=INFO event=start member=front-1 domain=hall
+0.2 front-1 time=1.1 level=INFO event=upstream id=i-1 address=10.0.0.1:80 state=ready
+0.3 front-1 time=1.2 level=INFO event=path id=a1 first=i-1 path=10.0.0.1:80=0-8
+0.4 front-1 time=1.3 level=WARN event=suspect upstream=i-1 address=10.0.0.1:80 reason=\"silent\"
+0.4 front-1 time=1.3 level=INFO event=run_lost id=a1 sends=1 goes_on=true
+0.8 front-1 time=1.7 level=INFO event=end id=a1 route=notes account=bay outcome=completed \
+reason=\"\" sends=2 repaths=0 first_ms=40 target_ms=600 longest_gap_ms=310 gap_limit_ms=250 ms=900
+1.1 front-1 time=2.0 level=INFO event=reject id=a2 reason=\"every engine is full\" sends=1
+1.1 front-1 time=2.0 level=INFO event=end id=a2 route=notes account=bay outcome=rejected \
+reason=\"every engine is full\" sends=1 ms=2
+a line of another program
+";
+
+#[tokio::test]
+async fn test_logs_tell_how_requests_ended_and_why() {
+    let path = scratch("logs").join("merged.log");
+    fs::write(&path, GATEWAY_LOG).unwrap();
+    let file = path.display().to_string();
+    let nobody = "127.0.0.1:1".parse().unwrap();
+    insta::assert_snapshot!("losses", run(nobody, &["losses", &file]).await);
+    insta::assert_snapshot!(
+        "losses_json",
+        run(
+            nobody,
+            &["losses", "--json", "--from", "1", "--to", "2", &file]
+        )
+        .await
+    );
+    insta::assert_snapshot!("trace", run(nobody, &["trace", "a1", &file]).await);
+    let unknown = run(nobody, &["trace", "a9", &file]).await;
+    assert!(unknown.starts_with("exit 2\n"), "{unknown}");
+    let missing = run(nobody, &["losses", "/nonexistent/gateway.log"]).await;
+    assert!(missing.starts_with("exit 2\n"), "{missing}");
+}
--- a/daemon/src/gateway/answer.rs
+++ b/daemon/src/gateway/answer.rs
@@ -77,8 +77,17 @@
     not_run(reason, retry_after)
 }
 
+/// Rejects a request before it is admitted, so that no line tells its end.
+pub fn reject_unadmitted(id: &str, reason: &'static str, retry_after: Duration) -> Reply {
+    info!(
+        "event=reject id={id} stage=accept reason=\"{reason}\" come_back_ms={} sends=0",
+        retry_after.as_millis()
+    );
+    not_run(reason, retry_after)
+}
+
 /// Returns an answer which states that a request has not run, and when to retry.
-pub fn not_run(reason: &'static str, retry_after: Duration) -> Reply {
+fn not_run(reason: &'static str, retry_after: Duration) -> Reply {
     let mut reply = from_gateway(StatusCode::SERVICE_UNAVAILABLE, reason);
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::try_from(seconds) {
--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -112,6 +112,8 @@
     runs: u32,
     failure: Option<Box<CallAnswer>>,
     outcome: &'static str,
+    /// Why the call was not answered with success.
+    reason: &'static str,
     _in_flight: InFlightGuard,
 }
 
@@ -121,11 +123,15 @@
         self.gateway.metrics.count_outcome(self.outcome, time);
         self.gateway.record_end(&self.request.service.name);
         info!(
-            "event=end id={} route={} outcome={} sends={} ms={} config={}",
+            "event=end id={} route={} account={} outcome={} reason=\"{}\" sends={} target_ms={} ms={} \
+             config={}",
             self.request.id,
             self.request.route.name,
+            self.request.account,
             self.outcome,
+            self.reason,
             self.sends,
+            self.request.route.target_latency_ms,
             time.as_millis(),
             self.request.config_version
         );
@@ -146,6 +152,7 @@
         runs: 0,
         failure: None,
         outcome: "client_gone",
+        reason: "",
         _in_flight: in_flight,
     };
     call.run().await
@@ -306,6 +313,7 @@
         self.outcome = if head.status.is_success() {
             "completed"
         } else {
+            self.reason = "the upstream failed";
             "upstream_failure"
         };
         let body = match body {
@@ -324,7 +332,8 @@
         }
         if self.runs > 0 {
             self.outcome = "unknown";
-            return answer::from_gateway(StatusCode::BAD_GATEWAY, "the answer was lost");
+            self.reason = "the answer was lost";
+            return answer::from_gateway(StatusCode::BAD_GATEWAY, self.reason);
         }
         self.reject("no upstream takes the call")
     }
@@ -342,6 +351,7 @@
 
     fn reject(&mut self, reason: &'static str) -> Reply {
         self.outcome = "rejected";
+        self.reason = reason;
         let wait = self.gateway.next_retry_after(&self.request.service.name);
         let wait = self
             .gateway
@@ -359,13 +369,14 @@
             return self.pass_on(*failure);
         }
         self.outcome = "timed_out";
+        self.reason = "no answer in time";
         warn!(
             "event=timeout id={} sends={} upstreams={}",
             self.request.id,
             self.sends,
             self.excluded.len()
         );
-        answer::from_gateway(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        answer::from_gateway(StatusCode::GATEWAY_TIMEOUT, self.reason)
     }
 }
 
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -238,10 +238,11 @@
 
 async fn answer_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Reply {
     let received_at = Instant::now();
+    let (parts, body) = request.into_parts();
+    let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default();
     let Some(routes) = gateway.routes() else {
-        return answer::not_run("no configuration yet", START_RETRY_AFTER);
+        return answer::reject_unadmitted(id, "no configuration yet", START_RETRY_AFTER);
     };
-    let (parts, body) = request.into_parts();
     let host = parts.uri.host().or_else(|| {
         let host = parts.headers.get(HOST)?;
         host.to_str().ok()
@@ -255,7 +256,8 @@
         return refuse(&routes, &parts, StatusCode::UNAUTHORIZED, "unknown key");
     };
     let Some(service) = routes.service_for(route, gateway.random_u64()) else {
-        return answer::not_run("the route's service is unknown", START_RETRY_AFTER);
+        let reason = "the route's service is unknown";
+        return answer::reject_unadmitted(id, reason, START_RETRY_AFTER);
     };
     gateway.count_request(&service.name);
     let in_flight = gateway.begin_request();
@@ -292,7 +294,7 @@
     let request = ClientRequest::new(parts, body, &admission, received_at);
     if let Some(wait) = drain_rejection(gateway, &request) {
         gateway.metrics.count("rejected_leaving");
-        return answer::reject(&request.id, "this gateway is about to stop", wait, 0);
+        return answer::reject_unadmitted(&request.id, "this gateway is about to stop", wait);
     }
     match (&service.engine, route.kind) {
         (Some(spec), RequestKind::Stream) => {
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -54,6 +54,8 @@
     pub route: Route,
     /// The service that handles the request.
     pub service: Service,
+    /// The account that holds the request's key; empty if the route needs none.
+    pub account: SmolStr,
     /// When the request began to arrive.
     pub received_at: Instant,
     /// The deadline: the earlier of the client's and the route's.
@@ -126,6 +128,10 @@
             id: headers::request_id(&fields).unwrap_or_default(),
             route: route.clone(),
             service: service.clone(),
+            account: admission
+                .holder
+                .map(|holder| SmolStr::new(holder.account.as_str()))
+                .unwrap_or_default(),
             received_at,
             give_up_at: received_at + timeout.min(client_timeout),
             config_version: admission.config_version,
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -132,6 +132,11 @@
 }
 
 impl Run {
+    /// Returns how often this run was rerouted around lost engines.
+    pub const fn repaths(&self) -> u32 {
+        self.repaths
+    }
+
     /// Chooses a path and sends the request to its first engine.
     pub async fn start(
         gateway: &Rc<Gateway>,
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -75,6 +75,16 @@
     Failed(Box<FailedAnswer>),
 }
 
+impl RelayEnd {
+    const fn reason(&self) -> &'static str {
+        match self {
+            Self::NotRun(reason) | Self::Unknown(reason) => reason,
+            Self::TimedOut => "no answer in time",
+            Self::Failed(_) => "the engine failed",
+        }
+    }
+}
+
 /// The state of one stream that is relayed to a client.
 struct Relay {
     gateway: Rc<Gateway>,
@@ -87,7 +97,11 @@
     /// The first engines of the runs that may have run.
     runs: SmallVec<[InstanceKey; 4]>,
     timing: Timing,
+    /// How often runs were rerouted around lost engines.
+    repaths: u32,
     outcome: &'static str,
+    /// Why the stream did not complete.
+    reason: &'static str,
     _in_flight: InFlightGuard,
 }
 
@@ -111,20 +125,26 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        self.repaths += self.run.as_ref().map_or(0, Run::repaths);
         let time = self.request.received_at.elapsed();
         self.gateway.metrics.count_outcome(self.outcome, time);
         self.gateway.record_end(&self.request.service.name);
         self.gateway.count_stream(false);
         info!(
-            "event=end id={} route={} outcome={} sends={} last_event={} first_ms={} longest_gap_ms={} \
-             ms={} config={}",
+            "event=end id={} route={} account={} outcome={} reason=\"{}\" sends={} repaths={} \
+             last_event={} first_ms={} target_ms={} longest_gap_ms={} gap_limit_ms={} ms={} config={}",
             self.request.id,
             self.request.route.name,
+            self.request.account,
             self.outcome,
+            self.reason,
             self.sends,
+            self.repaths,
             self.filter.last_id().unwrap_or_default(),
             self.timing.first.unwrap_or_default().as_millis(),
+            self.request.route.target_latency_ms,
             self.timing.longest_gap.as_millis(),
+            self.request.route.target_gap_ms,
             time.as_millis(),
             self.request.config_version
         );
@@ -149,7 +169,9 @@
         sends: 0,
         runs: SmallVec::new(),
         timing: Timing::default(),
+        repaths: 0,
         outcome: "client_gone",
+        reason: "",
         _in_flight: in_flight,
         request,
     });
@@ -191,8 +213,9 @@
                     relay.outcome = "completed";
                     None
                 }
-                Err(_) => {
+                Err(end) => {
                     relay.outcome = "cut";
+                    relay.reason = end.reason();
                     Some((Err(AnswerCut), (relay, None, true)))
                 }
             }
@@ -203,6 +226,7 @@
     /// Returns the reply to a request of which no event has been passed on.
     fn give_up(mut self: Box<Self>, end: RelayEnd) -> Reply {
         let service = &self.request.service.name;
+        self.reason = end.reason();
         match end {
             RelayEnd::NotRun(reason) => {
                 self.outcome = "rejected";
@@ -219,7 +243,7 @@
             }
             RelayEnd::TimedOut => {
                 self.outcome = "timed_out";
-                answer::from_gateway(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+                answer::from_gateway(StatusCode::GATEWAY_TIMEOUT, self.reason)
             }
             RelayEnd::Failed(failed) => {
                 self.outcome = "upstream_failure";
@@ -248,7 +272,9 @@
                 Ok(None) => continue,
                 Err(fault) => fault,
             };
-            self.run = None;
+            if let Some(run) = self.run.take() {
+                self.repaths += run.repaths();
+            }
             self.filter.discard_partial_event();
             if matches!(fault, RunFault::NoPath(_)) && self.can_wait_for_path() {
                 self.sends -= 1;
