fleet: bound the time until a leaving upstream is known by the deployment's own bound

Change: a hold ends as soon as most followers that the store answers have the same entries without the missing ones; the return of the store for all is noted by every gateway, also by one that only later follows; a document of changes carries the digest to compare at once; the entries that most followers have are taken where they differ; a watch that is behind no longer counts as a source. The times come from drain_ms and the size of the fleet in one place.

Tests: test_fleet_entries, at 28 and 103 gateways.

--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -4,8 +4,6 @@
 //! `jujubewall_routing::fleet::follower_election` watch the store, and the others fetch changes
 //! from them.
 
-use std::cell::Cell;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +16,8 @@
 use jujubewall_platform::site::store::Item;
 use jujubewall_platform::site::store::ItemChange;
 use jujubewall_platform::site::store::Watched;
+use jujubewall_routing::fleet::entry_bounds::BATCH_PAUSE;
+use jujubewall_routing::fleet::entry_bounds::SYNC_INTERVAL;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::id::StoreEra;
@@ -43,26 +43,11 @@
 /// The longest duration of a watch call.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(8);
 
-/// The pause after a watch that returned changes, so that the next call returns changes
-/// in quick succession together.
-const BATCH_PAUSE: Duration = Duration::from_millis(150);
-
-/// The time for which a watch may be behind the revisions that peers announce before the
-/// entries are listed anew. Peers need a moment to apply and announce a change.
-const MAX_BEHIND: Duration = Duration::from_millis(500);
-
-/// The interval between checks whether a watch is behind.
-const BEHIND_POLL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The pause after the first failed call; it doubles with each further one.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failed calls.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
-/// The time after the store becomes available again within which upstreams rewrite entries
-/// that it has lost, by the platform's protocol.
-const REWRITE_GRACE: Duration = Duration::from_millis(2_300);
-
 /// The interval between checks whether this gateway follows the store.
 const DUTY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -90,7 +75,7 @@
     gateway.spawn_loop("follow_entries", |gateway| {
         follow(gateway, InstanceFollower)
     });
-    gateway.spawn_loop("forget_missing", remove_overdue);
+    gateway.spawn_loop("forget_missing", remove_absent);
 }
 
 async fn follow(gateway: Rc<Gateway>, follower: impl Follower + 'static) {
@@ -160,11 +145,13 @@
     let watched = tokio::select! {
         () = stopped_following(gateway) => return Ok(None),
         () = era_changed(gateway, after.era) => return Ok(None),
-        () = gateway.absences.wait_for_era_settled(listed_at) => return Ok(None),
+        () = era_settled(gateway, listed_at) => return Ok(None),
         watched = store.watch(follower.prefix(), after, wait) => watched,
         // The watch is behind what peers know; listing anew gets the missed changes.
         () = follower.wait_until_behind(gateway) => {
             info!("event=watch_behind prefix={}", follower.prefix());
+            // The store may no longer answer; until it has, peers provide the changes.
+            follower.on_stopped(gateway);
             return Ok(None);
         }
     };
@@ -198,6 +185,16 @@
     }
 }
 
+/// Returns once upstreams have rewritten their entries in a new era, if the entries were
+/// last listed before that; never returns otherwise.
+async fn era_settled(gateway: &Gateway, listed_at: Instant) {
+    let settled_at = gateway.absences_mut().era_settled_at();
+    match settled_at {
+        Some(at) if listed_at < at => sleep_until(at).await,
+        _ => std::future::pending().await,
+    }
+}
+
 /// Returns once this gateway no longer follows the store.
 async fn stopped_following(gateway: &Gateway) {
     while gateway.peers.follows() {
@@ -207,8 +204,14 @@
 
 /// Records whether a call to the store was answered.
 fn record_store_call(gateway: &Gateway, answered: bool) {
-    if gateway.record_store_call(answered) {
-        gateway.absences.on_store_return();
+    let now = Instant::now();
+    let has_returned = gateway.record_store_call(answered);
+    let mut absences = gateway.absences_mut();
+    if answered {
+        absences.on_followers_seen(true, now);
+    }
+    if has_returned {
+        absences.on_store_return(now);
     }
 }
 
@@ -284,7 +287,7 @@
             gateway.advance_instances_position(StorePosition { era, revision });
         }
         gateway.entry_log_mut().restart(revision);
-        let is_settling = gateway.absences.is_era_settling();
+        let is_settling = gateway.absences_mut().is_era_settling(Instant::now());
         let instances = items
             .iter()
             .filter_map(|item| decode(gateway, item))
@@ -324,7 +327,7 @@
     async fn wait_until_behind(&self, gateway: &Gateway) {
         let mut behind_since: Option<Instant> = None;
         loop {
-            sleep(BEHIND_POLL_INTERVAL).await;
+            sleep(SYNC_INTERVAL).await;
             if !gateway
                 .peers
                 .has_newer_instances(gateway.instances_position())
@@ -333,7 +336,7 @@
                 continue;
             }
             let since = *behind_since.get_or_insert_with(Instant::now);
-            if since.elapsed() >= MAX_BEHIND {
+            if since.elapsed() >= gateway.entry_bounds().max_behind() {
                 return;
             }
         }
@@ -398,7 +401,7 @@
 }
 
 fn upsert(gateway: &Gateway, instance: Instance) {
-    gateway.absences.on_entry(&instance.id);
+    gateway.absences_mut().on_entry(&instance.id);
     let is_change = gateway
         .instances()
         .by_id(&instance.id)
@@ -431,95 +434,49 @@
 
 /// Removes an upstream, at once or, if it may still rewrite its entry, after that time.
 fn remove_upstream(gateway: &Gateway, id: &str) {
-    if gateway.absences.may_be_rewritten(id) {
+    let now = Instant::now();
+    if gateway.absences_mut().may_be_rewritten(id, now) {
         return;
     }
-    if let Some(gone) = gateway.instances_mut().depart(id, Instant::now()) {
+    if let Some(gone) = gateway.instances_mut().depart(id, now) {
         info!("event=upstream_gone id={id} address={}", gone.address);
     }
 }
 
-/// The upstreams whose entries are missing after the store was unavailable.
-#[derive(Default)]
-pub struct Absences {
-    grace_end: Cell<Option<Instant>>,
-    /// When upstreams have rewritten their entries in the store's new era.
-    era_settled_at: Cell<Option<Instant>>,
-    missing: std::cell::RefCell<HashMap<SmolStr, Instant>>,
-}
-
-impl Absences {
-    /// Starts the time in which upstreams may rewrite missing entries.
-    fn on_store_return(&self) {
-        self.grace_end.set(Some(Instant::now() + REWRITE_GRACE));
-    }
-
-    /// Starts the time in which upstreams may rewrite entries that the store has lost with
-    /// the end of its last era.
-    pub fn on_new_era(&self) {
-        self.on_store_return();
-        self.era_settled_at
-            .set(Some(Instant::now() + REWRITE_GRACE));
-    }
-
-    /// Returns whether the store's entries may still date from before the new era.
-    fn is_era_settling(&self) -> bool {
-        let settled_at = self.era_settled_at.get();
-        settled_at.is_some_and(|at| Instant::now() < at)
-    }
-
-    /// Waits until upstreams have rewritten their entries in a new era, if the entries were
-    /// last listed before that; never returns otherwise.
-    async fn wait_for_era_settled(&self, listed_at: Instant) {
-        match self.era_settled_at.get() {
-            Some(at) if listed_at < at => sleep_until(at).await,
-            _ => std::future::pending().await,
-        }
-    }
-
-    fn on_entry(&self, id: &str) {
-        self.missing.borrow_mut().remove(id);
-    }
-
-    /// Returns whether a missing entry may still be rewritten, and tracks it if so.
-    fn may_be_rewritten(&self, id: &str) -> bool {
-        let Some(grace_end) = self.grace_end.get() else {
-            return false;
-        };
-        if Instant::now() >= grace_end {
-            return false;
-        }
-        self.missing
-            .borrow_mut()
-            .insert(SmolStr::new(id), grace_end);
-        true
-    }
-
-    /// Removes and returns the upstreams that have not rewritten their entries in time.
-    fn take_overdue(&self) -> Vec<SmolStr> {
-        let now = Instant::now();
-        let mut missing = self.missing.borrow_mut();
-        let overdue: Vec<SmolStr> = missing
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &overdue {
-            missing.remove(id);
-        }
-        overdue
-    }
-}
-
-/// Removes upstreams that have not rewritten their entries in time.
-async fn remove_overdue(gateway: Rc<Gateway>) {
+/// Removes upstreams that have not rewritten their entries in time, or whose entries are
+/// gone for most of the gateways that follow the store.
+async fn remove_absent(gateway: Rc<Gateway>) {
     loop {
-        sleep(MIN_RETRY_PAUSE).await;
+        sleep(SYNC_INTERVAL).await;
+        let now = Instant::now();
+        let is_any_served = gateway.receives_changes();
+        gateway.absences_mut().on_followers_seen(is_any_served, now);
         if !gateway.is_store_up() {
             continue;
         }
-        for id in gateway.absences.take_overdue() {
+        let mut absent = gateway.absences_mut().take_overdue(now);
+        if is_absence_confirmed(&gateway) {
+            let confirmed = gateway.absences_mut().take_confirmed(now);
+            if !confirmed.is_empty() {
+                info!("event=absence_confirmed count={}", confirmed.len());
+                gateway.metrics.count("absence_confirmed");
+            }
+            absent.extend(confirmed);
+        }
+        for id in absent {
             remove_upstream(&gateway, &id);
         }
     }
 }
+
+/// Returns whether most of the peers that the store answers know the entries that are
+/// missing here as gone.
+fn is_absence_confirmed(gateway: &Gateway) -> bool {
+    let absences = gateway.absences_mut();
+    if absences.missing().next().is_none() {
+        return false;
+    }
+    let instances = gateway.instances();
+    let digest = instances.entries_digest_without(absences.missing());
+    gateway.peers.most_followers_have(digest)
+}
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -15,6 +15,11 @@
 use jujubewall_platform::site::settings::SiteSettings;
 use jujubewall_routing::fleet::claims::FollowerRole;
 use jujubewall_routing::fleet::claims::RoleClaim;
+use jujubewall_routing::fleet::entry_bounds::SYNC_INTERVAL;
+use jujubewall_routing::fleet::entry_sync;
+use jujubewall_routing::fleet::entry_sync::EntryFetch;
+use jujubewall_routing::fleet::entry_sync::EntrySync;
+use jujubewall_routing::fleet::entry_sync::OwnEntries;
 use jujubewall_routing::fleet::follower_election::FollowerElection;
 use jujubewall_routing::fleet::gossip;
 use jujubewall_routing::fleet::gossip::Gossip;
@@ -51,19 +56,11 @@
 /// The size of the receive buffer. Larger datagrams do not belong to this protocol.
 const DATAGRAM_BUFFER_BYTES: usize = 4 * 1024;
 
-/// The interval between checks whether a peer has newer data, and whether this gateway has
-/// to follow the store.
-const SYNC_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The time for which a gateway that follows the store waits for the store to deliver a
 /// newer configuration before it fetches it from a peer.
 const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(600);
 
-/// The time for which the entries' digests may differ at the same position before all
-/// entries are fetched, since changes may still be in transit.
-const MAX_DIGEST_MISMATCH: Duration = Duration::from_millis(800);
-
-/// The timeout of a request to a peer.
+/// The timeout of a request to a peer for what this gateway cannot serve without.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The number of gateways that probe an upstream which one gateway suspects.
@@ -133,20 +130,24 @@
 
     /// Returns whether a peer that follows the store has newer entries than `position`.
     pub fn has_newer_instances(&self, position: StorePosition) -> bool {
-        self.source(|claim| claim.instances_position > position)
-            .is_some()
-    }
-
-    /// Returns the claim of a peer that gets answers from the store and matches `matches`.
-    fn source(&self, matches: impl Fn(&RoleClaim) -> bool) -> Option<RoleClaim> {
         let gossip = self.gossip.borrow();
-        gossip.claims().entry_source(
+        let source = gossip.claims().entry_source(
             gossip.own_address(),
             gossip.domain(),
             gossip.timing().silence_timeout(),
             Instant::now(),
-            matches,
-        )
+            |claim| claim.instances_position > position,
+        );
+        source.is_some()
+    }
+
+    /// Returns whether most of the peers that follow the store and get answers from it have
+    /// entries with this digest.
+    pub fn most_followers_have(&self, digest: u64) -> bool {
+        let gossip = self.gossip.borrow();
+        let silence = gossip.timing().silence_timeout();
+        let own = gossip.own_address();
+        entry_sync::most_followers_have(digest, own, gossip.claims(), silence, Instant::now())
     }
 }
 
@@ -330,7 +331,7 @@
 /// get from the store.
 async fn sync_loop(gateway: Rc<Gateway>) {
     let mut behind_since: Option<Instant> = None;
-    let mut differing_since: Option<Instant> = None;
+    let mut entry_sync = EntrySync::new();
     loop {
         sleep(SYNC_INTERVAL).await;
         update_follow_duty(&gateway);
@@ -351,7 +352,7 @@
             || behind_since.is_some_and(|since| since.elapsed() >= CONFIG_FETCH_DELAY);
         if is_due
             && let Some(peer) = newer
-            && let Some(body) = fetch(&gateway, peer, CONFIG_PATH).await
+            && let Some(body) = fetch(&gateway, peer, CONFIG_PATH, FETCH_TIMEOUT).await
         {
             match serde_json::from_slice::<FleetConfig>(&body) {
                 Ok(config) => gateway.apply_config(config, "peer"),
@@ -359,19 +360,20 @@
             }
         }
         if gateway.is_store_source() {
-            differing_since = None;
-            continue;
+            entry_sync.on_store_source();
+        } else {
+            sync_entries(&gateway, &mut entry_sync).await;
         }
-        sync_entries(&gateway, &mut differing_since).await;
     }
 }
 
 fn update_follow_duty(gateway: &Gateway) {
+    let bounds = gateway.entry_bounds();
     let follows = {
         let gossip = gateway.peers.gossip();
         let mut election = gateway.peers.election.borrow_mut();
         // The planner bases its orders on the entries, so it always follows the store.
-        election.step(&gossip, gateway.is_store_up(), Instant::now())
+        election.step(&gossip, gateway.is_store_up(), bounds, Instant::now())
             || planner::is_planner(gateway)
     };
     if gateway.peers.follows.replace(follows) != follows {
@@ -382,60 +384,82 @@
     }
 }
 
-/// Fetches upstreams' entries from a peer that has newer ones, or whose entries differ at
-/// the same position for too long.
-async fn sync_entries(gateway: &Rc<Gateway>, differing_since: &mut Option<Instant>) {
-    let position = gateway.instances_position();
-    let is_synced = gateway.is_synced();
-    let newer = |claim: &RoleClaim| claim.instances_position > position || !is_synced;
-    if let Some(source) = gateway.peers.source(newer) {
-        *differing_since = None;
-        let path = if is_synced {
-            format!("{INSTANCES_PATH}?since={position}")
-        } else {
-            INSTANCES_PATH.to_owned()
-        };
-        fetch_entries(gateway, source.holder, &path).await;
-        return;
+/// Fetches upstreams' entries from a peer that has newer or other ones.
+async fn sync_entries(gateway: &Rc<Gateway>, sync: &mut EntrySync) {
+    let bounds = gateway.entry_bounds();
+    let own = own_entries(gateway);
+    let next = {
+        let gossip = gateway.peers.gossip();
+        let silence = gossip.timing().silence_timeout();
+        sync.next_fetch(&own, gossip.claims(), bounds, silence, Instant::now())
+    };
+    let timeout = bounds.fetch_timeout();
+    match next {
+        None => {}
+        Some(EntryFetch::Changes(peer)) => {
+            let path = format!("{INSTANCES_PATH}?since={}", own.position);
+            let applied = fetch_entries(gateway, peer, &path, timeout).await;
+            if applied == Applied::Differing {
+                info!("event=entries_differ peer={peer} position={}", own.position);
+                fetch_entries(gateway, peer, INSTANCES_PATH, timeout).await;
+            }
+        }
+        Some(EntryFetch::All(peer)) => {
+            fetch_entries(gateway, peer, INSTANCES_PATH, FETCH_TIMEOUT).await;
+        }
+        Some(EntryFetch::Differing(peer)) => {
+            info!("event=entries_differ peer={peer} position={}", own.position);
+            fetch_entries(gateway, peer, INSTANCES_PATH, timeout).await;
+        }
     }
-    let digest = gateway.instances().entries_digest();
-    let source = gateway
-        .peers
-        .source(|claim| claim.instances_position == position);
-    let differing = source.filter(|source| source.instances_digest != digest);
-    let now = Instant::now();
-    *differing_since = differing.and(differing_since.or(Some(now)));
-    if let Some(source) = differing
-        && differing_since.is_some_and(|since| since.elapsed() >= MAX_DIGEST_MISMATCH)
-    {
-        *differing_since = None;
-        info!(
-            "event=entries_differ peer={} position={position}",
-            source.holder
-        );
-        fetch_entries(gateway, source.holder, INSTANCES_PATH).await;
+}
+
+fn own_entries(gateway: &Gateway) -> OwnEntries {
+    let gossip = gateway.peers.gossip();
+    OwnEntries {
+        address: gossip.own_address(),
+        domain: gossip.domain(),
+        position: gateway.instances_position(),
+        digest: gateway.instances().entries_digest(),
+        is_synced: gateway.is_synced(),
     }
 }
 
-async fn fetch_entries(gateway: &Rc<Gateway>, peer: SocketAddr, path: &str) {
-    let Some(body) = fetch(gateway, peer, path).await else {
-        return;
+/// The result of fetching entries from a peer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Applied {
+    /// Nothing was applied.
+    Nothing,
+    /// The entries agree with those of the peer as far as is known.
+    Agreeing,
+    /// The entries still differ from those of the peer, so a change is missing.
+    Differing,
+}
+
+async fn fetch_entries(
+    gateway: &Rc<Gateway>,
+    peer: SocketAddr,
+    path: &str,
+    limit: Duration,
+) -> Applied {
+    let Some(body) = fetch(gateway, peer, path, limit).await else {
+        return Applied::Nothing;
     };
-    let document: EntriesDocument = match postcard::from_bytes(&body) {
-        Ok(document) => document,
+    let (document, digest) = match decode_entries(&body) {
+        Ok(decoded) => decoded,
         Err(failure) => {
             warn!("event=peer_unreadable peer={peer} path={path} reason=\"{failure}\"");
-            return;
+            return Applied::Nothing;
         }
     };
     // Meanwhile the entries have been read from the store itself, which takes precedence.
     if gateway.is_store_source() {
-        return;
+        return Applied::Nothing;
     }
     gateway.apply_store_era(document.position.era);
     // An answer from an earlier era may contain entries that the store has lost since.
     if document.position.era < gateway.instances_position().era {
-        return;
+        return Applied::Nothing;
     }
     if document.is_whole {
         followers::replace_instances(gateway, document.entries, "peer");
@@ -443,10 +467,32 @@
         followers::change_instances(gateway, document.entries, &document.gone);
     }
     gateway.advance_instances_position(document.position);
+    let own_digest = gateway.instances().entries_digest();
+    if digest.is_none_or(|digest| digest == own_digest) {
+        Applied::Agreeing
+    } else {
+        Applied::Differing
+    }
+}
+
+/// Decodes a document of entries and the digest that follows it. Gateways of earlier
+/// versions send no digest.
+fn decode_entries(body: &[u8]) -> Result<(EntriesDocument, Option<u64>), postcard::Error> {
+    let (document, rest) = postcard::take_from_bytes(body)?;
+    let digest = match rest {
+        [] => None,
+        rest => Some(postcard::from_bytes(rest)?),
+    };
+    Ok((document, digest))
 }
 
-async fn fetch(gateway: &Rc<Gateway>, peer: SocketAddr, path: &str) -> Option<Bytes> {
-    let (is_success, body) = timeout(FETCH_TIMEOUT, probe::get(gateway, peer, path))
+async fn fetch(
+    gateway: &Rc<Gateway>,
+    peer: SocketAddr,
+    path: &str,
+    limit: Duration,
+) -> Option<Bytes> {
+    let (is_success, body) = timeout(limit, probe::get(gateway, peer, path))
         .await
         .ok()??;
     is_success.then_some(body)
@@ -497,7 +543,8 @@
             gone: Vec::new(),
         },
     };
-    bytes_or_log(postcard::to_stdvec(&document))
+    // Readers of earlier versions skip what follows the document.
+    bytes_or_log(postcard::to_stdvec(&(document, instances.entries_digest())))
 }
 
 fn bytes_or_log<E: std::fmt::Display>(body: Result<Vec<u8>, E>) -> Option<Bytes> {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -11,7 +11,9 @@
 use jujubewall_platform::site::settings::SiteBounds;
 use jujubewall_platform::site::settings::SiteSettings;
 use jujubewall_platform::site::store::StoreClient;
+use jujubewall_routing::fleet::absences::Absences;
 use jujubewall_routing::fleet::drain::Drain;
+use jujubewall_routing::fleet::entry_bounds::EntryBounds;
 use jujubewall_routing::fleet::entry_log::EntryLog;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::max_crossing_streams_per_s;
@@ -32,7 +34,6 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::gateway::followers::Absences;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers::Peers;
 use crate::gateway::planner::PlannerState;
@@ -81,7 +82,7 @@
     /// The planner's state.
     pub planner: PlannerState,
     /// The upstreams whose entries the store lost while it was unavailable.
-    pub absences: Absences,
+    absences: RefCell<Absences>,
 }
 
 impl Gateway {
@@ -112,7 +113,7 @@
             connections: ConnectionPool::new(),
             peers,
             planner: PlannerState::default(),
-            absences: Absences::default(),
+            absences: RefCell::new(Absences::new()),
             settings: RefCell::new(settings),
         })
     }
@@ -177,6 +178,17 @@
         self.entry_log.borrow_mut()
     }
 
+    /// Returns the upstreams that are kept although the store has no entry of them.
+    pub fn absences_mut(&self) -> RefMut<'_, Absences> {
+        self.absences.borrow_mut()
+    }
+
+    /// Returns the times for the steps by which changed entries are learned.
+    pub fn entry_bounds(&self) -> EntryBounds {
+        let bound = Duration::from_millis(self.settings().bounds.drain_ms);
+        EntryBounds::new(bound, self.peers.gossip().timing())
+    }
+
     /// Records whether the store answered a call.
     ///
     /// Returns whether the store has just become available again.
@@ -288,7 +300,7 @@
         }
         self.metrics.count("store_era");
         self.entry_log.borrow_mut().stop();
-        self.absences.on_new_era();
+        self.absences_mut().on_new_era(Instant::now());
         self.planner.forget_lease();
     }
 
--- a/routing/src/fleet/instances/reports.rs
+++ b/routing/src/fleet/instances/reports.rs
@@ -11,6 +11,7 @@
 use jujubewall_types::layer::LayerRange;
 use serde::Deserialize;
 use serde::Serialize;
+use smol_str::SmolStr;
 use tokio::time::Instant;
 use twox_hash::XxHash64;
 
@@ -273,9 +274,19 @@
             .instances
             .values()
             .filter(|tracked| tracked.departed_at.is_none());
-        known.fold(0, |digest, tracked| {
-            let state = u64::from(tracked.instance.state == InstanceState::Draining);
-            digest ^ XxHash64::oneshot(state, &tracked.digest.to_be_bytes())
+        known.fold(0, |digest, tracked| digest ^ entry_digest(tracked))
+    }
+
+    /// Returns the digest of the entries without those of the given upstreams.
+    pub fn entries_digest_without<'a>(&self, ids: impl Iterator<Item = &'a SmolStr>) -> u64 {
+        let left_out = ids.filter_map(|id| self.by_id(id));
+        left_out.fold(self.entries_digest(), |digest, tracked| {
+            digest ^ entry_digest(tracked)
         })
     }
 }
+
+fn entry_digest(tracked: &TrackedInstance) -> u64 {
+    let state = u64::from(tracked.instance.state == InstanceState::Draining);
+    XxHash64::oneshot(state, &tracked.digest.to_be_bytes())
+}
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -15,12 +15,17 @@
 //! | [`follower_election`] | which gateways follow the store | a store that allows few calls or rejects some clients |
 //! | [`planner_election`] | which gateway plans when no other does | a planner that is lost or stalled |
 //! | [`entry_log`] | which upstreams' entries are new to another gateway | many changes at once |
+//! | [`entry_sync`], [`entry_bounds`] | when entries are fetched from a peer, and which one | followers that the store turns away, entries that differ |
+//! | [`absences`] | which upstreams without an entry are kept | a store that was unavailable, for all or for this gateway |
 //! | [`silence`] | when a silent stream is given up | unreachable and partitioned parts |
 //! | [`drain`] | which requests a draining gateway accepts | gateways stopped one after another |
 
+pub mod absences;
 pub mod claims;
 pub mod drain;
+pub mod entry_bounds;
 pub mod entry_log;
+pub mod entry_sync;
 pub mod events;
 pub mod follower_election;
 pub mod gossip;
--- /dev/null
+++ b/routing/tests/test_fleet_entries.rs
@@ -0,0 +1,118 @@
+//! How fast gateways learn that upstreams leave, while the store turns a third of them away.
+//!
+//! Guards against a gateway that took the role of a follower long after it had last reached
+//! the store: it took its own return for that of the store, kept upstreams that had just left
+//! for 2.3 seconds, and passed them on to its failure domain for up to ten.
+
+mod entry_world;
+
+use std::time::Duration;
+
+use self::entry_world::Away;
+use self::entry_world::UPSTREAMS;
+use self::entry_world::World;
+
+/// The bound of the deployment on the time between the store's acknowledgement that an
+/// upstream leaves and the last request to it.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+
+/// The time after the end of an outage from which on the bounds hold again.
+const STABLE_WINDOW: Duration = Duration::from_secs(4);
+
+/// The time in which a fleet has started.
+const START: Duration = Duration::from_secs(5);
+
+/// The time for which the store turns gateways away.
+const OUTAGE: Duration = Duration::from_secs(8);
+
+/// The sizes of the fleets, and the number of seeds that are played with each.
+const FLEETS: [(usize, u64); 2] = [(28, 8), (103, 1)];
+
+/// The time within which upstreams rewrite entries that the store has lost, by the
+/// platform's protocol.
+const REWRITE_TIME: Duration = Duration::from_secs(2);
+
+/// Lets upstreams leave one after the other, and returns the longest time until all gateways
+/// knew it.
+fn longest_delay(world: &mut World, upstreams: usize) -> Duration {
+    let mut longest = Duration::ZERO;
+    for index in 0..upstreams {
+        world.remove_upstream(index);
+        let time = world.run_until(DRAIN_BOUND * 3, |world| !world.is_known(index));
+        longest = longest.max(time);
+    }
+    longest
+}
+
+#[test]
+fn test_leaving_upstreams_are_known_in_time_while_the_store_turns_a_third_away() {
+    for (size, seeds) in FLEETS {
+        for seed in 0..seeds {
+            for away in [Away::Refused, Away::Silent] {
+                let mut world = World::new(size, DRAIN_BOUND, seed);
+                world.run_for(START);
+                let cut = world.partition(0.35);
+                world.run_for(OUTAGE);
+                world.rejoin(&cut);
+                world.run_for(OUTAGE);
+                world.change_entries_every(Duration::from_millis(300));
+                world.turn_away(0.35, away, OUTAGE);
+                world.run_for(Duration::from_millis(400 * (1 + seed % 5)));
+                let longest = longest_delay(&mut world, 6);
+                let case = format!("{size} gateways, seed {seed}, {away:?}: {longest:?}");
+                assert!(longest <= DRAIN_BOUND, "{case}");
+            }
+        }
+    }
+}
+
+#[test]
+fn test_gateways_that_were_partitioned_do_not_bring_back_upstreams_that_left_meanwhile() {
+    for (size, seeds) in FLEETS {
+        for seed in 0..seeds {
+            let mut world = World::new(size, DRAIN_BOUND, seed);
+            world.run_for(START);
+            let cut = world.partition(0.35);
+            world.run_for(Duration::from_secs(3));
+            for index in 0..3 {
+                world.remove_upstream(index);
+            }
+            world.run_for(Duration::from_secs(6));
+            world.rejoin(&cut);
+            let time = world.run_until(DRAIN_BOUND * 3, |world| (0..3).all(|i| !world.is_known(i)));
+            assert!(
+                time <= DRAIN_BOUND,
+                "{size} gateways, seed {seed}: {time:?}"
+            );
+            let returned = world.run_until(DRAIN_BOUND, |world| (0..3).any(|i| world.is_known(i)));
+            assert_eq!(returned, DRAIN_BOUND, "{size} gateways, seed {seed}");
+        }
+    }
+}
+
+/// Entries that lapse while the store is down for all are rewritten by upstreams that run.
+#[test]
+fn test_upstreams_are_kept_while_they_rewrite_entries_after_an_outage_for_all() {
+    for (size, seeds) in [(5, 6)].into_iter().chain(FLEETS) {
+        for seed in 0..seeds {
+            let mut world = World::new(size, DRAIN_BOUND, seed);
+            world.run_for(START);
+            world.turn_away(1.0, Away::Silent, OUTAGE);
+            world.run_for(OUTAGE.saturating_sub(Duration::from_millis(50)));
+            world.lapse_entries();
+            let is_missing = |world: &World| (2..UPSTREAMS).any(|i| !world.is_known_to_all(i));
+            let lost = world.run_until(REWRITE_TIME, is_missing);
+            assert_eq!(lost, REWRITE_TIME, "{size} gateways, seed {seed}");
+            world.rewrite_entries(2);
+            let kept = world.run_until(DRAIN_BOUND, is_missing);
+            assert_eq!(kept, DRAIN_BOUND, "{size} gateways, seed {seed}");
+            let time = world.run_until(STABLE_WINDOW * 2, |world| !world.is_known(0));
+            let since_return = REWRITE_TIME + DRAIN_BOUND + time;
+            let limit = STABLE_WINDOW + DRAIN_BOUND;
+            assert!(
+                since_return <= limit,
+                "{size} gateways, seed {seed}: {since_return:?}"
+            );
+        }
+    }
+}
