gateway: tell clients to return when missing layers will be back

Ruled out: the order in which clients return; few are rejected as full.

Change: a gateway observes how long layers were missing before; until then the longest load of one engine counts. A repair that takes longer than expected is taken to last as long again.

--- a/daemon/src/gateway/path.rs
+++ b/daemon/src/gateway/path.rs
@@ -171,6 +171,9 @@
         },
     };
     let path = choose_path(&instances, &choice, now)?;
+    if excluded.is_empty() {
+        gateway.record_path(&request.service.name);
+    }
     if path.crossings > 0 {
         gateway.record_crossing();
     }
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use jujubewall_routing::fleet::entry_log::EntryLog;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::max_crossing_streams_per_s;
+use jujubewall_routing::fleet::repair_estimate::RepairEstimate;
 use jujubewall_routing::fleet::retry_budget::RetryBounds;
 use jujubewall_routing::fleet::retry_budget::WindowedRetryBudget;
 use jujubewall_routing::fleet::retry_schedule::RetrySchedule;
@@ -64,6 +65,7 @@
     budget: RefCell<WindowedRetryBudget>,
     last_crossing: Cell<Option<Instant>>,
     retry_schedules: RefCell<HashMap<ServiceName, RetrySchedule>>,
+    repair_estimates: RefCell<HashMap<ServiceName, RepairEstimate>>,
     rng: RefCell<SmallRng>,
     in_flight: Cell<usize>,
     streams_in_flight: Cell<usize>,
@@ -101,6 +103,7 @@
             budget: RefCell::new(budget),
             last_crossing: Cell::new(None),
             retry_schedules: RefCell::new(HashMap::new()),
+            repair_estimates: RefCell::new(HashMap::new()),
             rng: RefCell::new(rng),
             in_flight: Cell::new(0),
             streams_in_flight: Cell::new(0),
@@ -413,6 +416,24 @@
         self.update_retry_schedule(service, RetrySchedule::next_retry_after)
     }
 
+    /// Returns the time after which a client should retry that was rejected because layers
+    /// are missing.
+    pub fn retry_after_repair(&self, service: &ServiceName, spec: &EngineSpec) -> Duration {
+        let draw = self.random_u64() as f64 / u64::MAX as f64;
+        let mut estimates = self.repair_estimates.borrow_mut();
+        let estimate = estimates
+            .entry(service.clone())
+            .or_insert_with(|| RepairEstimate::new(spec.longest_engine_load()));
+        estimate.next_retry_after(draw, Instant::now())
+    }
+
+    /// Records that a complete path of a service was found.
+    pub fn record_path(&self, service: &ServiceName) {
+        if let Some(estimate) = self.repair_estimates.borrow_mut().get_mut(service) {
+            estimate.on_path(Instant::now());
+        }
+    }
+
     /// Returns the time after which a rejected client should retry: `wait`, extended until
     /// the first paused upstream of the service accepts requests again.
     pub fn extend_until_resume(&self, service: &ServiceName, wait: Duration) -> Duration {
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -40,6 +40,15 @@
 /// The reason of a rejection because every engine is full.
 const ALL_FULL: &str = "every engine is full";
 
+/// The reason of a rejection because each failure domain lacks some layer.
+const INCOMPLETE_DOMAINS: &str = "no failure domain holds all layers";
+
+/// The reason of a rejection because the whole fleet lacks some layer.
+const LAYER_MISSING: &str = "no engine holds some layer";
+
+/// The shortest `Retry-After` time after a rejection for another reason than full engines.
+const MIN_FAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The time after its last event for which a stream waits for a path. Clients disconnect
 /// after two seconds without an event.
 const MAX_PATH_WAIT: Duration = Duration::from_millis(1_300);
@@ -47,10 +56,6 @@
 /// The interval between attempts to find a path.
 const PATH_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The shortest `Retry-After` time when layers are missing: engines load them within about a
-/// second.
-const MIN_REPAIR_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// The delay, for each token to be processed again, before a stream that has lost its run
 /// starts another one, so that streams with the fewest tokens restart first.
 const RESTART_DELAY_PER_TOKEN: Duration = Duration::from_micros(10);
@@ -230,11 +235,17 @@
         match end {
             RelayEnd::NotRun(reason) => {
                 self.outcome = "rejected";
-                let mut retry_after = self.gateway.next_retry_after(service);
-                if reason != ALL_FULL {
-                    retry_after = retry_after.max(MIN_REPAIR_RETRY_AFTER);
-                }
-                retry_after = self.gateway.extend_until_resume(service, retry_after);
+                let retry_after = match reason {
+                    ALL_FULL => self.gateway.next_retry_after(service),
+                    INCOMPLETE_DOMAINS | LAYER_MISSING => {
+                        self.gateway.retry_after_repair(service, &self.spec)
+                    }
+                    _ => {
+                        let spaced = self.gateway.next_retry_after(service);
+                        spaced.max(MIN_FAULT_RETRY_AFTER)
+                    }
+                };
+                let retry_after = self.gateway.extend_until_resume(service, retry_after);
                 answer::reject(&self.request.id, reason, retry_after, self.sends)
             }
             RelayEnd::Unknown(reason) => {
@@ -408,8 +419,8 @@
     fn end_without_path(&self, reason: NoPath) -> RelayEnd {
         let reason = match reason {
             NoPath::NoCapacity => ALL_FULL,
-            NoPath::OnlyAcrossDomains => "no failure domain holds all layers",
-            NoPath::LayerMissing(_) => "no engine holds some layer",
+            NoPath::OnlyAcrossDomains => INCOMPLETE_DOMAINS,
+            NoPath::LayerMissing(_) => LAYER_MISSING,
         };
         if self.may_have_run() {
             RelayEnd::Unknown(reason)
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 //! | [`service_choice`] | the upstream of a call | slow and failing upstreams, full slots |
 //! | [`retry_budget`] | whether a request may be sent again | retry storms |
 //! | [`retry_schedule`] | when a rejected client should retry | bursts above capacity |
+//! | [`repair_estimate`] | when a client should return if layers are missing | engines of all domains lost at once |
 //! | [`events`] | which events of a stream are sent to the client | incomplete and repeated events |
 //! | [`gossip`], [`gossip_timing`] | which gateway gets the next message, and when | fleets of any size, lost messages |
 //! | [`claims`] | which gateway holds a role for the fleet | killed, frozen and partitioned gateways |
@@ -34,6 +35,7 @@
 pub mod layer_path;
 pub mod planner_election;
 pub mod rendezvous;
+pub mod repair_estimate;
 pub mod retry_budget;
 pub mod retry_schedule;
 pub mod routes;
--- a/types/src/fleet.rs
+++ b/types/src/fleet.rs
@@ -2,6 +2,7 @@
 //! themselves, and what its runners say of themselves.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -136,6 +137,16 @@
         self.accelerators.iter().find(|known| known.name == name)
     }
 
+    /// Returns the time in which the engine with the most memory loads as many layers as it
+    /// may hold, if no other engine loads.
+    pub fn longest_engine_load(&self) -> Duration {
+        let model_mb = self.layer_mb * f64::from(self.layer_count);
+        let memory_mb = self.accelerators.iter().map(|kind| kind.memory_mb);
+        let largest_mb = memory_mb.fold(0.0, f64::max);
+        let share = (largest_mb / model_mb.max(1.0)).min(1.0);
+        Duration::try_from_secs_f64(self.load_s * share).unwrap_or_default()
+    }
+
     /// Returns the memory that one token of context takes in one layer, in bytes.
     pub fn token_layer_bytes(&self) -> f64 {
         self.token_context_bytes / f64::from(self.layer_count.max(1))
