placement: let engines beside a copy hold as many layers as leave memory for context

A domain with memory for 1.98 copies at seven tenths got one, and the engines beside it a share in proportion to one copy: three layers each where six fit. Half of the layers had one holder, and any loss opened a gap or bound one engine's memory.

Test: of all pairs of engines of such a domain, losing 109 of 231 left the copy complete before; now four of five do.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -60,6 +60,9 @@
 /// Largest fraction of a group's memory used for the weights of its copies.
 const MAX_COPIES_SHARE: f64 = 0.7;
 
+/// Largest fraction of an engine's memory used for the weights of replicas.
+const MAX_REPLICA_SHARE: f64 = 0.75;
+
 /// Smallest memory of a group that holds a copy, as a multiple of the size of a copy.
 const MIN_GROUP_MEMORY_FACTOR: f64 = 1.35;
 
@@ -461,6 +464,16 @@
         engine.memory_mb / total_mb * layer_count * f64::from(self.copy_count())
     }
 
+    /// Returns an engine's share, in proportion to its memory, of all the layers that the
+    /// group can hold beside the context.
+    ///
+    /// Where the memory does not suffice for another copy, parts of one keep more losses
+    /// inside the domain.
+    fn replica_share(&self, engine: &PlacedEngine) -> f64 {
+        let layers = MAX_REPLICA_SHARE * engine.memory_mb / self.spec.layer_mb;
+        layers.max(self.layer_share(engine))
+    }
+
     /// Returns the number of copies that the group holds, rounded and at least one.
     fn copy_count(&self) -> u32 {
         let held = self.engines.iter().filter_map(|engine| engine.layers);
@@ -545,7 +558,7 @@
         let mut replica_counts = self.replica_counts();
         for engine in empty {
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let wanted = (self.layer_share(engine).round() as u32).max(1);
+            let wanted = (self.replica_share(engine).round() as u32).max(1);
             let most = self.max_layers(engine).min(self.spec.layer_count);
             let underreplicated = longest_range_below(&replica_counts, self.copy_count());
             let len = wanted.max(underreplicated.len()).min(most);
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -177,6 +177,43 @@
     assert!(held > LAYERS * 5 / 4, "{held} layers are held");
 }
 
+/// Guards against rejected streams after two engines of a domain are lost at once: engines
+/// beside the only copy held three layers each where they have memory for six, so that half
+/// of the layers had one holder.
+#[test]
+fn test_layers_of_lost_engines_are_held_by_others_where_memory_almost_suffices_for_a_copy() {
+    let memory: Vec<f64> = [36_000.0]
+        .into_iter()
+        .chain([21_600.0; 8])
+        .chain([14_400.0; 13])
+        .collect();
+    let mut fleet = Fleet::new(&[("a", &memory)]);
+    fleet.settle();
+    let engines: Vec<&PlacedEngine> = fleet.engines.values().collect();
+    let (mut pairs, mut complete) = (0, 0);
+    for (index, first) in engines.iter().enumerate() {
+        for second in &engines[index + 1..] {
+            let is_held = |layer| {
+                let others = engines
+                    .iter()
+                    .filter(|engine| engine.id != first.id && engine.id != second.id);
+                others
+                    .filter_map(|engine| engine.layers)
+                    .any(|layers| layers.contains(layer))
+            };
+            pairs += 1;
+            complete += u32::from((0..LAYERS).all(is_held));
+        }
+    }
+    assert!(complete * 10 >= pairs * 8, "{complete} of {pairs}");
+    // Enough memory is left for the context of the streams.
+    let free_mb: f64 = engines
+        .iter()
+        .map(|engine| engine.memory_mb - f64::from(engine.layers.unwrap().len()) * LAYER_MB)
+        .sum();
+    assert!(free_mb >= 0.25 * memory.iter().sum::<f64>(), "{free_mb}");
+}
+
 #[test]
 fn test_domain_with_much_memory_holds_several_copies() {
     let memory: Vec<f64> = DOMAIN_MB.iter().chain(&DOMAIN_MB[1..]).copied().collect();
