--- a/routing/tests/test_fleet_repairs.rs
+++ b/routing/tests/test_fleet_repairs.rs
@@ -75,7 +75,7 @@
     let mut estimate = RepairEstimate::new(LONGEST_LOAD);
     let start = Instant::now();
     let before = estimate.next_retry_after(0.0, start);
-    estimate.on_path(start + Duration::from_secs(60));
+    estimate.on_path(start + Duration::from_mins(1));
     let after = estimate.next_retry_after(0.0, start + Duration::from_secs(61));
     assert_eq!(after, before);
 }
