cli: reword comments and results in the usual terms of the field

Comments that restate a name are left out where nothing requires them. A failure that the command has printed is Reported, one that has not is Unreported.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -33,13 +33,13 @@
 /// The environment variable that holds the operator's key.
 pub const KEY_VARIABLE: &str = "JUJUBEWALL_OPERATOR_KEY";
 
-/// The time within which a connection has to be made.
+/// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The time within which an answer has to arrive.
+/// The timeout for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The largest answer that is read, in bytes.
+/// The largest accepted answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// A client of one entry with one operator's key.
--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -43,7 +43,6 @@
 }
 
 impl Jujubewall {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         match self.command {
             Command::Audit(command) => command.run().await,
--- a/cli/src/commands/audit.rs
+++ b/cli/src/commands/audit.rs
@@ -32,7 +32,6 @@
 }
 
 impl AuditCommand {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         let path = format!("{AUDIT_PATH}?from={}&limit={}", self.from, self.limit);
         show::<AuditAnswer>(&path, self.entry, self.key_file.as_deref(), self.json).await
--- a/cli/src/commands/keys.rs
+++ b/cli/src/commands/keys.rs
@@ -20,7 +20,6 @@
 }
 
 impl KeysCommand {
-    /// Runs the command.
     pub fn run(self) -> Result<(), CommandFailure> {
         match self.command {
             Subcommand::Generate(command) => command.run(),
--- a/cli/src/commands/keys_generate.rs
+++ b/cli/src/commands/keys_generate.rs
@@ -42,7 +42,6 @@
 }
 
 impl KeysGenerateCommand {
-    /// Runs the command.
     pub fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         self.generate()
--- a/cli/src/commands/losses.rs
+++ b/cli/src/commands/losses.rs
@@ -32,7 +32,6 @@
 }
 
 impl LossesCommand {
-    /// Runs the command.
     pub fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         let mut tally = LossTally::new(Span {
--- a/cli/src/commands/note.rs
+++ b/cli/src/commands/note.rs
@@ -26,7 +26,6 @@
 }
 
 impl NoteCommand {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         match self.command {
             Subcommand::Check(command) => command.run().await,
--- a/cli/src/commands/note_check.rs
+++ b/cli/src/commands/note_check.rs
@@ -31,7 +31,6 @@
 }
 
 impl NoteCheckCommand {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         let told = |failure| CommandFailure::new(failure, format);
@@ -41,7 +40,7 @@
         let is_refused = !answer.clashes.is_empty();
         print(&CheckReport(answer), format).map_err(told)?;
         if is_refused {
-            return Err(CommandFailure::Told(ErrorKind::NoteRefused));
+            return Err(CommandFailure::Reported(ErrorKind::NoteRefused));
         }
         Ok(())
     }
--- a/cli/src/commands/note_status.rs
+++ b/cli/src/commands/note_status.rs
@@ -35,13 +35,12 @@
 }
 
 impl NoteStatusCommand {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         let untold = |failure| CommandFailure::new(failure, format);
         let answer = self.fetch().await.map_err(untold)?;
         print(&answer, format).map_err(untold)?;
-        failure_kind(&answer).map_or(Ok(()), |kind| Err(CommandFailure::Told(kind)))
+        failure_kind(&answer).map_or(Ok(()), |kind| Err(CommandFailure::Reported(kind)))
     }
 
     async fn fetch(&self) -> Result<NoteAnswer, Failure> {
--- a/cli/src/commands/note_submit.rs
+++ b/cli/src/commands/note_submit.rs
@@ -24,7 +24,7 @@
 use crate::render::note::SubmitReport;
 use crate::render::note::failure_kind;
 
-/// The pause between two questions to the entry.
+/// The interval between two status queries.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Submits a release note; the same note may be submitted again safely.
@@ -52,17 +52,16 @@
 }
 
 impl NoteSubmitCommand {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         let untold = |failure| CommandFailure::new(failure, format);
         let report = self.submit().await.map_err(untold)?;
         print(&report, format).map_err(untold)?;
         if let Some(kind) = failure_kind(&report.answer) {
-            return Err(CommandFailure::Told(kind));
+            return Err(CommandFailure::Reported(kind));
         }
         if self.wait && !report.is_in_force() {
-            return Err(CommandFailure::Told(ErrorKind::RequestTimeout));
+            return Err(CommandFailure::Reported(ErrorKind::RequestTimeout));
         }
         Ok(())
     }
@@ -91,7 +90,7 @@
     client.post(NOTES_PATH, note, ErrorKind::NoteUnknown).await
 }
 
-/// Submits the note again while its result is unknown, which its identifier makes safe.
+/// Resubmits the note while its result is unknown; the note's identifier makes this idempotent.
 async fn post_until_known(
     client: &Client,
     note: &ReleaseNote,
@@ -110,7 +109,7 @@
     }
 }
 
-/// Asks for the status until `revision` is in force everywhere or time is up.
+/// Polls the status until `revision` is in force everywhere or the timeout expires.
 async fn wait_in_force(
     client: &Client,
     revision: Revision,
--- a/cli/src/commands/settings.rs
+++ b/cli/src/commands/settings.rs
@@ -22,7 +22,6 @@
 }
 
 impl SettingsCommand {
-    /// Runs the command.
     pub fn run(self) -> Result<(), CommandFailure> {
         match self.command {
             Subcommand::Check(command) => command.run(),
--- a/cli/src/commands/settings_check.rs
+++ b/cli/src/commands/settings_check.rs
@@ -24,13 +24,12 @@
 }
 
 impl SettingsCheckCommand {
-    /// Runs the command.
     pub fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         let report = SettingsReport::new(Settings::read(&self.file).map(|_| ()));
         print(&report, format).map_err(|failure| CommandFailure::new(failure, format))?;
         if !report.is_valid {
-            return Err(CommandFailure::Told(ErrorKind::BadRequest));
+            return Err(CommandFailure::Reported(ErrorKind::BadRequest));
         }
         Ok(())
     }
--- a/cli/src/commands/settings_schema.rs
+++ b/cli/src/commands/settings_schema.rs
@@ -14,7 +14,6 @@
 pub struct SettingsSchemaCommand {}
 
 impl SettingsSchemaCommand {
-    /// Runs the command.
     pub fn run(self) -> Result<(), CommandFailure> {
         let Self {} = self;
         print(&SchemaReport(Settings::schema()), Format::Json)
--- a/cli/src/commands/show.rs
+++ b/cli/src/commands/show.rs
@@ -1,4 +1,4 @@
-//! Showing what an entry answers.
+//! Prints a document of an entry.
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -26,7 +26,6 @@
 }
 
 impl StatusCommand {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         show::<StatusAnswer>(STATUS_PATH, self.entry, self.key_file.as_deref(), self.json).await
     }
--- a/cli/src/commands/trace.rs
+++ b/cli/src/commands/trace.rs
@@ -29,7 +29,6 @@
 }
 
 impl TraceCommand {
-    /// Runs the command.
     pub fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
         let mut requests = RequestScan::new(&self.id);
--- a/cli/src/commands/upstreams.rs
+++ b/cli/src/commands/upstreams.rs
@@ -26,7 +26,6 @@
 }
 
 impl UpstreamsCommand {
-    /// Runs the command.
     pub async fn run(self) -> Result<(), CommandFailure> {
         show::<UpstreamsAnswer>(
             UPSTREAMS_PATH,
--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -8,31 +8,31 @@
 
 use crate::print::Format;
 
-/// The exit code after a command line that cannot be understood.
+/// The exit code for an invalid command line.
 pub const USAGE_EXIT_CODE: u8 = ErrorKind::BadRequest.answer().exit_code;
 
 /// A failed command.
 #[derive(Debug)]
 pub enum CommandFailure {
-    /// The command has printed what there is to tell; only the exit code is left.
-    Told(ErrorKind),
-    /// The failure is still to be told.
-    Untold(Box<Failure>, Format),
+    /// The command has printed the failure itself.
+    Reported(ErrorKind),
+    /// The failure still has to be printed.
+    Unreported(Box<Failure>, Format),
 }
 
 impl CommandFailure {
-    /// Creates a failure that is still to be told.
+    /// Creates a failure that still has to be printed.
     pub fn new(failure: Failure, format: Format) -> Self {
-        Self::Untold(Box::new(failure), format)
+        Self::Unreported(Box::new(failure), format)
     }
 
-    /// Tells the failure unless that is done, and returns its exit code.
+    /// Prints the failure unless the command has done so, and returns its exit code.
     pub fn report(self) -> ExitCode {
         let kind = match self {
-            Self::Told(kind) => kind,
-            Self::Untold(failure, format) => {
+            Self::Reported(kind) => kind,
+            Self::Unreported(failure, format) => {
                 let kind = failure.kind;
-                tell(*failure, format);
+                print_failure(*failure, format);
                 kind
             }
         };
@@ -40,7 +40,7 @@
     }
 }
 
-fn tell(failure: Failure, format: Format) {
+fn print_failure(failure: Failure, format: Format) {
     if format == Format::Text {
         eprintln!("{failure}");
         return;
--- a/cli/src/keys/authority.rs
+++ b/cli/src/keys/authority.rs
@@ -1,4 +1,4 @@
-//! The authority that certifies members.
+//! The certificate authority of the members.
 
 use std::path::Path;
 use std::path::PathBuf;
@@ -22,10 +22,10 @@
 use crate::keys::file::read;
 use crate::render::keys::MemberReport;
 
-/// The stem of the authority's files.
+/// The file name of the authority's key and certificate, without extension.
 const AUTHORITY_STEM: &str = "authority";
 
-/// The authority with its key.
+/// The certificate authority with its key.
 pub struct Authority {
     directory: PathBuf,
     certificate_path: PathBuf,
--- a/cli/src/keys/file.rs
+++ b/cli/src/keys/file.rs
@@ -11,13 +11,13 @@
 use jujubewall_types::error::ErrorKind;
 use jujubewall_types::error::Failure;
 
-/// The mode of files that hold a key: only the owner may read and write.
+/// The permissions of key files: only the owner may read and write.
 const KEY_MODE: u32 = 0o600;
 
-/// The mode of files that hold a certificate.
+/// The permissions of certificate files.
 const CERTIFICATE_MODE: u32 = 0o644;
 
-/// What a file holds, which decides who may read it.
+/// The content of a file, which determines its permissions.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Content {
     /// A certificate, which anyone may read.
--- a/cli/src/keys/secret.rs
+++ b/cli/src/keys/secret.rs
@@ -11,7 +11,7 @@
 use crate::keys::file::place;
 use crate::render::keys::SecretReport;
 
-/// The length of a key before it is written in hexadecimal digits, in bytes.
+/// The length of a key in bytes, before hexadecimal encoding.
 const SECRET_BYTES: usize = 32;
 
 /// Generates a key, writes it to a file and returns its digest.
--- a/cli/src/print.rs
+++ b/cli/src/print.rs
@@ -1,4 +1,4 @@
-//! Printing of results as text or as JSON.
+//! Output of results as text or as JSON.
 
 use std::io;
 use std::io::Write;
@@ -10,7 +10,7 @@
 /// How results are printed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Format {
-    /// Lines for people.
+    /// Text.
     Text,
     /// One JSON document.
     Json,
@@ -23,9 +23,9 @@
     }
 }
 
-/// A result that can be printed for people.
+/// A result that can be printed as text.
 pub trait Render {
-    /// Returns the lines for people, each with its end.
+    /// Returns the text; each line ends with a line feed.
     fn render(&self) -> String;
 }
 
--- a/cli/src/render.rs
+++ b/cli/src/render.rs
@@ -1,4 +1,4 @@
-//! What the commands print.
+//! Results of commands as text.
 
 mod audit;
 pub mod keys;
--- a/cli/src/render/audit.rs
+++ b/cli/src/render/audit.rs
@@ -1,4 +1,4 @@
-//! The lines of the audit trail.
+//! Text output of `audit`.
 
 use std::fmt::Write;
 
--- a/cli/src/render/keys.rs
+++ b/cli/src/render/keys.rs
@@ -1,4 +1,4 @@
-//! The lines of results about keys.
+//! Results of the commands under `keys`.
 
 use std::path::PathBuf;
 
@@ -8,21 +8,17 @@
 
 use crate::print::Render;
 
-/// The files of one member.
+/// The key and certificate files of a member.
 #[derive(Serialize)]
 pub struct MemberReport {
-    /// The member.
     pub member: MemberName,
-    /// The file of its certificate.
     pub certificate_path: PathBuf,
-    /// The file of its key.
     pub key_path: PathBuf,
 }
 
 /// The file and digest of an operator's or client account's key.
 #[derive(Serialize)]
 pub struct SecretReport {
-    /// The file of the key.
     pub key_path: PathBuf,
     /// The digest that settings and release notes hold.
     pub digest: Digest,
@@ -34,11 +30,8 @@
     /// The certificate of the authority, if members were certified.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub authority_path: Option<PathBuf>,
-    /// The members.
     pub members: Vec<MemberReport>,
-    /// The operators.
     pub operators: Vec<SecretReport>,
-    /// The client accounts.
     pub accounts: Vec<SecretReport>,
 }
 
--- a/cli/src/render/losses.rs
+++ b/cli/src/render/losses.rs
@@ -1,4 +1,4 @@
-//! The lines of reports about requests in logs.
+//! Text output of `losses` and `trace`.
 
 use std::fmt::Write;
 
--- a/cli/src/render/note.rs
+++ b/cli/src/render/note.rs
@@ -1,4 +1,4 @@
-//! The lines of results about release notes.
+//! Results of the commands under `note`.
 
 use std::fmt::Write;
 
@@ -12,7 +12,7 @@
 
 use crate::print::Render;
 
-/// Returns the kind of failure that an answer amounts to, if any.
+/// Returns the error kind of an answer, or `None` if it reports success.
 pub fn failure_kind(answer: &NoteAnswer) -> Option<ErrorKind> {
     match answer {
         NoteAnswer::Accepted { .. } => None,
--- a/cli/src/render/settings.rs
+++ b/cli/src/render/settings.rs
@@ -1,4 +1,4 @@
-//! The lines of results about settings files.
+//! Results of the commands under `settings`.
 
 use std::fmt::Write;
 
--- a/cli/src/render/status.rs
+++ b/cli/src/render/status.rs
@@ -1,4 +1,4 @@
-//! The lines of a status.
+//! Text output of `status`.
 
 use std::fmt::Write;
 
--- a/cli/src/render/table.rs
+++ b/cli/src/render/table.rs
@@ -1,22 +1,21 @@
 //! Tables with aligned columns.
 
-/// The space between two columns.
+/// The separator between two columns.
 const GAP: &str = "  ";
 
-/// A table of texts; the first row names the columns.
+/// A table of text cells; the first row holds the column headers.
 pub struct Table<const COLUMNS: usize> {
     rows: Vec<[String; COLUMNS]>,
 }
 
 impl<const COLUMNS: usize> Table<COLUMNS> {
-    /// Creates a table with the names of its columns.
+    /// Creates a table with its column headers.
     pub fn new(names: [&str; COLUMNS]) -> Self {
         Self {
             rows: vec![names.map(str::to_owned)],
         }
     }
 
-    /// Adds a row.
     pub fn push(&mut self, row: [String; COLUMNS]) {
         self.rows.push(row);
     }
--- a/cli/src/render/upstreams.rs
+++ b/cli/src/render/upstreams.rs
@@ -1,4 +1,4 @@
-//! The lines of the upstreams.
+//! Text output of `upstreams`.
 
 use jujubewall_types::admin::UpstreamStatus;
 use jujubewall_types::admin::UpstreamsAnswer;
