--- a/cli/src/commands/note_diff.rs
+++ b/cli/src/commands/note_diff.rs
@@ -33,12 +33,12 @@
 impl NoteDiffCommand {
     pub async fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
-        let told = |failure| CommandFailure::new(failure, format);
+        let unreported = |failure| CommandFailure::new(failure, format);
         let answer = check_note(&self.file, self.entry, self.key_file.as_deref())
             .await
-            .map_err(told)?;
+            .map_err(unreported)?;
         let is_refused = !answer.clashes.is_empty();
-        print(&DiffReport(answer), format).map_err(told)?;
+        print(&DiffReport(answer), format).map_err(unreported)?;
         if is_refused {
             return Err(CommandFailure::Reported(ErrorKind::NoteRefused));
         }
--- a/cli/src/commands/note_status.rs
+++ b/cli/src/commands/note_status.rs
@@ -37,9 +37,9 @@
 impl NoteStatusCommand {
     pub async fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
-        let untold = |failure| CommandFailure::new(failure, format);
-        let answer = self.fetch().await.map_err(untold)?;
-        print(&answer, format).map_err(untold)?;
+        let unreported = |failure| CommandFailure::new(failure, format);
+        let answer = self.fetch().await.map_err(unreported)?;
+        print(&answer, format).map_err(unreported)?;
         failure_kind(&answer).map_or(Ok(()), |kind| Err(CommandFailure::Reported(kind)))
     }
 
--- a/cli/src/commands/note_submit.rs
+++ b/cli/src/commands/note_submit.rs
@@ -54,9 +54,9 @@
 impl NoteSubmitCommand {
     pub async fn run(self) -> Result<(), CommandFailure> {
         let format = Format::from_switch(self.json);
-        let untold = |failure| CommandFailure::new(failure, format);
-        let report = self.submit().await.map_err(untold)?;
-        print(&report, format).map_err(untold)?;
+        let unreported = |failure| CommandFailure::new(failure, format);
+        let report = self.submit().await.map_err(unreported)?;
+        print(&report, format).map_err(unreported)?;
         if let Some(kind) = failure_kind(&report.answer) {
             return Err(CommandFailure::Reported(kind));
         }
