testutils: end an engine whose layers no other of its zone holds

Change: the tests end the engine of each zone that alone holds some layer, so every path contains a lost engine and a gap has to be filled, as before. They start once every engine holds layers. What they ask for is unchanged.

--- a/daemon/tests/test_gateway.rs
+++ b/daemon/tests/test_gateway.rs
@@ -325,8 +325,7 @@
     site.gateway.terminate().await;
     assert!(site.gateway.ended().await.success());
     let placed = site.runners.orders("place").len();
-    // Ends one engine of each failure domain, so that any path contains a lost one.
-    site.engines.retain(|engine| !engine.id().ends_with("-0"));
+    site.end_sole_holders();
     wait_until("the lost layers are placed anew", async || {
         // Only streams show that the engine is lost, since its entry remains.
         let _ = fresh.send(stream_request("probe")).await;
@@ -359,7 +358,7 @@
     site.store.put("jujubewall/planner", b"front-1");
     site.gateway.kill().await;
     let placed = site.runners.orders("place").len();
-    site.engines.retain(|engine| !engine.id().ends_with("-0"));
+    site.end_sole_holders();
     wait_until("the lost layers are placed anew", async || {
         let _ = other.send(stream_request("probe")).await;
         site.runners.orders("place").len() > placed
--- a/daemon/tests/test_gateway_faults.rs
+++ b/daemon/tests/test_gateway_faults.rs
@@ -269,7 +269,7 @@
         other.log().contains("event=planner holds=true")
     })
     .await;
-    site.engines.retain(|engine| !engine.id().ends_with("-0"));
+    site.end_sole_holders();
     site.gateway.resume().await;
     wait_until("the hold-up is noticed", async || {
         site.gateway.log().contains("event=planner_held_up")
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -15,6 +15,7 @@
 use jujubewall_http_client::CallDeadlines;
 use jujubewall_http_client::HttpCallError;
 use jujubewall_http_client::HttpClient;
+use jujubewall_types::layer::LayerRange;
 use serde_json::Value;
 use serde_json::json;
 use tempfile::TempDir;
@@ -303,7 +304,12 @@
         })
         .await;
         wait_until("two copies are placed", async || {
-            self.runners.held_layers() == 2 * LAYERS
+            self.runners.held_layers() >= 2 * LAYERS
+        })
+        .await;
+        wait_until("every engine holds layers", async || {
+            let mut ids = self.engines.iter().map(RunnerHandle::id);
+            ids.all(|id| self.runners.layers_of(id).is_some())
         })
         .await;
         wait_until("a stream is served", async || {
@@ -323,6 +329,33 @@
         self.store_server.address()
     }
 
+    /// Ends one engine in each zone that alone holds some layer there, so that every path
+    /// contains a lost engine and the zone lacks layers until they are placed anew.
+    ///
+    /// # Panics
+    ///
+    /// Panics if others hold all layers of each.
+    pub fn end_sole_holders(&mut self) {
+        let zone_of = |id: &str| id.split('-').next().unwrap_or_default().to_owned();
+        for zone in ["hall", "apron"] {
+            let held: Vec<(String, LayerRange)> = self
+                .engine_ids()
+                .into_iter()
+                .filter(|id| zone_of(id) == zone)
+                .filter_map(|id| Some((id.clone(), self.runners.layers_of(&id)?)))
+                .collect();
+            let is_sole_holder = |id: &str, layers: LayerRange| {
+                (layers.first..layers.end).any(|layer| {
+                    let mut others = held.iter().filter(|(other, _)| other != id);
+                    others.all(|(_, layers)| !layers.contains(layer))
+                })
+            };
+            let sole = held.iter().find(|(id, layers)| is_sole_holder(id, *layers));
+            let (lost, _) = sole.expect("some engine holds layers alone");
+            self.engines.retain(|engine| engine.id() != lost);
+        }
+    }
+
     /// Returns the identifiers of the engines.
     pub fn engine_ids(&self) -> Vec<String> {
         self.engines
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -311,6 +311,11 @@
         self.layers().iter().map(|layers| layers.len()).sum()
     }
 
+    /// Returns the layers that a runner holds.
+    pub fn layers_of(&self, id: &str) -> Option<LayerRange> {
+        self.state().runners.get(id)?.layers
+    }
+
     /// Returns the layers that each runner holds.
     pub fn layers(&self) -> Vec<LayerRange> {
         let state = self.state();
