--- a/routing/tests/entry_world/mod.rs
+++ b/routing/tests/entry_world/mod.rs
@@ -39,6 +39,9 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
+use crate::fleet_addresses::address;
+use crate::fleet_addresses::index_of;
+
 /// The number of upstreams.
 pub const UPSTREAMS: usize = 20;
 
@@ -75,19 +78,6 @@
     Watch { ends_at: Instant },
 }
 
-fn address(index: usize) -> SocketAddr {
-    let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
-    SocketAddr::from(([10, 0, high, low], 7_000))
-}
-
-fn index_of(address: SocketAddr) -> usize {
-    let SocketAddr::V4(address) = address else {
-        panic!("expected an IPv4 address");
-    };
-    let [_, _, high, low] = address.ip().octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 fn id(upstream: usize) -> SmolStr {
     SmolStr::new(format!("i-{upstream}"))
 }
--- a/routing/tests/test_fleet_entries.rs
+++ b/routing/tests/test_fleet_entries.rs
@@ -5,9 +5,13 @@
 //! for 2.3 seconds, and passed them on to its failure domain for up to ten.
 
 mod entry_world;
+mod fleet_addresses;
 
 use std::time::Duration;
 
+use jujubewall_routing::fleet::entry_bounds::EntryBounds;
+use jujubewall_routing::fleet::gossip_timing::GossipTiming;
+
 use self::entry_world::Away;
 use self::entry_world::UPSTREAMS;
 use self::entry_world::World;
@@ -90,6 +94,23 @@
     }
 }
 
+/// A follower whose watch is behind, a fetch that fails and one that succeeds take no longer
+/// than the bound, at every size.
+#[test]
+fn test_steps_by_which_news_arrives_add_up_to_less_than_the_bound() {
+    for gateways in [1, 5, 28, 103, 400] {
+        for bound_ms in [2_000, 3_000, 5_000] {
+            let bound = Duration::from_millis(bound_ms);
+            let timing = GossipTiming::new(gateways);
+            let bounds = EntryBounds::new(bound, timing);
+            let waits = bounds.max_behind().max(bounds.max_mismatch());
+            let waits = waits.max(bounds.max_unserved());
+            let time = EntryBounds::fixed_time(timing) + waits + bounds.fetch_timeout() * 2;
+            assert!(time < bound, "{gateways} gateways: {time:?} of {bound:?}");
+        }
+    }
+}
+
 /// Entries that lapse while the store is down for all are rewritten by upstreams that run.
 #[test]
 fn test_upstreams_are_kept_while_they_rewrite_entries_after_an_outage_for_all() {
--- a/routing/tests/test_fleet_spread.rs
+++ b/routing/tests/test_fleet_spread.rs
@@ -1,5 +1,7 @@
 //! Gossip between gateways in fleets of several sizes, on a simulated clock.
 
+mod fleet_addresses;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -34,6 +36,9 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
+use self::fleet_addresses::address;
+use self::fleet_addresses::index_of;
+
 const DOMAINS: usize = 5;
 
 /// The sizes of the fleets, starting with the smallest deployment.
@@ -54,19 +59,6 @@
 /// The updates of the follower role for each update of the planner role.
 const FOLLOWER_UPDATES_PER_PLANNER_UPDATE: u32 = 4;
 
-fn address(index: usize) -> SocketAddr {
-    let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
-    SocketAddr::from(([10, 0, high, low], 7_000))
-}
-
-fn index_of(address: SocketAddr) -> usize {
-    let SocketAddr::V4(address) = address else {
-        panic!("expected an IPv4 address");
-    };
-    let [_, _, high, low] = address.ip().octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
 /// One gateway, with the state that its messages carry.
 struct Gateway {
     gossip: Gossip,
