gateway: log why a run was lost and what barred another one

A stream that was cut could not be traced: `event=run_lost` did not say whether the connection broke or the run was given up while it was silent, where, and which limit forbade another run. `event=cleared` did not say for how long the upstream had been suspected, and `last_event=0` stood for none and for the first one.

No decision changes. clear_suspicion returns since when, as the line needs it; its test checks as much as before.

--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -312,7 +312,7 @@
     gateway.metrics.count("suspected");
     if let Some(tracked) = gateway.instances().get(key) {
         warn!(
-            "event=suspect upstream={} address={} reason=\"{reason}\" in_flight={}",
+            "event=suspect upstream={} address={} reason=\"{reason}\" evidence={evidence} in_flight={}",
             tracked.instance.id,
             tracked.instance.address,
             tracked.own_work().requests
@@ -321,13 +321,16 @@
 }
 
 fn clear(gateway: &Gateway, key: InstanceKey) {
-    let was_suspected = gateway.instances_mut().clear_suspicion(key);
-    if !was_suspected {
+    let Some(since) = gateway.instances_mut().clear_suspicion(key) else {
         return;
-    }
+    };
     gateway.metrics.count("cleared");
     if let Some(tracked) = gateway.instances().get(key) {
-        info!("event=cleared upstream={}", tracked.instance.id);
+        info!(
+            "event=cleared upstream={} suspected_ms={}",
+            tracked.instance.id,
+            since.elapsed().as_millis()
+        );
     }
 }
 
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -1,5 +1,6 @@
 //! One run of a stream: one attempt to get its events from one path of engines.
 
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -75,9 +76,32 @@
     Failed(Box<FailedAnswer>),
 }
 
+/// Why a run broke off.
+#[derive(Clone, Copy, Debug)]
+pub enum BreakCause {
+    /// The connection to the first engine was lost.
+    ConnectionLost,
+    /// The answer was not one to this request, or its events were not valid.
+    BadAnswer,
+    /// No event arrived for this time.
+    Silent(Duration),
+}
+
+impl fmt::Display for BreakCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::ConnectionLost => formatter.write_str("connection_lost"),
+            Self::BadAnswer => formatter.write_str("bad_answer"),
+            Self::Silent(time) => write!(formatter, "silent_{}_ms", time.as_millis()),
+        }
+    }
+}
+
 /// A run that broke off.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokenRun {
+    /// Why the run broke off.
+    pub cause: BreakCause,
     /// The first engine of the path.
     pub first: InstanceKey,
     /// The faulty engine, if it is known.
@@ -98,6 +122,19 @@
     pub body: Bytes,
 }
 
+impl fmt::Display for RunFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoPath(_) => formatter.write_str("no_path"),
+            Self::NoTime => formatter.write_str("no_time"),
+            Self::NotConnected(_) => formatter.write_str("not_connected"),
+            Self::NotRun(_) => formatter.write_str("refused"),
+            Self::Broken(broken) => broken.cause.fmt(formatter),
+            Self::Failed(failed) => write!(formatter, "status_{}", failed.status.as_u16()),
+        }
+    }
+}
+
 /// A run that has been sent to its first engine.
 pub struct Run {
     work: CountedPath,
@@ -247,7 +284,7 @@
                 "event=foreign_answer id={} upstream={} status={}",
                 self.request_id, self.first_address, head.status
             );
-            return Err(self.broken(Some(self.first)));
+            return Err(self.bad_answer(Some(self.first)));
         }
         if head.status.is_success() {
             self.headers = head.headers;
@@ -262,7 +299,7 @@
                 headers: head.headers,
                 body: body.to_bytes(),
             }))),
-            Err(_) => Err(self.broken(Some(self.first))),
+            Err(_) => Err(self.bad_answer(Some(self.first))),
         }
     }
 
@@ -333,9 +370,10 @@
         }
     }
 
-    /// Returns the fault of a run that broke off at `at_fault`.
-    pub fn broken(&self, at_fault: Option<InstanceKey>) -> RunFault {
+    /// Returns the fault of a run whose answer is not valid, for which `at_fault` is to blame.
+    pub fn bad_answer(&self, at_fault: Option<InstanceKey>) -> RunFault {
         RunFault::Broken(BrokenRun {
+            cause: BreakCause::BadAnswer,
             first: self.first,
             at_fault,
             may_have_run: true,
@@ -350,6 +388,7 @@
             probe::probe_broken(&self.work.gateway, self.first);
         }
         RunFault::Broken(BrokenRun {
+            cause: BreakCause::ConnectionLost,
             first: self.first,
             at_fault: Some(at_fault),
             may_have_run: true,
@@ -359,6 +398,7 @@
     /// Returns the fault of a run that was given up while it was silent.
     fn given_up(&self, lost: Option<InstanceKey>, may_have_run: bool) -> RunFault {
         RunFault::Broken(BrokenRun {
+            cause: BreakCause::Silent(self.silence),
             first: self.first,
             at_fault: lost.or(Some(self.first)),
             may_have_run,
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -145,7 +145,7 @@
             self.reason,
             self.sends,
             self.repaths,
-            self.filter.last_id().unwrap_or_default(),
+            self.last_event_text(),
             self.timing.first.unwrap_or_default().as_millis(),
             self.request.route.target_latency_ms,
             self.timing.longest_gap.as_millis(),
@@ -325,7 +325,7 @@
             RunStep::Bytes(bytes) => {
                 let events = self.filter.push(bytes).map_err(|fault| {
                     info!("event=bad_event id={} reason=\"{fault}\"", self.request.id);
-                    run.broken(None)
+                    run.bad_answer(None)
                 })?;
                 if events.is_empty() {
                     return Ok(None);
@@ -334,13 +334,14 @@
                 self.timing.on_events(self.request.received_at);
                 Ok(Some(RelayOutput::Events(events)))
             }
-            RunStep::End if self.filter.has_partial_event() => Err(run.broken(None)),
+            RunStep::End if self.filter.has_partial_event() => Err(run.bad_answer(None)),
             RunStep::End => Ok(Some(RelayOutput::End)),
         }
     }
 
     /// Decides whether the stream continues in another run.
     fn after_fault(&mut self, fault: RunFault) -> Result<(), RelayEnd> {
+        let cause = fault.to_string();
         let (at_fault, has_arrived) = match fault {
             RunFault::NoPath(reason) => return Err(self.end_without_path(reason)),
             RunFault::NoTime if self.sends > 1 => return Err(RelayEnd::TimedOut),
@@ -362,17 +363,25 @@
         if let Some(key) = at_fault {
             self.excluded.push(key);
         }
-        let can_continue = self.sends < MAX_RUNS
-            && self.can_run_again()
-            && (!has_arrived || self.gateway.try_repeat(&self.request.service.name));
+        let barred_by = self.barred_by(has_arrived);
+        let upstream = at_fault.and_then(|key| {
+            let instances = self.gateway.instances();
+            instances
+                .get(key)
+                .map(|tracked| tracked.instance.id.clone())
+        });
         info!(
-            "event=run_lost id={} sends={} last_event={} goes_on={can_continue} ms={}",
+            "event=run_lost id={} sends={} last_event={} cause={cause} upstream={} goes_on={} \
+             barred_by={} ms={}",
             self.request.id,
             self.sends,
-            self.filter.last_id().unwrap_or_default(),
+            self.last_event_text(),
+            upstream.as_deref().unwrap_or("unknown"),
+            barred_by.is_none(),
+            barred_by.unwrap_or("nothing"),
             self.request.received_at.elapsed().as_millis()
         );
-        if can_continue {
+        if barred_by.is_none() {
             Ok(())
         } else if self.may_have_run() {
             Err(RelayEnd::Unknown("the answer was lost"))
@@ -381,6 +390,26 @@
         }
     }
 
+    /// Returns the limit that forbids another run, if any. Takes one repeated send from the
+    /// retry budget if the lost run `has_arrived` at an engine.
+    fn barred_by(&self, has_arrived: bool) -> Option<&'static str> {
+        if self.sends >= MAX_RUNS {
+            Some("sends")
+        } else if !self.can_run_again() {
+            Some("attempts")
+        } else if has_arrived && !self.gateway.try_repeat(&self.request.service.name) {
+            Some("budget")
+        } else {
+            None
+        }
+    }
+
+    /// Returns the identifier of the last event that was sent, for log lines.
+    fn last_event_text(&self) -> String {
+        let last = self.filter.last_id();
+        last.map_or_else(|| "none".to_owned(), |last| last.to_string())
+    }
+
     /// Records a broken run, so that its faulty engine is avoided.
     fn record_broken_run(&mut self, broken: BrokenRun) {
         if broken.may_have_run {
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -128,6 +129,15 @@
     Silent,
 }
 
+impl fmt::Display for Evidence {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        })
+    }
+}
+
 /// The effect of evidence against an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Suspicion {
@@ -460,12 +470,10 @@
         Suspicion::New
     }
 
-    /// Records that an upstream answered over a new connection. Returns whether it was
+    /// Records that an upstream answered over a new connection. Returns since when it was
     /// suspected.
-    pub fn clear_suspicion(&mut self, key: InstanceKey) -> bool {
-        self.instances
-            .get_mut(key)
-            .is_some_and(|tracked| tracked.suspected_since.take().is_some())
+    pub fn clear_suspicion(&mut self, key: InstanceKey) -> Option<Instant> {
+        self.instances.get_mut(key)?.suspected_since.take()
     }
 
     /// Records whether an upstream that rejected work says that it is leaving. Returns
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -262,7 +262,7 @@
         fleet.choose(&[excluded], false),
         Err(NoPath::OnlyAcrossDomains)
     );
-    assert!(fleet.table.clear_suspicion(suspected));
+    assert!(fleet.table.clear_suspicion(suspected).is_some());
     assert!(fleet.choose(&[excluded], false).is_ok());
 }
 
