--- /dev/null
+++ b/daemon/tests/test_gateway_silence.rs
@@ -0,0 +1,131 @@
+//! Tests the gateway with sound engines that are silent for a moment and then go on.
+
+use std::cell::Cell;
+use std::path::Path;
+use std::time::Duration;
+
+use jujubewall_testutils::gateway_site::ENGINES_PER_ZONE;
+use jujubewall_testutils::gateway_site::Site;
+use jujubewall_testutils::gateway_site::all_events;
+use jujubewall_testutils::gateway_site::stream_request;
+use jujubewall_testutils::gateway_site::wait_until;
+use tokio::time::sleep;
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_jujubewalld");
+
+/// The time for which a sound engine may be silent.
+const SOUND_SILENCE: Duration = Duration::from_millis(1_200);
+
+/// The time after which a stream has delivered some of its events.
+const BEGUN: Duration = Duration::from_millis(150);
+
+/// A burst of the retry budget that is never used up.
+const AMPLE_BURST: u32 = 200;
+
+/// Suspends engines for [`SOUND_SILENCE`].
+async fn suspend(site: &Site, engines: &[String]) {
+    for engine in engines {
+        site.runners.set_suspended(engine, true);
+    }
+    sleep(SOUND_SILENCE).await;
+    for engine in engines {
+        site.runners.set_suspended(engine, false);
+    }
+}
+
+/// Sends a stream, and suspends all engines once it has begun. Returns what the client got.
+async fn stream_through_silence(site: &Site, id: &str) -> String {
+    let send = site.send(stream_request(id));
+    let silence = async {
+        wait_until("the stream runs", async || !site.ran(id).is_empty()).await;
+        sleep(BEGUN).await;
+        suspend(site, &site.engine_ids()).await;
+    };
+    let (answer, ()) = tokio::join!(send, silence);
+    let answer = answer.unwrap_or_else(|failure| panic!("{failure}: {}", site.gateway.log()));
+    String::from_utf8_lossy(answer.body()).into_owned()
+}
+
+/// Guards against streams that were cut because a silent engine was given up although the
+/// retry budget allowed no other run.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_of_a_silent_engine_is_not_cut_when_the_retry_budget_is_used_up() {
+    let site = Site::start(Path::new(PROGRAM), 0).await;
+    assert_eq!(stream_through_silence(&site, "s-1").await, all_events());
+    assert_eq!(site.ran("s-1").len(), 1);
+}
+
+/// Guards against streams that were cut, or ran at more engines than their route allows,
+/// because the engines of both allowed runs were silent for a moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_is_not_cut_when_the_engines_of_all_its_runs_are_silent() {
+    let site = Site::start(Path::new(PROGRAM), AMPLE_BURST).await;
+    let send = site.send(stream_request("s-1"));
+    let silence = async {
+        wait_until("the stream runs", async || !site.ran("s-1").is_empty()).await;
+        sleep(BEGUN).await;
+        let ran_first = site.ran("s-1");
+        let first = suspend(&site, &ran_first);
+        let second = async {
+            wait_until("the stream is moved", async || site.ran("s-1").len() == 2).await;
+            suspend(&site, &site.ran("s-1")[1..]).await;
+        };
+        tokio::join!(first, second);
+    };
+    let (answer, ()) = tokio::join!(send, silence);
+    let answer = answer.unwrap_or_else(|failure| panic!("{failure}: {}", site.gateway.log()));
+    assert_eq!(answer.body(), all_events().as_bytes());
+    assert_eq!(site.ran("s-1").len(), 2, "{:?}", site.ran("s-1"));
+}
+
+/// Guards against streams that were cut because no path was left without a silent engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_of_a_silent_engine_is_not_cut_when_there_is_no_other_path() {
+    let site = Site::start(Path::new(PROGRAM), AMPLE_BURST).await;
+    for index in 0..ENGINES_PER_ZONE {
+        site.runners.remove_entry(&format!("apron-{index}"));
+    }
+    wait_until("the other zone is gone", async || {
+        site.gateway
+            .log()
+            .matches("event=upstream_gone id=apron")
+            .count()
+            >= 3
+    })
+    .await;
+    assert_eq!(stream_through_silence(&site, "s-1").await, all_events());
+}
+
+/// Guards against orders that broke off streams on sound engines, because the layers of an
+/// engine that was only silent were given to others.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_layers_of_a_silent_engine_are_not_replaced_at_the_expense_of_streams() {
+    let site = Site::start(Path::new(PROGRAM), AMPLE_BURST).await;
+    let before = site.runners.orders("place").len();
+    let is_over = Cell::new(false);
+    let traffic = async {
+        let mut index = 0;
+        while !is_over.get() {
+            index += 1;
+            let id = format!("s-{index}");
+            // Whether streams are whole is for the other tests.
+            let _ = site.send(stream_request(&id)).await;
+        }
+    };
+    let silences = async {
+        for id in site.engine_ids() {
+            sleep(BEGUN).await;
+            suspend(&site, &[id]).await;
+        }
+        is_over.set(true);
+    };
+    tokio::join!(traffic, silences);
+    let log = site.gateway.log();
+    assert!(log.contains("event=suspect upstream="), "{log}");
+    let orders = site.runners.orders("place").split_off(before);
+    let aborting = orders
+        .iter()
+        .filter(|(_, order)| order["drain_mode"] == "abort");
+    assert_eq!(aborting.count(), 0, "{orders:?}");
+}
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -30,6 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -121,6 +122,8 @@
     layers: Option<LayerRange>,
     fault: RunnerFault,
     is_draining: bool,
+    /// Whether the runner is suspended: it accepts connections and sends nothing.
+    suspended: watch::Sender<bool>,
 }
 
 #[derive(Default)]
@@ -130,6 +133,8 @@
     /// The requests that reached a runner, refused ones too: runner and time.
     arrived: Vec<(String, Instant)>,
     orders: Vec<(String, Value)>,
+    /// The runners of the path of each stream, by the identifier of its request.
+    paths: HashMap<String, Vec<String>>,
     event_count: u64,
     births: u64,
 }
@@ -237,6 +242,7 @@
                 layers: None,
                 fault: RunnerFault::None,
                 is_draining: false,
+                suspended: watch::Sender::new(false),
             };
             state.runners.insert(id.to_owned(), runner);
         }
@@ -263,6 +269,23 @@
         }
     }
 
+    /// Suspends a runner or lets it go on: a suspended one accepts connections, but neither
+    /// answers nor goes on with its streams.
+    pub fn set_suspended(&self, id: &str, is_suspended: bool) {
+        if let Some(runner) = self.state().runners.get(id) {
+            runner.suspended.send_replace(is_suspended);
+        }
+    }
+
+    fn suspension(&self, id: &str) -> Vec<watch::Receiver<bool>> {
+        let state = self.state();
+        let runner = state.runners.get(id);
+        runner
+            .map(|runner| runner.suspended.subscribe())
+            .into_iter()
+            .collect()
+    }
+
     /// Lets a runner say that it leaves.
     pub fn drain(&self, id: &str) {
         if let Some(runner) = self.state().runners.get_mut(id) {
@@ -352,6 +375,7 @@
     ) -> Result<Response<ReplyBody>, CutError> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| CutError)?.to_bytes();
+        all_awake(&mut self.suspension(&id)).await;
         let mut reply = match parts.uri.path() {
             "/v1/report" => self.report(&id),
             "/v1/order" => self.order(&id, &body),
@@ -377,7 +401,7 @@
             json!({
                 "stage": "both", "models": [], "busy": false, "seq": runner.orders,
                 "queued": 0, "running": 0, "born": runner.born,
-                "layers": layers_json(runner.layers), "stalled": [],
+                "layers": layers_json(runner.layers), "stalled": stalled_streams(&state, id),
             })
         });
         plain(200, &report.unwrap_or_default().to_string())
@@ -464,7 +488,11 @@
                 let first = text("last-event-id")
                     .parse::<u64>()
                     .map_or(0, |last| last + 1);
-                stream(first, state.event_count, fault)
+                let parts = runners_of(&state, &path);
+                let runners = parts.iter().filter_map(|part| state.runners.get(part));
+                let suspensions = runners.map(|runner| runner.suspended.subscribe()).collect();
+                state.paths.insert(text("request-id"), parts);
+                stream(first, state.event_count, fault, suspensions)
             }
         };
         let request_id = match fault {
@@ -497,6 +525,41 @@
         })
 }
 
+/// Returns the runners at the addresses of a path.
+fn runners_of(state: &FleetState, path: &str) -> Vec<String> {
+    path.split(',')
+        .filter_map(|part| part.split_once('='))
+        .filter_map(|(address, _)| {
+            let mut runners = state.runners.iter();
+            runners.find(|(_, runner)| runner.address.to_string() == address)
+        })
+        .map(|(id, _)| id.clone())
+        .collect()
+}
+
+/// Returns the streams of a first runner that wait for a suspended runner, with its address.
+fn stalled_streams(state: &FleetState, first: &str) -> Vec<Value> {
+    let of_first = state
+        .paths
+        .iter()
+        .filter(|(_, parts)| parts.first().is_some_and(|part| part == first));
+    of_first
+        .filter_map(|(request_id, parts)| {
+            let mut runners = parts.iter().filter_map(|part| state.runners.get(part));
+            let suspended = runners.find(|runner| *runner.suspended.borrow())?;
+            Some(json!({"id": request_id, "address": suspended.address}))
+        })
+        .collect()
+}
+
+/// Returns once no runner is suspended.
+async fn all_awake(suspensions: &mut [watch::Receiver<bool>]) {
+    for suspended in suspensions {
+        // Nobody waits for a runner that has ended.
+        let _ = suspended.wait_for(|is_suspended| !is_suspended).await;
+    }
+}
+
 fn entry_key(id: &str) -> String {
     format!("servers/{id}")
 }
@@ -523,11 +586,17 @@
 }
 
 /// Answers with the events from `first` on, one after the other.
-fn stream(first: u64, count: u64, fault: RunnerFault) -> Response<ReplyBody> {
+fn stream(
+    first: u64,
+    count: u64,
+    fault: RunnerFault,
+    mut suspensions: Vec<watch::Receiver<bool>>,
+) -> Response<ReplyBody> {
     let (events, coming) = mpsc::unbounded_channel::<Result<Frame<Bytes>, CutError>>();
     tokio::spawn(async move {
         for id in first..count {
             sleep(EVENT_INTERVAL).await;
+            all_awake(&mut suspensions).await;
             let sent = id - first;
             if fault == RunnerFault::DripAfter(sent) {
                 while events
