streams: keep a silent run until another one is allowed

What callers saw: streams that had been accepted were cut although their engine was sound and only silent for about a second.

Cause: a run was dropped as soon as an engine of its path was suspected, and only then was it checked whether another run was allowed. The route's attempts, the retry budget or the lack of a path then left the stream with no run at all.

Fix: a part that is only silent does not end a run. The stream is moved only if the attempts allow another run, a path exists and the budget pays for it, and waits otherwise. A request whose path had a silent part is no longer said not to have run: the engine may still run it. The limits of a request are in routing::fleet::attempts.

--- a/daemon/src/gateway/path.rs
+++ b/daemon/src/gateway/path.rs
@@ -16,6 +16,7 @@
 use jujubewall_routing::fleet::layer_path::part_work;
 use jujubewall_routing::fleet::rendezvous;
 use jujubewall_types::fleet::EngineSpec;
+use jujubewall_types::id::ServiceName;
 use jujubewall_types::layer::LayerRange;
 use log::info;
 use smallvec::SmallVec;
@@ -144,57 +145,75 @@
     pub first_id: SmolStr,
 }
 
-/// Chooses the path of a run by the present state of the engines. `is_moved` means that the
-/// stream has lost an earlier path.
-pub fn choose(
-    gateway: &Gateway,
-    request: &ClientRequest,
-    spec: &EngineSpec,
-    need: &StreamNeed,
-    excluded: &[InstanceKey],
-    is_moved: bool,
-) -> Result<ChosenPath, NoPath> {
-    let instances = gateway.instances();
-    let now = Instant::now();
-    let settings = gateway.settings();
-    let choice = PathRequest {
-        service: &request.service.name,
-        spec,
-        need,
-        excluded,
-        may_cross: gateway.may_cross_domains(spec),
-        preference: Preference {
-            // All failure domains share the work of restarting streams that lost their path.
-            own_domain: (!is_moved).then_some(&settings.failure_domain),
-            domain_order_seed: rendezvous::gateway_key(settings.peer_address),
-            jitter_seed: gateway.random_u64(),
-        },
-    };
-    let path = choose_path(&instances, &choice, now)?;
-    if excluded.is_empty() {
-        gateway.record_path(&request.service.name);
+/// What the path of a run has to serve.
+#[derive(Clone, Copy)]
+pub struct Choice<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The service's engines.
+    pub spec: &'a EngineSpec,
+    /// What the stream is expected to need.
+    pub need: &'a StreamNeed,
+    /// The engines that the path must avoid.
+    pub excluded: &'a [InstanceKey],
+    /// Whether the stream has lost an earlier path.
+    pub is_moved: bool,
+}
+
+impl Choice<'_> {
+    fn layer_path(&self, gateway: &Gateway) -> Result<LayerPath, NoPath> {
+        let settings = gateway.settings();
+        let choice = PathRequest {
+            service: self.service,
+            spec: self.spec,
+            need: self.need,
+            excluded: self.excluded,
+            may_cross: gateway.may_cross_domains(self.spec),
+            preference: Preference {
+                // All failure domains share the work of restarting streams that lost their
+                // path.
+                own_domain: (!self.is_moved).then_some(&settings.failure_domain),
+                domain_order_seed: rendezvous::gateway_key(settings.peer_address),
+                jitter_seed: gateway.random_u64(),
+            },
+        };
+        choose_path(&gateway.instances(), &choice, Instant::now())
+    }
+
+    /// Returns whether there is a path.
+    pub fn has_path(&self, gateway: &Gateway) -> bool {
+        self.layer_path(gateway).is_ok()
     }
-    if path.crossings > 0 {
-        gateway.record_crossing();
+
+    /// Chooses the path of a run by the present state of the engines.
+    pub fn choose(&self, gateway: &Gateway, request: &ClientRequest) -> Result<ChosenPath, NoPath> {
+        let path = self.layer_path(gateway)?;
+        if self.excluded.is_empty() {
+            gateway.record_path(self.service);
+        }
+        if path.crossings > 0 {
+            gateway.record_crossing();
+        }
+        let instances = gateway.instances();
+        let hops = path_hops(&instances, &path);
+        let first = path.parts[0].instance;
+        let tracked = instances.get(first).ok_or(NoPath::LayerMissing(0))?;
+        info!(
+            "event=path id={} parts={} first={} token_ms={:.1} excluded={} config={} path={}",
+            request.id,
+            hops.len(),
+            tracked.instance.id,
+            path.token_ms,
+            self.excluded.len(),
+            request.config_version,
+            path_text(&instances, &path)
+        );
+        Ok(ChosenPath {
+            hops,
+            first,
+            first_address: tracked.instance.address,
+            first_id: tracked.instance.id.clone(),
+            path,
+        })
     }
-    let hops = path_hops(&instances, &path);
-    let first = path.parts[0].instance;
-    let tracked = instances.get(first).ok_or(NoPath::LayerMissing(0))?;
-    info!(
-        "event=path id={} parts={} first={} token_ms={:.1} excluded={} config={} path={}",
-        request.id,
-        hops.len(),
-        tracked.instance.id,
-        path.token_ms,
-        excluded.len(),
-        request.config_version,
-        path_text(&instances, &path)
-    );
-    Ok(ChosenPath {
-        hops,
-        first,
-        first_address: tracked.instance.address,
-        first_id: tracked.instance.id.clone(),
-        path,
-    })
 }
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -19,6 +19,7 @@
 use jujubewall_platform::site::headers;
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::repath_order;
+use jujubewall_routing::fleet::attempts::Attempts;
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::layer_path::NoPath;
@@ -76,6 +77,9 @@
     Failed(Box<FailedAnswer>),
 }
 
+/// The interval between attempts to move a silent stream that could not be moved.
+const MOVE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Why a run broke off.
 #[derive(Clone, Copy, Debug)]
 pub enum BreakCause {
@@ -108,6 +112,8 @@
     pub at_fault: Option<InstanceKey>,
     /// Whether the run may have produced tokens.
     pub may_have_run: bool,
+    /// Whether the retry budget has been charged for the run that replaces this one.
+    pub is_repeat_charged: bool,
 }
 
 /// The answer of an engine that ran the request and failed.
@@ -144,6 +150,9 @@
     first: InstanceKey,
     first_address: SocketAddr,
     request_id: SmolStr,
+    /// The earlier sends of the request, and the engines that its paths avoid.
+    attempts: Attempts,
+    excluded: SmallVec<[InstanceKey; 4]>,
     expected_gap: Duration,
     has_begun: bool,
     last_event_at: Option<Instant>,
@@ -180,13 +189,19 @@
         request: &ClientRequest,
         spec: &Rc<EngineSpec>,
         last_event_id: Option<u64>,
+        attempts: &Attempts,
         excluded: &[InstanceKey],
     ) -> Result<Self, RunFault> {
         let left = request.time_left().ok_or(RunFault::NoTime)?;
         let need = remaining_need(request, spec, last_event_id);
-        let is_moved = last_event_id.is_some() || !excluded.is_empty();
-        let chosen = path::choose(gateway, request, spec, &need, excluded, is_moved);
-        let chosen = chosen.map_err(RunFault::NoPath)?;
+        let choice = path::Choice {
+            service: &request.service.name,
+            spec,
+            need: &need,
+            excluded,
+            is_moved: last_event_id.is_some() || !excluded.is_empty(),
+        };
+        let chosen = choice.choose(gateway, request).map_err(RunFault::NoPath)?;
         let expected_gap = event_gap(spec, chosen.path.token_ms);
         let mut work = CountedPath::new(gateway, chosen.path, need);
         work.begin_prefill(need.prompt_tokens, |_| true);
@@ -198,6 +213,8 @@
             first: chosen.first,
             first_address: chosen.first_address,
             request_id: request.id.clone(),
+            attempts: attempts.clone(),
+            excluded: excluded.into(),
             expected_gap,
             has_begun: false,
             last_event_at: None,
@@ -377,6 +394,7 @@
             first: self.first,
             at_fault,
             may_have_run: true,
+            is_repeat_charged: false,
         })
     }
 
@@ -392,19 +410,44 @@
             first: self.first,
             at_fault: Some(at_fault),
             may_have_run: true,
+            is_repeat_charged: false,
         })
     }
 
     /// Returns the fault of a run that was given up while it was silent.
-    fn given_up(&self, lost: Option<InstanceKey>, may_have_run: bool) -> RunFault {
+    fn given_up(&self, lost: Option<InstanceKey>, is_repeat_charged: bool) -> RunFault {
         RunFault::Broken(BrokenRun {
             cause: BreakCause::Silent(self.silence),
             first: self.first,
             at_fault: lost.or(Some(self.first)),
-            may_have_run,
+            may_have_run: silence::may_have_run(&self.silent_stream(lost)),
+            is_repeat_charged,
         })
     }
 
+    /// Returns whether the stream may leave this run, which may still go on, for another
+    /// one that avoids `lost`. If so, the retry budget has been charged for it.
+    fn try_replace(&self, lost: Option<InstanceKey>) -> bool {
+        let gateway = &self.work.gateway;
+        let now = Instant::now();
+        let barred = self
+            .attempts
+            .barred_after(self.first, &gateway.instances(), now);
+        if barred.is_some() {
+            return false;
+        }
+        let mut excluded = self.excluded.clone();
+        excluded.push(lost.unwrap_or(self.first));
+        let choice = path::Choice {
+            service: &self.service,
+            spec: &self.spec,
+            need: &self.work.need,
+            excluded: &excluded,
+            is_moved: true,
+        };
+        choice.has_path(gateway) && gateway.try_repeat(&self.service)
+    }
+
     /// Waits for `future`, and probes, reroutes or gives up the path while it is silent.
     async fn wait_unless_lost<T>(
         &mut self,
@@ -413,6 +456,8 @@
         let mut future = pin!(future);
         let mut waiting_since = Instant::now();
         let mut queried_at: Option<Instant> = None;
+        let mut moved_at: Option<Instant> = None;
+        let mut is_held = false;
         loop {
             let gateway = Rc::clone(&self.work.gateway);
             let suspicions = gateway.suspicion_count();
@@ -448,13 +493,35 @@
                         output = future.as_mut() => return Ok(output),
                         is_done = repath => {
                             if !is_done {
-                                return Err(self.given_up(lost, silence::may_have_run(&stream)));
+                                return Err(self.given_up(lost, false));
                             }
                         }
                     }
                     self.silence = Duration::ZERO;
                 }
-                SilenceAction::QueryFirst => {
+                SilenceAction::Move if moved_at.is_none_or(|at| at.elapsed() >= MOVE_INTERVAL) => {
+                    moved_at = Some(Instant::now());
+                    let repath = self.repath();
+                    let is_done = tokio::select! {
+                        biased;
+                        output = future.as_mut() => return Ok(output),
+                        is_done = repath => is_done,
+                    };
+                    if is_done {
+                        self.silence = Duration::ZERO;
+                    } else if self.try_replace(lost) {
+                        return Err(self.given_up(lost, true));
+                    } else if !is_held {
+                        is_held = true;
+                        gateway.metrics.count("run_held");
+                        info!(
+                            "event=run_held id={} silent_ms={}",
+                            self.request_id,
+                            self.silence.as_millis()
+                        );
+                    }
+                }
+                SilenceAction::QueryFirst | SilenceAction::Move => {
                     probe::probe_parts(&self.work.gateway, &self.work.keys());
                     if queried_at.is_some_and(|queried| queried.elapsed() < QUERY_INTERVAL) {
                         continue;
@@ -479,7 +546,8 @@
             expected_gap: self.expected_gap,
             client_timeout: self.client_timeout,
             path: match lost {
-                Some(_) => PathState::PartLost,
+                Some(_) if self.has_ended_part() => PathState::PartLost,
+                Some(_) => PathState::PartSilent,
                 None if self.is_queued => PathState::Queued,
                 None => PathState::Intact,
             },
@@ -571,6 +639,16 @@
         self.lost_parts().first().copied()
     }
 
+    /// Returns whether an engine of the path has ended, or was silent for too long.
+    fn has_ended_part(&self) -> bool {
+        let instances = self.work.gateway.instances();
+        let now = Instant::now();
+        self.work.path.parts.iter().any(|part| {
+            let tracked = instances.get(part.instance);
+            tracked.is_none_or(|tracked| !tracked.is_presumed_alive(now))
+        })
+    }
+
     /// Returns the engines of the path that are gone or suspected.
     fn lost_parts(&self) -> SmallVec<[InstanceKey; 4]> {
         let instances = self.work.gateway.instances();
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -9,6 +9,8 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use jujubewall_routing::fleet::attempts::Attempts;
+use jujubewall_routing::fleet::attempts::Barred;
 use jujubewall_routing::fleet::events::EventFilter;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::layer_path::NoPath;
@@ -33,10 +35,6 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::state::InFlightGuard;
 
-/// The largest number of runs of one stream, including lost ones. More would put still more
-/// load on a fleet that loses runs that often.
-const MAX_RUNS: u32 = 4;
-
 /// The reason of a rejection because every engine is full.
 const ALL_FULL: &str = "every engine is full";
 
@@ -98,9 +96,7 @@
     filter: EventFilter,
     run: Option<Run>,
     excluded: SmallVec<[InstanceKey; 4]>,
-    sends: u32,
-    /// The first engines of the runs that may have run.
-    runs: SmallVec<[InstanceKey; 4]>,
+    attempts: Attempts,
     timing: Timing,
     /// How often runs were rerouted around lost engines.
     repaths: u32,
@@ -143,7 +139,7 @@
             self.request.account,
             self.outcome,
             self.reason,
-            self.sends,
+            self.attempts.sends(),
             self.repaths,
             self.last_event_text(),
             self.timing.first.unwrap_or_default().as_millis(),
@@ -171,8 +167,7 @@
         spec: Rc::new(spec),
         run: None,
         excluded: SmallVec::new(),
-        sends: 0,
-        runs: SmallVec::new(),
+        attempts: Attempts::new(&request.route),
         timing: Timing::default(),
         repaths: 0,
         outcome: "client_gone",
@@ -246,7 +241,7 @@
                     }
                 };
                 let retry_after = self.gateway.extend_until_resume(service, retry_after);
-                answer::reject(&self.request.id, reason, retry_after, self.sends)
+                answer::reject(&self.request.id, reason, retry_after, self.attempts.sends())
             }
             RelayEnd::Unknown(reason) => {
                 self.outcome = "unknown";
@@ -270,7 +265,7 @@
         let give_up_at = self.request.give_up_at;
         match timeout_at(give_up_at, self.next()).await {
             Ok(next) => next,
-            Err(_) if self.sends == 0 => Err(RelayEnd::NotRun("no time left")),
+            Err(_) if self.attempts.sends() == 0 => Err(RelayEnd::NotRun("no time left")),
             Err(_) => Err(RelayEnd::TimedOut),
         }
     }
@@ -288,7 +283,7 @@
             }
             self.filter.discard_partial_event();
             if matches!(fault, RunFault::NoPath(_)) && self.can_wait_for_path() {
-                self.sends -= 1;
+                self.attempts.cancel_send();
                 sleep(PATH_POLL_INTERVAL).await;
                 continue;
             }
@@ -310,12 +305,13 @@
     /// Advances the present run, or starts one; `None` if no whole event came of it.
     async fn step(&mut self) -> Result<Option<RelayOutput>, RunFault> {
         let Some(run) = &mut self.run else {
-            self.sends += 1;
+            self.attempts.begin_send();
             let run = Run::start(
                 &self.gateway,
                 &self.request,
                 &self.spec,
                 self.filter.last_id(),
+                &self.attempts,
                 &self.excluded,
             );
             self.run = Some(run.await?);
@@ -342,19 +338,21 @@
     /// Decides whether the stream continues in another run.
     fn after_fault(&mut self, fault: RunFault) -> Result<(), RelayEnd> {
         let cause = fault.to_string();
-        let (at_fault, has_arrived) = match fault {
+        let (at_fault, is_repeat) = match fault {
             RunFault::NoPath(reason) => return Err(self.end_without_path(reason)),
-            RunFault::NoTime if self.sends > 1 => return Err(RelayEnd::TimedOut),
+            RunFault::NoTime if self.attempts.sends() > 1 => return Err(RelayEnd::TimedOut),
             RunFault::NoTime => return Err(RelayEnd::NotRun("no time left")),
             RunFault::NotConnected(key) => (Some(key), false),
             RunFault::NotRun(key) => (key, true),
             RunFault::Broken(broken) => {
                 self.record_broken_run(broken);
-                (broken.at_fault, true)
+                (broken.at_fault, !broken.is_repeat_charged)
             }
             RunFault::Failed(failed) => {
-                self.runs.push(failed.first);
-                if !self.can_run_again() {
+                self.attempts.note_run(failed.first);
+                let now = Instant::now();
+                let barred = self.attempts.barred(&self.gateway.instances(), now);
+                if barred.is_some() {
                     return Err(RelayEnd::Failed(failed));
                 }
                 (None, true)
@@ -363,7 +361,7 @@
         if let Some(key) = at_fault {
             self.excluded.push(key);
         }
-        let barred_by = self.barred_by(has_arrived);
+        let barred = self.barred(is_repeat);
         let upstream = at_fault.and_then(|key| {
             let instances = self.gateway.instances();
             instances
@@ -374,34 +372,31 @@
             "event=run_lost id={} sends={} last_event={} cause={cause} upstream={} goes_on={} \
              barred_by={} ms={}",
             self.request.id,
-            self.sends,
+            self.attempts.sends(),
             self.last_event_text(),
             upstream.as_deref().unwrap_or("unknown"),
-            barred_by.is_none(),
-            barred_by.unwrap_or("nothing"),
+            barred.is_none(),
+            barred.map_or_else(|| "nothing".to_owned(), |barred| barred.to_string()),
             self.request.received_at.elapsed().as_millis()
         );
-        if barred_by.is_none() {
+        if barred.is_none() {
             Ok(())
-        } else if self.may_have_run() {
+        } else if self.attempts.may_have_run() {
             Err(RelayEnd::Unknown("the answer was lost"))
         } else {
             Err(RelayEnd::NotRun("no engine takes the request"))
         }
     }
 
-    /// Returns the limit that forbids another run, if any. Takes one repeated send from the
-    /// retry budget if the lost run `has_arrived` at an engine.
-    fn barred_by(&self, has_arrived: bool) -> Option<&'static str> {
-        if self.sends >= MAX_RUNS {
-            Some("sends")
-        } else if !self.can_run_again() {
-            Some("attempts")
-        } else if has_arrived && !self.gateway.try_repeat(&self.request.service.name) {
-            Some("budget")
-        } else {
-            None
-        }
+    /// Returns the limit that forbids another run, if any. Charges the retry budget for a run
+    /// that `is_repeat`.
+    fn barred(&self, is_repeat: bool) -> Option<Barred> {
+        let now = Instant::now();
+        let barred = self.attempts.barred(&self.gateway.instances(), now);
+        barred.or_else(|| {
+            let is_denied = is_repeat && !self.gateway.try_repeat(&self.request.service.name);
+            is_denied.then_some(Barred::Budget)
+        })
     }
 
     /// Returns the identifier of the last event that was sent, for log lines.
@@ -413,7 +408,7 @@
     /// Records a broken run, so that its faulty engine is avoided.
     fn record_broken_run(&mut self, broken: BrokenRun) {
         if broken.may_have_run {
-            self.runs.push(broken.first);
+            self.attempts.note_run(broken.first);
         }
         if let Some(key) = broken.at_fault {
             let now = Instant::now();
@@ -421,29 +416,6 @@
         }
     }
 
-    /// Returns whether the route allows another run.
-    ///
-    /// The route's limit counts the engines that may have run the request and are still
-    /// present.
-    fn can_run_again(&self) -> bool {
-        if !self.may_have_run() {
-            return true;
-        }
-        let instances = self.gateway.instances();
-        let now = Instant::now();
-        let is_standing = |key: &&InstanceKey| {
-            let tracked = instances.get(**key);
-            tracked.is_some_and(|tracked| tracked.is_presumed_alive(now))
-        };
-        let standing_count = self.runs.iter().filter(is_standing).count();
-        let max_attempts = usize::try_from(self.request.route.max_attempts).unwrap_or(usize::MAX);
-        self.request.route.is_resumable && standing_count < max_attempts
-    }
-
-    fn may_have_run(&self) -> bool {
-        !self.runs.is_empty()
-    }
-
     /// Returns the end of a stream for which no path exists.
     fn end_without_path(&self, reason: NoPath) -> RelayEnd {
         let reason = match reason {
@@ -451,7 +423,7 @@
             NoPath::OnlyAcrossDomains => INCOMPLETE_DOMAINS,
             NoPath::LayerMissing(_) => LAYER_MISSING,
         };
-        if self.may_have_run() {
+        if self.attempts.may_have_run() {
             RelayEnd::Unknown(reason)
         } else {
             RelayEnd::NotRun(reason)
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 //! | [`drain`] | which requests a draining gateway accepts | gateways stopped one after another |
 
 pub mod absences;
+pub mod attempts;
 pub mod claims;
 pub mod drain;
 pub mod entry_bounds;
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -5,6 +5,10 @@
 //! accepts a connection. If all do, the first engine is asked which part it waits for. A
 //! part that is known to be lost needs no further proof, so the stream continues elsewhere
 //! before its client notices a pause.
+//!
+//! A part that is only silent may go on after a moment. Its stream is moved only if another
+//! run is allowed and possible; otherwise the run is the only one that the stream has left,
+//! and waiting for it is better than none.
 
 use std::time::Duration;
 
@@ -26,7 +30,7 @@
 /// The factor on the expected time between events that a healthy path rarely exceeds.
 const QUERY_GAP_FACTOR: f64 = 4.0;
 
-/// The share of the client's timeout after which a silent path is given up although its
+/// The share of the client's timeout after which a stream leaves a silent path although its
 /// first engine answers and has no queue. Another path needs the rest of that time.
 /// Requests queued at a full engine are not moved to the next one, which is full as well.
 const MAX_SILENCE_SHARE: f64 = 0.6;
@@ -55,7 +59,9 @@
     Intact,
     /// Requests are queued at its first engine, according to the engine's report.
     Queued,
-    /// A part is known to be lost.
+    /// A part did not answer for a moment, and may still go on.
+    PartSilent,
+    /// A part has ended, or has been silent for too long.
     PartLost,
 }
 
@@ -68,6 +74,8 @@
     ProbeParts,
     /// Ask the first engine of the path which part it waits for.
     QueryFirst,
+    /// Move the stream to another path if that is allowed and possible.
+    Move,
     /// Give up the run.
     GiveUp,
 }
@@ -78,8 +86,10 @@
         return SilenceAction::GiveUp;
     }
     let max_silence = stream.client_timeout.mul_f64(MAX_SILENCE_SHARE);
-    if stream.silence >= max_silence && stream.can_reroute && stream.path != PathState::Queued {
-        return SilenceAction::GiveUp;
+    let is_moved = stream.path == PathState::PartSilent
+        || (stream.silence >= max_silence && stream.path != PathState::Queued);
+    if is_moved && stream.can_reroute {
+        return SilenceAction::Move;
     }
     let query_delay = query_delay(stream);
     if stream.silence >= query_delay {
--- /dev/null
+++ b/routing/tests/test_attempts.rs
@@ -0,0 +1,108 @@
+//! Tests the limits on the sends of one request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubewall_routing::fleet::attempts::Attempts;
+use jujubewall_routing::fleet::attempts::Barred;
+use jujubewall_routing::fleet::instances::Evidence;
+use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_types::fleet::Instance;
+use jujubewall_types::fleet::InstanceState;
+use jujubewall_types::fleet::RequestKind;
+use jujubewall_types::fleet::Route;
+use jujubewall_types::id::FailureDomainName;
+use jujubewall_types::id::ServiceName;
+use smallvec::SmallVec;
+use smol_str::format_smolstr;
+use tokio::time::Instant;
+
+fn route(max_attempts: u32, is_resumable: bool) -> Route {
+    Route {
+        name: "notes".into(),
+        host: "desk.example".into(),
+        path_prefix: "/notes/".into(),
+        kind: RequestKind::Stream,
+        timeout_ms: 20_000,
+        target_latency_ms: 500,
+        target_gap_ms: 200,
+        rank: 1,
+        shares: SmallVec::new(),
+        max_attempts,
+        is_open: false,
+        is_resumable,
+    }
+}
+
+/// Adds three engines to a table.
+fn engines(now: Instant) -> (InstanceTable, [InstanceKey; 3]) {
+    let mut table = InstanceTable::new();
+    let keys = [0, 1, 2].map(|index| {
+        table.upsert(
+            Instance {
+                id: format_smolstr!("engine-{index}"),
+                born_unix_ms: 1,
+                service: ServiceName::new("model").unwrap(),
+                address: SocketAddr::from(([10, 0, 0, 1], 1_000 + index)),
+                failure_domain: FailureDomainName::new("hall").unwrap(),
+                state: InstanceState::Ready,
+                slots: 192,
+                accelerator: None,
+                layers: None,
+            },
+            now,
+        )
+    });
+    (table, keys)
+}
+
+#[test]
+fn test_request_that_has_not_run_is_barred_by_its_sends_only() {
+    let now = Instant::now();
+    let (table, _) = engines(now);
+    let mut attempts = Attempts::new(&route(1, false));
+    for _ in 0..3 {
+        attempts.begin_send();
+        assert_eq!(attempts.barred(&table, now), None);
+    }
+    attempts.begin_send();
+    assert_eq!(attempts.barred(&table, now), Some(Barred::Sends));
+    attempts.cancel_send();
+    assert_eq!(attempts.barred(&table, now), None);
+}
+
+#[test]
+fn test_run_that_goes_on_counts_before_it_is_given_up() {
+    let now = Instant::now();
+    let (table, [first, second, _]) = engines(now);
+    let mut attempts = Attempts::new(&route(2, true));
+    attempts.begin_send();
+    assert_eq!(attempts.barred_after(first, &table, now), None);
+    assert!(!attempts.may_have_run());
+    attempts.note_run(first);
+    attempts.begin_send();
+    assert_eq!(attempts.barred(&table, now), None);
+    let barred = attempts.barred_after(second, &table, now);
+    assert_eq!(barred, Some(Barred::Attempts));
+    let single = Attempts::new(&route(2, false));
+    let barred = single.barred_after(first, &table, now);
+    assert_eq!(barred, Some(Barred::Attempts), "it may not be resumed");
+}
+
+/// Guards against a third engine for a stream whose two engines were only silent.
+#[test]
+fn test_silent_engines_count_and_ended_ones_do_not() {
+    let now = Instant::now();
+    let (mut table, [silent, ended, _]) = engines(now);
+    let mut attempts = Attempts::new(&route(2, true));
+    for key in [silent, ended] {
+        attempts.begin_send();
+        attempts.note_run(key);
+    }
+    table.suspect(silent, Evidence::Silent, now);
+    let later = now + Duration::from_millis(200);
+    assert_eq!(attempts.barred(&table, later), Some(Barred::Attempts));
+    table.suspect(ended, Evidence::Refused, later);
+    assert_eq!(attempts.barred(&table, later), None);
+}
