instances: presume a silent engine alive for 1.5 s

What callers saw: streams that ran at more engines than their route allows, and streams that were cut after 0.7 s of suspicion although their engine went on.

Cause: an engine that had been suspected for 0.7 s for its silence counted as ended. The platform now says that a sound one may be silent for a second or so.

--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -58,9 +58,9 @@
 /// How long an upstream may continue its work after its entry is gone.
 const LINGERING_TIME: Duration = Duration::from_secs(6);
 
-/// The silence after which a suspected upstream is presumed ended or partitioned. It is
-/// probed twice more within this time.
-const MAX_SILENCE: Duration = Duration::from_millis(700);
+/// The time after which an upstream that has been silent since it was suspected is presumed
+/// ended or partitioned. A sound one may be silent for a second or so.
+const MAX_SOUND_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// The number of peers to which an upstream must have refused connections before this
 /// gateway avoids it too, so that one gateway with a broken link does not decide for all.
@@ -236,7 +236,7 @@
     /// during which it is probed again.
     pub fn is_presumed_alive(&self, now: Instant) -> bool {
         self.suspected_since.is_none_or(|since| {
-            !self.has_refused && now.saturating_duration_since(since) < MAX_SILENCE
+            !self.has_refused && now.saturating_duration_since(since) < MAX_SOUND_SILENCE
         })
     }
 
