planner: replace the layers of a silent engine without aborting streams

What callers saw: many streams on sound engines were cut at the same moment, some hundred milliseconds after another engine had fallen silent.

Cause: an engine that was suspected for 350 ms counted as lost, and its layers were ordered from engines whose streams were aborted for it. An engine that is only silent may go on after a second.

--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -22,6 +22,7 @@
 use jujubewall_platform::site::store::WriteOutcome;
 use jujubewall_routing::fleet::claims::PlannerRole;
 use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::TrackedInstance;
 use jujubewall_routing::fleet::planner_election::PlannerElection;
 use jujubewall_routing::fleet::planner_election::PlannerStep;
 use jujubewall_routing::fleet::planner_election::StallDetector;
@@ -59,8 +60,10 @@
 /// in a fleet that holds none. Engines register within about a second of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 
-/// The time for which an engine must be suspected before its layers are assigned to
-/// others. Within it, the engine is probed at once and again after 300 ms.
+/// The time for which an engine that refuses connections must be suspected before its layers
+/// are assigned to others. Within it, the engine is probed at once and again after 300 ms. One
+/// that is only silent gets longer, since replacing its layers aborts streams on sound
+/// engines.
 const LOSS_CONFIRMATION_TIME: Duration = Duration::from_millis(350);
 
 /// The time, in addition to the expected load time, after which an engine that shows no
@@ -386,12 +389,14 @@
 ) -> Vec<PlacedEngine> {
     let open_orders = gateway.planner.open_orders.borrow();
     let instances = gateway.instances();
+    let now = Instant::now();
     let present = instances.of_service(service).filter(|(_, tracked)| {
         let since = tracked.suspected_since();
-        since.is_none_or(|since| since.elapsed() < LOSS_CONFIRMATION_TIME)
+        tracked.is_presumed_alive(now)
+            || since.is_some_and(|since| since.elapsed() < LOSS_CONFIRMATION_TIME)
     });
     let present = present.map(|(_, tracked)| (tracked, false));
-    let lingering = instances.lingering(service, Instant::now());
+    let lingering = instances.lingering(service, now);
     present
         .chain(lingering.map(|tracked| (tracked, true)))
         .filter_map(|(tracked, is_lingering)| {
@@ -408,7 +413,7 @@
                 prompt_factor: accelerator.prompt_factor,
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
-                is_slow: tracked.slowdown() >= MIN_SLOW_FACTOR,
+                is_slow: tracked.slowdown() >= MIN_SLOW_FACTOR || is_silent(tracked),
                 is_leaving: is_lingering
                     || instance.state == InstanceState::Draining
                     || tracked.leaving_since().is_some(),
@@ -417,6 +422,13 @@
         .collect()
 }
 
+/// Returns whether an engine has been silent for so long that others should hold its layers
+/// too, if that aborts no streams.
+fn is_silent(tracked: &TrackedInstance) -> bool {
+    let since = tracked.suspected_since();
+    since.is_some_and(|since| since.elapsed() >= LOSS_CONFIRMATION_TIME)
+}
+
 /// Closes orders whose effect shows in the engine's entry, and queries engines whose orders
 /// are overdue.
 fn close_settled_orders(gateway: &Rc<Gateway>) {
