--- a/daemon/tests/test_gateway_faults.rs
+++ b/daemon/tests/test_gateway_faults.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use jujubewall_testutils::gateway_site::GatewayProcess;
-use jujubewall_testutils::gateway_site::GatewayStart;
 use jujubewall_testutils::gateway_site::Site;
 use jujubewall_testutils::gateway_site::all_events;
 use jujubewall_testutils::gateway_site::neighbour;
@@ -242,15 +241,8 @@
 }
 
 fn start_second(site: &Site) -> GatewayProcess {
-    GatewayProcess::start(&GatewayStart {
-        program: Path::new(PROGRAM),
-        folder: site.folder.path(),
-        name: "front-2",
-        store: site.store_address(),
-        peers: neighbour(site.gateway.peers),
-        seed: Some(site.gateway.peers),
-        retry_burst: RETRY_BURST,
-    })
+    let peers = neighbour(site.gateway.peers);
+    site.start_another(Path::new(PROGRAM), "front-2", peers, RETRY_BURST)
 }
 
 /// Guards against an operators' report: a process that had been suspended acted on a lease
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -42,6 +42,9 @@
 /// The layers of the model.
 pub const LAYERS: u32 = 8;
 
+/// The tokens of each part of a prompt.
+const PART_TOKENS: usize = 5;
+
 /// The time within which a process reaches a state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -136,7 +139,15 @@
 
     /// Sends a request and reads the whole answer.
     pub async fn send(&self, request: Request<Bytes>) -> Result<Response<Bytes>, HttpCallError> {
-        client(self.clients).call(request).await
+        Self::send_to(self.clients, request).await
+    }
+
+    /// Sends a request to the gateway at an address and reads the whole answer.
+    pub async fn send_to(
+        clients: SocketAddr,
+        request: Request<Bytes>,
+    ) -> Result<Response<Bytes>, HttpCallError> {
+        client(clients).call(request).await
     }
 
     /// Returns the lines that the process has logged.
@@ -256,6 +267,19 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start(program: &Path, retry_burst: u32) -> Self {
+        Self::start_with_engines(program, retry_burst, ENGINES_PER_ZONE).await
+    }
+
+    /// Starts a site with so many engines in each zone, and waits until it serves.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start_with_engines(
+        program: &Path,
+        retry_burst: u32,
+        engines_per_zone: u32,
+    ) -> Self {
         let store = SiteStore::new();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_server = store.serve(listener);
@@ -263,7 +287,7 @@
         let runners = SiteRunners::new(&store, EVENTS);
         let mut engines = Vec::new();
         for zone in ["hall", "apron"] {
-            for index in 0..ENGINES_PER_ZONE {
+            for index in 0..engines_per_zone {
                 let id = format!("{zone}-{index}");
                 engines.push(runners.start(&id, "llm", zone, Some("card")).await);
             }
@@ -324,6 +348,29 @@
         self.gateway.send(request).await
     }
 
+    /// Starts another gateway, which knows the first one unless it replaces it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not start.
+    pub fn start_another(
+        &self,
+        program: &Path,
+        name: &str,
+        peers: SocketAddr,
+        retry_burst: u32,
+    ) -> GatewayProcess {
+        GatewayProcess::start(&GatewayStart {
+            program,
+            folder: self.folder.path(),
+            name,
+            store: self.store_address(),
+            peers,
+            seed: (peers != self.gateway.peers).then_some(self.gateway.peers),
+            retry_burst,
+        })
+    }
+
     /// Returns the address of the store.
     pub fn store_address(&self) -> SocketAddr {
         self.store_server.address()
@@ -385,11 +432,21 @@
 ///
 /// Panics if the address is not IPv4.
 pub fn neighbour(peers: SocketAddr) -> SocketAddr {
+    neighbour_at(peers, 1)
+}
+
+/// Returns an address for the peers of another gateway, the `index`-th one from 1 on.
+///
+/// # Panics
+///
+/// Panics if the address is not IPv4.
+pub fn neighbour_at(peers: SocketAddr, index: u8) -> SocketAddr {
     let IpAddr::V4(ip) = peers.ip() else {
         panic!("hosts of tests have IPv4 addresses");
     };
     let [_, b, c, d] = ip.octets();
-    SocketAddr::from(([127, b ^ 0x80, c, d], peers.port()))
+    let host = [127, b ^ 0x80, c ^ (index - 1), d];
+    SocketAddr::from((host, peers.port()))
 }
 
 /// Waits until a condition holds.
@@ -471,6 +528,24 @@
     request
 }
 
+/// Builds a request that is answered by a stream and whose prompt has these parts.
+///
+/// # Panics
+///
+/// Panics if an identifier is not valid.
+pub fn stream_request_with_prompt(id: &str, parts: &[&str]) -> Request<Bytes> {
+    let mut request = stream_request(id);
+    let entries: Vec<String> = parts
+        .iter()
+        .map(|part| format!("{part}:{PART_TOKENS}"))
+        .collect();
+    let tokens = PART_TOKENS * parts.len();
+    let fields = request.headers_mut();
+    fields.insert("prompt-prefix", entries.join(",").parse().unwrap());
+    fields.insert("token-counts", format!("{tokens},40").parse().unwrap());
+    request
+}
+
 /// Returns whether an answer names its request and the runner that gave it.
 pub fn is_own_answer(answer: &Response<Bytes>, id: &str) -> bool {
     let fields = answer.headers();
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -7,18 +7,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use http_body_util::Full;
-use http_body_util::StreamBody;
-use http_body_util::combinators::BoxBody;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,27 +20,29 @@
 use jujubewall_types::layer::LayerRange;
 use serde_json::Value;
 use serde_json::json;
-use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
+use tokio::task::AbortHandle;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use tokio::time::sleep;
 
 use crate::relay::Relay;
+use crate::site_runner::crash::CrashState;
+use crate::site_runner::reply::CutError;
+use crate::site_runner::reply::ReplyBody;
+use crate::site_runner::reply::head_only;
+use crate::site_runner::reply::layers_json;
+use crate::site_runner::reply::not_run;
+use crate::site_runner::reply::plain;
+use crate::site_runner::reply::stream;
 use crate::site_store::SiteStore;
 
+pub mod crash;
+mod reply;
+
 /// The start of the first runner, as it says.
 const FIRST_BORN_UNIX_MS: u64 = 1_770_000_000_000;
 
-/// The time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-
-/// The time between two single bytes of a stalled stream.
-const DRIP_INTERVAL: Duration = Duration::from_millis(100);
-
 /// What a runner does wrong with the next requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RunnerFault {
@@ -121,6 +117,10 @@
     layers: Option<LayerRange>,
     fault: RunnerFault,
     is_draining: bool,
+    /// The first identifier, which a runner that starts again has had.
+    first_id: String,
+    /// Ends the runner and its connections.
+    task: Option<AbortHandle>,
 }
 
 #[derive(Default)]
@@ -132,6 +132,7 @@
     orders: Vec<(String, Value)>,
     event_count: u64,
     births: u64,
+    crash: CrashState,
 }
 
 /// The runners of one test, which pass activations among themselves in memory.
@@ -144,7 +145,6 @@
 pub struct RunnerHandle {
     id: String,
     fleet: Arc<SiteRunners>,
-    task: JoinHandle<()>,
     relay: Option<Relay>,
 }
 
@@ -164,18 +164,10 @@
 
 impl Drop for RunnerHandle {
     fn drop(&mut self) {
-        self.task.abort();
-        self.fleet.state().runners.remove(&self.id);
+        self.fleet.end_for_good(&self.id);
     }
 }
 
-type ReplyBody = BoxBody<Bytes, CutError>;
-
-/// The error that makes the library close a connection.
-#[derive(Debug, Error)]
-#[error("the connection is cut")]
-struct CutError;
-
 impl SiteRunners {
     /// Creates a fleet without runners, whose streams have `event_count` events.
     pub fn new(store: &Arc<SiteStore>, event_count: u64) -> Arc<Self> {
@@ -202,7 +194,7 @@
     ) -> RunnerHandle {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let kind = RunnerKind::new(service, zone, accelerator);
-        self.start_at(id, kind, listener, None)
+        self.handle(id, kind, listener, None)
     }
 
     /// Starts a runner that is reached over a relay, and writes its entry.
@@ -215,10 +207,10 @@
         let listener = bind().await.expect("a free port");
         let target = listener.local_addr().expect("a listener has an address");
         let relay = Relay::new(bind().await.expect("a free port"), target);
-        self.start_at(id, kind.clone(), listener, Some(relay))
+        self.handle(id, kind.clone(), listener, Some(relay))
     }
 
-    fn start_at(
+    fn handle(
         self: &Arc<Self>,
         id: &str,
         kind: RunnerKind,
@@ -226,28 +218,41 @@
         relay: Option<Relay>,
     ) -> RunnerHandle {
         let own = listener.local_addr().expect("a listener has an address");
+        let address = relay.as_ref().map_or(own, Relay::address);
+        self.start_at(id, id, kind, listener, address);
+        RunnerHandle {
+            id: id.to_owned(),
+            fleet: Arc::clone(self),
+            relay,
+        }
+    }
+
+    fn start_at(
+        self: &Arc<Self>,
+        id: &str,
+        first_id: &str,
+        kind: RunnerKind,
+        listener: TcpListener,
+        address: SocketAddr,
+    ) {
         {
             let mut state = self.state();
             state.births += 1;
+            let task = tokio::spawn(accept_all(listener, Arc::clone(self), id.to_owned()));
             let runner = RunnerState {
-                address: relay.as_ref().map_or(own, Relay::address),
+                address,
                 kind,
                 born: FIRST_BORN_UNIX_MS + state.births,
                 orders: 0,
                 layers: None,
                 fault: RunnerFault::None,
                 is_draining: false,
+                first_id: first_id.to_owned(),
+                task: Some(task.abort_handle()),
             };
             state.runners.insert(id.to_owned(), runner);
         }
         self.write_entry(id);
-        let task = tokio::spawn(accept_all(listener, Arc::clone(self), id.to_owned()));
-        RunnerHandle {
-            id: id.to_owned(),
-            fleet: Arc::clone(self),
-            task,
-            relay,
-        }
     }
 
     /// Returns what a runner is, if it runs.
@@ -412,7 +417,7 @@
     }
 
     fn run(
-        &self,
+        self: &Arc<Self>,
         id: &str,
         headers: &HeaderMap,
         body: Bytes,
@@ -456,10 +461,15 @@
         if fault == RunnerFault::LoseAnswer {
             return Err(CutError);
         }
+        let crashes = !path.is_empty() && state.crash.is_fatal(&text("prompt-prefix"));
+        if crashes {
+            self.crash_soon(id);
+        }
         let mut reply = match fault {
             RunnerFault::RefuseAnother => not_run(),
             RunnerFault::Fail => plain(500, "failure"),
             _ if path.is_empty() => plain(200, "done"),
+            _ if crashes => head_only(),
             _ => {
                 let first = text("last-event-id")
                     .parse::<u64>()
@@ -501,66 +511,6 @@
     format!("servers/{id}")
 }
 
-fn layers_json(layers: Option<LayerRange>) -> Value {
-    layers.map_or(
-        Value::Null,
-        |layers| json!({"from": layers.first, "target": layers.end, "version": 1}),
-    )
-}
-
-fn plain(status: u16, body: &str) -> Response<ReplyBody> {
-    let body = Full::new(Bytes::from(body.to_owned())).map_err(|never| match never {});
-    let mut reply = Response::new(body.boxed());
-    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
-    reply
-}
-
-fn not_run() -> Response<ReplyBody> {
-    let mut reply = plain(503, "");
-    let value = hyper::header::HeaderValue::from_static("1");
-    reply.headers_mut().insert("not-run", value);
-    reply
-}
-
-/// Answers with the events from `first` on, one after the other.
-fn stream(first: u64, count: u64, fault: RunnerFault) -> Response<ReplyBody> {
-    let (events, coming) = mpsc::unbounded_channel::<Result<Frame<Bytes>, CutError>>();
-    tokio::spawn(async move {
-        for id in first..count {
-            sleep(EVENT_INTERVAL).await;
-            let sent = id - first;
-            if fault == RunnerFault::DripAfter(sent) {
-                while events
-                    .send(Ok(Frame::data(Bytes::from_static(b"d"))))
-                    .is_ok()
-                {
-                    sleep(DRIP_INTERVAL).await;
-                }
-                return;
-            }
-            let event = format!("id: {id}\ndata: word\n\n");
-            let is_torn = fault == RunnerFault::TornAfter(sent);
-            let bytes = if is_torn { &event[..7] } else { &event };
-            let frame = Frame::data(Bytes::copy_from_slice(bytes.as_bytes()));
-            let is_cut = fault == RunnerFault::CutAfter(sent);
-            let is_gone = !is_cut && events.send(Ok(frame)).is_err();
-            if is_torn || is_cut {
-                // The part that was sent arrives before the connection is cut.
-                sleep(EVENT_INTERVAL).await;
-                let _ = events.send(Err(CutError));
-            }
-            if is_gone || is_torn || is_cut {
-                return;
-            }
-        }
-    });
-    let parts = futures_util::stream::unfold(coming, |mut coming| async move {
-        let frame = coming.recv().await?;
-        Some((frame, coming))
-    });
-    Response::new(StreamBody::new(Box::pin(parts)).boxed())
-}
-
 async fn accept_all(listener: TcpListener, fleet: Arc<SiteRunners>, id: String) {
     let mut connections = JoinSet::new();
     loop {
--- /dev/null
+++ b/testutils/src/site_runner/crash.rs
@@ -0,0 +1,161 @@
+//! Runners that crash and start again under a new identifier.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::site_runner::SiteRunners;
+
+/// The time from the start of an answer to the crash that its prompt causes.
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+
+/// The time for which the entry of a crashed runner stays, unless it starts again before.
+const ENTRY_STAY: Duration = Duration::from_secs(1);
+
+/// The time after which a crashed runner starts again, unless the test sets another.
+const DEFAULT_RESTART_DELAY: Duration = Duration::from_secs(1);
+
+/// A crash of a runner.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// The identifier that the runner had.
+    pub id: String,
+    /// When it crashed.
+    pub at: Instant,
+}
+
+/// What makes runners crash, and the crashes so far.
+pub(super) struct CrashState {
+    fatal_part: Option<String>,
+    restart_delay: Duration,
+    crashes: Vec<Crash>,
+    ended: Vec<String>,
+}
+
+impl Default for CrashState {
+    fn default() -> Self {
+        Self {
+            fatal_part: None,
+            restart_delay: DEFAULT_RESTART_DELAY,
+            crashes: Vec::new(),
+            ended: Vec::new(),
+        }
+    }
+}
+
+impl CrashState {
+    /// Returns whether a runner that begins to answer the prompt crashes.
+    pub(super) fn is_fatal(&self, prompt: &str) -> bool {
+        let fatal = self.fatal_part.as_deref();
+        fatal.is_some_and(|fatal| has_shared_part(prompt, fatal))
+    }
+}
+
+/// Returns whether a prompt holds a part other than the request's own, which is the last.
+fn has_shared_part(prompt: &str, part: &str) -> bool {
+    let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
+    let mut ids = shared
+        .split(',')
+        .filter_map(|entry| entry.split(':').next());
+    ids.any(|id| id.trim() == part)
+}
+
+impl SiteRunners {
+    /// Lets each runner crash that begins to answer a prompt with the part, unless it is the
+    /// prompt's last one.
+    pub fn crash_on_part(&self, part: &str) {
+        self.state().crash.fatal_part = Some(part.to_owned());
+    }
+
+    /// Sets the time after which a crashed runner starts again.
+    pub fn set_restart_delay(&self, delay: Duration) {
+        self.state().crash.restart_delay = delay;
+    }
+
+    /// Returns the crashes so far, in order.
+    pub fn crashes(&self) -> Vec<Crash> {
+        self.state().crash.crashes.clone()
+    }
+
+    /// Returns the requests that began to run and whose prompt holds the part, unless as its
+    /// last one: their identifiers and the times.
+    pub fn ran_with_part(&self, part: &str) -> Vec<(String, Instant)> {
+        let state = self.state();
+        let with_part = state.ran.iter().filter(|ran| {
+            let prompt = ran.headers.get("prompt-prefix");
+            let prompt = prompt.and_then(|prompt| prompt.to_str().ok());
+            prompt.is_some_and(|prompt| has_shared_part(prompt, part))
+        });
+        with_part.map(|ran| (ran.id.clone(), ran.at)).collect()
+    }
+
+    /// Returns the identifiers of the running runners of a service.
+    pub fn running(&self, service: &str) -> Vec<String> {
+        let state = self.state();
+        let runners = state.runners.iter();
+        let of_service = runners.filter(|(_, runner)| runner.kind.service == service);
+        of_service.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Ends a runner with its connections. It starts again at the same address later, with
+    /// a new identifier and without layers.
+    ///
+    /// # Panics
+    ///
+    /// The later start panics if the address is taken meanwhile.
+    pub fn crash(self: &Arc<Self>, id: &str) {
+        let (lost, count, restart_delay) = {
+            let mut state = self.state();
+            let Some(lost) = state.runners.remove(id) else {
+                return;
+            };
+            state.crash.crashes.push(Crash {
+                id: id.to_owned(),
+                at: Instant::now(),
+            });
+            if let Some(task) = &lost.task {
+                task.abort();
+            }
+            (lost, state.crash.crashes.len(), state.crash.restart_delay)
+        };
+        let fleet = Arc::clone(self);
+        let id = id.to_owned();
+        tokio::spawn(async move {
+            sleep(ENTRY_STAY.min(restart_delay)).await;
+            fleet.remove_entry(&id);
+            sleep(restart_delay.saturating_sub(ENTRY_STAY)).await;
+            if fleet.state().crash.ended.contains(&lost.first_id) {
+                return;
+            }
+            let listener = TcpListener::bind(lost.address).await;
+            let listener = listener.expect("the address of a crashed runner is free");
+            let new_id = format!("{}-r{count}", lost.first_id);
+            fleet.start_at(&new_id, &lost.first_id, lost.kind, listener, lost.address);
+        });
+    }
+
+    pub(super) fn crash_soon(self: &Arc<Self>, id: &str) {
+        let fleet = Arc::clone(self);
+        let id = id.to_owned();
+        tokio::spawn(async move {
+            sleep(CRASH_DELAY).await;
+            fleet.crash(&id);
+        });
+    }
+
+    /// Ends a runner, also one that has started again since.
+    pub(super) fn end_for_good(&self, first_id: &str) {
+        let mut state = self.state();
+        state.crash.ended.push(first_id.to_owned());
+        state.runners.retain(|_, runner| {
+            let stays = runner.first_id != first_id;
+            if !stays && let Some(task) = &runner.task {
+                task.abort();
+            }
+            stays
+        });
+    }
+}
