--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -200,6 +200,11 @@
         }
     }
 
+    /// Returns a digest that identifies this incarnation of the upstream.
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Returns whether `instance` describes the same incarnation of the upstream.
     pub fn is_same_incarnation(&self, instance: &Instance) -> bool {
         self.instance.born_unix_ms == instance.born_unix_ms
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -12,6 +12,8 @@
 //! | [`repair_estimate`] | when a client should return if layers are missing | engines of all domains lost at once |
 //! | [`events`] | which events of a stream are sent to the client | incomplete and repeated events |
 //! | [`gossip`], [`gossip_timing`] | which gateway gets the next message, and when | fleets of any size, lost messages |
+//! | [`gossip_datagram`] | what follows a message in its datagram | gateways of several builds |
+//! | [`poison_parts`] | which requests are not sent because a part of their prompt crashes engines | a prompt part that crashes one engine after the other |
 //! | [`claims`] | which gateway holds a role for the fleet | killed, frozen and partitioned gateways |
 //! | [`follower_election`] | which gateways follow the store | a store that allows few calls or rejects some clients |
 //! | [`planner_election`] | which gateway plans when no other does | a planner that is lost or stalled |
@@ -30,10 +32,12 @@
 pub mod events;
 pub mod follower_election;
 pub mod gossip;
+pub mod gossip_datagram;
 pub mod gossip_timing;
 pub mod instances;
 pub mod layer_path;
 pub mod planner_election;
+pub mod poison_parts;
 pub mod rendezvous;
 pub mod repair_estimate;
 pub mod retry_budget;
--- a/types/src/id.rs
+++ b/types/src/id.rs
@@ -232,3 +232,21 @@
         write!(f, "{:032x}", self.0)
     }
 }
+
+/// The digest of one part of a prompt that several requests may share.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PromptPartKey(pub u64);
+
+impl fmt::Display for PromptPartKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for PromptPartKey {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
