--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -18,6 +18,7 @@
 mod path;
 mod peers;
 mod planner;
+mod poison;
 mod probe;
 mod request;
 mod run;
@@ -86,6 +87,7 @@
     peers::start(&gateway, peer_socket);
     probe::start(&gateway);
     planner::start(&gateway);
+    poison::start(&gateway);
     monitoring::start(&gateway, ready);
     monitoring::start(&gateway, metrics);
     monitoring::start(&gateway, peer_calls);
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -25,6 +25,8 @@
 use jujubewall_routing::fleet::gossip::Gossip;
 use jujubewall_routing::fleet::gossip::GossipMessage;
 use jujubewall_routing::fleet::gossip::Receipt;
+use jujubewall_routing::fleet::gossip_datagram;
+use jujubewall_routing::fleet::gossip_datagram::GossipDatagram;
 use jujubewall_routing::fleet::instances::PeerReport;
 use jujubewall_routing::fleet::rendezvous;
 use jujubewall_types::fleet::FleetConfig;
@@ -44,6 +46,7 @@
 use crate::gateway::clock;
 use crate::gateway::followers;
 use crate::gateway::planner;
+use crate::gateway::poison;
 use crate::gateway::probe;
 use crate::gateway::state::Gateway;
 
@@ -177,7 +180,8 @@
         let Some(target) = target else {
             continue;
         };
-        match encode_message(build_message(&gateway)) {
+        let crashes = poison::reports(&gateway, now);
+        match gossip_datagram::encode(build_message(&gateway), &crashes) {
             Ok(datagram) => {
                 // The next message makes up for a lost datagram.
                 if let Err(failure) = socket.try_send_to(&datagram, target) {
@@ -192,15 +196,6 @@
     }
 }
 
-/// Encodes a message, shortened to fit into one datagram.
-fn encode_message(mut message: GossipMessage) -> Result<Vec<u8>, postcard::Error> {
-    let size = |message: &GossipMessage| {
-        postcard::experimental::serialized_size(message).unwrap_or(usize::MAX)
-    };
-    message.fit(size, gossip::MAX_MESSAGE_BYTES);
-    postcard::to_stdvec(&message)
-}
-
 /// Builds the next message to a peer.
 fn build_message(gateway: &Gateway) -> GossipMessage {
     let now = Instant::now();
@@ -266,8 +261,8 @@
                 continue;
             }
         };
-        let message = match postcard::from_bytes::<GossipMessage>(&buffer[..len]) {
-            Ok(message) if message.protocol == gossip::PROTOCOL => message,
+        let datagram = match gossip_datagram::decode(&buffer[..len]) {
+            Ok(datagram) if datagram.message.protocol == gossip::PROTOCOL => datagram,
             Ok(_) => {
                 gateway.metrics.count("telling_foreign");
                 continue;
@@ -278,11 +273,12 @@
                 continue;
             }
         };
-        on_message(&gateway, from, &message);
+        on_datagram(&gateway, from, &datagram);
     }
 }
 
-fn on_message(gateway: &Rc<Gateway>, from: SocketAddr, message: &GossipMessage) {
+fn on_datagram(gateway: &Rc<Gateway>, from: SocketAddr, datagram: &GossipDatagram) {
+    let message = &datagram.message;
     let now = Instant::now();
     let (receipt, lifetime) = {
         let mut gossip = gateway.peers.gossip.borrow_mut();
@@ -297,6 +293,14 @@
         Receipt::NewPeer => info!("event=peer member={} address={from}", message.member),
         Receipt::Newer => {}
     }
+    if datagram.unknown_extensions > 0 {
+        gateway.metrics.count("telling_unknown_part");
+    }
+    if datagram.is_malformed {
+        log::debug!("event=telling_part_unreadable from={from}");
+        gateway.metrics.count("telling_part_unreadable");
+    }
+    poison::apply_reports(gateway, &datagram.crashes, "peer");
     let claims = message.claims.iter().chain([&message.own_claim]);
     let newest_era = claims.map(|claim| claim.instances_position.era).max();
     gateway.apply_store_era(newest_era.unwrap_or_default());
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -16,6 +16,7 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use jujubewall_platform::site::headers;
+use jujubewall_platform::site::headers::PromptPartKeys;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::routes::KeyHolder;
 use jujubewall_types::fleet::EngineSpec;
@@ -62,6 +63,8 @@
     pub give_up_at: Instant,
     /// The version of the configuration that was applied to the request.
     pub config_version: u64,
+    /// The parts of the prompt that other requests may share.
+    pub prompt_parts: PromptPartKeys,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -135,6 +138,7 @@
             received_at,
             give_up_at: received_at + timeout.min(client_timeout),
             config_version: admission.config_version,
+            prompt_parts: headers::shared_prompt_parts(&fields),
             method: parts.method,
             uri: parts.uri,
             headers: fields,
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -41,6 +41,7 @@
 
 use crate::gateway::path;
 use crate::gateway::path::CountedPath;
+use crate::gateway::poison::RunParts;
 use crate::gateway::probe;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::state::Gateway;
@@ -65,6 +66,8 @@
     NoPath(NoPath),
     /// The request has no time left, so nothing was sent.
     NoTime,
+    /// A part of the prompt crashes engines, so nothing was sent.
+    PartCrashes,
     /// The first engine accepted no connection.
     NotConnected(InstanceKey),
     /// An engine stated that the request did not run. Holds the faulty engine, if known.
@@ -84,6 +87,8 @@
     pub at_fault: Option<InstanceKey>,
     /// Whether the run may have produced tokens.
     pub may_have_run: bool,
+    /// Whether the connection broke while the run was young.
+    pub is_young_loss: bool,
 }
 
 /// The answer of an engine that ran the request and failed.
@@ -117,6 +122,7 @@
     can_move: bool,
     /// The gateway's count of suspicions when this run last checked for lost engines.
     known_suspicions: u64,
+    parts: RunParts,
     connection: Option<Connection>,
     body: Option<Incoming>,
     /// The head of the answer.
@@ -169,6 +175,7 @@
             is_queued: false,
             can_move: request.route.is_resumable,
             known_suspicions: gateway.suspicion_count(),
+            parts: RunParts::new(gateway, request.prompt_parts.clone(), chosen.first),
             connection: None,
             body: None,
             headers: HeaderMap::new(),
@@ -305,6 +312,7 @@
                     if let Some(connection) = self.connection.take() {
                         self.work.gateway.connections.put(self.first, connection);
                     }
+                    self.parts.on_end();
                     return Ok(RunStep::End);
                 }
             }
@@ -315,6 +323,7 @@
     /// alive. Parts of an event show nothing.
     pub fn record_events(&mut self) {
         let now = Instant::now();
+        self.parts.on_events();
         self.silence = Duration::ZERO;
         self.work.end_prefill();
         let mut instances = self.work.gateway.instances_mut();
@@ -339,12 +348,14 @@
             first: self.first,
             at_fault,
             may_have_run: true,
+            is_young_loss: false,
         })
     }
 
     /// Returns the fault of a run whose connection broke, and probes its first engine unless
     /// another engine of the path is known to be lost.
     fn connection_lost(&self) -> RunFault {
+        self.parts.on_connection_lost();
         let at_fault = self.first_lost_part().unwrap_or(self.first);
         if at_fault == self.first {
             probe::probe_broken(&self.work.gateway, self.first);
@@ -353,6 +364,7 @@
             first: self.first,
             at_fault: Some(at_fault),
             may_have_run: true,
+            is_young_loss: self.parts.is_young(),
         })
     }
 
@@ -362,6 +374,7 @@
             first: self.first,
             at_fault: lost.or(Some(self.first)),
             may_have_run,
+            is_young_loss: false,
         })
     }
 
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -38,6 +38,7 @@
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers::Peers;
 use crate::gateway::planner::PlannerState;
+use crate::gateway::poison::PoisonState;
 use crate::gateway::upstreams::ConnectionPool;
 use crate::supervise::spawn_supervised;
 
@@ -83,6 +84,8 @@
     pub peers: Peers,
     /// The planner's state.
     pub planner: PlannerState,
+    /// The prompt parts that crash engines.
+    pub poison: PoisonState,
     /// The upstreams whose entries the store lost while it was unavailable.
     absences: RefCell<Absences>,
 }
@@ -116,6 +119,7 @@
             connections: ConnectionPool::new(),
             peers,
             planner: PlannerState::default(),
+            poison: PoisonState::default(),
             absences: RefCell::new(Absences::new()),
             settings: RefCell::new(settings),
         })
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -24,6 +24,8 @@
 use crate::gateway::answer::strip_connection_headers;
 use crate::gateway::body::AnswerCut;
 use crate::gateway::body::ReplyBody;
+use crate::gateway::poison;
+use crate::gateway::poison::PART_CRASHES;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::run::BrokenRun;
 use crate::gateway::run::FailedAnswer;
@@ -101,6 +103,8 @@
     sends: u32,
     /// The first engines of the runs that may have run.
     runs: SmallVec<[InstanceKey; 4]>,
+    /// The first engines of the runs that broke off while they were young.
+    young_losses: SmallVec<[InstanceKey; 4]>,
     timing: Timing,
     /// How often runs were rerouted around lost engines.
     repaths: u32,
@@ -173,6 +177,7 @@
         excluded: SmallVec::new(),
         sends: 0,
         runs: SmallVec::new(),
+        young_losses: SmallVec::new(),
         timing: Timing::default(),
         repaths: 0,
         outcome: "client_gone",
@@ -236,6 +241,11 @@
             RelayEnd::NotRun(reason) => {
                 self.outcome = "rejected";
                 let retry_after = match reason {
+                    PART_CRASHES => {
+                        poison::log_rejection(&self.gateway, &self.request);
+                        poison::quarantine_left(&self.gateway, &self.request)
+                            .unwrap_or(MIN_FAULT_RETRY_AFTER)
+                    }
                     ALL_FULL => self.gateway.next_retry_after(service),
                     INCOMPLETE_DOMAINS | LAYER_MISSING => {
                         self.gateway.retry_after_repair(service, &self.spec)
@@ -293,6 +303,9 @@
                 continue;
             }
             self.after_fault(fault)?;
+            if poison::has_crashed_engines(&self.gateway, &self.young_losses).await {
+                return Err(RelayEnd::Unknown(PART_CRASHES));
+            }
             if let Some(last) = self.filter.last_id() {
                 let need = self.request.need(&self.spec);
                 let tokens = need.prompt_tokens + last as f64 * self.spec.tokens_per_event;
@@ -310,6 +323,9 @@
     /// Advances the present run, or starts one; `None` if no whole event came of it.
     async fn step(&mut self) -> Result<Option<RelayOutput>, RunFault> {
         let Some(run) = &mut self.run else {
+            if poison::quarantine_left(&self.gateway, &self.request).is_some() {
+                return Err(RunFault::PartCrashes);
+            }
             self.sends += 1;
             let run = Run::start(
                 &self.gateway,
@@ -343,6 +359,10 @@
     fn after_fault(&mut self, fault: RunFault) -> Result<(), RelayEnd> {
         let (at_fault, has_arrived) = match fault {
             RunFault::NoPath(reason) => return Err(self.end_without_path(reason)),
+            RunFault::PartCrashes if self.may_have_run() => {
+                return Err(RelayEnd::Unknown(PART_CRASHES));
+            }
+            RunFault::PartCrashes => return Err(RelayEnd::NotRun(PART_CRASHES)),
             RunFault::NoTime if self.sends > 1 => return Err(RelayEnd::TimedOut),
             RunFault::NoTime => return Err(RelayEnd::NotRun("no time left")),
             RunFault::NotConnected(key) => (Some(key), false),
@@ -386,6 +406,9 @@
         if broken.may_have_run {
             self.runs.push(broken.first);
         }
+        if broken.is_young_loss {
+            self.young_losses.push(broken.first);
+        }
         if let Some(key) = broken.at_fault {
             let now = Instant::now();
             self.gateway.instances_mut().note_failed_run(key, now);
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -246,6 +246,11 @@
         self.leaving_since
     }
 
+    /// Returns whether the upstream's entry is gone.
+    pub const fn has_departed(&self) -> bool {
+        self.departed_at.is_some()
+    }
+
     /// Returns since when there has been direct evidence against the upstream.
     pub const fn suspected_since(&self) -> Option<Instant> {
         self.suspected_since
--- a/routing/src/fleet/poison_parts.rs
+++ b/routing/src/fleet/poison_parts.rs
@@ -141,13 +141,7 @@
     }
 
     /// Records that an engine crashed while young runs that held `parts` were on it.
-    pub fn on_crash(
-        &mut self,
-        crash: CrashId,
-        parts: &[PromptPartKey],
-        at: Instant,
-        now: Instant,
-    ) {
+    pub fn on_crash(&mut self, crash: CrashId, parts: &[PromptPartKey], at: Instant, now: Instant) {
         for part in parts {
             self.merge(crash, at, (*part, PartMark::Implicated), now);
         }
@@ -264,7 +258,10 @@
             .cloned()
             .collect();
         let ends = in_force.iter().map(Conviction::ends_at);
-        let expiries = self.crashes.values().map(|crash| crash.at + CRASH_RETENTION);
+        let expiries = self
+            .crashes
+            .values()
+            .map(|crash| crash.at + CRASH_RETENTION);
         self.judge_at = ends.chain(expiries).chain(judgement.next_at).min();
         let is_among = |conviction: &Conviction, list: &[Conviction]| {
             list.iter().any(|other| other.parts == conviction.parts)
--- a/routing/src/fleet/poison_parts/reports.rs
+++ b/routing/src/fleet/poison_parts/reports.rs
@@ -156,8 +156,9 @@
         reports
     }
 
-    /// Returns the crashes that no conviction explains, those first whose parts are in the
-    /// most crashes.
+    /// Returns the crashes that no conviction explains: by turns those first whose parts are in
+    /// the most crashes, and those of which something new was learned, such as that some parts
+    /// are cleared.
     fn open_reports(&self, now: Instant) -> Vec<CrashReport> {
         let explained: BTreeSet<CrashId> = self
             .convictions
@@ -177,17 +178,19 @@
             }
         }
         let count_of = |part: PromptPartKey| counts.get(&part).copied().unwrap_or_default();
-        let mut ranked: Vec<(usize, u64, CrashReport)> = Vec::new();
+        let is_by_count = self.rotation.is_multiple_of(2);
+        let mut ranked: Vec<(usize, Duration, u64, CrashReport)> = Vec::new();
         for (id, crash) in open {
             let most = crash.implicated().map(|(part, _)| count_of(part)).max();
             let most = most.unwrap_or_default();
             let age = now.saturating_duration_since(crash.at);
-            if now.saturating_duration_since(crash.news_at) >= REPORT_TIME && most < 2 {
+            let news_age = now.saturating_duration_since(crash.news_at);
+            if news_age >= REPORT_TIME && most < 2 {
                 continue;
             }
             let mut parts: SmallVec<[(PromptPartKey, PartMark); 8]> = crash.parts.clone();
             parts.sort_by_cached_key(|(part, mark)| {
-                let count = if *mark == PartMark::Cleared {
+                let count = if *mark == PartMark::Cleared && is_by_count {
                     0
                 } else {
                     count_of(*part)
@@ -196,10 +199,14 @@
             });
             parts.truncate(MAX_REPORTED_PARTS);
             let report = CrashReport::new(id, age, parts);
-            ranked.push((most, self.draw(id.0.into()), report));
+            ranked.push((most, news_age, self.draw(id.0.into()), report));
         }
-        ranked.sort_by_key(|(most, draw, _)| (Reverse(*most), *draw));
-        ranked.into_iter().map(|(_, _, report)| report).collect()
+        if is_by_count {
+            ranked.sort_by_key(|(most, _, draw, _)| (Reverse(*most), *draw));
+        } else {
+            ranked.sort_by_key(|(_, news_age, draw, _)| (*news_age, *draw));
+        }
+        ranked.into_iter().map(|(_, _, _, report)| report).collect()
     }
 
     /// Returns a number that orders equally important entries differently at each call.
