--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod planner;
 mod poison;
+mod poison_store;
 mod probe;
 mod request;
 mod run;
@@ -88,6 +89,7 @@
     probe::start(&gateway);
     planner::start(&gateway);
     poison::start(&gateway);
+    poison_store::start(&gateway);
     monitoring::start(&gateway, ready);
     monitoring::start(&gateway, metrics);
     monitoring::start(&gateway, peer_calls);
--- a/daemon/src/gateway/poison.rs
+++ b/daemon/src/gateway/poison.rs
@@ -259,6 +259,16 @@
     refresh(gateway, source);
 }
 
+/// Returns the quarantined parts.
+pub fn quarantined(gateway: &Gateway) -> Vec<Conviction> {
+    gateway.poison.parts.borrow().quarantined().to_vec()
+}
+
+/// Returns the time since a crash, if it is known.
+pub fn crash_age(gateway: &Gateway, crash: CrashId, now: Instant) -> Option<Duration> {
+    gateway.poison.parts.borrow().crash_age(crash, now)
+}
+
 /// Starts to check when quarantines begin and end.
 pub fn start(gateway: &Rc<Gateway>) {
     gateway.spawn_loop("refresh_parts", |gateway| async move {
--- a/routing/src/fleet/poison_parts.rs
+++ b/routing/src/fleet/poison_parts.rs
@@ -317,6 +317,12 @@
         &self.in_force
     }
 
+    /// Returns the time since a crash, if it is known.
+    pub fn crash_age(&self, crash: CrashId, now: Instant) -> Option<Duration> {
+        let crash = self.crashes.get(&crash)?;
+        Some(now.saturating_duration_since(crash.at))
+    }
+
     /// Returns the number of crashes in which a part is implicated.
     pub fn crash_count(&self, part: PromptPartKey) -> usize {
         let is_implicated = |crash: &&Crash| {
