--- a/daemon/src/gateway/poison.rs
+++ b/daemon/src/gateway/poison.rs
@@ -49,6 +49,9 @@
 /// The interval between checks of the convictions, apart from those for each request.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The number of crashes that a log line names.
+const MAX_LOGGED_CRASHES: usize = 8;
+
 /// What this gateway knows of prompt parts that crash engines.
 #[derive(Default)]
 pub struct PoisonState {
@@ -95,13 +98,16 @@
 
     /// Records that the stream is complete. The engine may still crash on a young run.
     pub fn on_end(&mut self) {
+        let Some(first_event_at) = self.first_event_at else {
+            return;
+        };
         if self.parts.is_empty() || std::mem::replace(&mut self.has_succeeded, true) {
             return;
         }
         let gateway = Rc::clone(&self.gateway);
         let parts = self.parts.clone();
         let (first, started_at) = (self.first, self.started_at);
-        let young_until = self.first_event_at.unwrap_or_else(Instant::now) + YOUNG_TIME;
+        let young_until = first_event_at + YOUNG_TIME;
         spawn_local(async move {
             sleep_until(young_until).await;
             if !has_ended(&gateway, first) {
@@ -311,6 +317,3 @@
         crashes.join(",")
     )
 }
-
-/// The number of crashes that a log line names.
-const MAX_LOGGED_CRASHES: usize = 8;
--- a/routing/tests/test_poison_parts.rs
+++ b/routing/tests/test_poison_parts.rs
@@ -2,17 +2,13 @@
 //! simulated clock.
 
 mod fleet_addresses;
+mod gossip_messages;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use jujubewall_routing::fleet::claims::FollowerRole;
-use jujubewall_routing::fleet::claims::PlannerRole;
-use jujubewall_routing::fleet::claims::RoleClaim;
 use jujubewall_routing::fleet::gossip::Gossip;
-use jujubewall_routing::fleet::gossip::GossipMessage;
 use jujubewall_routing::fleet::gossip::MAX_MESSAGE_BYTES;
-use jujubewall_routing::fleet::gossip::PROTOCOL;
 use jujubewall_routing::fleet::gossip_datagram;
 use jujubewall_routing::fleet::gossip_datagram::MAX_CRASH_REPORT_BYTES;
 use jujubewall_routing::fleet::gossip_timing::GossipTiming;
@@ -24,11 +20,7 @@
 use jujubewall_routing::fleet::poison_parts::PartVerdict;
 use jujubewall_routing::fleet::poison_parts::PoisonParts;
 use jujubewall_routing::fleet::poison_parts::QUARANTINE_TIME;
-use jujubewall_types::id::MemberName;
 use jujubewall_types::id::PromptPartKey;
-use jujubewall_types::id::StorePosition;
-use proptest::prelude::any;
-use proptest::proptest;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -36,6 +28,7 @@
 
 use self::fleet_addresses::address;
 use self::fleet_addresses::index_of;
+use self::gossip_messages::message;
 
 const STEP: Duration = Duration::from_millis(10);
 
@@ -175,33 +168,6 @@
     }
 }
 
-fn message(gossip: &mut Gossip, now: Instant) -> GossipMessage {
-    let silence = gossip.timing().silence_timeout();
-    GossipMessage {
-        protocol: PROTOCOL,
-        member: MemberName::new(format!("front-{}", gossip.own_address().ip())).unwrap(),
-        own_claim: RoleClaim {
-            holder: gossip.own_address(),
-            domain: gossip.domain(),
-            incarnation: 1,
-            heartbeat: gossip.messages_sent(),
-            planner: PlannerRole::None,
-            follower: FollowerRole::None,
-            instances_position: StorePosition::default(),
-            instances_digest: 0,
-        },
-        config_version: 1,
-        is_draining: false,
-        work: Vec::new(),
-        suspects: Vec::new(),
-        failing: Vec::new(),
-        layers: Vec::new(),
-        slowdowns: Vec::new(),
-        claims: gossip.claims().to_relay(silence, now),
-        peers: gossip.sample_peers(),
-    }
-}
-
 /// Guards against five engines that crashed within a second at five gateways, none of which
 /// saw more than one of the crashes.
 #[test]
@@ -669,93 +635,3 @@
     }
     assert!(crashes_in_all > 60, "only {crashes_in_all}");
 }
-
-/// Guards against gateways of the build before that cannot read the messages of this one.
-#[test]
-fn test_datagrams_are_read_by_the_build_before_and_the_other_way_round() {
-    let now = start();
-    let mut gossip = Gossip::new(address(0), 0, &[address(1)], 1, now);
-    let message = message(&mut gossip, now);
-    let mark = |mark| [(part(7), mark), (part(8), PartMark::Cleared)];
-    let reports = [
-        CrashReport::new(CrashId(1), ms(200), mark(PartMark::Implicated)),
-        CrashReport::new(CrashId(u32::MAX), ms(900), mark(PartMark::Confirmed)),
-    ];
-    let datagram = gossip_datagram::encode(message.clone(), &reports).unwrap();
-    // The build before decodes so.
-    let before: GossipMessage = postcard::from_bytes(&datagram).unwrap();
-    assert_eq!(before, message);
-    let decoded = gossip_datagram::decode(&datagram).unwrap();
-    assert_eq!(decoded.message, message);
-    assert_eq!(decoded.crashes, reports);
-    assert!(!decoded.is_malformed);
-    // The build before sends nothing after the message.
-    let old = postcard::to_stdvec(&message).unwrap();
-    assert_eq!(gossip_datagram::encode(message.clone(), &[]).unwrap(), old);
-    let decoded = gossip_datagram::decode(&old).unwrap();
-    assert_eq!(decoded.crashes, []);
-    assert!(!decoded.is_malformed);
-    // A later build sends a kind and a mark that this one does not know.
-    let mut later = old.clone();
-    let body = postcard::to_stdvec(&vec![(
-        CrashId(5),
-        10_u32,
-        vec![(part(7).0.to_le_bytes(), 9_u8)],
-    )]);
-    later.extend(postcard::to_stdvec(&vec![(9_u8, vec![1_u8, 2, 3]), (1, body.unwrap())]).unwrap());
-    let decoded = gossip_datagram::decode(&later).unwrap();
-    assert_eq!(
-        (decoded.unknown_extensions, decoded.is_malformed),
-        (1, false)
-    );
-    assert_eq!(decoded.crashes.len(), 1);
-    let mut table = PoisonParts::new();
-    table.apply_reports(&decoded.crashes, now);
-    assert_eq!(table.sizes(), (0, 0));
-    // A block that cannot be read costs only itself.
-    for tail in [vec![255_u8; 12], vec![1, 1, 3, 255, 255, 255], vec![4]] {
-        let bytes: Vec<u8> = old.iter().chain(&tail).copied().collect();
-        let decoded = gossip_datagram::decode(&bytes).unwrap();
-        assert_eq!(decoded.message, message);
-        assert!(decoded.is_malformed, "{tail:?}");
-    }
-}
-
-#[test]
-fn test_message_and_reports_fit_into_one_packet() {
-    let now = start();
-    let mut gossip = Gossip::new(address(0), 0, &[address(1)], 1, now);
-    let mut message = message(&mut gossip, now);
-    message.peers = (0..500).map(address).collect();
-    message.claims = (0..500).map(|_| message.own_claim).collect();
-    let mut table = PoisonParts::new();
-    for id in 0..100 {
-        crash(&mut table, id, &[7, 8, 9, u64::from(id)], now);
-    }
-    table.refresh(now + SETTLED);
-    let reports = table.reports(MAX_CRASH_REPORT_BYTES, now + SETTLED);
-    let datagram = gossip_datagram::encode(message, &reports).unwrap();
-    assert!(datagram.len() <= MAX_MESSAGE_BYTES, "{}", datagram.len());
-    let decoded = gossip_datagram::decode(&datagram).unwrap();
-    assert_eq!(decoded.crashes, reports);
-    assert!(!decoded.message.claims.is_empty());
-}
-
-proptest! {
-    #[test]
-    fn test_random_bytes_after_a_message_harm_nothing(
-        tail in proptest::collection::vec(any::<u8>(), 0..600),
-    ) {
-        let now = start();
-        let mut gossip = Gossip::new(address(0), 0, &[address(1)], 1, now);
-        let message = message(&mut gossip, now);
-        let mut bytes = postcard::to_stdvec(&message).unwrap();
-        bytes.extend(&tail);
-        let decoded = gossip_datagram::decode(&bytes).unwrap();
-        assert_eq!(decoded.message, message);
-        let mut table = PoisonParts::new();
-        table.apply_reports(&decoded.crashes, now);
-        table.refresh(now);
-        let _ = gossip_datagram::decode(&tail);
-    }
-}
