--- a/routing/src/fleet/poison_parts/judgement.rs
+++ b/routing/src/fleet/poison_parts/judgement.rs
@@ -5,6 +5,8 @@
 //! Parts that were in exactly the same crashes cannot be told apart; they are convicted
 //! together, and only requests that hold all of them are rejected.
 
+use std::cmp::Ordering;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -83,20 +85,22 @@
 }
 
 impl Candidate {
+    /// Returns how well the parts explain crashes. Parts that were sound before need two
+    /// crashes more than others to be the better explanation.
+    fn score(&self) -> usize {
+        let penalty = if self.is_known_sound { 3 } else { 0 };
+        2 * self.crashes.len() - penalty
+    }
+
     /// Returns whether `other` is a better or an equally good explanation of some of the
     /// same crashes.
     fn is_held_back_by(&self, other: &Self) -> bool {
         let overlaps = || self.crashes.iter().any(|id| other.crashes.contains(id));
-        let count = self.crashes.len();
-        match other.crashes.len().cmp(&count) {
-            std::cmp::Ordering::Less => false,
-            std::cmp::Ordering::Greater => overlaps(),
-            std::cmp::Ordering::Equal => {
-                let is_weaker = other.is_known_sound && !self.is_known_sound;
-                count < MAX_TIED_CRASHES
-                    && !is_weaker
-                    && self.crashes != other.crashes
-                    && overlaps()
+        match other.score().cmp(&self.score()) {
+            Ordering::Less => false,
+            Ordering::Greater => overlaps(),
+            Ordering::Equal => {
+                self.crashes.len() < MAX_TIED_CRASHES && self.crashes != other.crashes && overlaps()
             }
         }
     }
@@ -183,7 +187,7 @@
     }
 }
 
-/// Returns the parts with enough unexplained crashes, those with the most first.
+/// Returns the parts with enough unexplained crashes, the best explanation first.
 fn candidates(crashes: &BTreeMap<CrashId, Crash>, explained: &BTreeSet<CrashId>) -> Vec<Candidate> {
     let mut by_part: BTreeMap<PromptPartKey, (Vec<CrashId>, BTreeSet<PartMark>)> = BTreeMap::new();
     for (id, crash) in crashes.iter().filter(|(id, _)| !explained.contains(id)) {
@@ -220,10 +224,7 @@
         let single = candidate.crashes.iter();
         single.filter(|id| !mass_crashes.contains(id)).count() >= MIN_CRASHES
     });
-    candidates.sort_by_key(|candidate| {
-        let count = candidate.crashes.len();
-        (std::cmp::Reverse(count), candidate.is_known_sound)
-    });
+    candidates.sort_by_key(|candidate| Reverse(candidate.score()));
     candidates
 }
 
--- a/routing/tests/test_gossip_datagram.rs
+++ b/routing/tests/test_gossip_datagram.rs
@@ -1,8 +1,8 @@
 //! Datagrams of gateways of several builds.
 
-mod fleet_addresses;
 mod gossip_messages;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jujubewall_routing::fleet::gossip::Gossip;
@@ -19,9 +19,12 @@
 use proptest::proptest;
 use tokio::time::Instant;
 
-use self::fleet_addresses::address;
 use self::gossip_messages::message;
 
+fn address(index: u16) -> SocketAddr {
+    ([10, 1, 0, 1], 1_000 + index).into()
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
--- a/routing/tests/test_poison_parts.rs
+++ b/routing/tests/test_poison_parts.rs
@@ -245,6 +245,27 @@
     assert!(!is_rejected(&mut table, &[part(common)], now));
 }
 
+/// The account's first part is also in an unrelated crash, and seldom used.
+#[test]
+fn test_shared_part_with_one_crash_more_is_not_convicted_instead() {
+    let mut table = PoisonParts::new();
+    let mut now = start();
+    let (common, poison) = (1, 7);
+    table.on_success(&[part(common)], now, now + ms(500));
+    now += Duration::from_secs(1);
+    crash(&mut table, 50, &[common, 30], now);
+    for id in 0..3 {
+        now += ms(200);
+        crash(&mut table, id, &[common, poison], now);
+    }
+    for _ in 0..100 {
+        now += ms(200);
+        table.on_success(&[part(60)], now, now);
+        assert!(!is_rejected(&mut table, &[part(common)], now));
+    }
+    assert!(is_rejected(&mut table, &[part(poison)], now));
+}
+
 /// The parts that were always together cannot be told apart, so only both are rejected.
 #[test]
 fn test_parts_that_were_only_seen_together_are_rejected_only_together() {
