gateway: stop sending requests whose prompt crashes engines

Cause: a request that ends its engine was repeated like one whose engine ended by itself, and nothing was remembered of what such requests have in common, neither by one gateway nor by all.

Ruled out: want of memory (the first crashes come before any order) and overload by moved streams (engines crash under a single young run).

Fix: gateways note which prompt parts the young runs on an engine held when it crashed, and tell each other and the store.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -18,6 +18,8 @@
 mod path;
 mod peers;
 mod planner;
+mod poison;
+mod poison_store;
 mod probe;
 mod request;
 mod run;
@@ -86,6 +88,8 @@
     peers::start(&gateway, peer_socket);
     probe::start(&gateway);
     planner::start(&gateway);
+    poison::start(&gateway);
+    poison_store::start(&gateway);
     monitoring::start(&gateway, ready);
     monitoring::start(&gateway, metrics);
     monitoring::start(&gateway, peer_calls);
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -43,6 +43,7 @@
 
 use crate::gateway::path;
 use crate::gateway::path::CountedPath;
+use crate::gateway::poison::RunParts;
 use crate::gateway::probe;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::state::Gateway;
@@ -67,6 +68,8 @@
     NoPath(NoPath),
     /// The request has no time left, so nothing was sent.
     NoTime,
+    /// A part of the prompt crashes engines, so nothing was sent.
+    PartCrashes,
     /// The first engine accepted no connection.
     NotConnected(InstanceKey),
     /// An engine stated that the request did not run. Holds the faulty engine, if known.
@@ -114,6 +117,8 @@
     pub may_have_run: bool,
     /// Whether the retry budget has been charged for the run that replaces this one.
     pub is_repeat_charged: bool,
+    /// Whether the connection broke while the run was young.
+    pub is_young_loss: bool,
 }
 
 /// The answer of an engine that ran the request and failed.
@@ -133,6 +138,7 @@
         match self {
             Self::NoPath(_) => formatter.write_str("no_path"),
             Self::NoTime => formatter.write_str("no_time"),
+            Self::PartCrashes => formatter.write_str("part_crashes"),
             Self::NotConnected(_) => formatter.write_str("not_connected"),
             Self::NotRun(_) => formatter.write_str("refused"),
             Self::Broken(broken) => broken.cause.fmt(formatter),
@@ -163,6 +169,7 @@
     can_move: bool,
     /// The gateway's count of suspicions when this run last checked for lost engines.
     known_suspicions: u64,
+    parts: RunParts,
     connection: Option<Connection>,
     body: Option<Incoming>,
     /// The head of the answer.
@@ -223,6 +230,7 @@
             is_queued: false,
             can_move: request.route.is_resumable,
             known_suspicions: gateway.suspicion_count(),
+            parts: RunParts::new(gateway, request.prompt_parts.clone(), chosen.first),
             connection: None,
             body: None,
             headers: HeaderMap::new(),
@@ -359,6 +367,7 @@
                     if let Some(connection) = self.connection.take() {
                         self.work.gateway.connections.put(self.first, connection);
                     }
+                    self.parts.on_end();
                     return Ok(RunStep::End);
                 }
             }
@@ -369,6 +378,7 @@
     /// alive. Parts of an event show nothing.
     pub fn record_events(&mut self) {
         let now = Instant::now();
+        self.parts.on_events();
         self.silence = Duration::ZERO;
         self.work.end_prefill();
         let mut instances = self.work.gateway.instances_mut();
@@ -395,12 +405,14 @@
             at_fault,
             may_have_run: true,
             is_repeat_charged: false,
+            is_young_loss: false,
         })
     }
 
     /// Returns the fault of a run whose connection broke, and probes its first engine unless
     /// another engine of the path is known to be lost.
     fn connection_lost(&self) -> RunFault {
+        self.parts.on_connection_lost();
         let at_fault = self.first_lost_part().unwrap_or(self.first);
         if at_fault == self.first {
             probe::probe_broken(&self.work.gateway, self.first);
@@ -411,6 +423,7 @@
             at_fault: Some(at_fault),
             may_have_run: true,
             is_repeat_charged: false,
+            is_young_loss: self.parts.is_young(),
         })
     }
 
@@ -422,6 +435,7 @@
             at_fault: lost.or(Some(self.first)),
             may_have_run: silence::may_have_run(&self.silent_stream(lost)),
             is_repeat_charged,
+            is_young_loss: false,
         })
     }
 
@@ -433,7 +447,7 @@
         let barred = self
             .attempts
             .barred_after(self.first, &gateway.instances(), now);
-        if barred.is_some() {
+        if barred.is_some() || self.parts.is_quarantined() {
             return false;
         }
         let mut excluded = self.excluded.clone();
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Returns a digest that identifies this incarnation of the upstream.
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Returns whether `instance` describes the same incarnation of the upstream.
     pub fn is_same_incarnation(&self, instance: &Instance) -> bool {
         self.instance.born_unix_ms == instance.born_unix_ms
@@ -251,6 +256,11 @@
         self.leaving_since
     }
 
+    /// Returns whether the upstream's entry is gone.
+    pub const fn has_departed(&self) -> bool {
+        self.departed_at.is_some()
+    }
+
     /// Returns since when there has been direct evidence against the upstream.
     pub const fn suspected_since(&self) -> Option<Instant> {
         self.suspected_since
