probe: a broken connection is newer evidence than the events before it

Cause: an engine through which an event had passed in the last 20 ms was not probed, even if its connections had just broken. Under many streams that holds for every crash, so nobody found out that the engine had ended until a request was sent to it, and it counted against the streams' attempts.

Evidence: event=suspect for i-eb18a47f37 comes 0.12 to 0.48 s after its streams were lost.

Fix: a broken connection withdraws the earlier sign of life.

--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -156,6 +156,7 @@
 /// Probes an upstream whose connection broke.
 pub fn probe_broken(gateway: &Rc<Gateway>, key: InstanceKey) {
     gateway.connections.close_idle(key);
+    gateway.instances_mut().note_connection_lost(key);
     suspect_unreachable(gateway, &[key], BROKEN_PROBE_INTERVAL, "a connection broke");
 }
 
--- a/daemon/tests/test_gateway_faults.rs
+++ b/daemon/tests/test_gateway_faults.rs
@@ -319,3 +319,29 @@
     assert_eq!(answer.body(), all_events().as_bytes());
     assert!(site.gateway.is_ready().await);
 }
+
+/// Guards against streams that were cut because their crashed engine still counted as
+/// present: it was not probed, since events had arrived from it just before.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_engine_that_crashes_under_many_streams_is_suspected_at_once() {
+    let site = start_site().await;
+    let streams = (0..12).map(|index| {
+        let id = format!("s-{index}");
+        let site = &site;
+        async move { site.send(stream_request(&id)).await }
+    });
+    let crash = async {
+        wait_until("all streams run", async || {
+            (0..12).all(|index| !site.ran(&format!("s-{index}")).is_empty())
+        })
+        .await;
+        sleep(Duration::from_millis(100)).await;
+        let crashed = site.ran("s-0")[0].clone();
+        site.runners.crash(&crashed);
+        sleep(Duration::from_millis(150)).await;
+        let log = site.gateway.log();
+        let suspicion = format!("event=suspect upstream={crashed} ");
+        assert!(log.contains(&suspicion), "{log}");
+    };
+    tokio::join!(futures_util::future::join_all(streams), crash);
+}
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -585,6 +585,14 @@
         }
     }
 
+    /// Records that a connection to an upstream broke, which is newer than any event that
+    /// showed that the upstream was alive.
+    pub fn note_connection_lost(&mut self, key: InstanceKey) {
+        if let Some(tracked) = self.instances.get_mut(key) {
+            tracked.alive_at = None;
+        }
+    }
+
     /// Counts a stream whose events pass through an upstream.
     pub fn begin_stream(&mut self, key: InstanceKey) {
         if let Some(tracked) = self.instances.get_mut(key) {
