tests: copied refusals, and wrong continuations of streams, known red

Operators of similar systems reported two faults: an earlier refusal written once more on a kept connection made a request count as not run although it ran; and clients found an error's text in the middle of a stream, or a stream ended as if it were complete.

Both happen here. Seen on the present code, once each: a stream that may run once ran twice or was answered 503 though it ran (refusal without an identifier, 503, 421 or 400, alone or twice, or 1 to 20 ms behind the end of a stream); a stream continued with the body of a 200 of plain text, of a 206, of an event that reports an error, and ended as complete after an empty 200, a 204, a comment, or an unframed answer without a byte; events that arrived in one packet with a wrong one were missing in a complete stream.

Passed before any change: answers 500, 503, 404, JSON, noise, other line ends, events that begin again or skip one, trailers, an interim answer, unframed answers of calls.

--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod program;
 pub mod raw_runner;
 pub mod relay;
+pub mod scripted_upstream;
 pub mod service;
 pub mod site;
 pub mod site_runner;
--- a/testutils/src/site_store.rs
+++ b/testutils/src/site_store.rs
@@ -115,6 +115,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes an item whose value is returned as this text, whatever it encodes.
+    pub fn put_encoded(&self, key: &str, text: &str) {
+        self.state().write(key, text.to_owned(), 0);
+        self.changed.notify_waiters();
+    }
+
     /// Writes a configuration, as the operator does.
     pub fn put_config(&self, config: &Value) {
         self.put("op/config", config.to_string().as_bytes());
