gateway: believe a refusal without an identifier on a new connection only

Clients were told that a request had not run although it had, or a stream that may run once ran twice, when an upstream wrote an earlier refusal once more on a kept connection.

The gateway took any refusal without an identifier as that of the request just sent. Streams and idempotent calls are sent over kept connections, where bytes of an upstream's earlier work may stand before the answer. Calls that may run once at most were not affected, as they always open a connection.

Now a refusal counts if it names the request, or if nothing was sent before on its connection. A connection is closed after a refusal, as before, so the same refusal cannot come a second time over it.

Considered: to keep a connection whose refusal names its request. It would save these connections, but each copy would then cost an unknown outcome.

--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -393,7 +393,9 @@
     let answered_id = headers::request_id(&head.headers);
     let is_for_other = answered_id.as_ref().is_some_and(|id| id != request_id);
     // A late copy of another request's refusal says nothing about this one.
-    if !is_for_other && headers::says_not_run(head.status, &head.headers) {
+    if headers::says_not_run(head.status, &head.headers)
+        && connection.is_own_refusal(answered_id.as_deref(), request_id)
+    {
         return SendResult::NotRun;
     }
     if is_for_other || answered_id.is_none() || !head.headers.contains_key(headers::RESPONSE_STAMP)
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -234,7 +234,11 @@
             .as_ref()
             .is_some_and(|id| *id != self.request_id);
         // A late copy of another request's refusal says nothing about this one.
-        if !is_for_other && headers::says_not_run(head.status, &head.headers) {
+        let is_own_refusal = headers::says_not_run(head.status, &head.headers)
+            && self.connection.as_ref().is_some_and(|connection| {
+                connection.is_own_refusal(answered_id.as_deref(), &self.request_id)
+            });
+        if is_own_refusal {
             return Err(RunFault::NotRun(
                 self.avoid_faulty(&head.headers, head.status),
             ));
--- a/daemon/src/gateway/upstreams.rs
+++ b/daemon/src/gateway/upstreams.rs
@@ -57,6 +57,8 @@
     driver: JoinHandle<()>,
     max_idle: Duration,
     is_reusable: bool,
+    /// The number of requests that were sent over it.
+    sends: u32,
 }
 
 impl Drop for Connection {
@@ -88,6 +90,7 @@
             driver,
             max_idle: DEFAULT_MAX_IDLE,
             is_reusable: true,
+            sends: 0,
         })
     }
 
@@ -96,6 +99,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFault> {
+        self.sends = self.sends.saturating_add(1);
         let answer = self.sender.try_send_request(request).await;
         match answer {
             Ok(answer) => {
@@ -109,6 +113,19 @@
         }
     }
 
+    /// Returns whether a refusal certainly refuses the request that was sent last, given the
+    /// identifiers of the request that the refusal names and of the one that was sent.
+    ///
+    /// A faulty upstream may write an earlier refusal once more. One that names no request
+    /// is therefore believed only on a connection without earlier requests. A connection is
+    /// not kept after a refusal, so one that names the request is not a copy.
+    pub fn is_own_refusal(&self, refused_id: Option<&str>, sent_id: &str) -> bool {
+        match refused_id {
+            Some(refused_id) if !refused_id.is_empty() => refused_id == sent_id,
+            _ => self.sends == 1,
+        }
+    }
+
     /// Reads from an answer's headers how long the upstream keeps the connection open.
     fn update_keep_alive(&mut self, headers: &HeaderMap) {
         let closes = headers
