events: count only events as sent that are returned

A client got a stream that was complete and lacked events: those that had arrived in one packet with bytes that were no event. The filter recorded their identifiers, failed on what followed, and dropped all, so the next run continued after events that nobody had sent.

The filter now returns the correct events and keeps the wrong one as incomplete, which fails the next bytes or the end of the run. An event of kind error breaks the run off. The successor of the largest identifier no longer overflows; a client could send that one as the last that it has.

Seen to fail on the code before, once each: the three new tests and the property test (events 0 and 1 counted, none sent), and in the gateway a complete stream of events 5 to 7. All pass on this code, once.

--- a/routing/src/fleet/events.rs
+++ b/routing/src/fleet/events.rs
@@ -3,7 +3,6 @@
 //! An upstream may stop in the middle of an event, and another one continues after the last
 //! complete event. Only complete events are therefore sent, each once and in order.
 
-use bytes::Buf as _;
 use bytes::Bytes;
 use bytes::BytesMut;
 use thiserror::Error;
@@ -14,6 +13,12 @@
 /// The field that holds the identifier of an event.
 const ID_FIELD: &[u8] = b"id:";
 
+/// The field that holds the kind of an event.
+const KIND_FIELD: &[u8] = b"event:";
+
+/// The kind of an event that reports an upstream's failure.
+const ERROR_KIND: &[u8] = b"error";
+
 /// The largest event that is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -28,6 +33,9 @@
         /// The identifier of the event.
         got: u64,
     },
+    /// An event reports that its upstream failed.
+    #[error("an event reports an error")]
+    Failed,
     /// An event has no readable identifier.
     #[error("an event carries no readable identifier")]
     NoId,
@@ -68,10 +76,14 @@
     }
 
     /// Adds bytes of the stream and returns the events that they complete.
+    ///
+    /// If a wrong event follows correct ones, these are returned. The wrong one stays
+    /// buffered as incomplete, and fails the next call.
     pub fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventError> {
         if self.partial.is_empty() && chunk.ends_with(EVENT_END) {
-            self.check(&chunk)?;
-            return Ok(chunk);
+            let correct = self.check(&chunk)?;
+            self.partial.extend_from_slice(&chunk[correct..]);
+            return Ok(chunk.slice(..correct));
         }
         self.partial.extend_from_slice(&chunk);
         let whole = memchr::memmem::rfind(&self.partial, EVENT_END)
@@ -79,29 +91,55 @@
         if self.partial.len() - whole > MAX_EVENT_BYTES {
             return Err(EventError::TooLarge);
         }
-        let events = self.partial.copy_to_bytes(whole);
-        self.check(&events)?;
-        Ok(events)
+        let partial = self.partial.split().freeze();
+        let correct = self.check(&partial[..whole])?;
+        self.partial.extend_from_slice(&partial[correct..]);
+        Ok(partial.slice(..correct))
     }
 
     /// Checks that complete events follow the last one, and records the last identifier.
-    fn check(&mut self, mut events: &[u8]) -> Result<(), EventError> {
-        while let Some(end) = memchr::memmem::find(events, EVENT_END) {
-            let (event, rest) = events.split_at(end + EVENT_END.len());
-            events = rest;
-            if is_comment(event) {
-                continue;
+    ///
+    /// Returns the length of the correct events, or what is wrong with the first one.
+    fn check(&mut self, events: &[u8]) -> Result<usize, EventError> {
+        let mut correct = 0;
+        while let Some(end) = memchr::memmem::find(&events[correct..], EVENT_END) {
+            let end = correct + end + EVENT_END.len();
+            let event = &events[correct..end];
+            if !is_comment(event) {
+                match self.next_id(event) {
+                    Ok(id) => self.last_id = Some(id),
+                    Err(fault) if correct == 0 => return Err(fault),
+                    Err(_) => return Ok(correct),
+                }
             }
-            let id = event_id(event).ok_or(EventError::NoId)?;
-            if let Some(last) = self.last_id.filter(|last| id != last + 1) {
-                return Err(EventError::OutOfOrder { last, got: id });
+            correct = end;
+        }
+        Ok(correct)
+    }
+
+    /// Returns the identifier of an event that follows the last one.
+    fn next_id(&self, event: &[u8]) -> Result<u64, EventError> {
+        if reports_error(event) {
+            return Err(EventError::Failed);
+        }
+        let id = event_id(event).ok_or(EventError::NoId)?;
+        match self.last_id {
+            Some(last) if last.checked_add(1) != Some(id) => {
+                Err(EventError::OutOfOrder { last, got: id })
             }
-            self.last_id = Some(id);
+            _ => Ok(id),
         }
-        Ok(())
     }
 }
 
+/// Returns whether an event reports that its upstream failed.
+fn reports_error(event: &[u8]) -> bool {
+    event
+        .split(|byte| *byte == b'\n')
+        .filter_map(|line| line.strip_prefix(KIND_FIELD))
+        .any(|kind| kind.trim_ascii() == ERROR_KIND)
+}
+
 /// Returns whether an event consists only of comments, which have no identifier.
 fn is_comment(event: &[u8]) -> bool {
     event
--- a/routing/tests/test_fleet_decisions.rs
+++ b/routing/tests/test_fleet_decisions.rs
@@ -232,7 +232,69 @@
     assert_eq!(fault("data: word\n\n".to_owned()), EventError::NoId);
 }
 
+/// Events that arrived together with a wrong one were counted as sent, but not sent.
+#[test]
+fn test_events_before_a_wrong_one_are_sent() {
+    for wrong in [event(9), event(1), "data: word\n\n".to_owned()] {
+        let mut filter = EventFilter::new(None);
+        let text = event(0) + &event(1) + &wrong + &event(2);
+        let sent = filter.push(Bytes::from(text)).unwrap();
+        assert_eq!(sent, event(0) + &event(1));
+        assert_eq!(filter.last_id(), Some(1));
+        assert!(filter.has_partial_event());
+        let more = filter.push(Bytes::from(event(2)));
+        assert!(more.is_err(), "{more:?}");
+        assert_eq!(filter.last_id(), Some(1));
+    }
+}
+
+/// The identifier before the largest number was followed by an overflow.
+#[test]
+fn test_largest_identifier_is_followed_by_none() {
+    let mut filter = EventFilter::new(Some(u64::MAX));
+    let fault = filter.push(Bytes::from(event(0))).unwrap_err();
+    let last = u64::MAX;
+    assert_eq!(fault, EventError::OutOfOrder { last, got: 0 });
+}
+
+#[test]
+fn test_event_that_reports_an_error_ends_a_run() {
+    let mut filter = EventFilter::new(Some(4));
+    let text = "id: 5\nevent: error\ndata: no\n\n";
+    assert_eq!(
+        filter.push(Bytes::from(text)).unwrap_err(),
+        EventError::Failed
+    );
+}
+
 proptest! {
+    /// However the bytes are split and wherever a wrong event stands, what was sent and what
+    /// counts as sent agree.
+    #[test]
+    fn test_what_counts_as_sent_was_sent(
+        ids in prop::collection::vec(0_u64..12, 1..20),
+        cuts in prop::collection::vec(1_usize..60, 1..40),
+    ) {
+        let whole: String = (0..6).chain(ids).map(event).collect();
+        let mut filter = EventFilter::new(None);
+        let mut sent = Vec::new();
+        let mut rest = whole.as_bytes();
+        for cut in cuts.iter().cycle() {
+            let (part, left) = rest.split_at((*cut).min(rest.len()));
+            rest = left;
+            match filter.push(Bytes::copy_from_slice(part)) {
+                Ok(events) => sent.extend_from_slice(&events),
+                Err(_) => break,
+            }
+            if rest.is_empty() {
+                break;
+            }
+        }
+        let counted = filter.last_id().map_or(0, |last| last + 1);
+        let expected: String = (0..counted).map(event).collect();
+        prop_assert_eq!(sent, expected.as_bytes());
+    }
+
     /// However the bytes are split, the client gets each event once and in order.
     #[test]
     fn test_events_are_the_same_however_their_bytes_are_cut(
