gateway: continue a stream only with a stream of events

Clients found the text of another answer in their stream, or their stream ended as if it were complete: the run that was to continue it answered 204 or 206, 200 of plain text that looks like events, 200 without an event, or without framing and without a byte.

Any 2xx with the request's identifier and a signature was taken as the stream, and any orderly end as its end. Now a run is a stream only with status 200 and a content type of events, if there is one; another answer is passed on whole if nothing has been sent, and otherwise the stream continues elsewhere or breaks off. A run that was to continue a stream and gave no event, and a first run without framing that gave none, is broken off.

Cost: a stream that broke between its last event and its end is cut, not ended; its client may resume it and then gets the end. An answer without a content type is still taken as a stream, since the platform does not promise one.

--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -14,7 +14,11 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::TRANSFER_ENCODING;
 use jujubewall_platform::site::headers;
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::repath_order;
@@ -59,6 +63,9 @@
 /// The largest failure answer that is read to be passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 256 * 1024;
 
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// The reason why a run ended without completing its stream.
 pub enum RunFault {
     /// There is no path, so nothing was sent.
@@ -119,6 +126,8 @@
     known_suspicions: u64,
     connection: Option<Connection>,
     body: Option<Incoming>,
+    /// Whether the answer shows where it ends, instead of ending with its connection.
+    is_framed: bool,
     /// The head of the answer.
     pub headers: HeaderMap,
 }
@@ -137,6 +146,11 @@
         self.repaths
     }
 
+    /// Returns whether the answer shows where it ends, instead of ending with its connection.
+    pub const fn is_framed(&self) -> bool {
+        self.is_framed
+    }
+
     /// Chooses a path and sends the request to its first engine.
     pub async fn start(
         gateway: &Rc<Gateway>,
@@ -171,6 +185,7 @@
             known_suspicions: gateway.suspicion_count(),
             connection: None,
             body: None,
+            is_framed: true,
             headers: HeaderMap::new(),
         };
         let build = || {
@@ -253,7 +268,8 @@
             );
             return Err(self.broken(Some(self.first)));
         }
-        if head.status.is_success() {
+        if head.status == StatusCode::OK && is_event_stream(&head.headers) {
+            self.is_framed = is_framed(&head.headers, &body);
             self.headers = head.headers;
             self.body = Some(body);
             return Ok(self);
@@ -547,6 +563,22 @@
     }
 }
 
+/// Returns whether the head of an answer allows for a stream of events.
+fn is_event_stream(fields: &HeaderMap) -> bool {
+    fields.get(CONTENT_TYPE).is_none_or(|value| {
+        let value = value.as_bytes().trim_ascii_start();
+        let kind = value.get(..EVENT_STREAM.len());
+        kind.is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM))
+    })
+}
+
+/// Returns whether an answer shows where it ends, instead of ending with its connection.
+fn is_framed(fields: &HeaderMap, body: &Incoming) -> bool {
+    body.is_end_stream()
+        || fields.contains_key(CONTENT_LENGTH)
+        || fields.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns the expected time between two events, at `token_ms` per token.
 fn event_gap(spec: &EngineSpec, token_ms: f64) -> Duration {
     Duration::from_secs_f64(spec.tokens_per_event * token_ms / 1_000.0)
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -97,6 +97,8 @@
     spec: Rc<EngineSpec>,
     filter: EventFilter,
     run: Option<Run>,
+    /// The last event that was sent when the present run began.
+    run_begins_after: Option<u64>,
     excluded: SmallVec<[InstanceKey; 4]>,
     sends: u32,
     /// The first engines of the runs that may have run.
@@ -170,6 +172,7 @@
         filter,
         spec: Rc::new(spec),
         run: None,
+        run_begins_after: None,
         excluded: SmallVec::new(),
         sends: 0,
         runs: SmallVec::new(),
@@ -311,6 +314,7 @@
     async fn step(&mut self) -> Result<Option<RelayOutput>, RunFault> {
         let Some(run) = &mut self.run else {
             self.sends += 1;
+            self.run_begins_after = self.filter.last_id();
             let run = Run::start(
                 &self.gateway,
                 &self.request,
@@ -335,6 +339,15 @@
                 Ok(Some(RelayOutput::Events(events)))
             }
             RunStep::End if self.filter.has_partial_event() => Err(run.broken(None)),
+            // A run that was to continue a stream, and gave no event, does not show that the
+            // stream is complete. Without framing, neither does any run.
+            RunStep::End
+                if self.filter.last_id() == self.run_begins_after
+                    && (self.timing.first.is_some() || !run.is_framed()) =>
+            {
+                info!("event=empty_run id={}", self.request.id);
+                Err(run.broken(None))
+            }
             RunStep::End => Ok(Some(RelayOutput::End)),
         }
     }
