--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -500,6 +500,29 @@
     assert_eq!(fleet.step(), 0);
 }
 
+/// Guards against entries of another writer: layers beyond the model made the planner count
+/// to the end of all numbers.
+#[test]
+fn test_engines_with_layers_beyond_the_model_do_not_change_the_placement() {
+    for (first, end) in [
+        (0, u32::MAX),
+        (u32::MAX - 5, u32::MAX),
+        (0, LAYERS + 1),
+        (LAYERS, LAYERS + 8),
+    ] {
+        let mut fleet = Fleet::new(&[("a", &DOMAIN_MB)]);
+        fleet.settle();
+        fleet.engines.remove("a-00");
+        let expected = fleet.plan();
+        for id in ["a-odd-0", "a-odd-1"] {
+            fleet.add(id, "a", 72_000.0);
+            let odd = fleet.engines.get_mut(id).unwrap();
+            odd.layers = Some(LayerRange::new(first, end));
+        }
+        assert_eq!(fleet.plan(), expected, "{first}..{end}");
+    }
+}
+
 proptest! {
     /// After any sequence of losses and returns, copies are complete again where memory
     /// allows it, and no engine is ordered to hold more than fits its memory.
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -391,6 +391,20 @@
 }
 
 /// Simulates a slow engine, for which every stream of its copy waits at each token.
+/// A reported slowdown without bounds made the times of a path exceed what a clock holds.
+#[test]
+fn test_slowdown_without_bounds_leaves_times_finite() {
+    for factor in [f64::MAX, f64::INFINITY, f64::NAN, -1.0] {
+        let mut fleet = Fleet::with_copies(&["a"]);
+        let keys: Vec<_> = fleet.keys.values().copied().collect();
+        for key in &keys {
+            fleet.table.set_slowdown(*key, factor);
+        }
+        let path = fleet.begin().unwrap();
+        assert!((0.0..1e9).contains(&path.token_ms), "{factor}: {path:?}");
+    }
+}
+
 #[test]
 fn test_streams_avoid_the_copy_of_a_slow_engine_until_it_is_healthy() {
     let mut planner = Fleet::with_copies(&["a", "b"]);
