--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -358,7 +358,8 @@
         Err(failure) => {
             warn!(
                 "event=entry_unreadable key={} revision={} reason=\"{failure}\"",
-                item.key, item.revision
+                item.key.escape_debug(),
+                item.revision
             );
             gateway.metrics.count("entry_unreadable");
             None
