placement: leave out engines with layers beyond the model

A gateway answered nothing more for minutes after two entries with layers to: the planner counted up to them in the gateway's only thread. Sums over entries with four billion layers overflow, and orders to others changed.

Ranges came from entries unchecked against the model, and so did those of reports, of engines and of peers. Placement and path search, where all of them end, now leave out engines whose layers are not in the model. The planner's other sums of numbers that engines state (count of orders, time of a load) cannot overflow any more.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -113,7 +113,12 @@
 /// Returns the changes that bring every group of engines closer to a complete copy.
 ///
 /// Engines that are leaving get no layers.
+///
+/// Engines that hold layers beyond the model are ignored.
 pub fn place(spec: &EngineSpec, engines: &[PlacedEngine]) -> Vec<Placement> {
+    let is_valid = |engine: &&PlacedEngine| engine.layers.is_none_or(|held| spec.has_layers(held));
+    let engines: Vec<PlacedEngine> = engines.iter().filter(is_valid).cloned().collect();
+    let engines = engines.as_slice();
     let mut changes = Vec::new();
     for mut group in group_engines(spec, engines) {
         // Neighbours with much memory can take over each other's layers.
@@ -477,8 +482,8 @@
 
     /// Returns the number of copies that the group holds, rounded and at least one.
     fn copy_count(&self) -> u32 {
-        let held = self.engines.iter().filter_map(|engine| engine.layers);
-        let held: u32 = held.map(LayerRange::len).sum();
+        let held = self.engines.iter().map(|engine| self.layers_of(engine));
+        let held = saturating_layer(held.map(|layers| layers.len()).sum());
         ((held + self.spec.layer_count / 2) / self.spec.layer_count).max(1)
     }
 
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -67,6 +67,9 @@
 /// effect of its order is queried for its state.
 const ORDER_GRACE: Duration = Duration::from_millis(800);
 
+/// The longest time for which an order is expected to take.
+const MAX_LOAD_TIME: Duration = Duration::from_hours(1);
+
 /// The interval between queries for an engine's slowdown, and so the time for which an
 /// engine that turns slow can delay the streams of its failure domain unnoticed.
 const SLOWDOWN_INTERVAL: Duration = Duration::from_secs(1);
@@ -397,6 +400,10 @@
         .filter_map(|(tracked, is_lingering)| {
             let instance = &tracked.instance;
             let accelerator = spec.accelerator(instance.accelerator.as_deref()?)?;
+            // An entry with layers beyond the model is no engine of this service.
+            if instance.layers.is_some_and(|held| !spec.has_layers(held)) {
+                return None;
+            }
             let order = open_orders
                 .get(&instance.id)
                 .filter(|order| order.born_unix_ms == instance.born_unix_ms);
@@ -507,9 +514,10 @@
         _ => None,
     };
     let added_layers = placement.layers.len() - overlap(placement.layers, held_layers);
-    let load_time = Duration::from_secs_f64(
+    let load_time = Duration::try_from_secs_f64(
         SHARED_LOAD_FACTOR * spec.load_s * f64::from(added_layers) / f64::from(spec.layer_count),
     );
+    let load_time = load_time.map_or(MAX_LOAD_TIME, |time| time.min(MAX_LOAD_TIME));
     let can_issue = expected_count.is_some();
     gateway.planner.open_orders.borrow_mut().insert(
         placement.id.clone(),
@@ -562,7 +570,7 @@
     match answer {
         Some(OrderAnswer::Begun) => {
             let order_counts = &gateway.planner.order_counts;
-            let count = (born_unix_ms, expected_count + 1);
+            let count = (born_unix_ms, expected_count.saturating_add(1));
             order_counts.borrow_mut().insert(id.clone(), count);
         }
         Some(OrderAnswer::Holds) => {}
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -302,6 +302,7 @@
                 .tracked
                 .instance
                 .layers
+                .filter(|layers| spec.has_layers(*layers))
                 .unwrap_or(candidate.layers);
             let mut parts = old.parts.iter();
             let part = parts.find(|part| part.instance == candidate.key);
@@ -441,7 +442,7 @@
         now: Instant,
     ) -> Option<Self> {
         let instance = &tracked.instance;
-        let layers = instance.layers?;
+        let layers = instance.layers.filter(|layers| spec.has_layers(*layers))?;
         let accelerator = spec.accelerator(instance.accelerator.as_deref()?)?;
         Some(Self {
             key,
--- a/types/src/fleet.rs
+++ b/types/src/fleet.rs
@@ -137,6 +137,11 @@
         self.accelerators.iter().find(|known| known.name == name)
     }
 
+    /// Returns whether a range of layers lies within the model.
+    pub const fn has_layers(&self, layers: LayerRange) -> bool {
+        layers.end <= self.layer_count
+    }
+
     /// Returns the time in which the engine with the most memory loads as many layers as it
     /// may hold, if no other engine loads.
     pub fn longest_engine_load(&self) -> Duration {
