gateway: bound the pace that an engine reports

Each stream over an engine with a reported pace of 1e300 broke off without an answer: the expected time between events exceeds what a duration holds, which panics.

--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -54,6 +54,9 @@
 /// The interval between queries to the first engine of a silent path.
 const QUERY_INTERVAL: Duration = Duration::from_millis(350);
 
+/// The longest time that is expected between two events. Clients leave far sooner.
+const MAX_EVENT_GAP: Duration = Duration::from_mins(1);
+
 /// The weight of a new gap between events in the moving average of the expected gap.
 const GAP_WEIGHT: f64 = 0.2;
 
@@ -581,7 +584,8 @@
 
 /// Returns the expected time between two events, at `token_ms` per token.
 fn event_gap(spec: &EngineSpec, token_ms: f64) -> Duration {
-    Duration::from_secs_f64(spec.tokens_per_event * token_ms / 1_000.0)
+    let gap = Duration::try_from_secs_f64(spec.tokens_per_event * token_ms / 1_000.0);
+    gap.map_or(MAX_EVENT_GAP, |gap| gap.min(MAX_EVENT_GAP))
 }
 
 /// Returns what the rest of a stream needs. The events so far count as part of the prompt,
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -91,6 +91,9 @@
 /// The weight of one outcome in the failure rate.
 const FAILURE_RATE_STEP: f64 = 0.1;
 
+/// The largest factor by which an engine counts as slower than a healthy one.
+const MAX_SLOWDOWN: f64 = 1_000.0;
+
 /// The half-life of the failure rate, after which a failing upstream is tried again.
 const FAILURE_RATE_HALF_LIFE: Duration = Duration::from_secs(2);
 
@@ -269,6 +272,11 @@
     }
 }
 
+/// Returns a factor that times may be multiplied by; one that is no number counts as 1.
+fn valid_slowdown(factor: f64) -> f64 {
+    factor.max(1.0).min(MAX_SLOWDOWN)
+}
+
 /// Returns a digest that identifies one incarnation of an upstream.
 fn digest(instance: &Instance) -> u64 {
     XxHash64::oneshot(instance.born_unix_ms, instance.id.as_bytes())
@@ -388,6 +396,7 @@
         let Some(tracked) = self.instances.get_mut(key) else {
             return false;
         };
+        let factor = valid_slowdown(factor);
         let before = std::mem::replace(&mut tracked.slowdown, factor);
         (before - factor).abs() > f64::EPSILON
     }
--- a/routing/src/fleet/instances/reports.rs
+++ b/routing/src/fleet/instances/reports.rs
@@ -19,6 +19,7 @@
 use super::MAX_SUSPECTED_SHARE;
 use super::TrackedInstance;
 use super::Work;
+use super::valid_slowdown;
 
 /// The unit in which reported context is rounded up, in tokens times layers, to keep
 /// messages small. A stream holds some thousands of them at each part of its path.
@@ -173,11 +174,7 @@
                 .iter()
                 .find(|report| report.instance == tracked.digest);
             let factor = slow.map_or(1.0, |report| report.factor);
-            tracked.slowdown = if factor.is_finite() {
-                factor.max(1.0)
-            } else {
-                1.0
-            };
+            tracked.slowdown = valid_slowdown(factor);
         }
     }
 
