tests: a copied refusal at a plain service, known red

The agent's client of plain services has the fault that the gateway had: an answer that names another request counts, a refusal too.

--- a/upstream/tests/test_http_upstream.rs
+++ b/upstream/tests/test_http_upstream.rs
@@ -29,6 +29,8 @@
 use jujubewall_upstream::http_service::HttpService;
 use jujubewall_upstream::service::Service;
 use jujubewall_upstream::service::ServiceRequest;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
@@ -191,3 +193,34 @@
     }
     closer.abort();
 }
+
+/// A refusal, or an answer, that names another request is a late copy, and tells nothing of
+/// the call that was sent.
+#[tokio::test]
+async fn test_answer_that_names_another_request_does_not_mark_a_call_as_not_run() {
+    for copy in ["x-outcome: not_run\r\n", ""] {
+        let listener = listener().await;
+        let address = listener.local_addr().unwrap();
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = [0; 4_096];
+            for _ in 0..2 {
+                // Each call is small enough to arrive in one piece.
+                assert!(stream.read(&mut bytes).await.unwrap() > 0);
+                let head = "HTTP/1.1 503 Busy\r\nx-request-id: r1\r\ncontent-length: 0\r\n";
+                let answer = format!("{head}{copy}\r\n");
+                stream.write_all(answer.as_bytes()).await.unwrap();
+            }
+        });
+        let service = HttpService::new(address);
+        let own = service.call(request("r1")).await;
+        if copy.is_empty() {
+            assert_matches!(own, Ok(_));
+        } else {
+            assert_matches!(own, Err(UpstreamError::Refused(_)));
+        }
+        let other = service.call(request("r2")).await;
+        assert_matches!(other, Err(UpstreamError::ReplyLost(_)));
+        server.await.unwrap();
+    }
+}
