--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -108,6 +108,15 @@
     pub body: Bytes,
 }
 
+/// How an answer ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    /// It shows where it ends.
+    Delimited,
+    /// It ends with its connection.
+    Connection,
+}
+
 /// A run that has been sent to its first engine.
 pub struct Run {
     work: CountedPath,
@@ -129,8 +138,7 @@
     known_suspicions: u64,
     connection: Option<Connection>,
     body: Option<Incoming>,
-    /// Whether the answer shows where it ends, instead of ending with its connection.
-    is_framed: bool,
+    framing: Framing,
     /// The head of the answer.
     pub headers: HeaderMap,
 }
@@ -151,7 +159,7 @@
 
     /// Returns whether the answer shows where it ends, instead of ending with its connection.
     pub const fn is_framed(&self) -> bool {
-        self.is_framed
+        matches!(self.framing, Framing::Delimited)
     }
 
     /// Chooses a path and sends the request to its first engine.
@@ -188,7 +196,7 @@
             known_suspicions: gateway.suspicion_count(),
             connection: None,
             body: None,
-            is_framed: true,
+            framing: Framing::Delimited,
             headers: HeaderMap::new(),
         };
         let build = || {
@@ -272,7 +280,7 @@
             return Err(self.broken(Some(self.first)));
         }
         if head.status == StatusCode::OK && is_event_stream(&head.headers) {
-            self.is_framed = is_framed(&head.headers, &body);
+            self.framing = framing(&head.headers, &body);
             self.headers = head.headers;
             self.body = Some(body);
             return Ok(self);
@@ -575,11 +583,16 @@
     })
 }
 
-/// Returns whether an answer shows where it ends, instead of ending with its connection.
-fn is_framed(fields: &HeaderMap, body: &Incoming) -> bool {
-    body.is_end_stream()
+/// Returns how an answer ends.
+fn framing(fields: &HeaderMap, body: &Incoming) -> Framing {
+    let is_delimited = body.is_end_stream()
         || fields.contains_key(CONTENT_LENGTH)
-        || fields.contains_key(TRANSFER_ENCODING)
+        || fields.contains_key(TRANSFER_ENCODING);
+    if is_delimited {
+        Framing::Delimited
+    } else {
+        Framing::Connection
+    }
 }
 
 /// Returns the expected time between two events, at `token_ms` per token.
--- a/daemon/tests/test_gateway_entries.rs
+++ b/daemon/tests/test_gateway_entries.rs
@@ -90,7 +90,7 @@
             let name = format!("{service} without {field}");
             odd.push((name, without_field(service, address, field)));
             for text in ["null", "true", "{}", "1e999", "-1", "[1]", &nested()] {
-                let name = format!("{service} {field} {:.12}", text);
+                let name = format!("{service} {field} {text:.12}");
                 odd.push((name, with_field(service, address, field, text)));
             }
         }
@@ -152,7 +152,7 @@
         "8",
         &nested(),
     ] {
-        let name = format!("layers {:.40}", text);
+        let name = format!("layers {text:.40}");
         odd.push((name, with_field("llm", address, "layers", text)));
     }
     odd
@@ -322,11 +322,11 @@
                 .send(stream_request(&format!("s-{index}")))
                 .await;
             if !stream.as_ref().is_ok_and(|answer| answer.status() == 200) {
-                faults.push(format!("{field} {:.20}: {stream:?}", text));
+                faults.push(format!("{field} {text:.20}: {stream:?}"));
             }
         }
         if site.gateway.log().contains("event=task_failed") {
-            faults.push(format!("{field} {:.20}: a task failed", text));
+            faults.push(format!("{field} {text:.20}: a task failed"));
         }
     }
     assert!(faults.is_empty(), "{faults:#?}");
--- a/daemon/tests/test_gateway_streams.rs
+++ b/daemon/tests/test_gateway_streams.rs
@@ -25,7 +25,8 @@
 const BEFORE_BREAK: u64 = 5;
 
 fn events(ids: std::ops::Range<u64>) -> String {
-    ids.map(|id| format!("id: {id}\ndata: word\n\n")).collect()
+    let events: Vec<String> = ids.map(|id| format!("id: {id}\ndata: word\n\n")).collect();
+    events.concat()
 }
 
 fn head(id: &str, status: &str, fields: &str) -> String {
@@ -50,8 +51,18 @@
 /// How a run that has to continue a stream answers instead.
 type Continuation = fn(&str) -> (String, After);
 
-/// The answers of the run that has to continue a stream, and whether they do.
-fn continuations() -> Vec<(&'static str, bool, Continuation)> {
+/// Answers of the run that has to continue a stream, with their names and whether they do.
+type Named = (&'static str, bool, Continuation);
+
+fn continuations() -> Vec<Named> {
+    let mut all = rests();
+    all.extend(other_answers());
+    all.extend(wrong_events());
+    all
+}
+
+/// Answers that continue the stream, and one that breaks off again.
+fn rests() -> Vec<Named> {
     vec![
         ("rest", true, |id| {
             let body = events(BEFORE_BREAK..EVENTS);
@@ -87,6 +98,12 @@
                 After::Reset,
             )
         }),
+    ]
+}
+
+/// Answers that are no stream, or hold no event.
+fn other_answers() -> Vec<Named> {
+    vec![
         ("500", false, |id| {
             (
                 with_length(id, "500 Error", "text/plain", "error\n\n"),
@@ -161,6 +178,12 @@
                 After::Close,
             )
         }),
+    ]
+}
+
+/// Streams that do not continue the one that broke off.
+fn wrong_events() -> Vec<Named> {
+    vec![
         ("begins again", false, |id| {
             (
                 with_length(id, "200 OK", "text/event-stream", &events(0..EVENTS)),
--- a/routing/src/fleet/events.rs
+++ b/routing/src/fleet/events.rs
@@ -82,6 +82,9 @@
     pub fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventError> {
         if self.partial.is_empty() && chunk.ends_with(EVENT_END) {
             let correct = self.check(&chunk)?;
+            if correct == chunk.len() {
+                return Ok(chunk);
+            }
             self.partial.extend_from_slice(&chunk[correct..]);
             return Ok(chunk.slice(..correct));
         }
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -274,7 +274,10 @@
 
 /// Returns a factor that times may be multiplied by; one that is no number counts as 1.
 fn valid_slowdown(factor: f64) -> f64 {
-    factor.max(1.0).min(MAX_SLOWDOWN)
+    if factor.is_nan() {
+        return 1.0;
+    }
+    factor.clamp(1.0, MAX_SLOWDOWN)
 }
 
 /// Returns a digest that identifies one incarnation of an upstream.
