http service: an answer that names another request is no answer of the call

An agent told that a call had not run although it may have, when a service wrote the refusal of an earlier call once more on a pooled connection: the client looked at the outcome header and not at the request that the answer names.

An answer that names another request now counts as lost. A service need not name the request; a refusal that names none is still believed, as before.

--- a/upstream/src/http_service.rs
+++ b/upstream/src/http_service.rs
@@ -42,9 +42,10 @@
     async fn call(&self, request: ServiceRequest) -> Result<ServiceResponse, UpstreamError> {
         let own_timeout = self.client.deadlines().reply;
         let reply_timeout = request.reply_timeout.unwrap_or(own_timeout);
+        let request_id = request.request_id.clone();
         let request = build_request(request).map_err(|error| unsendable(&error))?;
         let response = self.client.call_within(request, reply_timeout).await?;
-        read_response(&response)
+        read_response(&response, &request_id)
     }
 }
 
@@ -59,7 +60,16 @@
     builder.body(request.body)
 }
 
-fn read_response(response: &Response<Bytes>) -> Result<ServiceResponse, UpstreamError> {
+/// Reads an answer. A service need not name the request; if it names another one, the answer
+/// is a late copy.
+fn read_response(
+    response: &Response<Bytes>,
+    request_id: &str,
+) -> Result<ServiceResponse, UpstreamError> {
+    if header(response, REQUEST_ID_HEADER).is_some_and(|named| named != request_id) {
+        let text = "the answer names another request".to_owned();
+        return Err(UpstreamError::ReplyLost(text));
+    }
     if header(response, OUTCOME_HEADER) == Some(Outcome::NotRun.as_str()) {
         let text = String::from_utf8_lossy(response.body()).into_owned();
         return Err(UpstreamError::Refused(text));
