--- a/daemon/tests/test_gateway_entries.rs
+++ b/daemon/tests/test_gateway_entries.rs
@@ -143,6 +143,7 @@
         "{\"from\":0,\"target\":4294967295}",
         "{\"from\":0,\"target\":4294967296}",
         "{\"from\":0,\"target\":80}",
+        "{\"from\":0,\"target\":9}",
         "{\"from\":4294967290,\"target\":4294967295}",
         "{\"from\":5,\"target\":3}",
         "{\"from\":-1,\"target\":8}",
