Merge the operators' stories: odd entries, copied refusals, errors inside streams

Refusals without an identifier count only on a new connection, a stream goes on only with a stream of events, and odd entries neither end nor occupy a gateway.

--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -15,7 +15,11 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::TRANSFER_ENCODING;
 use jujubewall_platform::site::headers;
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::repath_order;
@@ -53,6 +57,9 @@
 /// The interval between queries to the first engine of a silent path.
 const QUERY_INTERVAL: Duration = Duration::from_millis(350);
 
+/// The longest time that is expected between two events. Clients leave far sooner.
+const MAX_EVENT_GAP: Duration = Duration::from_mins(1);
+
 /// The weight of a new gap between events in the moving average of the expected gap.
 const GAP_WEIGHT: f64 = 0.2;
 
@@ -62,6 +69,9 @@
 /// The largest failure answer that is read to be passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 256 * 1024;
 
+/// The content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// The reason why a run ended without completing its stream.
 pub enum RunFault {
     /// There is no path, so nothing was sent.
@@ -147,6 +157,15 @@
     }
 }
 
+/// How an answer ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    /// It shows where it ends.
+    Delimited,
+    /// It ends with its connection.
+    Connection,
+}
+
 /// A run that has been sent to its first engine.
 pub struct Run {
     work: CountedPath,
@@ -172,6 +191,7 @@
     parts: RunParts,
     connection: Option<Connection>,
     body: Option<Incoming>,
+    framing: Framing,
     /// The head of the answer.
     pub headers: HeaderMap,
 }
@@ -190,6 +210,11 @@
         self.repaths
     }
 
+    /// Returns whether the answer shows where it ends, instead of ending with its connection.
+    pub const fn is_framed(&self) -> bool {
+        matches!(self.framing, Framing::Delimited)
+    }
+
     /// Chooses a path and sends the request to its first engine.
     pub async fn start(
         gateway: &Rc<Gateway>,
@@ -233,6 +258,7 @@
             parts: RunParts::new(gateway, request.prompt_parts.clone(), chosen.first),
             connection: None,
             body: None,
+            framing: Framing::Delimited,
             headers: HeaderMap::new(),
         };
         let build = || {
@@ -296,7 +322,11 @@
             .as_ref()
             .is_some_and(|id| *id != self.request_id);
         // A late copy of another request's refusal says nothing about this one.
-        if !is_for_other && headers::says_not_run(head.status, &head.headers) {
+        let is_own_refusal = headers::says_not_run(head.status, &head.headers)
+            && self.connection.as_ref().is_some_and(|connection| {
+                connection.is_own_refusal(answered_id.as_deref(), &self.request_id)
+            });
+        if is_own_refusal {
             return Err(RunFault::NotRun(
                 self.avoid_faulty(&head.headers, head.status),
             ));
@@ -311,7 +341,8 @@
             );
             return Err(self.bad_answer(Some(self.first)));
         }
-        if head.status.is_success() {
+        if head.status == StatusCode::OK && is_event_stream(&head.headers) {
+            self.framing = framing(&head.headers, &body);
             self.headers = head.headers;
             self.body = Some(body);
             return Ok(self);
@@ -675,9 +706,31 @@
     }
 }
 
+/// Returns whether the head of an answer allows for a stream of events.
+fn is_event_stream(fields: &HeaderMap) -> bool {
+    fields.get(CONTENT_TYPE).is_none_or(|value| {
+        let value = value.as_bytes().trim_ascii_start();
+        let kind = value.get(..EVENT_STREAM.len());
+        kind.is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM))
+    })
+}
+
+/// Returns how an answer ends.
+fn framing(fields: &HeaderMap, body: &Incoming) -> Framing {
+    let is_delimited = body.is_end_stream()
+        || fields.contains_key(CONTENT_LENGTH)
+        || fields.contains_key(TRANSFER_ENCODING);
+    if is_delimited {
+        Framing::Delimited
+    } else {
+        Framing::Connection
+    }
+}
+
 /// Returns the expected time between two events, at `token_ms` per token.
 fn event_gap(spec: &EngineSpec, token_ms: f64) -> Duration {
-    Duration::from_secs_f64(spec.tokens_per_event * token_ms / 1_000.0)
+    let gap = Duration::try_from_secs_f64(spec.tokens_per_event * token_ms / 1_000.0);
+    gap.map_or(MAX_EVENT_GAP, |gap| gap.min(MAX_EVENT_GAP))
 }
 
 /// Returns what the rest of a stream needs. The events so far count as part of the prompt,
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -97,6 +97,8 @@
     spec: Rc<EngineSpec>,
     filter: EventFilter,
     run: Option<Run>,
+    /// The last event that was sent when the present run began.
+    run_begins_after: Option<u64>,
     excluded: SmallVec<[InstanceKey; 4]>,
     attempts: Attempts,
     /// The first engines of the runs that broke off while they were young.
@@ -170,6 +172,7 @@
         filter,
         spec: Rc::new(spec),
         run: None,
+        run_begins_after: None,
         excluded: SmallVec::new(),
         attempts: Attempts::new(&request.route),
         young_losses: SmallVec::new(),
@@ -322,6 +325,7 @@
                 return Err(RunFault::PartCrashes);
             }
             self.attempts.begin_send();
+            self.run_begins_after = self.filter.last_id();
             let run = Run::start(
                 &self.gateway,
                 &self.request,
@@ -347,6 +351,15 @@
                 Ok(Some(RelayOutput::Events(events)))
             }
             RunStep::End if self.filter.has_partial_event() => Err(run.bad_answer(None)),
+            // A run that was to continue a stream, and gave no event, does not show that the
+            // stream is complete. Without framing, neither does any run.
+            RunStep::End
+                if self.filter.last_id() == self.run_begins_after
+                    && (self.timing.first.is_some() || !run.is_framed()) =>
+            {
+                info!("event=empty_run id={}", self.request.id);
+                Err(run.bad_answer(None))
+            }
             RunStep::End => Ok(Some(RelayOutput::End)),
         }
     }
