gateway: tests with longer silences and refused replacements, failing

What callers saw: streams were cut although their silent engine went on.

Cause: a silent run is dropped before another engine has taken the stream, and a run whose engine was suspected for 1.5 s is dropped even if no other run is allowed.

--- a/daemon/tests/test_gateway_silence.rs
+++ b/daemon/tests/test_gateway_silence.rs
@@ -9,6 +9,7 @@
 use jujubewall_testutils::gateway_site::all_events;
 use jujubewall_testutils::gateway_site::stream_request;
 use jujubewall_testutils::gateway_site::wait_until;
+use jujubewall_testutils::site_runner::RunnerFault;
 use tokio::time::sleep;
 
 /// The program under test.
@@ -17,6 +18,9 @@
 /// The time for which a sound engine may be silent.
 const SOUND_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// A silence after which an engine is presumed ended.
+const LONG_SILENCE: Duration = Duration::from_millis(2_200);
+
 /// The time after which a stream has delivered some of its events.
 const BEGUN: Duration = Duration::from_millis(150);
 
@@ -129,3 +133,47 @@
         .filter(|(_, order)| order["drain_mode"] == "abort");
     assert_eq!(aborting.count(), 0, "{orders:?}");
 }
+
+/// Guards against streams that were cut because their silent run was dropped before another
+/// engine had taken them.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_of_a_silent_engine_is_not_cut_when_all_others_refuse_it() {
+    let site = Site::start(Path::new(PROGRAM), AMPLE_BURST).await;
+    let send = site.send(stream_request("s-1"));
+    let silence = async {
+        wait_until("the stream runs", async || !site.ran("s-1").is_empty()).await;
+        sleep(BEGUN).await;
+        let first = site.ran("s-1");
+        for id in site.engine_ids() {
+            if !first.contains(&id) {
+                site.runners.set_fault(&id, RunnerFault::Refuse);
+            }
+        }
+        suspend(&site, &first).await;
+    };
+    let (answer, ()) = tokio::join!(send, silence);
+    let answer = answer.unwrap_or_else(|failure| panic!("{failure}: {}", site.gateway.log()));
+    assert_eq!(answer.body(), all_events().as_bytes());
+}
+
+/// Guards against streams that were cut after a longer silence although the retry budget
+/// allowed no other run.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_without_another_run_is_kept_as_long_as_its_client_waits() {
+    let site = Site::start(Path::new(PROGRAM), 0).await;
+    let send = site.send(stream_request("s-1"));
+    let silence = async {
+        wait_until("the stream runs", async || !site.ran("s-1").is_empty()).await;
+        sleep(BEGUN).await;
+        for id in site.engine_ids() {
+            site.runners.set_suspended(&id, true);
+        }
+        sleep(LONG_SILENCE).await;
+        for id in site.engine_ids() {
+            site.runners.set_suspended(&id, false);
+        }
+    };
+    let (answer, ()) = tokio::join!(send, silence);
+    let answer = answer.unwrap_or_else(|failure| panic!("{failure}: {}", site.gateway.log()));
+    assert_eq!(answer.body(), all_events().as_bytes());
+}
