--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -9,6 +9,8 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use jujubewall_routing::fleet::attempts::Attempts;
+use jujubewall_routing::fleet::attempts::Barred;
 use jujubewall_routing::fleet::events::EventFilter;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::layer_path::NoPath;
@@ -35,10 +37,6 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::state::InFlightGuard;
 
-/// The largest number of runs of one stream, including lost ones. More would put still more
-/// load on a fleet that loses runs that often.
-const MAX_RUNS: u32 = 4;
-
 /// The reason of a rejection because every engine is full.
 const ALL_FULL: &str = "every engine is full";
 
@@ -100,11 +98,9 @@
     filter: EventFilter,
     run: Option<Run>,
     excluded: SmallVec<[InstanceKey; 4]>,
-    sends: u32,
-    /// The first engines of the runs that may have run.
-    runs: SmallVec<[InstanceKey; 4]>,
     /// The first engines of the runs that broke off while they were young.
     young_losses: SmallVec<[InstanceKey; 4]>,
+    attempts: Attempts,
     timing: Timing,
     /// How often runs were rerouted around lost engines.
     repaths: u32,
@@ -147,9 +143,9 @@
             self.request.account,
             self.outcome,
             self.reason,
-            self.sends,
+            self.attempts.sends(),
             self.repaths,
-            self.filter.last_id().unwrap_or_default(),
+            self.last_event_text(),
             self.timing.first.unwrap_or_default().as_millis(),
             self.request.route.target_latency_ms,
             self.timing.longest_gap.as_millis(),
@@ -175,9 +171,8 @@
         spec: Rc::new(spec),
         run: None,
         excluded: SmallVec::new(),
-        sends: 0,
-        runs: SmallVec::new(),
         young_losses: SmallVec::new(),
+        attempts: Attempts::new(&request.route),
         timing: Timing::default(),
         repaths: 0,
         outcome: "client_gone",
@@ -256,7 +251,7 @@
                     }
                 };
                 let retry_after = self.gateway.extend_until_resume(service, retry_after);
-                answer::reject(&self.request.id, reason, retry_after, self.sends)
+                answer::reject(&self.request.id, reason, retry_after, self.attempts.sends())
             }
             RelayEnd::Unknown(reason) => {
                 self.outcome = "unknown";
@@ -280,7 +275,7 @@
         let give_up_at = self.request.give_up_at;
         match timeout_at(give_up_at, self.next()).await {
             Ok(next) => next,
-            Err(_) if self.sends == 0 => Err(RelayEnd::NotRun("no time left")),
+            Err(_) if self.attempts.sends() == 0 => Err(RelayEnd::NotRun("no time left")),
             Err(_) => Err(RelayEnd::TimedOut),
         }
     }
@@ -298,7 +293,7 @@
             }
             self.filter.discard_partial_event();
             if matches!(fault, RunFault::NoPath(_)) && self.can_wait_for_path() {
-                self.sends -= 1;
+                self.attempts.cancel_send();
                 sleep(PATH_POLL_INTERVAL).await;
                 continue;
             }
@@ -326,12 +321,13 @@
             if poison::quarantine_left(&self.gateway, &self.request).is_some() {
                 return Err(RunFault::PartCrashes);
             }
-            self.sends += 1;
+            self.attempts.begin_send();
             let run = Run::start(
                 &self.gateway,
                 &self.request,
                 &self.spec,
                 self.filter.last_id(),
+                &self.attempts,
                 &self.excluded,
             );
             self.run = Some(run.await?);
@@ -341,7 +337,7 @@
             RunStep::Bytes(bytes) => {
                 let events = self.filter.push(bytes).map_err(|fault| {
                     info!("event=bad_event id={} reason=\"{fault}\"", self.request.id);
-                    run.broken(None)
+                    run.bad_answer(None)
                 })?;
                 if events.is_empty() {
                     return Ok(None);
@@ -350,30 +346,33 @@
                 self.timing.on_events(self.request.received_at);
                 Ok(Some(RelayOutput::Events(events)))
             }
-            RunStep::End if self.filter.has_partial_event() => Err(run.broken(None)),
+            RunStep::End if self.filter.has_partial_event() => Err(run.bad_answer(None)),
             RunStep::End => Ok(Some(RelayOutput::End)),
         }
     }
 
     /// Decides whether the stream continues in another run.
     fn after_fault(&mut self, fault: RunFault) -> Result<(), RelayEnd> {
-        let (at_fault, has_arrived) = match fault {
+        let cause = fault.to_string();
+        let (at_fault, is_repeat) = match fault {
             RunFault::NoPath(reason) => return Err(self.end_without_path(reason)),
-            RunFault::PartCrashes if self.may_have_run() => {
+            RunFault::PartCrashes if self.attempts.may_have_run() => {
                 return Err(RelayEnd::Unknown(PART_CRASHES));
             }
             RunFault::PartCrashes => return Err(RelayEnd::NotRun(PART_CRASHES)),
-            RunFault::NoTime if self.sends > 1 => return Err(RelayEnd::TimedOut),
+            RunFault::NoTime if self.attempts.sends() > 1 => return Err(RelayEnd::TimedOut),
             RunFault::NoTime => return Err(RelayEnd::NotRun("no time left")),
             RunFault::NotConnected(key) => (Some(key), false),
             RunFault::NotRun(key) => (key, true),
             RunFault::Broken(broken) => {
                 self.record_broken_run(broken);
-                (broken.at_fault, true)
+                (broken.at_fault, !broken.is_repeat_charged)
             }
             RunFault::Failed(failed) => {
-                self.runs.push(failed.first);
-                if !self.can_run_again() {
+                self.attempts.note_run(failed.first);
+                let now = Instant::now();
+                let barred = self.attempts.barred(&self.gateway.instances(), now);
+                if barred.is_some() {
                     return Err(RelayEnd::Failed(failed));
                 }
                 (None, true)
@@ -382,29 +381,54 @@
         if let Some(key) = at_fault {
             self.excluded.push(key);
         }
-        let can_continue = self.sends < MAX_RUNS
-            && self.can_run_again()
-            && (!has_arrived || self.gateway.try_repeat(&self.request.service.name));
+        let barred = self.barred(is_repeat);
+        let upstream = at_fault.and_then(|key| {
+            let instances = self.gateway.instances();
+            instances
+                .get(key)
+                .map(|tracked| tracked.instance.id.clone())
+        });
         info!(
-            "event=run_lost id={} sends={} last_event={} goes_on={can_continue} ms={}",
+            "event=run_lost id={} sends={} last_event={} cause={cause} upstream={} goes_on={} \
+             barred_by={} ms={}",
             self.request.id,
-            self.sends,
-            self.filter.last_id().unwrap_or_default(),
+            self.attempts.sends(),
+            self.last_event_text(),
+            upstream.as_deref().unwrap_or("unknown"),
+            barred.is_none(),
+            barred.map_or_else(|| "nothing".to_owned(), |barred| barred.to_string()),
             self.request.received_at.elapsed().as_millis()
         );
-        if can_continue {
+        if barred.is_none() {
             Ok(())
-        } else if self.may_have_run() {
+        } else if self.attempts.may_have_run() {
             Err(RelayEnd::Unknown("the answer was lost"))
         } else {
             Err(RelayEnd::NotRun("no engine takes the request"))
         }
     }
 
+    /// Returns the limit that forbids another run, if any. Charges the retry budget for a run
+    /// that `is_repeat`.
+    fn barred(&self, is_repeat: bool) -> Option<Barred> {
+        let now = Instant::now();
+        let barred = self.attempts.barred(&self.gateway.instances(), now);
+        barred.or_else(|| {
+            let is_denied = is_repeat && !self.gateway.try_repeat(&self.request.service.name);
+            is_denied.then_some(Barred::Budget)
+        })
+    }
+
+    /// Returns the identifier of the last event that was sent, for log lines.
+    fn last_event_text(&self) -> String {
+        let last = self.filter.last_id();
+        last.map_or_else(|| "none".to_owned(), |last| last.to_string())
+    }
+
     /// Records a broken run, so that its faulty engine is avoided.
     fn record_broken_run(&mut self, broken: BrokenRun) {
         if broken.may_have_run {
-            self.runs.push(broken.first);
+            self.attempts.note_run(broken.first);
         }
         if broken.is_young_loss {
             self.young_losses.push(broken.first);
@@ -415,29 +439,6 @@
         }
     }
 
-    /// Returns whether the route allows another run.
-    ///
-    /// The route's limit counts the engines that may have run the request and are still
-    /// present.
-    fn can_run_again(&self) -> bool {
-        if !self.may_have_run() {
-            return true;
-        }
-        let instances = self.gateway.instances();
-        let now = Instant::now();
-        let is_standing = |key: &&InstanceKey| {
-            let tracked = instances.get(**key);
-            tracked.is_some_and(|tracked| tracked.is_presumed_alive(now))
-        };
-        let standing_count = self.runs.iter().filter(is_standing).count();
-        let max_attempts = usize::try_from(self.request.route.max_attempts).unwrap_or(usize::MAX);
-        self.request.route.is_resumable && standing_count < max_attempts
-    }
-
-    fn may_have_run(&self) -> bool {
-        !self.runs.is_empty()
-    }
-
     /// Returns the end of a stream for which no path exists.
     fn end_without_path(&self, reason: NoPath) -> RelayEnd {
         let reason = match reason {
@@ -445,7 +446,7 @@
             NoPath::OnlyAcrossDomains => INCOMPLETE_DOMAINS,
             NoPath::LayerMissing(_) => LAYER_MISSING,
         };
-        if self.may_have_run() {
+        if self.attempts.may_have_run() {
             RelayEnd::Unknown(reason)
         } else {
             RelayEnd::NotRun(reason)
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -57,9 +58,9 @@
 /// How long an upstream may continue its work after its entry is gone.
 const LINGERING_TIME: Duration = Duration::from_secs(6);
 
-/// The silence after which a suspected upstream is presumed ended or partitioned. It is
-/// probed twice more within this time.
-const MAX_SILENCE: Duration = Duration::from_millis(700);
+/// The time after which an upstream that has been silent since it was suspected is presumed
+/// ended or partitioned. A sound one may be silent for a second or so.
+const MAX_SOUND_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// The number of peers to which an upstream must have refused connections before this
 /// gateway avoids it too, so that one gateway with a broken link does not decide for all.
@@ -128,6 +129,15 @@
     Silent,
 }
 
+impl fmt::Display for Evidence {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+        })
+    }
+}
+
 /// The effect of evidence against an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Suspicion {
@@ -231,7 +241,7 @@
     /// during which it is probed again.
     pub fn is_presumed_alive(&self, now: Instant) -> bool {
         self.suspected_since.is_none_or(|since| {
-            !self.has_refused && now.saturating_duration_since(since) < MAX_SILENCE
+            !self.has_refused && now.saturating_duration_since(since) < MAX_SOUND_SILENCE
         })
     }
 
@@ -470,12 +480,10 @@
         Suspicion::New
     }
 
-    /// Records that an upstream answered over a new connection. Returns whether it was
+    /// Records that an upstream answered over a new connection. Returns since when it was
     /// suspected.
-    pub fn clear_suspicion(&mut self, key: InstanceKey) -> bool {
-        self.instances
-            .get_mut(key)
-            .is_some_and(|tracked| tracked.suspected_since.take().is_some())
+    pub fn clear_suspicion(&mut self, key: InstanceKey) -> Option<Instant> {
+        self.instances.get_mut(key)?.suspected_since.take()
     }
 
     /// Records whether an upstream that rejected work says that it is leaving. Returns
