--- a/routing/tests/test_poison_parts.rs
+++ b/routing/tests/test_poison_parts.rs
@@ -505,6 +505,26 @@
     assert_eq!(fleet.rejecting(&[7]), 0);
 }
 
+/// A gateway that was cut off still holds a part for the cause that the others have cleared.
+#[test]
+fn test_gateway_that_knows_less_is_told_of_a_success_long_after_it() {
+    let mut now = start();
+    let (mut served, mut cut_off) = (PoisonParts::new(), PoisonParts::new());
+    for id in 0..3 {
+        crash(&mut served, id, &[7], now);
+        crash(&mut cut_off, id, &[7], now);
+    }
+    served.on_success(&[part(7)], now + ms(1), now + ms(800));
+    now += Duration::from_mins(2);
+    assert!(!is_rejected(&mut served, &[part(7)], now));
+    assert!(is_rejected(&mut cut_off, &[part(7)], now));
+    // Nobody asked for long.
+    assert_eq!(served.reports(MAX_CRASH_REPORT_BYTES, now), []);
+    served.apply_reports(&cut_off.reports(MAX_CRASH_REPORT_BYTES, now), now);
+    cut_off.apply_reports(&served.reports(MAX_CRASH_REPORT_BYTES, now), now);
+    assert!(!is_rejected(&mut cut_off, &[part(7)], now));
+}
+
 /// A crash that several gateways see, or that is told over and over, counts once, and its age
 /// does not shrink as gateways relay it.
 #[test]
