--- a/routing/tests/test_poison_parts.rs
+++ b/routing/tests/test_poison_parts.rs
@@ -550,6 +550,32 @@
     }
 }
 
+/// Messages take time, so a crash looks younger to whoever hears of it.
+#[test]
+fn test_crash_does_not_grow_younger_as_slow_messages_relay_it() {
+    let begun = start();
+    let mut now = begun;
+    let (mut sender, mut receiver) = (PoisonParts::new(), PoisonParts::new());
+    for id in 0..3 {
+        crash(&mut sender, id, &[7], now);
+    }
+    for _ in 0..500 {
+        sender.refresh(now);
+        let reports = sender.reports(MAX_CRASH_REPORT_BYTES, now);
+        now += ms(30);
+        receiver.apply_reports(&reports, now);
+        std::mem::swap(&mut sender, &mut receiver);
+    }
+    for mut table in [sender, receiver] {
+        table.refresh(now);
+        let PartVerdict::Reject { retry_after } = table.verdict(&[part(7)], now) else {
+            panic!("not quarantined");
+        };
+        let age = QUARANTINE_TIME.saturating_sub(retry_after);
+        assert!(age + ms(60) >= now - begun, "{age:?}");
+    }
+}
+
 #[test]
 fn test_memory_and_reports_are_bounded_and_convictions_outlive_a_flood() {
     let mut table = PoisonParts::new();
