--- a/routing/tests/test_poison_parts.rs
+++ b/routing/tests/test_poison_parts.rs
@@ -505,6 +505,26 @@
     assert_eq!(fleet.rejecting(&[7]), 0);
 }
 
+/// A gateway that was cut off still holds a part for the cause that the others have cleared.
+#[test]
+fn test_gateway_that_knows_less_is_told_of_a_success_long_after_it() {
+    let mut now = start();
+    let (mut served, mut cut_off) = (PoisonParts::new(), PoisonParts::new());
+    for id in 0..3 {
+        crash(&mut served, id, &[7], now);
+        crash(&mut cut_off, id, &[7], now);
+    }
+    served.on_success(&[part(7)], now + ms(1), now + ms(800));
+    now += Duration::from_mins(2);
+    assert!(!is_rejected(&mut served, &[part(7)], now));
+    assert!(is_rejected(&mut cut_off, &[part(7)], now));
+    // Nobody asked for long.
+    assert_eq!(served.reports(MAX_CRASH_REPORT_BYTES, now), []);
+    served.apply_reports(&cut_off.reports(MAX_CRASH_REPORT_BYTES, now), now);
+    cut_off.apply_reports(&served.reports(MAX_CRASH_REPORT_BYTES, now), now);
+    assert!(!is_rejected(&mut cut_off, &[part(7)], now));
+}
+
 /// A crash that several gateways see, or that is told over and over, counts once, and its age
 /// does not shrink as gateways relay it.
 #[test]
@@ -530,6 +550,32 @@
     }
 }
 
+/// Messages take time, so a crash looks younger to whoever hears of it.
+#[test]
+fn test_crash_does_not_grow_younger_as_slow_messages_relay_it() {
+    let begun = start();
+    let mut now = begun;
+    let (mut sender, mut receiver) = (PoisonParts::new(), PoisonParts::new());
+    for id in 0..3 {
+        crash(&mut sender, id, &[7], now);
+    }
+    for _ in 0..500 {
+        sender.refresh(now);
+        let reports = sender.reports(MAX_CRASH_REPORT_BYTES, now);
+        now += ms(30);
+        receiver.apply_reports(&reports, now);
+        std::mem::swap(&mut sender, &mut receiver);
+    }
+    for mut table in [sender, receiver] {
+        table.refresh(now);
+        let PartVerdict::Reject { retry_after } = table.verdict(&[part(7)], now) else {
+            panic!("not quarantined");
+        };
+        let age = QUARANTINE_TIME.saturating_sub(retry_after);
+        assert!(age + ms(60) >= now - begun, "{age:?}");
+    }
+}
+
 #[test]
 fn test_memory_and_reports_are_bounded_and_convictions_outlive_a_flood() {
     let mut table = PoisonParts::new();
