streams: leave a silent run only when another engine has taken the stream

Cause: the run was dropped as soon as another one was allowed, and only then was the stream sent; where the other engines refused it, the sends were used up within 7 ms. And after 1.5 s of suspicion the run was dropped even if nothing could replace it.

Fix: a silent run is set aside with its incomplete event until another engine has accepted the stream, and the stream goes back to it otherwise. Only a part that has ended lets the run go without that; one that stays silent for 1.5 s no longer counts against the attempts. An event that arrives clears the suspicion of the engines that it passed. The retry budget is looked at before a path is searched.

--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -322,13 +322,18 @@
 }
 
 fn clear(gateway: &Gateway, key: InstanceKey) {
-    let Some(since) = gateway.instances_mut().clear_suspicion(key) else {
-        return;
-    };
+    let since = gateway.instances_mut().clear_suspicion(key);
+    if let Some(since) = since {
+        log_cleared(gateway, key, since, "it answers");
+    }
+}
+
+/// Records that an upstream is no longer suspected, as it was since `since`.
+pub fn log_cleared(gateway: &Gateway, key: InstanceKey, since: Instant, reason: &str) {
     gateway.metrics.count("cleared");
     if let Some(tracked) = gateway.instances().get(key) {
         info!(
-            "event=cleared upstream={} suspected_ms={}",
+            "event=cleared upstream={} reason=\"{reason}\" suspected_ms={}",
             tracked.instance.id,
             since.elapsed().as_millis()
         );
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -26,6 +26,7 @@
 use jujubewall_routing::fleet::attempts::Attempts;
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::TrackedInstance;
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathRequest;
 use jujubewall_routing::fleet::layer_path::Preference;
@@ -131,6 +132,13 @@
     pub is_young_loss: bool,
 }
 
+impl BrokenRun {
+    /// Returns whether the run is left for another one although it may still go on.
+    pub const fn is_moved(self) -> bool {
+        self.is_repeat_charged
+    }
+}
+
 /// The answer of an engine that ran the request and failed.
 pub struct FailedAnswer {
     /// The first engine of the path.
@@ -381,10 +389,18 @@
     /// Waits for the next bytes of the stream.
     pub async fn next(&mut self) -> Result<RunStep, RunFault> {
         let Some(mut body) = self.body.take() else {
-            return Ok(RunStep::End);
+            return Err(self.bad_answer(None));
         };
         loop {
-            let frame = self.wait_unless_lost(body.frame()).await?;
+            let waited = self.wait_unless_lost(body.frame()).await;
+            let frame = match waited {
+                Ok(frame) => frame,
+                // The stream may come back to this run.
+                Err(fault) => {
+                    self.body = Some(body);
+                    return Err(fault);
+                }
+            };
             match frame {
                 Some(Ok(frame)) => {
                     let Ok(bytes) = frame.into_data() else {
@@ -414,12 +430,15 @@
         self.work.end_prefill();
         let mut instances = self.work.gateway.instances_mut();
         let keys = self.work.path.parts.iter().map(|part| part.instance);
-        instances.note_alive(keys, self.expected_gap, now);
+        let cleared = instances.note_alive(keys, self.expected_gap, now);
         if !self.has_begun {
             self.has_begun = true;
             instances.note_successful_run(self.first);
         }
         drop(instances);
+        for (key, since) in cleared {
+            probe::log_cleared(&self.work.gateway, key, since, "an event arrived");
+        }
         self.work.begin_stream();
         if let Some(last) = self.last_event_at.replace(now) {
             let gap = now - last;
@@ -478,7 +497,8 @@
         let barred = self
             .attempts
             .barred_after(self.first, &gateway.instances(), now);
-        if barred.is_some() || self.parts.is_quarantined() {
+        let is_possible = barred.is_none() && gateway.can_repeat(&self.service);
+        if !is_possible || self.parts.is_quarantined() {
             return false;
         }
         let mut excluded = self.excluded.clone();
@@ -684,13 +704,12 @@
         self.lost_parts().first().copied()
     }
 
-    /// Returns whether an engine of the path has ended, or was silent for too long.
+    /// Returns whether an engine of the path has ended.
     fn has_ended_part(&self) -> bool {
         let instances = self.work.gateway.instances();
-        let now = Instant::now();
         self.work.path.parts.iter().any(|part| {
             let tracked = instances.get(part.instance);
-            tracked.is_none_or(|tracked| !tracked.is_presumed_alive(now))
+            tracked.is_none_or(TrackedInstance::has_refused)
         })
     }
 
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -390,6 +390,13 @@
         self.budget.borrow_mut().on_request(service, Instant::now());
     }
 
+    /// Returns whether the service's retry budget allows a repeated send.
+    pub fn can_repeat(&self, service: &ServiceName) -> bool {
+        let burst_share = self.peers.gossip().equal_share();
+        let mut budget = self.budget.borrow_mut();
+        budget.allows_retry(service, burst_share, Instant::now())
+    }
+
     /// Takes one repeated send from the service's retry budget. Returns whether it allows it.
     pub fn try_repeat(&self, service: &ServiceName) -> bool {
         let burst_share = self.peers.gossip().equal_share();
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::stream;
 use hyper::HeaderMap;
 use hyper::Response;
@@ -90,6 +91,13 @@
     }
 }
 
+/// A silent run that is kept until another one has taken the stream.
+struct HeldRun {
+    run: Run,
+    /// The bytes of its incomplete event.
+    partial_event: BytesMut,
+}
+
 /// The state of one stream that is relayed to a client.
 struct Relay {
     gateway: Rc<Gateway>,
@@ -97,6 +105,8 @@
     spec: Rc<EngineSpec>,
     filter: EventFilter,
     run: Option<Run>,
+    /// The silent run before `run`, until that has been accepted.
+    held: Option<HeldRun>,
     /// The last event that was sent when the present run began.
     run_begins_after: Option<u64>,
     excluded: SmallVec<[InstanceKey; 4]>,
@@ -172,6 +182,7 @@
         filter,
         spec: Rc::new(spec),
         run: None,
+        held: None,
         run_begins_after: None,
         excluded: SmallVec::new(),
         attempts: Attempts::new(&request.route),
@@ -291,16 +302,17 @@
                 Ok(None) => continue,
                 Err(fault) => fault,
             };
-            if let Some(run) = self.run.take() {
-                self.repaths += run.repaths();
-            }
-            self.filter.discard_partial_event();
-            if matches!(fault, RunFault::NoPath(_)) && self.can_wait_for_path() {
+            self.set_aside_run(&fault);
+            let can_wait = self.held.is_none() && self.can_wait_for_path();
+            if matches!(fault, RunFault::NoPath(_)) && can_wait {
                 self.attempts.cancel_send();
                 sleep(PATH_POLL_INTERVAL).await;
                 continue;
             }
-            self.after_fault(fault)?;
+            if let Err(end) = self.after_fault(fault) {
+                self.resume_held_run(end)?;
+                continue;
+            }
             if poison::has_crashed_engines(&self.gateway, &self.young_losses).await {
                 return Err(RelayEnd::Unknown(PART_CRASHES));
             }
@@ -312,6 +324,37 @@
         }
     }
 
+    /// Ends the present run after a fault. One that is only silent is kept until another one
+    /// has taken the stream.
+    fn set_aside_run(&mut self, fault: &RunFault) {
+        let Some(run) = self.run.take() else {
+            return;
+        };
+        let partial_event = self.filter.take_partial_event();
+        if matches!(fault, RunFault::Broken(broken) if broken.is_moved()) {
+            self.held = Some(HeldRun { run, partial_event });
+        } else {
+            self.repaths += run.repaths();
+        }
+    }
+
+    /// Goes back to the silent run that was set aside, if no other one takes the stream.
+    fn resume_held_run(&mut self, end: RelayEnd) -> Result<(), RelayEnd> {
+        let Some(HeldRun { run, partial_event }) = self.held.take() else {
+            return Err(end);
+        };
+        info!(
+            "event=run_resumed id={} sends={} reason=\"{}\"",
+            self.request.id,
+            self.attempts.sends(),
+            end.reason()
+        );
+        self.gateway.metrics.count("run_resumed");
+        self.filter.restore_partial_event(partial_event);
+        self.run = Some(run);
+        Ok(())
+    }
+
     /// Returns whether a stream that has begun may wait for a complete path.
     fn can_wait_for_path(&self) -> bool {
         let last_at = self.timing.last_at;
@@ -325,7 +368,6 @@
                 return Err(RunFault::PartCrashes);
             }
             self.attempts.begin_send();
-            self.run_begins_after = self.filter.last_id();
             let run = Run::start(
                 &self.gateway,
                 &self.request,
@@ -335,6 +377,10 @@
                 &self.excluded,
             );
             self.run = Some(run.await?);
+            self.run_begins_after = self.filter.last_id();
+            if let Some(held) = self.held.take() {
+                self.repaths += held.run.repaths();
+            }
             return Ok(None);
         };
         match run.next().await? {
--- a/routing/src/fleet/attempts.rs
+++ b/routing/src/fleet/attempts.rs
@@ -75,7 +75,9 @@
 
     /// Records that the request may have run on a path that begins at `first`.
     pub fn note_run(&mut self, first: InstanceKey) {
-        self.runs.push(first);
+        if !self.runs.contains(&first) {
+            self.runs.push(first);
+        }
     }
 
     /// Returns whether the request may have run.
--- a/routing/src/fleet/events.rs
+++ b/routing/src/fleet/events.rs
@@ -70,6 +70,17 @@
         !self.partial.is_empty()
     }
 
+    /// Takes the incomplete event of a run that is set aside.
+    pub fn take_partial_event(&mut self) -> BytesMut {
+        std::mem::take(&mut self.partial)
+    }
+
+    /// Restores the incomplete event of a run that was set aside, and drops that of the run
+    /// that replaced it. The identifier of the last event must be the same as then.
+    pub fn restore_partial_event(&mut self, partial: BytesMut) {
+        self.partial = partial;
+    }
+
     /// Discards an incomplete event whose run has ended.
     pub fn discard_partial_event(&mut self) {
         self.partial.clear();
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -89,6 +89,10 @@
 /// leave after about two seconds of silence, and events come many times as often.
 const MAX_REFERENCE_AGE: Duration = Duration::from_secs(1);
 
+/// The longest time that an event is under way. One that arrives later shows that the upstream
+/// was alive after it was suspected.
+const EVENT_TRANSFER_TIME: Duration = Duration::from_millis(100);
+
 /// The weight of one outcome in the failure rate.
 const FAILURE_RATE_STEP: f64 = 0.1;
 
@@ -238,6 +242,11 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the upstream's process has ended, as far as is known.
+    pub const fn has_refused(&self) -> bool {
+        self.suspected_since.is_some() && self.has_refused
+    }
+
     /// Returns whether this incarnation of the upstream may still be running.
     ///
     /// A merely silent upstream is presumed alive until it has been silent for a while,
@@ -583,18 +592,30 @@
 
     /// Records that an event of a stream has passed through upstreams, and the usual
     /// interval between two events of such a stream.
+    ///
+    /// Returns those that were suspected for their silence and no longer are, and since when
+    /// they were.
     pub fn note_alive(
         &mut self,
         keys: impl Iterator<Item = InstanceKey>,
         event_gap: Duration,
         now: Instant,
-    ) {
+    ) -> SmallVec<[(InstanceKey, Instant); 2]> {
+        let mut cleared = SmallVec::new();
         for key in keys {
             if let Some(tracked) = self.instances.get_mut(key) {
                 tracked.alive_at = Some(now);
                 tracked.event_gap = event_gap;
+                let is_answered = |since: &Instant| {
+                    !tracked.has_refused
+                        && now.saturating_duration_since(*since) >= EVENT_TRANSFER_TIME
+                };
+                if let Some(since) = tracked.suspected_since.take_if(|since| is_answered(since)) {
+                    cleared.push((key, since));
+                }
             }
         }
+        cleared
     }
 
     /// Records that a connection to an upstream broke, which is newer than any event that
--- a/routing/src/fleet/retry_budget.rs
+++ b/routing/src/fleet/retry_budget.rs
@@ -70,9 +70,9 @@
         self.bucket(service, now).requests += 1;
     }
 
-    /// Takes one repeated send if the budget allows it, given this gateway's share of the
+    /// Returns whether the budget allows a repeated send, given this gateway's share of the
     /// burst.
-    pub fn try_retry(&mut self, service: &ServiceName, burst_share: f64, now: Instant) -> bool {
+    pub fn allows_retry(&mut self, service: &ServiceName, burst_share: f64, now: Instant) -> bool {
         let bounds = self.bounds;
         self.bucket(service, now);
         let buckets = &self.services[service];
@@ -82,7 +82,13 @@
         let known_share = (age.as_secs_f64() / bounds.window.as_secs_f64()).min(1.0);
         let burst = known_share * bounds.burst * burst_share;
         let allowed = USED_SHARE * (bounds.ratio * f64::from(requests) + burst);
-        let may_repeat = f64::from(repeats) + 1.0 <= allowed;
+        f64::from(repeats) + 1.0 <= allowed
+    }
+
+    /// Takes one repeated send if the budget allows it, given this gateway's share of the
+    /// burst.
+    pub fn try_retry(&mut self, service: &ServiceName, burst_share: f64, now: Instant) -> bool {
+        let may_repeat = self.allows_retry(service, burst_share, now);
         if may_repeat {
             self.bucket(service, now).repeats += 1;
         }
--- a/routing/src/fleet/silence.rs
+++ b/routing/src/fleet/silence.rs
@@ -59,9 +59,9 @@
     Intact,
     /// Requests are queued at its first engine, according to the engine's report.
     Queued,
-    /// A part did not answer for a moment, and may still go on.
+    /// A part does not answer, and may still go on.
     PartSilent,
-    /// A part has ended, or has been silent for too long.
+    /// A part has ended.
     PartLost,
 }
 
@@ -74,7 +74,7 @@
     ProbeParts,
     /// Ask the first engine of the path which part it waits for.
     QueryFirst,
-    /// Move the stream to another path if that is allowed and possible.
+    /// Move the stream to another path if that is allowed and possible, and else wait.
     Move,
     /// Give up the run.
     GiveUp,
@@ -86,9 +86,8 @@
         return SilenceAction::GiveUp;
     }
     let max_silence = stream.client_timeout.mul_f64(MAX_SILENCE_SHARE);
-    let is_moved = stream.path == PathState::PartSilent
-        || (stream.silence >= max_silence && stream.path != PathState::Queued);
-    if is_moved && stream.can_reroute {
+    let is_overdue = stream.silence >= max_silence && stream.path != PathState::Queued;
+    if stream.path == PathState::PartSilent || (is_overdue && stream.can_reroute) {
         return SilenceAction::Move;
     }
     let query_delay = query_delay(stream);
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -590,6 +590,28 @@
     assert!(!is_alive(refusing, 0));
 }
 
+/// Guards against giving up streams of an engine that was suspected for its silence and has
+/// gone on since.
+#[test]
+fn test_event_clears_an_earlier_suspicion_for_silence() {
+    let mut fleet = Fleet::with_copies(&["a", "b"]);
+    let (silent, ended) = (fleet.keys["a-0"], fleet.keys["b-0"]);
+    fleet.table.suspect(silent, Evidence::Silent, fleet.now);
+    fleet.table.suspect(ended, Evidence::Refused, fleet.now);
+    let mut cleared = |age_ms| {
+        let now = fleet.now + Duration::from_millis(age_ms);
+        fleet
+            .table
+            .note_alive([silent, ended].into_iter(), GAP, now)
+    };
+    // An event may have been under way when the engine was suspected.
+    assert!(cleared(5).is_empty());
+    assert_eq!(cleared(300).to_vec(), [(silent, fleet.now)]);
+    assert!(cleared(600).is_empty());
+    assert!(fleet.table.get(silent).unwrap().is_usable());
+    assert!(!fleet.table.get(ended).unwrap().is_usable());
+}
+
 /// Simulates a release: entries are removed while their upstreams still serve. The streams
 /// there must neither be given up nor counted as ended.
 #[test]
