--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -95,6 +95,9 @@
     pub is_busy: bool,
     /// Whether the engine is so slow that others should run its layers.
     pub is_slow: bool,
+    /// Whether the engine has not answered for a moment. It may go on, so its layers are not
+    /// missing, but it carries out no orders.
+    pub is_silent: bool,
     /// Whether the engine only finishes its current streams before it shuts down.
     pub is_leaving: bool,
 }
@@ -213,9 +216,9 @@
     /// Assigns the layers of slow engines to their neighbours as well, or else to engines
     /// whose own layers others hold.
     fn cover_slow_engines(&self, changes: &mut Vec<Placement>) {
-        let gaps = self.gaps(|engine| !engine.is_slow);
+        let gaps = self.gaps(|engine| !engine.is_slow && !engine.is_silent);
         let mut redundant = self.redundant_engines();
-        redundant.retain(|engine| !engine.is_slow);
+        redundant.retain(|engine| !engine.is_slow && !engine.is_silent);
         let mut planned = Vec::new();
         if self.fill_gaps(&gaps, &redundant, &mut planned) {
             // No layer is missing, so no stream has to be aborted.
@@ -548,7 +551,7 @@
     ) -> Option<(&PlacedEngine, LayerRange)> {
         let engines = self.engines.iter();
         engines
-            .filter(|engine| !engine.is_busy && !engine.is_slow)
+            .filter(|engine| !engine.is_busy && !engine.is_slow && !engine.is_silent)
             .filter(|engine| !has_order(changes, engine))
             .filter_map(|engine| Some((*engine, engine.layers?)))
             .filter(|(_, layers)| fits(*layers))
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -420,7 +420,8 @@
                 prompt_factor: accelerator.prompt_factor,
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
-                is_slow: tracked.slowdown() >= MIN_SLOW_FACTOR || is_silent(tracked),
+                is_slow: tracked.slowdown() >= MIN_SLOW_FACTOR,
+                is_silent: is_silent(tracked),
                 is_leaving: is_lingering
                     || instance.state == InstanceState::Draining
                     || tracked.leaving_since().is_some(),
