--- a/control/tests/test_placement_silence.rs
+++ b/control/tests/test_placement_silence.rs
@@ -111,6 +111,36 @@
     assert!(faults.is_empty(), "{} cases: {faults:?}", faults.len());
 }
 
+/// Guards against a repair that waits for a silent engine whose layers two others hold, also
+/// while all others carry out orders.
+#[test]
+fn test_silent_engine_of_a_third_copy_fills_no_gap() {
+    let memory = [36_000.0; 17];
+    let mut repairs = 0;
+    for silent in 0..memory.len() {
+        let mut fleet = settled(&memory);
+        assert_eq!(fleet.min_replicas("a"), 3);
+        silence(&mut fleet, silent);
+        fleet.engines.retain(|_, engine| {
+            engine.is_silent || !engine.layers.is_some_and(|held| held.contains(0))
+        });
+        let mut busy = Fleet {
+            engines: fleet.engines.clone(),
+        };
+        let answering = busy.engines.values_mut().filter(|engine| !engine.is_silent);
+        answering.for_each(|engine| engine.is_busy = true);
+        assert_eq!(busy.plan(), [], "{silent}");
+        let kept = answering_layers(&fleet);
+        let orders = fleet.plan();
+        assert_eq!(orders_to_silent(&fleet, &orders), 0, "{silent}");
+        fleet.step();
+        assert_eq!(missing_from(&answering_layers(&fleet), &kept), 0);
+        assert_eq!(held_layers(&fleet).len(), LAYERS as usize, "{silent}");
+        repairs += orders.len();
+    }
+    assert!(repairs > 0);
+}
+
 /// Guards against layers that remain at silent engines only, since each of two counted as a
 /// holder of the layers of others.
 #[test]
@@ -179,6 +209,24 @@
     assert_eq!(fleet.plan(), []);
 }
 
+/// Guards against too little memory for context in a new fleet: the memory of an engine that
+/// gets no layers counted for the number of copies.
+#[test]
+fn test_memory_of_a_silent_engine_makes_no_copy_in_a_new_fleet() {
+    let memory = [36_000.0; 11];
+    let mut fleet = Fleet::new(&[("a", &memory)]);
+    silence(&mut fleet, 0);
+    fleet.settle();
+    let held = fleet.engines.values().filter_map(|engine| engine.layers);
+    let held_mb = f64::from(held.map(|held| held.len()).sum::<u32>()) * LAYER_MB;
+    let answering_mb: f64 = memory[1..].iter().sum();
+    // A quarter of the memory is left for the context of the streams.
+    assert!(
+        held_mb <= 0.75 * answering_mb,
+        "{held_mb} of {answering_mb}"
+    );
+}
+
 /// Guards against a new engine that holds other layers a third time while a silent engine
 /// is the second holder of some.
 #[test]
