--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -76,6 +76,16 @@
 /// for that engine's next step.
 const STAGE_DELAY_MS: f64 = 0.5;
 
+/// Whether an engine answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// The engine answers, as far as is known.
+    Answering,
+    /// The engine has not answered for a moment. It may go on, so its layers are not missing,
+    /// but it carries out no orders.
+    Silent,
+}
+
 /// State of an engine, as input to the placement.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacedEngine {
@@ -95,13 +105,20 @@
     pub is_busy: bool,
     /// Whether the engine is so slow that others should run its layers.
     pub is_slow: bool,
-    /// Whether the engine has not answered for a moment. It may go on, so its layers are not
-    /// missing, but it carries out no orders.
-    pub is_silent: bool,
+    /// Whether the engine answers.
+    pub contact: Contact,
     /// Whether the engine only finishes its current streams before it shuts down.
     pub is_leaving: bool,
 }
 
+impl PlacedEngine {
+    /// Returns whether the engine has not answered for a moment.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.contact == Contact::Silent
+    }
+}
+
 /// An assignment of new layers to an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Placement {
@@ -216,9 +233,9 @@
     /// Assigns the layers of slow engines to their neighbours as well, or else to engines
     /// whose own layers others hold.
     fn cover_slow_engines(&self, changes: &mut Vec<Placement>) {
-        let gaps = self.gaps(|engine| !engine.is_slow && !engine.is_silent);
+        let gaps = self.gaps(|engine| !engine.is_slow && !engine.is_silent());
         let mut redundant = self.redundant_engines();
-        redundant.retain(|engine| !engine.is_slow && !engine.is_silent);
+        redundant.retain(|engine| !engine.is_slow && !engine.is_silent());
         let mut planned = Vec::new();
         if self.fill_gaps(&gaps, &redundant, &mut planned) {
             // No layer is missing, so no stream has to be aborted.
@@ -551,7 +568,7 @@
     ) -> Option<(&PlacedEngine, LayerRange)> {
         let engines = self.engines.iter();
         engines
-            .filter(|engine| !engine.is_busy && !engine.is_slow && !engine.is_silent)
+            .filter(|engine| !engine.is_busy && !engine.is_slow && !engine.is_silent())
             .filter(|engine| !has_order(changes, engine))
             .filter_map(|engine| Some((*engine, engine.layers?)))
             .filter(|(_, layers)| fits(*layers))
--- a/control/tests/placed_fleet/mod.rs
+++ b/control/tests/placed_fleet/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use jujubewall_control::placement::Contact;
 use jujubewall_control::placement::PlacedEngine;
 use jujubewall_control::placement::Placement;
 use jujubewall_control::placement::place;
@@ -69,7 +70,7 @@
             layers: None,
             is_busy: false,
             is_slow: false,
-            is_silent: false,
+            contact: Contact::Answering,
             is_leaving: false,
         };
         self.engines.insert(id.into(), engine);
--- a/control/tests/test_placement_silence.rs
+++ b/control/tests/test_placement_silence.rs
@@ -2,6 +2,7 @@
 
 mod placed_fleet;
 
+use jujubewall_control::placement::Contact;
 use jujubewall_control::placement::Placement;
 use jujubewall_testutils::engine_spec::LAYER_MB;
 use jujubewall_testutils::engine_spec::LAYERS;
@@ -43,13 +44,13 @@
 }
 
 fn silence(fleet: &mut Fleet, index: usize) {
-    fleet.engines.get_mut(&id(index)).unwrap().is_silent = true;
+    fleet.engines.get_mut(&id(index)).unwrap().contact = Contact::Silent;
 }
 
 /// Returns the layers that engines hold that answer.
 fn answering_layers(fleet: &Fleet) -> Vec<u32> {
     let is_held = |layer: &u32| {
-        let mut engines = fleet.engines.values().filter(|engine| !engine.is_silent);
+        let mut engines = fleet.engines.values().filter(|engine| !engine.is_silent());
         engines.any(|engine| engine.layers.is_some_and(|held| held.contains(*layer)))
     };
     (0..LAYERS).filter(is_held).collect()
@@ -66,7 +67,7 @@
 
 /// Returns whether the engines that answer have memory for a copy.
 fn can_hold_a_copy(fleet: &Fleet) -> bool {
-    let engines = fleet.engines.values().filter(|engine| !engine.is_silent);
+    let engines = fleet.engines.values().filter(|engine| !engine.is_silent());
     // A fifth of each engine stays free.
     let fitting: f64 = engines
         .map(|engine| (0.8 * engine.memory_mb / LAYER_MB).floor())
@@ -81,7 +82,7 @@
 
 /// Returns the orders of one planning round that silent engines get.
 fn orders_to_silent(fleet: &Fleet, orders: &[Placement]) -> usize {
-    let is_silent = |order: &&Placement| fleet.engines[&order.id].is_silent;
+    let is_silent = |order: &&Placement| fleet.engines[&order.id].is_silent();
     orders.iter().filter(is_silent).count()
 }
 
@@ -122,12 +123,15 @@
         assert_eq!(fleet.min_replicas("a"), 3);
         silence(&mut fleet, silent);
         fleet.engines.retain(|_, engine| {
-            engine.is_silent || !engine.layers.is_some_and(|held| held.contains(0))
+            engine.is_silent() || !engine.layers.is_some_and(|held| held.contains(0))
         });
         let mut busy = Fleet {
             engines: fleet.engines.clone(),
         };
-        let answering = busy.engines.values_mut().filter(|engine| !engine.is_silent);
+        let answering = busy
+            .engines
+            .values_mut()
+            .filter(|engine| !engine.is_silent());
         answering.for_each(|engine| engine.is_busy = true);
         assert_eq!(busy.plan(), [], "{silent}");
         let kept = answering_layers(&fleet);
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use jujubewall_control::placement::Contact;
 use jujubewall_control::placement::PlacedEngine;
 use jujubewall_control::placement::Placement;
 use jujubewall_control::placement::place;
@@ -421,7 +422,11 @@
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
                 is_slow: tracked.slowdown() >= MIN_SLOW_FACTOR,
-                is_silent: is_silent(tracked),
+                contact: if is_silent(tracked) {
+                    Contact::Silent
+                } else {
+                    Contact::Answering
+                },
                 is_leaving: is_lingering
                     || instance.state == InstanceState::Draining
                     || tracked.leaving_since().is_some(),
