placement: give no orders to silent engines and count them as no replicas

With one engine lost and another silent for a moment, the repair was ordered from the silent one, or from a sound engine whose layers then remained at the silent one only. With two silent engines, covering them left layers at silent engines only.

Cause: a silent engine was planned as a slow one. A slow engine carries out orders and counts as a holder of layers; a silent one may do neither for a second.

Silent engines keep a gap from being declared, so nothing is aborted for them, and their layers are covered as those of slow ones. Every other decision uses the engines that answer: spare engines, empty ones, replicas, neighbours, a new split, and the copies of a new fleet. An open order of a silent engine no longer holds off a new split, since its layers count as held already and the split gives it none.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -34,6 +34,10 @@
 //! Neighbours also take over the layers of an engine that has become slow, because every
 //! stream of its copy waits for it at each token.
 //!
+//! They also take over those of an engine that has not answered for a moment. Its layers are
+//! not missing, since it may go on, so no request is aborted for them. Until then it gets no
+//! orders and does not count as a holder of the layers of others.
+//!
 //! Alternatives are discussed in `docs/design/platform.md`.
 
 use std::collections::BTreeMap;
@@ -200,15 +204,13 @@
             return;
         }
         let empty: Vec<&PlacedEngine> = self
-            .engines
-            .iter()
+            .answering()
             .filter(|engine| engine.layers.is_none() && !engine.is_busy)
-            .copied()
             .collect();
         let gaps = self.gaps(|_| true);
         if gaps.is_empty() {
             self.assign_empty_engines(&empty, changes);
-            self.cover_slow_engines(changes);
+            self.cover_slow_and_silent_engines(changes);
             return;
         }
         let mut planned = Vec::new();
@@ -216,7 +218,7 @@
         free.extend(empty);
         let is_filled = self.fill_gaps(&gaps, &free, &mut planned);
         // Busy engines may be filling the gaps already.
-        let is_idle = self.engines.iter().all(|engine| !engine.is_busy);
+        let is_idle = self.answering().all(|engine| !engine.is_busy);
         let mut resplit_changes = Vec::new();
         if !is_filled && is_idle && self.resplit(&gaps, &mut resplit_changes) {
             planned = resplit_changes;
@@ -230,12 +232,12 @@
         changes.append(&mut planned);
     }
 
-    /// Assigns the layers of slow engines to their neighbours as well, or else to engines
-    /// whose own layers others hold.
-    fn cover_slow_engines(&self, changes: &mut Vec<Placement>) {
+    /// Assigns the layers of slow or silent engines to their neighbours as well, or else to
+    /// engines whose own layers others hold.
+    fn cover_slow_and_silent_engines(&self, changes: &mut Vec<Placement>) {
         let gaps = self.gaps(|engine| !engine.is_slow && !engine.is_silent());
         let mut redundant = self.redundant_engines();
-        redundant.retain(|engine| !engine.is_slow && !engine.is_silent());
+        redundant.retain(|engine| !engine.is_slow);
         let mut planned = Vec::new();
         if self.fill_gaps(&gaps, &redundant, &mut planned) {
             // No layer is missing, so no stream has to be aborted.
@@ -246,19 +248,25 @@
         }
     }
 
+    /// Returns the engines that are not silent, and so carry out orders.
+    fn answering(&self) -> impl Iterator<Item = &PlacedEngine> {
+        let engines = self.engines.iter().copied();
+        engines.filter(|engine| !engine.is_silent())
+    }
+
     /// Returns whether leaving engines still run all layers of a gap.
     fn is_covered_by_leaving(&self, gap: LayerRange) -> bool {
         let is_covered = |layer| self.leaving.iter().any(|layers| layers.contains(layer));
         (gap.first..gap.end).all(is_covered)
     }
 
-    /// Returns engines whose layers others hold as well.
+    /// Returns answering engines whose layers others of them hold as well.
     ///
     /// Each of them is still redundant after all before it have been reassigned.
     fn redundant_engines(&self) -> Vec<&PlacedEngine> {
         let mut replica_counts = self.replica_counts();
         let mut redundant = Vec::new();
-        for &engine in &self.engines {
+        for engine in self.answering() {
             let layers = self.layers_of(engine);
             let is_held_twice = !layers.is_empty()
                 && replica_counts[layers.clone()]
@@ -274,11 +282,11 @@
         redundant
     }
 
-    /// Splits one copy among all engines, keeping their current order by layers.
+    /// Splits one copy among all answering engines, keeping their current order by layers.
     ///
     /// Returns whether the copy fits.
     fn resplit(&self, gaps: &[LayerRange], changes: &mut Vec<Placement>) -> bool {
-        let mut engines = self.engines.clone();
+        let mut engines: Vec<&PlacedEngine> = self.answering().collect();
         let gap = gaps.first().map_or(0, |gap| gap.first);
         // Engines without layers are inserted at the first gap.
         engines.sort_by_key(|engine| {
@@ -302,17 +310,18 @@
         true
     }
 
-    /// Gives every engine its part of a copy, in proportion to its memory.
+    /// Gives every answering engine its part of a copy, in proportion to its memory.
     ///
     /// Every other copy is laid out in reverse order, so that several engines of another
     /// copy hold the layers of a lost engine. Each of them then prefills a part of the
     /// context of the moved streams, rather than one of them all of it.
     fn split_into_copies(&self, changes: &mut Vec<Placement>) {
         let whole = LayerRange::new(0, self.spec.layer_count);
+        let answering: Vec<&PlacedEngine> = self.answering().collect();
         for copy_count in (1..=self.max_copies()).rev() {
             let by_speed = self.distribute_by_speed(copy_count);
             let by_memory = (copy_count <= MAX_EVEN_COPIES)
-                .then(|| distribute_by_memory(&self.engines, copy_count));
+                .then(|| distribute_by_memory(&answering, copy_count));
             for mut distribution in [Some(by_speed), by_memory].into_iter().flatten() {
                 let mut planned = Vec::new();
                 let fits = distribution.iter_mut().enumerate().all(|(index, engines)| {
@@ -334,7 +343,7 @@
     ///
     /// With a single copy, the others get no layers.
     fn distribute_by_speed(&self, copy_count: usize) -> Vec<Vec<&PlacedEngine>> {
-        let mut by_speed = self.engines.clone();
+        let mut by_speed: Vec<&PlacedEngine> = self.answering().collect();
         // The sort is stable, so engines of equal speed stay ordered by memory.
         by_speed.sort_by(|a, b| self.stream_ms(a).total_cmp(&self.stream_ms(b)));
         let needed_mb = FAST_COPY_MEMORY_FACTOR * self.copy_mb();
@@ -367,10 +376,10 @@
         self.spec.layer_mb * f64::from(self.spec.layer_count)
     }
 
-    /// Returns the number of copies that leave enough memory for context.
+    /// Returns the number of copies that leave the answering engines enough memory for context.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn max_copies(&self) -> usize {
-        let memory_mb: f64 = self.engines.iter().map(|engine| engine.memory_mb).sum();
+        let memory_mb: f64 = self.answering().map(|engine| engine.memory_mb).sum();
         ((MAX_COPIES_SHARE * memory_mb / self.copy_mb()) as usize).max(1)
     }
 
@@ -507,10 +516,10 @@
         ((held + self.spec.layer_count / 2) / self.spec.layer_count).max(1)
     }
 
-    /// Returns the number of engines that hold each layer.
+    /// Returns the number of answering engines that hold each layer.
     fn replica_counts(&self) -> Vec<u32> {
         let mut replica_counts = vec![0_u32; self.spec.layer_count as usize];
-        for engine in &self.engines {
+        for engine in self.answering() {
             for layer in self.layers_of(engine) {
                 replica_counts[layer] += 1;
             }
@@ -559,18 +568,17 @@
         by_before + by_after == gap.len()
     }
 
-    /// Returns the engine with the most spare layers among those whose layers fit and that
-    /// have no order yet.
+    /// Returns the engine with the most spare layers among those that answer, whose layers
+    /// fit and that have no order yet.
     fn neighbour_with_most_capacity(
         &self,
         changes: &[Placement],
         fits: impl Fn(LayerRange) -> bool,
     ) -> Option<(&PlacedEngine, LayerRange)> {
-        let engines = self.engines.iter();
-        engines
-            .filter(|engine| !engine.is_busy && !engine.is_slow && !engine.is_silent())
+        self.answering()
+            .filter(|engine| !engine.is_busy && !engine.is_slow)
             .filter(|engine| !has_order(changes, engine))
-            .filter_map(|engine| Some((*engine, engine.layers?)))
+            .filter_map(|engine| Some((engine, engine.layers?)))
             .filter(|(_, layers)| fits(*layers))
             .max_by_key(|(engine, layers)| {
                 self.max_fair_layers(engine).saturating_sub(layers.len())
@@ -605,10 +613,10 @@
         }
     }
 
-    /// Returns the memory for context of each layer, summed over all engines.
+    /// Returns the memory for context of each layer, summed over all answering engines.
     fn context_mb_by_layer(&self) -> Vec<f64> {
         let mut context_mb = vec![0.0; self.spec.layer_count as usize];
-        for engine in &self.engines {
+        for engine in self.answering() {
             let Some(layers) = engine.layers else {
                 continue;
             };
