--- a/control/tests/test_placement_silence.rs
+++ b/control/tests/test_placement_silence.rs
@@ -222,7 +222,7 @@
     silence(&mut fleet, 0);
     fleet.settle();
     let held = fleet.engines.values().filter_map(|engine| engine.layers);
-    let held_mb = f64::from(held.map(|held| held.len()).sum::<u32>()) * LAYER_MB;
+    let held_mb = f64::from(held.map(LayerRange::len).sum::<u32>()) * LAYER_MB;
     let answering_mb: f64 = memory[1..].iter().sum();
     // A quarter of the memory is left for the context of the streams.
     assert!(
