--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use jujubewall_control::placement::Contact;
 use jujubewall_control::placement::PlacedEngine;
 use jujubewall_control::placement::Placement;
 use jujubewall_control::placement::place;
@@ -420,7 +421,12 @@
                 prompt_factor: accelerator.prompt_factor,
                 layers: order.map_or(instance.layers, |order| Some(order.layers)),
                 is_busy: order.is_some(),
-                is_slow: tracked.slowdown() >= MIN_SLOW_FACTOR || is_silent(tracked),
+                is_slow: tracked.slowdown() >= MIN_SLOW_FACTOR,
+                contact: if is_silent(tracked) {
+                    Contact::Silent
+                } else {
+                    Contact::Answering
+                },
                 is_leaving: is_lingering
                     || instance.state == InstanceState::Draining
                     || tracked.leaving_since().is_some(),
