--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -18,6 +18,8 @@
 const ANSWER_TOKENS: u32 = 40;
 /// The target for the longest time without a token.
 const MAX_STALL: Duration = Duration::from_secs(1);
+/// How long a sound engine may be silent and go on.
+const SILENCE: Duration = Duration::from_millis(1_200);
 /// Longer than any request of these tests takes.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(30);
 
@@ -251,6 +253,82 @@
     assert!(answer.ended_at.unwrap() - killed_at <= MAX_STALL);
 }
 
+/// Freezes agents for [`SILENCE`] after the tenth token, and checks that the answer goes on
+/// and that no position ran again at an agent that was not frozen.
+fn check_silence(settings: NetworkSettings, silent: &[usize]) {
+    let mut network = started(settings);
+    run_until_tokens(&mut network, 10);
+    for &agent in silent {
+        network.freeze(agent);
+    }
+    network.run(SILENCE, |_| false);
+    for &agent in silent {
+        network.thaw(agent);
+    }
+    run_until_tokens(&mut network, 0);
+    println!("{silent:?} silent: {:?}", longest_gap(&network));
+    assert_complete(&network);
+    assert!(longest_gap(&network) <= SILENCE + MAX_STALL);
+    for agent in (0..3).filter(|agent| !silent.contains(agent)) {
+        assert_eq!(rerun_count(&network, agent), 0);
+    }
+}
+
+/// An answer was cut half a second into a silence of the only engines of one stage.
+#[test]
+fn test_answer_goes_on_after_all_replicas_of_a_stage_were_silent() {
+    for stage in 0..3 {
+        check_silence(settings(), &[stage, stage + 3]);
+    }
+}
+
+/// An answer was cut during a silence of the only pipeline.
+#[test]
+fn test_answer_goes_on_after_the_only_pipeline_was_silent() {
+    let mut settings = settings();
+    settings.replicas = 1;
+    check_silence(settings, &[0, 1, 2]);
+}
+
+/// An answer was cut half a second into a silence of the only engine of one stage.
+#[test]
+fn test_answer_goes_on_after_the_only_engine_of_a_stage_was_silent() {
+    for stage in 0..3 {
+        let mut settings = settings();
+        settings.replicas = 1;
+        check_silence(settings, &[stage]);
+    }
+}
+
+/// The route timeout was not waited for when no route was found at once.
+#[test]
+fn test_silent_stage_is_kept_for_the_route_timeout() {
+    for stage in 0..3 {
+        let mut settings = settings();
+        settings.replicas = 1;
+        settings.entry.route_timeout_ms = 2_000;
+        check_silence(settings, &[stage]);
+    }
+}
+
+/// A stream that waits for silent engines goes on with the first one that answers.
+#[test]
+fn test_answer_goes_on_when_one_of_the_silent_replicas_answers() {
+    for dead in [1, 4] {
+        let mut settings = settings();
+        settings.entry.route_timeout_ms = 2_000;
+        let mut network = started(settings);
+        run_until_tokens(&mut network, 10);
+        network.freeze(1);
+        network.freeze(4);
+        network.run(SILENCE, |_| false);
+        network.thaw(5 - dead);
+        run_until_tokens(&mut network, 0);
+        assert_complete(&network);
+        assert_eq!(rerun_count(&network, 0) + rerun_count(&network, 2), 0);
+    }
+}
+
 #[test]
 fn test_retention_limit_falls_back_to_rerun() {
     let mut settings = settings();
