routing: tests of an entry that keeps a silent pipeline, failing

An engine that is silent behind a live agent, and a replacement that refuses a stream whose stage is silent, end the stream in the same way.

--- a/routing/tests/test_stream_recovery.rs
+++ b/routing/tests/test_stream_recovery.rs
@@ -300,6 +300,25 @@
     }
 }
 
+/// An answer was cut 0.4 s into a silence of the only engine of one stage, though its
+/// agent answered.
+#[test]
+fn test_answer_goes_on_after_the_only_engine_behind_a_live_agent_was_silent() {
+    for stage in 0..3 {
+        let mut settings = settings();
+        settings.replicas = 1;
+        let mut network = started(settings);
+        run_until_tokens(&mut network, 10);
+        network.silence_engine(stage, SILENCE);
+        run_until_tokens(&mut network, 0);
+        assert_complete(&network);
+        assert!(longest_gap(&network) <= SILENCE + MAX_STALL);
+        for agent in 0..3 {
+            assert_eq!(rerun_count(&network, agent), 0);
+        }
+    }
+}
+
 /// The route timeout was not waited for when no route was found at once.
 #[test]
 fn test_silent_stage_is_kept_for_the_route_timeout() {
--- a/testutils/src/stream_network/engine_host.rs
+++ b/testutils/src/stream_network/engine_host.rs
@@ -175,7 +175,7 @@
         encode_tokens(&[token | (self.last_sample << FOLD_TOKEN_BITS)])
     }
 
-    fn occupy(&mut self, now: Instant, duration: Duration) -> Instant {
+    pub(super) fn occupy(&mut self, now: Instant, duration: Duration) -> Instant {
         let start = self.busy_until.map_or(now, |end| end.max(now));
         let end = start + duration;
         self.busy_until = Some(end);
--- a/testutils/src/stream_network/faults.rs
+++ b/testutils/src/stream_network/faults.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Keeps an agent's engine from beginning steps for `silence`; the agent answers.
+    pub fn silence_engine(&mut self, agent: usize, silence: Duration) {
+        self.agents[agent].engine.occupy(self.now, silence);
+    }
+
     /// Drops all messages between two agents, or an agent and every entry, until
     /// [`Self::heal`] is called.
     pub fn cut(&mut self, agent: usize, other: Option<usize>) {
