entry: keep a silent pipeline while there is no other

Callers saw streams fail half a second into a silence of a stage that then went on, because the entry let go of the pipeline before a route was found, and failed the stream on the first answer that there is none. An agent's report that its engine has not answered in time, and a replacement that refused the stream, led to the same end.

A loss is now either certain (refused, failed, unknown to its agent) or a silence. After a silence without another route the stages of the same route are opened for a new attempt: they keep their caches, what they send late for earlier attempts is dropped, and tokens that the entry missed are reported when a stage opens. A route is asked for again every second round; the stream fails after the route timeout without an answer from every agent. While the agents answer and only an engine is silent, the time does not run; the number of losses without a token still bounds it.

Ruled out: a longer route timeout by default.

--- a/routing/src/stream/agent/handlers.rs
+++ b/routing/src/stream/agent/handlers.rs
@@ -298,7 +298,7 @@
             .step_deadline()
             .is_some_and(|deadline| now >= deadline)
         {
-            stage.fail("the engine did not answer in time", &mut self.effects);
+            stage.time_out(&mut self.effects);
         }
         if matches!(stage.phase, Phase::AwaitingCache { deadline } if now >= deadline) {
             stage.fail("the cache did not come in time", &mut self.effects);
--- a/routing/src/stream/agent/stage/mod.rs
+++ b/routing/src/stream/agent/stage/mod.rs
@@ -216,11 +216,23 @@
 
     /// Marks the stage as failed in this attempt, and reports it to the entry.
     pub fn fail(&mut self, message: &str, effects: &mut Effects) {
+        let failure = Failure::new(ErrorKind::StreamLost, message);
+        self.report_failure(failure, effects);
+    }
+
+    /// Reports to the entry that the engine has not answered in time, but may still.
+    pub fn time_out(&mut self, effects: &mut Effects) {
+        let message = "the engine did not answer in time";
+        let failure = Failure::new(ErrorKind::OutcomeUnknown, message);
+        self.report_failure(failure, effects);
+    }
+
+    fn report_failure(&mut self, failure: Failure, effects: &mut Effects) {
         self.phase = Phase::Failed;
         let failed = StageFailed {
             id: self.open.id,
             stage: self.open.stage,
-            failure: Failure::new(ErrorKind::StreamLost, message),
+            failure,
         };
         effects.send(self.open.entry_address, StreamMessage::Failed(failed));
     }
--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -22,6 +22,7 @@
 use crate::stream::entry::recovery::fail;
 use crate::stream::entry::recovery::recover;
 use crate::stream::entry::stream::CommittedTokens;
+use crate::stream::entry::stream::Loss;
 use crate::stream::entry::stream::Phase;
 use crate::stream::entry::stream::Stream;
 use crate::stream::entry::stream::stage_index;
@@ -35,6 +36,10 @@
 /// not opened counts as lost.
 const MAX_SLOW_OPEN_ROUNDS: u32 = 16;
 
+/// The number of `Open` rounds after which another route is asked for again while the
+/// stream keeps a silent pipeline.
+const KEPT_ROUTE_RETRY_ROUNDS: u32 = 2;
+
 /// The reciprocal of the newest token gap's weight in the moving average.
 const GAP_WEIGHT_DIVISOR: u32 = 8;
 
@@ -52,7 +57,11 @@
         StreamMessage::Token(token) => on_token(now, stream, &token, settings, effects),
         StreamMessage::Refused(refused) => on_refused(now, stream, refused, settings, effects),
         StreamMessage::Failed(failed) if usize::from(failed.stage) < stream.route.len() => {
-            recover(now, stream, &[failed.stage], true, settings, effects);
+            let loss = match failed.failure.kind {
+                ErrorKind::OutcomeUnknown => Loss::EngineSilent,
+                _ => Loss::Certain,
+            };
+            recover(now, stream, &[failed.stage], true, loss, settings, effects);
         }
         StreamMessage::Progress(progress) => {
             record_activity(stream, &progress);
@@ -168,7 +177,8 @@
     if !stream.excluded_upstreams.contains(&upstream) {
         stream.excluded_upstreams.push(upstream);
     }
-    recover(now, stream, &[refused.stage], false, settings, effects);
+    let lost = [refused.stage];
+    recover(now, stream, &lost, false, Loss::Certain, settings, effects);
 }
 
 fn on_token(
@@ -206,8 +216,11 @@
     let request = stream.id();
     stream.last_token = now;
     stream.losses_since_token = 0;
+    stream.silent_route = None;
+    stream.kept = None;
     if let Some(stall) = stream.stall.take() {
         stream.excluded_upstreams.clear();
+        stream.silent_upstreams.clear();
         effects.observe(Observation::Recovered {
             request,
             stall: now.saturating_duration_since(stall.since),
@@ -251,9 +264,11 @@
     effects: &mut Effects,
 ) {
     match &mut stream.phase {
-        Phase::Rerouting { .. } => match route {
+        &mut Phase::Rerouting { loss, .. } => match route {
             Ok(route) => recovery::open_attempt(now, stream, route, None, settings, effects),
-            Err(failure) => fail(stream, failure, settings, effects),
+            Err(failure) => {
+                recovery::keep_or_fail(now, stream, loss, failure, settings, effects);
+            }
         },
         Phase::Running(detection) => {
             let migrating_stage = detection.migrating_stage.take();
@@ -284,9 +299,10 @@
         Phase::Running(detection) if now >= detection.due => {
             probe::check_stall(now, stream, settings, effects);
         }
-        Phase::Rerouting { deadline } if now >= *deadline => {
-            let failure = Failure::new(ErrorKind::NoUpstream, "no route was found in time");
-            fail(stream, failure, settings, effects);
+        Phase::Rerouting { deadline, loss } if now >= *deadline => {
+            let (loss, message) = (*loss, "no route was found in time");
+            let failure = Failure::new(ErrorKind::NoUpstream, message);
+            recovery::keep_or_fail(now, stream, loss, failure, settings, effects);
         }
         _ => {}
     }
@@ -299,10 +315,15 @@
     settings: &EntrySettings,
     effects: &mut Effects,
 ) {
+    let due = recovery::open_due(now, stream, settings);
     let Phase::Opening(opening) = &mut stream.phase else {
         return;
     };
     let rounds = opening.rounds;
+    let max_slow_rounds = match stream.kept {
+        Some(_) => KEPT_ROUTE_RETRY_ROUNDS,
+        None => MAX_SLOW_OPEN_ROUNDS,
+    };
     let is_missing = |&(_, held): &(usize, &Option<_>)| held.is_none();
     let missing = opening.held.iter().enumerate().filter(is_missing);
     let missing: SmallVec<[u8; 4]> = missing.map(|(index, _)| stage_index(index)).collect();
@@ -310,11 +331,19 @@
         None => true,
         // Admission admits or refuses the stage before the request deadline.
         Some(StageActivity::Queued) => false,
-        Some(_) => rounds >= MAX_SLOW_OPEN_ROUNDS,
+        Some(_) => rounds >= max_slow_rounds,
     };
     let lost: SmallVec<[u8; 4]> = missing.iter().copied().filter(is_lost).collect();
-    if rounds >= MAX_SILENT_OPEN_ROUNDS && !lost.is_empty() {
-        recover(now, stream, &lost, true, settings, effects);
+    let is_silent = |stage: &u8| opening.activities[usize::from(*stage)].is_none();
+    let loss = if lost.iter().any(is_silent) {
+        Loss::Silent
+    } else {
+        Loss::EngineSilent
+    };
+    let kept_until = stream.kept.and_then(|kept| kept.deadline);
+    let is_kept_too_long = kept_until == Some(opening.due);
+    if !lost.is_empty() && (rounds >= MAX_SILENT_OPEN_ROUNDS || is_kept_too_long) {
+        recover(now, stream, &lost, true, loss, settings, effects);
         return;
     }
     if rounds >= MAX_SILENT_OPEN_ROUNDS
@@ -326,7 +355,7 @@
         opening.source = None;
     }
     opening.rounds += 1;
-    opening.due = now + settings.open_timeout();
+    opening.due = due;
     opening.activities.fill(None);
     recovery::send_quiesce(opening, effects);
     let resumes = recovery::is_resumable(stream, settings);
--- a/routing/src/stream/entry/mod.rs
+++ b/routing/src/stream/entry/mod.rs
@@ -31,6 +31,7 @@
 use crate::stream::action::EntryAction;
 use crate::stream::entry::effects::Effects;
 use crate::stream::entry::recovery::open_attempt;
+use crate::stream::entry::stream::Loss;
 use crate::stream::entry::stream::Phase;
 use crate::stream::entry::stream::Stream;
 use crate::stream::entry::stream::stage_index;
@@ -170,7 +171,8 @@
         for request in self.requests_through(peer) {
             if let Some(stream) = self.streams.get_mut(&request) {
                 let lost = stages_at(stream, peer);
-                recovery::recover(now, stream, &lost, true, &self.settings, &mut self.effects);
+                let (settings, effects) = (&self.settings, &mut self.effects);
+                recovery::recover(now, stream, &lost, true, Loss::Silent, settings, effects);
                 self.rearm_or_remove(now, request);
             }
         }
--- a/routing/src/stream/entry/probe.rs
+++ b/routing/src/stream/entry/probe.rs
@@ -10,6 +10,7 @@
 
 use crate::stream::entry::effects::Effects;
 use crate::stream::entry::recovery::recover;
+use crate::stream::entry::stream::Loss;
 use crate::stream::entry::stream::Phase;
 use crate::stream::entry::stream::StallDetection;
 use crate::stream::entry::stream::Stream;
@@ -45,7 +46,7 @@
         MAX_PROBE_ROUNDS
     };
     if detection.rounds >= max_rounds {
-        recover(now, stream, &silent, true, settings, effects);
+        recover(now, stream, &silent, true, Loss::Silent, settings, effects);
         return;
     }
     detection.rounds += 1;
@@ -111,7 +112,15 @@
     let unknown = answers.iter().filter(is_unknown);
     let unknown: SmallVec<[u8; 4]> = unknown.map(|answer| answer.stage).collect();
     if !unknown.is_empty() {
-        recover(now, stream, &unknown, false, settings, effects);
+        recover(
+            now,
+            stream,
+            &unknown,
+            false,
+            Loss::Certain,
+            settings,
+            effects,
+        );
         return;
     }
     let Some(starved) = starved_stage(stream, answers) else {
@@ -123,7 +132,7 @@
     detection.record_repair();
     if detection.repairs > settings.max_repairs {
         let lost = stage_to_replace(stream, starved.stage);
-        recover(now, stream, &[lost], true, settings, effects);
+        recover(now, stream, &[lost], true, Loss::Silent, settings, effects);
     } else {
         resend_input(stream, starved, settings, effects);
     }
--- a/routing/src/stream/entry/recovery.rs
+++ b/routing/src/stream/entry/recovery.rs
@@ -14,6 +14,7 @@
 use jujubewall_types::error::Failure;
 use jujubewall_types::error::RetryAdvice;
 use jujubewall_types::id::Attempt;
+use log::debug;
 use smallvec::SmallVec;
 use smallvec::smallvec;
 use tokio::time::Instant;
@@ -26,6 +27,8 @@
 use crate::stream::entry::plan::ResumableState;
 use crate::stream::entry::plan::StagePlan;
 use crate::stream::entry::plan::plan_resume;
+use crate::stream::entry::stream::KeptPipeline;
+use crate::stream::entry::stream::Loss;
 use crate::stream::entry::stream::MigrationSource;
 use crate::stream::entry::stream::Opening;
 use crate::stream::entry::stream::Phase;
@@ -41,13 +44,15 @@
 
 /// Requests a route that replaces the stages in `lost`.
 ///
-/// Excludes their upstreams from further routes if `excludes_lost` is set. Fails the
-/// stream after [`EntrySettings::max_attempts`] losses without a new token.
+/// Excludes their upstreams from further routes if `excludes_lost` is set. The stream can
+/// return to the present route unless its loss is certain. Fails the stream after
+/// [`EntrySettings::max_attempts`] losses without a new token.
 pub fn recover(
     now: Instant,
     stream: &mut Stream,
     lost: &[u8],
     excludes_lost: bool,
+    loss: Loss,
     settings: &EntrySettings,
     effects: &mut Effects,
 ) {
@@ -55,8 +60,9 @@
         return;
     }
     if excludes_lost {
-        exclude(stream, lost, effects);
+        exclude(stream, lost, loss, effects);
     }
+    note_silent_route(stream, lost, loss);
     stream.losses_since_token += 1;
     if stream.losses_since_token >= settings.max_attempts {
         let failure = Failure::new(ErrorKind::StreamLost, "too many stages were lost");
@@ -70,11 +76,79 @@
     });
     stream.phase = Phase::Rerouting {
         deadline: now + settings.route_timeout(),
+        loss,
     };
     request_route(stream, lost, effects);
 }
 
-fn exclude(stream: &mut Stream, lost: &[u8], effects: &mut Effects) {
+/// Notes the present route if it may go on, or forgets an earlier one that has ended.
+///
+/// A replacement that has ended says nothing about the stage that it was to replace.
+fn note_silent_route(stream: &mut Stream, lost: &[u8], loss: Loss) {
+    if loss != Loss::Certain {
+        stream.silent_route = Some(stream.route.clone());
+        return;
+    }
+    let is_lost = |kept: &RouteStage| {
+        let mut lost = lost.iter().map(|&index| &stream.route[usize::from(index)]);
+        lost.any(|stage| stage.upstream == kept.upstream)
+    };
+    if stream
+        .silent_route
+        .as_ref()
+        .is_some_and(|route| route.iter().any(is_lost))
+    {
+        stream.silent_route = None;
+    }
+}
+
+/// Returns to the pipeline with the silent stages, or fails the stream if there is none
+/// or it was kept for the route timeout.
+///
+/// Its stages are opened for a new attempt, so that what they send late for earlier ones
+/// is dropped, and what they have computed is kept. The silent upstreams may be chosen
+/// again, since any of them may be the first to go on.
+pub fn keep_or_fail(
+    now: Instant,
+    stream: &mut Stream,
+    loss: Loss,
+    failure: Failure,
+    settings: &EntrySettings,
+    effects: &mut Effects,
+) {
+    let earlier = stream.kept.and_then(|kept| kept.deadline);
+    let deadline = match loss {
+        Loss::EngineSilent => None,
+        Loss::Certain | Loss::Silent => earlier.or(Some(now + settings.route_timeout())),
+    };
+    let is_over = deadline.is_some_and(|deadline| now >= deadline);
+    let Some(route) = stream.silent_route.clone().filter(|_| !is_over) else {
+        fail(stream, failure, settings, effects);
+        return;
+    };
+    debug!(
+        "event=pipeline_kept request={} loss={loss:?} reason=\"{}\"",
+        stream.id(),
+        failure.message
+    );
+    stream.kept = Some(KeptPipeline { deadline });
+    let silent = std::mem::take(&mut stream.silent_upstreams);
+    stream
+        .excluded_upstreams
+        .retain(|upstream| !silent.contains(upstream));
+    open_attempt(now, stream, route, None, settings, effects);
+}
+
+/// Returns when the next round of opening stages ends, at the latest when a kept pipeline
+/// has been silent for too long.
+pub fn open_due(now: Instant, stream: &Stream, settings: &EntrySettings) -> Instant {
+    let due = now + settings.open_timeout();
+    let deadline = stream.kept.and_then(|kept| kept.deadline);
+    let deadline = deadline.filter(|deadline| *deadline > now);
+    deadline.map_or(due, |deadline| due.min(deadline))
+}
+
+fn exclude(stream: &mut Stream, lost: &[u8], loss: Loss, effects: &mut Effects) {
     for &index in lost {
         let stage = stream.route[usize::from(index)].clone();
         effects.observe(Observation::StageLost {
@@ -82,6 +156,9 @@
             agent_address: stage.agent_address,
         });
         if !stream.excluded_upstreams.contains(&stage.upstream) {
+            if loss != Loss::Certain {
+                stream.silent_upstreams.push(stage.upstream.clone());
+            }
             stream.excluded_upstreams.push(stage.upstream);
         }
     }
@@ -142,7 +219,7 @@
         activities: smallvec![None; stream.route.len()],
         source: source.and_then(|stage| migration_source(stream, &old_route, stage)),
         old_route,
-        due: now + settings.open_timeout(),
+        due: open_due(now, stream, settings),
         rounds: 1,
     };
     stream.send_opens(now, resumes, |_| true, effects);
@@ -201,6 +278,9 @@
     if awaits_source || opening.held.iter().any(Option::is_none) {
         return;
     }
+    if let Some(kept) = &mut stream.kept {
+        kept.deadline = None;
+    }
     let detection = StallDetection::new(now + settings.stall());
     let phase = std::mem::replace(&mut stream.phase, Phase::Running(detection));
     let Phase::Opening(opening) = phase else {
--- a/routing/src/stream/entry/stream.rs
+++ b/routing/src/stream/entry/stream.rs
@@ -43,11 +43,31 @@
     Rerouting {
         /// When the stream fails if no route has been chosen.
         deadline: Instant,
+        /// How certain it is that the present pipeline has ended.
+        loss: Loss,
     },
     /// The stream has ended and is about to be removed.
     Ended,
 }
 
+/// How certain the loss of a stage is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Loss {
+    /// The stage refused, failed, or doesn't know the stream.
+    Certain,
+    /// The stage may go on: its agent or the way to it is silent.
+    Silent,
+    /// The stage may go on: its agent answers, and its engine is silent.
+    EngineSilent,
+}
+
+/// A pipeline that the stream keeps, because no other is available and it may go on.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptPipeline {
+    /// When the stream fails if a stage is still silent; `None` while all agents answer.
+    pub deadline: Option<Instant>,
+}
+
 /// The state of opening the stages of a new attempt.
 #[derive(Clone, Debug)]
 pub struct Opening {
@@ -171,6 +191,13 @@
     pub resumes: SmallVec<[ResumeStage; 4]>,
     /// The upstreams that new routes must not use.
     pub excluded_upstreams: SmallVec<[UpstreamName; 2]>,
+    /// The upstreams among the excluded ones that may go on.
+    pub silent_upstreams: SmallVec<[UpstreamName; 2]>,
+    /// The last route since the last token that a silent stage interrupted, unless it is
+    /// certain to have ended.
+    pub silent_route: Option<Route>,
+    /// The pipeline that is kept for lack of another, until the next token.
+    pub kept: Option<KeptPipeline>,
     /// The number of delivered tokens.
     pub delivered: u32,
     /// The moving average of the time between tokens, once there were two.
@@ -199,9 +226,15 @@
             attempt_known_tokens: 0,
             route: request.route.clone(),
             history: AttemptHistory::default(),
-            phase: Phase::Rerouting { deadline: now },
+            phase: Phase::Rerouting {
+                deadline: now,
+                loss: Loss::Certain,
+            },
             resumes: SmallVec::new(),
             excluded_upstreams: SmallVec::new(),
+            silent_upstreams: SmallVec::new(),
+            silent_route: None,
+            kept: None,
             delivered: 0,
             mean_gap: None,
             last_token: now,
@@ -249,7 +282,7 @@
         let due = match &self.phase {
             Phase::Opening(opening) => opening.due,
             Phase::Running(detection) => detection.due,
-            Phase::Rerouting { deadline } => *deadline,
+            Phase::Rerouting { deadline, .. } => *deadline,
             Phase::Ended => return None,
         };
         Some(due.min(self.request.deadline))
--- a/routing/src/stream/settings.rs
+++ b/routing/src/stream/settings.rs
@@ -30,7 +30,8 @@
     pub probe_timeout_ms: u64,
     /// The time after which stages of a new attempt that have not opened are asked again.
     pub open_timeout_ms: u64,
-    /// The time without a route after which a stream fails.
+    /// The time without a route after which a stream fails, and for which it keeps a pipeline
+    /// with a silent stage for lack of another.
     pub route_timeout_ms: u64,
     /// The number of repairs after which one more stall makes a stage count as lost.
     pub max_repairs: u32,
