--- a/routing/src/stream/entry/handlers.rs
+++ b/routing/src/stream/entry/handlers.rs
@@ -57,11 +57,11 @@
         StreamMessage::Token(token) => on_token(now, stream, &token, settings, effects),
         StreamMessage::Refused(refused) => on_refused(now, stream, refused, settings, effects),
         StreamMessage::Failed(failed) if usize::from(failed.stage) < stream.route.len() => {
-            let loss = match failed.failure.kind {
+            let cause = match failed.failure.kind {
                 ErrorKind::OutcomeUnknown => Loss::EngineSilent,
                 _ => Loss::Certain,
             };
-            recover(now, stream, &[failed.stage], true, loss, settings, effects);
+            recover(now, stream, &[failed.stage], true, cause, settings, effects);
         }
         StreamMessage::Progress(progress) => {
             record_activity(stream, &progress);
@@ -264,10 +264,10 @@
     effects: &mut Effects,
 ) {
     match &mut stream.phase {
-        &mut Phase::Rerouting { loss, .. } => match route {
+        &mut Phase::Rerouting { cause, .. } => match route {
             Ok(route) => recovery::open_attempt(now, stream, route, None, settings, effects),
             Err(failure) => {
-                recovery::keep_or_fail(now, stream, loss, failure, settings, effects);
+                recovery::keep_or_fail(now, stream, cause, failure, settings, effects);
             }
         },
         Phase::Running(detection) => {
@@ -299,10 +299,10 @@
         Phase::Running(detection) if now >= detection.due => {
             probe::check_stall(now, stream, settings, effects);
         }
-        Phase::Rerouting { deadline, loss } if now >= *deadline => {
-            let (loss, message) = (*loss, "no route was found in time");
+        Phase::Rerouting { deadline, cause } if now >= *deadline => {
+            let (cause, message) = (*cause, "no route was found in time");
             let failure = Failure::new(ErrorKind::NoUpstream, message);
-            recovery::keep_or_fail(now, stream, loss, failure, settings, effects);
+            recovery::keep_or_fail(now, stream, cause, failure, settings, effects);
         }
         _ => {}
     }
@@ -335,7 +335,7 @@
     };
     let lost: SmallVec<[u8; 4]> = missing.iter().copied().filter(is_lost).collect();
     let is_silent = |stage: &u8| opening.activities[usize::from(*stage)].is_none();
-    let loss = if lost.iter().any(is_silent) {
+    let cause = if lost.iter().any(is_silent) {
         Loss::Silent
     } else {
         Loss::EngineSilent
@@ -343,7 +343,7 @@
     let kept_until = stream.kept.and_then(|kept| kept.deadline);
     let is_kept_too_long = kept_until == Some(opening.due);
     if !lost.is_empty() && (rounds >= MAX_SILENT_OPEN_ROUNDS || is_kept_too_long) {
-        recover(now, stream, &lost, true, loss, settings, effects);
+        recover(now, stream, &lost, true, cause, settings, effects);
         return;
     }
     if rounds >= MAX_SILENT_OPEN_ROUNDS
--- a/routing/src/stream/entry/recovery.rs
+++ b/routing/src/stream/entry/recovery.rs
@@ -52,7 +52,7 @@
     stream: &mut Stream,
     lost: &[u8],
     excludes_lost: bool,
-    loss: Loss,
+    cause: Loss,
     settings: &EntrySettings,
     effects: &mut Effects,
 ) {
@@ -60,9 +60,9 @@
         return;
     }
     if excludes_lost {
-        exclude(stream, lost, loss, effects);
+        exclude(stream, lost, cause, effects);
     }
-    note_silent_route(stream, lost, loss);
+    note_silent_route(stream, lost, cause);
     stream.losses_since_token += 1;
     if stream.losses_since_token >= settings.max_attempts {
         let failure = Failure::new(ErrorKind::StreamLost, "too many stages were lost");
@@ -76,7 +76,7 @@
     });
     stream.phase = Phase::Rerouting {
         deadline: now + settings.route_timeout(),
-        loss,
+        cause,
     };
     request_route(stream, lost, effects);
 }
@@ -84,8 +84,8 @@
 /// Notes the present route if it may go on, or forgets an earlier one that has ended.
 ///
 /// A replacement that has ended says nothing about the stage that it was to replace.
-fn note_silent_route(stream: &mut Stream, lost: &[u8], loss: Loss) {
-    if loss != Loss::Certain {
+fn note_silent_route(stream: &mut Stream, lost: &[u8], cause: Loss) {
+    if cause != Loss::Certain {
         stream.silent_route = Some(stream.route.clone());
         return;
     }
@@ -111,13 +111,13 @@
 pub fn keep_or_fail(
     now: Instant,
     stream: &mut Stream,
-    loss: Loss,
+    cause: Loss,
     failure: Failure,
     settings: &EntrySettings,
     effects: &mut Effects,
 ) {
     let earlier = stream.kept.and_then(|kept| kept.deadline);
-    let deadline = match loss {
+    let deadline = match cause {
         Loss::EngineSilent => None,
         Loss::Certain | Loss::Silent => earlier.or(Some(now + settings.route_timeout())),
     };
@@ -127,7 +127,7 @@
         return;
     };
     debug!(
-        "event=pipeline_kept request={} loss={loss:?} reason=\"{}\"",
+        "event=pipeline_kept request={} cause={cause:?} reason=\"{}\"",
         stream.id(),
         failure.message
     );
@@ -148,7 +148,7 @@
     deadline.map_or(due, |deadline| due.min(deadline))
 }
 
-fn exclude(stream: &mut Stream, lost: &[u8], loss: Loss, effects: &mut Effects) {
+fn exclude(stream: &mut Stream, lost: &[u8], cause: Loss, effects: &mut Effects) {
     for &index in lost {
         let stage = stream.route[usize::from(index)].clone();
         effects.observe(Observation::StageLost {
@@ -156,7 +156,7 @@
             agent_address: stage.agent_address,
         });
         if !stream.excluded_upstreams.contains(&stage.upstream) {
-            if loss != Loss::Certain {
+            if cause != Loss::Certain {
                 stream.silent_upstreams.push(stage.upstream.clone());
             }
             stream.excluded_upstreams.push(stage.upstream);
--- a/routing/src/stream/entry/stream.rs
+++ b/routing/src/stream/entry/stream.rs
@@ -44,7 +44,7 @@
         /// When the stream fails if no route has been chosen.
         deadline: Instant,
         /// How certain it is that the present pipeline has ended.
-        loss: Loss,
+        cause: Loss,
     },
     /// The stream has ended and is about to be removed.
     Ended,
@@ -228,7 +228,7 @@
             history: AttemptHistory::default(),
             phase: Phase::Rerouting {
                 deadline: now,
-                loss: Loss::Certain,
+                cause: Loss::Certain,
             },
             resumes: SmallVec::new(),
             excluded_upstreams: SmallVec::new(),
