--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -23,8 +23,10 @@
 mod probe;
 mod request;
 mod run;
+mod run_fault;
 mod state;
 mod stream;
+mod stream_head;
 mod upstreams;
 
 use std::path::Path;
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -1,6 +1,5 @@
 //! One run of a stream: one attempt to get its events from one path of engines.
 
-use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -15,11 +14,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Body as _;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::TRANSFER_ENCODING;
 use jujubewall_platform::site::headers;
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::repath_order;
@@ -27,7 +22,6 @@
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::TrackedInstance;
-use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathRequest;
 use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
@@ -51,7 +45,14 @@
 use crate::gateway::poison::RunParts;
 use crate::gateway::probe;
 use crate::gateway::request::ClientRequest;
+use crate::gateway::run_fault::BreakCause;
+use crate::gateway::run_fault::BrokenRun;
+use crate::gateway::run_fault::FailedAnswer;
+use crate::gateway::run_fault::RunFault;
 use crate::gateway::state::Gateway;
+use crate::gateway::stream_head::Framing;
+use crate::gateway::stream_head::framing;
+use crate::gateway::stream_head::is_event_stream;
 use crate::gateway::upstreams::Connection;
 use crate::gateway::upstreams::SendFault;
 
@@ -70,110 +71,9 @@
 /// The largest failure answer that is read to be passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 256 * 1024;
 
-/// The content type of a stream of events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
-/// The reason why a run ended without completing its stream.
-pub enum RunFault {
-    /// There is no path, so nothing was sent.
-    NoPath(NoPath),
-    /// The request has no time left, so nothing was sent.
-    NoTime,
-    /// A part of the prompt crashes engines, so nothing was sent.
-    PartCrashes,
-    /// The first engine accepted no connection.
-    NotConnected(InstanceKey),
-    /// An engine stated that the request did not run. Holds the faulty engine, if known.
-    NotRun(Option<InstanceKey>),
-    /// The run broke off, or was given up.
-    Broken(BrokenRun),
-    /// The engine ran the request and answered with a failure.
-    Failed(Box<FailedAnswer>),
-}
-
 /// The interval between attempts to move a silent stream that could not be moved.
 const MOVE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Why a run broke off.
-#[derive(Clone, Copy, Debug)]
-pub enum BreakCause {
-    /// The connection to the first engine was lost.
-    ConnectionLost,
-    /// The answer was not one to this request, or its events were not valid.
-    BadAnswer,
-    /// No event arrived for this time.
-    Silent(Duration),
-}
-
-impl fmt::Display for BreakCause {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::ConnectionLost => formatter.write_str("connection_lost"),
-            Self::BadAnswer => formatter.write_str("bad_answer"),
-            Self::Silent(time) => write!(formatter, "silent_{}_ms", time.as_millis()),
-        }
-    }
-}
-
-/// A run that broke off.
-#[derive(Clone, Copy, Debug)]
-pub struct BrokenRun {
-    /// Why the run broke off.
-    pub cause: BreakCause,
-    /// The first engine of the path.
-    pub first: InstanceKey,
-    /// The faulty engine, if it is known.
-    pub at_fault: Option<InstanceKey>,
-    /// Whether the run may have produced tokens.
-    pub may_have_run: bool,
-    /// Whether the retry budget has been charged for the run that replaces this one.
-    pub is_repeat_charged: bool,
-    /// Whether the connection broke while the run was young.
-    pub is_young_loss: bool,
-}
-
-impl BrokenRun {
-    /// Returns whether the run is left for another one although it may still go on.
-    pub const fn is_moved(self) -> bool {
-        self.is_repeat_charged
-    }
-}
-
-/// The answer of an engine that ran the request and failed.
-pub struct FailedAnswer {
-    /// The first engine of the path.
-    pub first: InstanceKey,
-    /// The status.
-    pub status: StatusCode,
-    /// The headers.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-}
-
-impl fmt::Display for RunFault {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NoPath(_) => formatter.write_str("no_path"),
-            Self::NoTime => formatter.write_str("no_time"),
-            Self::PartCrashes => formatter.write_str("part_crashes"),
-            Self::NotConnected(_) => formatter.write_str("not_connected"),
-            Self::NotRun(_) => formatter.write_str("refused"),
-            Self::Broken(broken) => broken.cause.fmt(formatter),
-            Self::Failed(failed) => write!(formatter, "status_{}", failed.status.as_u16()),
-        }
-    }
-}
-
-/// How an answer ends.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Framing {
-    /// It shows where it ends.
-    Delimited,
-    /// It ends with its connection.
-    Connection,
-}
-
 /// A run that has been sent to its first engine.
 pub struct Run {
     work: CountedPath,
@@ -725,27 +625,6 @@
     }
 }
 
-/// Returns whether the head of an answer allows for a stream of events.
-fn is_event_stream(fields: &HeaderMap) -> bool {
-    fields.get(CONTENT_TYPE).is_none_or(|value| {
-        let value = value.as_bytes().trim_ascii_start();
-        let kind = value.get(..EVENT_STREAM.len());
-        kind.is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM))
-    })
-}
-
-/// Returns how an answer ends.
-fn framing(fields: &HeaderMap, body: &Incoming) -> Framing {
-    let is_delimited = body.is_end_stream()
-        || fields.contains_key(CONTENT_LENGTH)
-        || fields.contains_key(TRANSFER_ENCODING);
-    if is_delimited {
-        Framing::Delimited
-    } else {
-        Framing::Connection
-    }
-}
-
 /// Returns the expected time between two events, at `token_ms` per token.
 fn event_gap(spec: &EngineSpec, token_ms: f64) -> Duration {
     let gap = Duration::try_from_secs_f64(spec.tokens_per_event * token_ms / 1_000.0);
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -30,11 +30,11 @@
 use crate::gateway::poison;
 use crate::gateway::poison::PART_CRASHES;
 use crate::gateway::request::ClientRequest;
-use crate::gateway::run::BrokenRun;
-use crate::gateway::run::FailedAnswer;
 use crate::gateway::run::Run;
-use crate::gateway::run::RunFault;
 use crate::gateway::run::RunStep;
+use crate::gateway::run_fault::BrokenRun;
+use crate::gateway::run_fault::FailedAnswer;
+use crate::gateway::run_fault::RunFault;
 use crate::gateway::state::Gateway;
 use crate::gateway::state::InFlightGuard;
 
