streams: one name for a run that is left for another one

is_repeat_charged and is_moved told the same of a broken run, and discard_partial_event had no caller left but a test, which now takes the event instead. No change of behaviour.

--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -354,7 +354,7 @@
             first: self.first,
             at_fault,
             may_have_run: true,
-            is_repeat_charged: false,
+            is_moved: false,
             is_young_loss: false,
         })
     }
@@ -372,19 +372,19 @@
             first: self.first,
             at_fault: Some(at_fault),
             may_have_run: true,
-            is_repeat_charged: false,
+            is_moved: false,
             is_young_loss: self.parts.is_young(),
         })
     }
 
     /// Returns the fault of a run that was given up while it was silent.
-    fn given_up(&self, lost: Option<InstanceKey>, is_repeat_charged: bool) -> RunFault {
+    fn given_up(&self, lost: Option<InstanceKey>, is_moved: bool) -> RunFault {
         RunFault::Broken(BrokenRun {
             cause: BreakCause::Silent(self.silence),
             first: self.first,
             at_fault: lost.or(Some(self.first)),
             may_have_run: silence::may_have_run(&self.silent_stream(lost)),
-            is_repeat_charged,
+            is_moved,
             is_young_loss: false,
         })
     }
--- a/daemon/src/gateway/run_fault.rs
+++ b/daemon/src/gateway/run_fault.rs
@@ -59,19 +59,13 @@
     pub at_fault: Option<InstanceKey>,
     /// Whether the run may have produced tokens.
     pub may_have_run: bool,
-    /// Whether the retry budget has been charged for the run that replaces this one.
-    pub is_repeat_charged: bool,
+    /// Whether the run is left for another one although it may still go on. The retry budget
+    /// has then been charged for that one.
+    pub is_moved: bool,
     /// Whether the connection broke while the run was young.
     pub is_young_loss: bool,
 }
 
-impl BrokenRun {
-    /// Returns whether the run is left for another one although it may still go on.
-    pub const fn is_moved(self) -> bool {
-        self.is_repeat_charged
-    }
-}
-
 /// The answer of an engine that ran the request and failed.
 pub struct FailedAnswer {
     /// The first engine of the path.
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -331,7 +331,7 @@
             return;
         };
         let partial_event = self.filter.take_partial_event();
-        if matches!(fault, RunFault::Broken(broken) if broken.is_moved()) {
+        if matches!(fault, RunFault::Broken(broken) if broken.is_moved) {
             self.held = Some(HeldRun { run, partial_event });
         } else {
             self.repaths += run.repaths();
@@ -425,7 +425,7 @@
             RunFault::NotRun(key) => (key, true),
             RunFault::Broken(broken) => {
                 self.record_broken_run(broken);
-                (broken.at_fault, !broken.is_repeat_charged)
+                (broken.at_fault, !broken.is_moved)
             }
             RunFault::Failed(failed) => {
                 self.attempts.note_run(failed.first);
--- a/routing/src/fleet/events.rs
+++ b/routing/src/fleet/events.rs
@@ -70,7 +70,7 @@
         !self.partial.is_empty()
     }
 
-    /// Takes the incomplete event of a run that is set aside.
+    /// Takes the incomplete event of a run that has ended or is set aside.
     pub fn take_partial_event(&mut self) -> BytesMut {
         std::mem::take(&mut self.partial)
     }
@@ -81,11 +81,6 @@
         self.partial = partial;
     }
 
-    /// Discards an incomplete event whose run has ended.
-    pub fn discard_partial_event(&mut self) {
-        self.partial.clear();
-    }
-
     /// Adds bytes of the stream and returns the events that they complete.
     ///
     /// If a wrong event follows correct ones, these are returned. The wrong one stays
--- a/routing/tests/test_fleet_decisions.rs
+++ b/routing/tests/test_fleet_decisions.rs
@@ -214,7 +214,7 @@
         .unwrap();
     assert_eq!(events, whole.as_bytes());
     assert!(filter.has_partial_event());
-    filter.discard_partial_event();
+    filter.take_partial_event();
     // The next run continues after the last complete event.
     let events = filter.push(Bytes::from(event(2))).unwrap();
     assert_eq!(events, event(2).as_bytes());
