--- a/daemon/tests/test_gateway.rs
+++ b/daemon/tests/test_gateway.rs
@@ -275,6 +275,7 @@
         program: Path::new(PROGRAM),
         folder,
         name: "front-2",
+        zone: "hall",
         store,
         peers,
         seed: Some(known),
--- a/daemon/tests/test_gateway_builds.rs
+++ b/daemon/tests/test_gateway_builds.rs
@@ -157,6 +157,7 @@
             program,
             folder: self.site.folder.path(),
             name: &format!("front-{}", self.starts),
+            zone: "hall",
             store: self.site.store_address(),
             peers,
             seed,
--- a/daemon/tests/test_gateway_entries.rs
+++ b/daemon/tests/test_gateway_entries.rs
@@ -239,6 +239,7 @@
             program: Path::new(PROGRAM),
             folder: site.folder.path(),
             name,
+            zone: "hall",
             store: site.store_address(),
             peers,
             seed: Some(site.gateway.peers),
--- a/daemon/tests/test_gateway_stop.rs
+++ b/daemon/tests/test_gateway_stop.rs
@@ -100,6 +100,7 @@
         program: Path::new(PROGRAM),
         folder: site.folder.path(),
         name: "front-2",
+        zone: "hall",
         store: site.store_address(),
         peers: neighbour(site.gateway.peers),
         seed: Some(site.gateway.peers),
--- a/daemon/tests/test_gateway_unanswered.rs
+++ b/daemon/tests/test_gateway_unanswered.rs
@@ -351,6 +351,7 @@
             program: Path::new(PROGRAM),
             folder: site.folder.path(),
             name: "front-2",
+            zone: "hall",
             store: site.store_address(),
             peers: neighbour(site.gateway.peers),
             seed: Some(site.gateway.peers),
--- a/daemon/tests/test_gateway_wire.rs
+++ b/daemon/tests/test_gateway_wire.rs
@@ -263,6 +263,7 @@
         program: Path::new(PROGRAM),
         folder: folder.path(),
         name: "front-1",
+        zone: "hall",
         store: store_server.address(),
         peers,
         seed: Some(old_address),
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -63,6 +63,8 @@
     pub folder: &'a Path,
     /// Its name.
     pub name: &'a str,
+    /// Its failure domain.
+    pub zone: &'a str,
     /// The address of the store.
     pub store: SocketAddr,
     /// The address at which it listens for peers.
@@ -97,6 +99,7 @@
             program,
             folder,
             name,
+            zone,
             store,
             peers,
             seed,
@@ -108,7 +111,7 @@
             "platform_settings": {
                 "node": name,
                 "ip": peers.ip(),
-                "zone": "hall",
+                "zone": zone,
                 "listen": {"front": clients, "ready": ready},
                 "port_range": [peers.port(), peers.port()],
                 "seeds": seed.into_iter().collect::<Vec<_>>(),
@@ -337,6 +340,7 @@
             program,
             folder: folder.path(),
             name: "front-1",
+            zone: "hall",
             store: address,
             peers,
             seed: None,
@@ -397,6 +401,7 @@
             program,
             folder: self.folder.path(),
             name,
+            zone: "hall",
             store: self.store_address(),
             peers,
             seed: (peers != self.gateway.peers).then_some(self.gateway.peers),
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod engine_spec;
 pub mod fleet;
+pub mod gateway_fleet;
 pub mod gateway_site;
 pub mod gateway_traffic;
 pub mod host_list;
--- a/testutils/src/scripted_upstream.rs
+++ b/testutils/src/scripted_upstream.rs
@@ -325,6 +325,7 @@
             program,
             folder: folder.path(),
             name: "front-1",
+            zone: "hall",
             store: store_server.address(),
             peers: free_address(),
             seed: None,
--- a/testutils/src/site_store.rs
+++ b/testutils/src/site_store.rs
@@ -79,6 +79,8 @@
     leases: BTreeMap<u64, StoredLease>,
     last_lease: u64,
     calls: u64,
+    /// How often waiting watches have been cut.
+    watch_cuts: u64,
 }
 
 /// A metadata store in memory.
@@ -99,9 +101,16 @@
         serve_http(listener, Arc::clone(self) as Arc<dyn HttpHandler>)
     }
 
-    /// Sets how calls are treated from now on.
+    /// Sets how calls are treated from now on, watches that wait too.
     pub fn set_mood(&self, mood: StoreMood) {
         self.state().mood = mood;
+        self.changed.notify_waiters();
+    }
+
+    /// Closes the connections of all watches that wait.
+    pub fn cut_watches(&self) {
+        self.state().watch_cuts += 1;
+        self.changed.notify_waiters();
     }
 
     /// Returns the number of calls so far.
@@ -181,10 +190,17 @@
         let prefix = query.get("path_prefix").cloned().unwrap_or_default();
         let after: u64 = number(query, "after");
         let end = Instant::now() + Duration::from_millis(number(query, "wait_ms"));
+        let cuts = self.state().watch_cuts;
         loop {
             let changed = self.changed.notified();
+            if let Some(answer) = self.unserved_answer().await {
+                return answer;
+            }
             {
                 let mut state = self.state();
+                if state.watch_cuts != cuts {
+                    return ServerAnswer::Closed;
+                }
                 state.expire_leases();
                 if after < state.compacted || after > state.revision {
                     return json_reply(410, &json!({}));
@@ -235,18 +251,23 @@
 }
 
 impl SiteStore {
-    async fn answer_in_mood(&self, request: Request<Bytes>) -> ServerAnswer {
-        let mood = {
-            let mut state = self.state();
-            state.calls += 1;
-            state.mood
-        };
+    /// Returns what becomes of a call that is not served; `None` if calls are served.
+    async fn unserved_answer(&self) -> Option<ServerAnswer> {
+        let mood = self.state().mood;
         match mood {
-            StoreMood::Refusing(status) => return json_reply(status, &json!({})),
-            StoreMood::Closing => return ServerAnswer::Closed,
+            StoreMood::Refusing(status) => Some(json_reply(status, &json!({}))),
+            StoreMood::Closing => Some(ServerAnswer::Closed),
             StoreMood::Silent => std::future::pending().await,
-            StoreMood::Well | StoreMood::LosingReplies => {}
+            StoreMood::Well | StoreMood::LosingReplies => None,
+        }
+    }
+
+    async fn answer_in_mood(&self, request: Request<Bytes>) -> ServerAnswer {
+        self.state().calls += 1;
+        if let Some(answer) = self.unserved_answer().await {
+            return answer;
         }
+        let mood = self.state().mood;
         let query = parse_query(request.uri().query().unwrap_or_default());
         if request.uri().path() == "/v1/kv-watch" {
             return self.watch(&query).await;
