followers: the store is read again as soon as an outage ends

Cause: a follower that the store had not answered for 1.5 s left the role to others and rested for 4 s. In an outage for all, all followers did so at about the same time, and nobody read the store when it was back. The rest ended by time, whatever the store did meanwhile.

A holder now leaves the role only if a candidate is left for it. Candidates follow in a cyclic order after the holders that the store did not serve, so nobody needs to rest. A role whose holders fall silent is taken over sooner, since a surplus holder only costs some calls, and lost holders are no longer counted as candidates.

--- /dev/null
+++ b/daemon/tests/test_gateway_store_trouble.rs
@@ -0,0 +1,72 @@
+//! Changes in the store that follow some trouble of the store: they are in force everywhere in
+//! time.
+
+use std::path::Path;
+use std::time::Duration;
+
+use jujubewall_testutils::gateway_fleet::GatewayFleet;
+use jujubewall_testutils::site_store::StoreMood;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_jujubewalld");
+
+/// The bound on the time from the acknowledgement of a configuration until it is in force.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+
+/// The time after a disturbance from which on the bounds hold.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
+/// The time in which the gateways have agreed who follows the store.
+const SETTLING: Duration = Duration::from_secs(4);
+
+/// The time after a change within which late requests are looked for.
+const OBSERVATION: Duration = Duration::from_secs(5);
+
+const HALL: &str = "hall";
+const APRON: &str = "apron";
+
+async fn start(zones: &[&str]) -> GatewayFleet {
+    let fleet = GatewayFleet::start(Path::new(PROGRAM), zones, &["key-1", "key-2"]).await;
+    sleep(SETTLING).await;
+    fleet
+}
+
+/// Takes a key away a moment after an outage, and fails if it opens anything later than the
+/// rules allow.
+async fn check_withdrawn_key(zones: &[&str], mood: StoreMood, outage: Duration) {
+    let mut fleet = start(zones).await;
+    fleet.store.set_mood(mood);
+    sleep(outage).await;
+    fleet.store.set_mood(StoreMood::Well);
+    let returned_at = Instant::now();
+    sleep(Duration::from_millis(600)).await;
+    fleet.configure(&["key-2"]);
+    let withdrawn_at = Instant::now();
+    sleep(OBSERVATION).await;
+    let from = (withdrawn_at + CONFIG_APPLY).max(returned_at + STABLE_WINDOW);
+    let sent = fleet.sent();
+    let late: Vec<_> = sent
+        .iter()
+        .filter(|sent| sent.status == Some(200) && sent.at > from)
+        .collect();
+    assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
+    let refused = sent.iter().filter(|sent| sent.status == Some(401));
+    assert!(refused.count() > 0, "the key is never refused");
+}
+
+/// Guards against a withdrawn key that stayed valid since all followers of both domains gave
+/// the role up during an outage and rested after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_withdrawn_key_is_refused_soon_after_an_outage_of_the_store() {
+    let zones = [HALL, HALL, APRON, APRON];
+    check_withdrawn_key(&zones, StoreMood::Closing, Duration::from_secs(2)).await;
+}
+
+/// Guards against the same in domains with gateways that do not follow the store, which the
+/// followers leave the role to during the outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_withdrawn_key_is_refused_soon_after_an_outage_in_a_domain_of_six() {
+    check_withdrawn_key(&[HALL; 6], StoreMood::Silent, Duration::from_secs(5)).await;
+}
--- a/routing/src/fleet/claims.rs
+++ b/routing/src/fleet/claims.rs
@@ -164,6 +164,14 @@
             .filter(|claim| claim.has_role())
     }
 
+    /// Returns whether a gateway had a role when its heartbeat last rose, longer than `silence`
+    /// ago.
+    pub fn is_silent_holder(&self, address: SocketAddr, silence: Duration, now: Instant) -> bool {
+        self.heard.get(&address).is_some_and(|heard| {
+            heard.claim.has_role() && now.saturating_duration_since(heard.heartbeat_at) >= silence
+        })
+    }
+
     /// Returns the claims to relay, most recently heard first.
     pub fn to_relay(&self, silence: Duration, now: Instant) -> Vec<RoleClaim> {
         let mut live: Vec<&HeardClaim> = self
--- a/routing/src/fleet/follower_election.rs
+++ b/routing/src/fleet/follower_election.rs
@@ -6,8 +6,10 @@
 //! it over when a holder falls silent, and a surplus holder gives it up. Too many holders
 //! for a while only cost calls, and too few are noticed within the propagation time.
 //!
-//! A gateway that the store does not answer gives the role up to others, which may be
-//! served.
+//! A gateway that the store does not serve leaves the role to one that has not tried yet,
+//! which may be served: candidates follow such holders in a cyclic order. It never leaves the
+//! role to nobody: while the store is away for all, some gateways of each domain try to
+//! reach it at any time, so that its return is noticed at once.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -23,16 +25,19 @@
 /// without a gap.
 const FOLLOWERS_PER_DOMAIN: usize = 2;
 
+/// The number of candidates that take over at once if there is no holder.
+pub const CANDIDATES_AT_ONCE: usize = 2 * FOLLOWERS_PER_DOMAIN;
+
+/// The time for which too few holders must have been heard before a gateway takes over the
+/// role, in which a process that was held up hears of the holders again.
+pub const TAKEOVER_CONFIRMATION: Duration = Duration::from_millis(100);
+
 /// The time that each gateway waits for every candidate before it in the order; it is
 /// longer than a claim takes to be heard.
-const TAKEOVER_STAGGER: Duration = Duration::from_millis(300);
+pub const TAKEOVER_STAGGER: Duration = Duration::from_millis(300);
 
-/// How long a gateway that the store does not answer keeps the role. A store that is down
-/// for all is available again for some holder within this time.
-const MAX_UNSERVED: Duration = Duration::from_millis(1_500);
-
-/// How long a gateway that the store did not answer leaves the role to others.
-const UNSERVED_COOLDOWN: Duration = Duration::from_secs(4);
+/// How long a gateway that the store does not serve keeps the role while others could try.
+pub const MAX_UNSERVED: Duration = Duration::from_millis(1_500);
 
 /// How long a surplus holder continues, during which another holder may be lost.
 const MIN_SURPLUS_TIME: Duration = Duration::from_secs(2);
@@ -47,32 +52,40 @@
     Idle {
         /// Since when there have been too few holders.
         missing_since: Option<Instant>,
-        /// Until when the role is left to others.
-        cooldown_until: Option<Instant>,
     },
     /// This gateway follows the store.
     Following {
-        /// Since when the store has not answered.
+        /// Since when the store has not served it.
         unserved_since: Option<Instant>,
         /// Since when there have been enough holders before this one.
         surplus_since: Option<Instant>,
     },
 }
 
+impl State {
+    const IDLE: Self = Self::Idle {
+        missing_since: None,
+    };
+}
+
 /// Decides whether this gateway follows the store.
 #[derive(Debug)]
 pub struct FollowerElection {
     state: State,
+    /// Whether another gateway of the domain has been heard to have the role.
+    has_heard_holder: bool,
+    /// The highest score of the last holders if the store served none of them, after which
+    /// the order of candidates begins.
+    last_unserved: Option<u64>,
 }
 
 impl FollowerElection {
     /// Creates the state of a gateway that has just started.
     pub const fn new() -> Self {
         Self {
-            state: State::Idle {
-                missing_since: None,
-                cooldown_until: None,
-            },
+            state: State::IDLE,
+            has_heard_holder: false,
+            last_unserved: None,
         }
     }
 
@@ -83,79 +96,32 @@
 
     /// Updates the decision. Returns whether this gateway follows the store from now on.
     ///
-    /// `is_served` tells whether the store answers this gateway.
+    /// `is_served` tells whether the store serves this gateway as far as is known.
     pub fn step(&mut self, gossip: &Gossip, is_served: bool, now: Instant) -> bool {
-        let order_seed = FOLLOWER_ORDER_SEED ^ gossip.domain();
-        let own_score = rendezvous::score(order_seed, gossip.own_address());
-        let silence = gossip.timing().silence_timeout();
-        let holders: Vec<RoleClaim> = gossip
-            .claims()
-            .live_holders(silence, now)
-            .filter(|claim| claim.follower.is_following() && claim.domain == gossip.domain())
-            .copied()
-            .collect();
+        let domain = DomainView::new(gossip, now);
+        self.has_heard_holder |= !domain.holders.is_empty();
+        let own = self.is_following().then_some(is_served);
+        if domain.is_any_served(own) {
+            self.last_unserved = None;
+        } else if domain.holders.len() + usize::from(own.is_some()) >= FOLLOWERS_PER_DOMAIN {
+            self.last_unserved = domain.last_holder(own.is_some());
+        }
         self.state = match self.state {
-            State::Idle {
-                missing_since,
-                cooldown_until,
-            } => {
-                let cooldown_until = cooldown_until.filter(|until| now < *until);
-                let missing = FOLLOWERS_PER_DOMAIN.saturating_sub(holders.len());
-                if missing == 0 {
-                    State::Idle {
-                        missing_since: None,
-                        cooldown_until,
-                    }
-                } else {
-                    let since = missing_since.unwrap_or(now);
-                    let wait = takeover_delay(gossip, order_seed, &holders, missing, now);
-                    if cooldown_until.is_none() && now.saturating_duration_since(since) >= wait {
-                        State::Following {
-                            unserved_since: None,
-                            surplus_since: None,
-                        }
-                    } else {
-                        State::Idle {
-                            missing_since: Some(since),
-                            cooldown_until,
-                        }
-                    }
-                }
-            }
+            State::Idle { missing_since } => self.idle_step(&domain, missing_since, now),
             State::Following {
                 unserved_since,
                 surplus_since,
             } => {
                 let unserved_since = (!is_served).then(|| unserved_since.unwrap_or(now));
-                // Holders that the store answers take precedence over those that it does
-                // not.
-                let rank = |claim: &RoleClaim| {
-                    (
-                        claim.follower != FollowerRole::Served,
-                        rendezvous::score(order_seed, claim.holder),
-                    )
-                };
-                let before = holders
-                    .iter()
-                    .filter(|claim| rank(claim) < (!is_served, own_score));
-                let is_surplus = before.count() >= FOLLOWERS_PER_DOMAIN;
-                let surplus_since = is_surplus.then(|| surplus_since.unwrap_or(now));
-                let has_others = gossip.live_peers(now).any(|(_, peer)| {
-                    peer.domain == gossip.domain() && peer.draining_since.is_none()
-                });
+                let surplus_since = domain
+                    .is_surplus(is_served)
+                    .then(|| surplus_since.unwrap_or(now));
                 let lasts = |since: Option<Instant>, limit: Duration| {
                     since.is_some_and(|since| now.saturating_duration_since(since) >= limit)
                 };
-                if has_others && lasts(unserved_since, MAX_UNSERVED) {
-                    State::Idle {
-                        missing_since: None,
-                        cooldown_until: Some(now + UNSERVED_COOLDOWN),
-                    }
-                } else if lasts(surplus_since, MIN_SURPLUS_TIME) {
-                    State::Idle {
-                        missing_since: None,
-                        cooldown_until: None,
-                    }
+                let can_release = lasts(unserved_since, MAX_UNSERVED) && domain.can_release();
+                if can_release || lasts(surplus_since, MIN_SURPLUS_TIME) {
+                    State::IDLE
                 } else {
                     State::Following {
                         unserved_since,
@@ -166,6 +132,133 @@
         };
         self.is_following()
     }
+
+    fn idle_step(
+        &self,
+        domain: &DomainView,
+        missing_since: Option<Instant>,
+        now: Instant,
+    ) -> State {
+        let missing = FOLLOWERS_PER_DOMAIN.saturating_sub(domain.holders.len());
+        if missing == 0 {
+            return State::IDLE;
+        }
+        let since = missing_since.unwrap_or(now);
+        // A gateway that has just started may not have heard of the holders yet.
+        let hearing_time = if self.has_heard_holder {
+            TAKEOVER_CONFIRMATION
+        } else {
+            domain.propagation_time
+        };
+        // If there is no holder, more candidates step in at once, as the first may be lost too.
+        let at_once = if domain.holders.is_empty() {
+            CANDIDATES_AT_ONCE
+        } else {
+            missing
+        };
+        let before = domain.candidates_before(self.last_unserved) / at_once;
+        let before = u32::try_from(before).unwrap_or(u32::MAX);
+        let wait = hearing_time + TAKEOVER_STAGGER.saturating_mul(before);
+        if now.saturating_duration_since(since) >= wait {
+            State::Following {
+                unserved_since: None,
+                surplus_since: None,
+            }
+        } else {
+            State::Idle {
+                missing_since: Some(since),
+            }
+        }
+    }
+}
+
+/// The gateways of the own failure domain, as far as they are heard.
+struct DomainView {
+    own_score: u64,
+    propagation_time: Duration,
+    /// Whether the store serves each other holder of the role, and its score.
+    holders: Vec<(FollowerRole, u64)>,
+    /// The scores of the others, without those that drain.
+    candidates: Vec<u64>,
+}
+
+impl DomainView {
+    fn new(gossip: &Gossip, now: Instant) -> Self {
+        let order_seed = FOLLOWER_ORDER_SEED ^ gossip.domain();
+        let score = |address: SocketAddr| rendezvous::score(order_seed, address);
+        let silence = gossip.timing().role_silence();
+        let claims: Vec<RoleClaim> = gossip
+            .claims()
+            .live_holders(silence, now)
+            .filter(|claim| claim.follower.is_following() && claim.domain == gossip.domain())
+            .copied()
+            .collect();
+        let is_holder = |address: SocketAddr| claims.iter().any(|claim| claim.holder == address);
+        let candidates = gossip
+            .live_peers(now)
+            .filter(|(address, peer)| {
+                peer.domain == gossip.domain()
+                    && peer.draining_since.is_none()
+                    && !is_holder(*address)
+                    && !gossip.claims().is_silent_holder(*address, silence, now)
+            })
+            .map(|(address, _)| score(address))
+            .collect();
+        Self {
+            own_score: score(gossip.own_address()),
+            propagation_time: gossip.timing().propagation_time(),
+            holders: claims
+                .iter()
+                .map(|claim| (claim.follower, score(claim.holder)))
+                .collect(),
+            candidates,
+        }
+    }
+
+    /// Returns whether enough holders precede this gateway, which has the role too. Those
+    /// that the store serves precede those that it does not.
+    fn is_surplus(&self, is_served: bool) -> bool {
+        let rank = |(role, score): &(FollowerRole, u64)| (*role != FollowerRole::Served, *score);
+        let before = self
+            .holders
+            .iter()
+            .filter(|holder| rank(holder) < (!is_served, self.own_score));
+        before.count() >= FOLLOWERS_PER_DOMAIN
+    }
+
+    /// Returns whether some candidate is left for this gateway, which the store does not
+    /// serve, beside those for the holders before it that it does not serve either.
+    fn can_release(&self) -> bool {
+        let before = self
+            .holders
+            .iter()
+            .filter(|(role, score)| *role == FollowerRole::Unserved && *score < self.own_score);
+        before.count() < self.candidates.len()
+    }
+
+    /// Returns whether the store serves some holder; `own` tells it of this gateway if it is
+    /// one.
+    fn is_any_served(&self, own: Option<bool>) -> bool {
+        let mut holders = self.holders.iter();
+        own == Some(true) || holders.any(|(role, _)| *role == FollowerRole::Served)
+    }
+
+    /// Returns the highest score of the holders, with this gateway if it `is_holder`.
+    fn last_holder(&self, is_holder: bool) -> Option<u64> {
+        let own = is_holder.then_some(self.own_score);
+        let scores = self.holders.iter().map(|(_, score)| *score);
+        scores.chain(own).max()
+    }
+
+    /// Returns how many candidates precede this one in the order, which is
+    /// cyclic and begins after the last holder that the store did not serve.
+    fn candidates_before(&self, last_unserved: Option<u64>) -> usize {
+        let start = last_unserved.map_or(0, |score| score.wrapping_add(1));
+        let place = |score: u64| score.wrapping_sub(start);
+        let own = place(self.own_score);
+        let before = self.candidates.iter().filter(|score| place(**score) < own);
+        before.count()
+    }
 }
 
 impl Default for FollowerElection {
@@ -173,25 +266,3 @@
         Self::new()
     }
 }
-
-/// Returns how long this gateway waits for holders of which it has not heard yet, and for
-/// the candidates before it in the order.
-fn takeover_delay(
-    gossip: &Gossip,
-    order_seed: u64,
-    holders: &[RoleClaim],
-    missing: usize,
-    now: Instant,
-) -> Duration {
-    let own_score = rendezvous::score(order_seed, gossip.own_address());
-    let is_holder = |address: SocketAddr| holders.iter().any(|claim| claim.holder == address);
-    let before = gossip
-        .live_peers(now)
-        .filter(|(address, peer)| {
-            peer.domain == gossip.domain() && peer.draining_since.is_none() && !is_holder(*address)
-        })
-        .filter(|(address, _)| rendezvous::score(order_seed, *address) < own_score)
-        .count();
-    let before = u32::try_from(before / missing).unwrap_or(u32::MAX);
-    gossip.timing().propagation_time() + TAKEOVER_STAGGER * before
-}
--- a/routing/src/fleet/gossip_timing.rs
+++ b/routing/src/fleet/gossip_timing.rs
@@ -27,6 +27,10 @@
 /// stall for up to a tenth of a second, several times in a row.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 
+/// The shortest silence after which others prepare to take over the role of a gateway. A
+/// surplus holder only costs some calls, so this is shorter than [`MIN_SILENCE`].
+const MIN_ROLE_SILENCE: Duration = Duration::from_millis(650);
+
 /// The number of messages, for each doubling of the fleet, after which news has reached
 /// nearly all gateways. Some of the gateways to which the news is relayed already know it.
 const MESSAGES_PER_DOUBLING: u32 = 2;
@@ -75,4 +79,10 @@
     pub fn silence_timeout(self) -> Duration {
         MIN_SILENCE.max(self.propagation_time() * 3)
     }
+
+    /// Returns the silence after which others prepare to take over the role of a gateway
+    /// with relayed heartbeats.
+    pub fn role_silence(self) -> Duration {
+        MIN_ROLE_SILENCE.max(self.propagation_time() * 3 / 2)
+    }
 }
