gateway: a failed call or silent peers are no outage of the store

DRAIN allows 2 s.

Cause of both: a gateway concluded from a failed call of its own, or from not hearing any follower, that the store had been away for all, and from the next answer that it had returned. A silent watch was noticed only after its duration and 1.1 s.

routing::fleet::store_belief now owns what is believed about the store: a failed call is a doubt that a call on a new connection settles, and the store is away only while some gateway has found that it does not serve it and none is known that it serves.

--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -18,6 +18,12 @@
 use jujubewall_platform::site::store::Watched;
 use jujubewall_routing::fleet::entry_bounds::BATCH_PAUSE;
 use jujubewall_routing::fleet::entry_bounds::SYNC_INTERVAL;
+use jujubewall_routing::fleet::store_timing::MAX_RETRY_PAUSE;
+use jujubewall_routing::fleet::store_timing::MIN_RETRY_PAUSE;
+use jujubewall_routing::fleet::store_timing::PROBE_WAIT;
+use jujubewall_routing::fleet::store_timing::ROLE_POLL_INTERVAL;
+use jujubewall_routing::fleet::store_timing::WATCH_OVERDUE;
+use jujubewall_routing::fleet::store_timing::watch_wait;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::id::StoreEra;
@@ -31,26 +37,6 @@
 
 use crate::gateway::state::Gateway;
 
-/// The duration of a watch call without peers. Together with the time for the answer it
-/// is shorter than the bounds within which drains and configurations must take effect.
-const MIN_WATCH_WAIT: Duration = Duration::from_millis(800);
-
-/// The duration of a watch call per peer that follows the store too. Peers announce which
-/// revisions they have, and their watches begin at different times, so that among all
-/// gateways about two watches a second are renewed, however many gateways there are.
-const WATCH_WAIT_PER_PEER: Duration = Duration::from_millis(500);
-
-/// The longest duration of a watch call.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(8);
-
-/// The pause after the first failed call; it doubles with each further one.
-const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// The longest pause after failed calls.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
-
-/// The interval between checks whether this gateway follows the store.
-const DUTY_POLL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Follows the items under one prefix of the store.
 trait Follower {
     /// Returns the prefix.
@@ -78,39 +64,50 @@
     gateway.spawn_loop("forget_missing", remove_absent);
 }
 
+/// Where a gateway has got to with the items under one prefix.
+struct Cursor {
+    /// The position from which to watch; `None` to list all items.
+    position: Option<StorePosition>,
+    /// When all items were last listed.
+    listed_at: Instant,
+    /// When the last change arrived.
+    changed_at: Instant,
+    /// Whether the last call failed, so that it is unknown whether the store answers.
+    has_failed: bool,
+}
+
 async fn follow(gateway: Rc<Gateway>, follower: impl Follower + 'static) {
     let mut pause = MIN_RETRY_PAUSE;
-    let mut position: Option<StorePosition> = None;
-    let mut listed_at = Instant::now();
+    let mut cursor = Cursor {
+        position: None,
+        listed_at: Instant::now(),
+        changed_at: Instant::now(),
+        has_failed: false,
+    };
     let mut has_tried = false;
     loop {
         if has_tried && !gateway.peers.follows() {
-            position = None;
+            cursor.position = None;
             follower.on_stopped(&gateway);
-            sleep(DUTY_POLL_INTERVAL).await;
+            sleep(ROLE_POLL_INTERVAL).await;
             continue;
         }
         has_tried = true;
-        let result = match position {
-            None => {
-                listed_at = Instant::now();
-                list(&gateway, &follower).await.map(Some)
-            }
-            Some(after) => watch(&gateway, &follower, after, listed_at).await,
+        let result = match cursor.position {
+            None => list(&gateway, &follower, &mut cursor).await,
+            Some(after) => watch(&gateway, &follower, after, &mut cursor).await,
         };
+        cursor.has_failed = result.is_err();
         match result {
             Ok(next) => {
-                position = next;
+                cursor.position = next;
                 pause = MIN_RETRY_PAUSE;
             }
             Err(failure) => {
-                let is_down = !matches!(failure, PlatformError::RateLimited);
-                if is_down {
-                    record_store_call(&gateway, false);
-                }
                 warn!(
-                    "event=store_call_failed prefix={} reason=\"{failure}\"",
-                    follower.prefix()
+                    "event=store_call_failed prefix={} reason=\"{failure}\" link={:?}",
+                    follower.prefix(),
+                    gateway.store_belief().link()
                 );
                 gateway.metrics.count("store_call_failed");
                 sleep(pause).await;
@@ -120,15 +117,21 @@
     }
 }
 
-async fn list(gateway: &Gateway, follower: &impl Follower) -> Result<StorePosition, PlatformError> {
+async fn list(
+    gateway: &Gateway,
+    follower: &impl Follower,
+    cursor: &mut Cursor,
+) -> Result<Option<StorePosition>, PlatformError> {
     let store = gateway.store();
+    cursor.listed_at = Instant::now();
     let list = store.list(follower.prefix()).await;
+    gateway.record_store_call(&list, cursor.listed_at);
     gateway.apply_store_era(store.era());
     let list = list?;
-    record_store_call(gateway, true);
+    cursor.changed_at = Instant::now();
     gateway.metrics.count(follower.list_event());
     follower.on_list(gateway, list.items, list.watch_from);
-    Ok(list.watch_from)
+    Ok(Some(list.watch_from))
 }
 
 /// Watches for changes; returns the position to continue from, or `None` to list anew.
@@ -136,34 +139,38 @@
     gateway: &Gateway,
     follower: &impl Follower,
     after: StorePosition,
-    listed_at: Instant,
+    cursor: &mut Cursor,
 ) -> Result<Option<StorePosition>, PlatformError> {
-    let store = gateway.store();
-    let wait = (WATCH_WAIT_PER_PEER * gateway.peers.store_follower_count())
-        .clamp(MIN_WATCH_WAIT, MAX_WATCH_WAIT);
-    gateway.metrics.count(follower.watch_event());
+    let wait = if cursor.has_failed {
+        PROBE_WAIT
+    } else {
+        let followers = gateway.peers.follower_counts().served + 1;
+        let rank = gateway.peers.follower_rank();
+        watch_wait(rank, followers, cursor.changed_at.elapsed())
+    };
     let watched = tokio::select! {
         () = stopped_following(gateway) => return Ok(None),
         () = era_changed(gateway, after.era) => return Ok(None),
-        () = era_settled(gateway, listed_at) => return Ok(None),
-        watched = store.watch(follower.prefix(), after, wait) => watched,
+        () = era_settled(gateway, cursor.listed_at) => return Ok(None),
+        watched = watch_over_live_connection(gateway, follower, after, wait) => watched,
         // The watch is behind what peers know; listing anew gets the missed changes.
         () = follower.wait_until_behind(gateway) => {
             info!("event=watch_behind prefix={}", follower.prefix());
+            gateway.store().abandon_connections();
             // The store may no longer answer; until it has, peers provide the changes.
             follower.on_stopped(gateway);
             return Ok(None);
         }
     };
-    gateway.apply_store_era(store.era());
+    gateway.apply_store_era(gateway.store().era());
     match watched? {
         Watched::Changes(changes, next) => {
-            record_store_call(gateway, true);
             let has_changes = !changes.is_empty();
             for change in changes {
                 follower.on_change(gateway, change, next.era);
             }
             if has_changes {
+                cursor.changed_at = Instant::now();
                 sleep(BATCH_PAUSE).await;
             }
             Ok(Some(next))
@@ -178,17 +185,52 @@
     }
 }
 
+/// Watches for changes. If the watch does not end in time, watches on a new connection beside
+/// it, since its own one may have gone silent, and returns what ends first.
+async fn watch_over_live_connection(
+    gateway: &Gateway,
+    follower: &impl Follower,
+    after: StorePosition,
+    wait: Duration,
+) -> Result<Watched, PlatformError> {
+    let store = gateway.store();
+    let call = async |wait: Duration| {
+        gateway.metrics.count(follower.watch_event());
+        let begun_at = Instant::now();
+        let watched = store.watch(follower.prefix(), after, wait).await;
+        gateway.record_store_call(&watched, begun_at);
+        watched
+    };
+    let first = call(wait);
+    tokio::pin!(first);
+    tokio::select! {
+        watched = &mut first => return watched,
+        () = sleep(wait + WATCH_OVERDUE) => {}
+    }
+    info!(
+        "event=watch_overdue prefix={} wait_ms={}",
+        follower.prefix(),
+        wait.as_millis()
+    );
+    gateway.metrics.count("watch_overdue");
+    store.abandon_connections();
+    tokio::select! {
+        watched = first => watched,
+        watched = call(PROBE_WAIT) => watched,
+    }
+}
+
 /// Returns once the store has begun an era after `era`.
 async fn era_changed(gateway: &Gateway, era: StoreEra) {
     while gateway.instances_position().era <= era {
-        sleep(DUTY_POLL_INTERVAL).await;
+        sleep(ROLE_POLL_INTERVAL).await;
     }
 }
 
 /// Returns once upstreams have rewritten their entries in a new era, if the entries were
 /// last listed before that; never returns otherwise.
 async fn era_settled(gateway: &Gateway, listed_at: Instant) {
-    let settled_at = gateway.absences_mut().era_settled_at();
+    let settled_at = gateway.store_belief().era_settled_at();
     match settled_at {
         Some(at) if listed_at < at => sleep_until(at).await,
         _ => std::future::pending().await,
@@ -198,20 +240,7 @@
 /// Returns once this gateway no longer follows the store.
 async fn stopped_following(gateway: &Gateway) {
     while gateway.peers.follows() {
-        sleep(DUTY_POLL_INTERVAL).await;
-    }
-}
-
-/// Records whether a call to the store was answered.
-fn record_store_call(gateway: &Gateway, answered: bool) {
-    let now = Instant::now();
-    let has_returned = gateway.record_store_call(answered);
-    let mut absences = gateway.absences_mut();
-    if answered {
-        absences.on_followers_seen(true, now);
-    }
-    if has_returned {
-        absences.on_store_return(now);
+        sleep(ROLE_POLL_INTERVAL).await;
     }
 }
 
@@ -287,7 +316,7 @@
             gateway.advance_instances_position(StorePosition { era, revision });
         }
         gateway.entry_log_mut().restart(revision);
-        let is_settling = gateway.absences_mut().is_era_settling(Instant::now());
+        let is_settling = gateway.store_belief().is_era_settling(Instant::now());
         let instances = items
             .iter()
             .filter_map(|item| decode(gateway, item))
@@ -436,7 +465,13 @@
 /// Removes an upstream, at once or, if it may still rewrite its entry, after that time.
 fn remove_upstream(gateway: &Gateway, id: &str) {
     let now = Instant::now();
-    if gateway.absences_mut().may_be_rewritten(id, now) {
+    let rewriting_until = gateway.store_belief().rewriting_until(now);
+    if let Some(until) = rewriting_until {
+        info!(
+            "event=upstream_kept id={id} for_ms={}",
+            (until - now).as_millis()
+        );
+        gateway.absences_mut().keep(id, until);
         return;
     }
     if let Some(gone) = gateway.instances_mut().depart(id, now) {
@@ -444,24 +479,21 @@
     }
 }
 
-/// Removes upstreams that have not rewritten their entries in time, or whose entries are
-/// gone for most of the gateways that follow the store.
+/// Weighs what is known of the store, and removes upstreams that have not rewritten their
+/// entries in time, or whose entries are gone for most of the gateways that follow the store.
 async fn remove_absent(gateway: Rc<Gateway>) {
     loop {
         sleep(SYNC_INTERVAL).await;
         let now = Instant::now();
-        let is_any_served = gateway.receives_changes();
-        gateway.absences_mut().on_followers_seen(is_any_served, now);
-        if !gateway.is_store_up() {
+        gateway.weigh_followers();
+        if gateway.store_belief().is_away() {
             continue;
         }
         let mut absent = gateway.absences_mut().take_overdue(now);
-        if is_absence_confirmed(&gateway) {
-            let confirmed = gateway.absences_mut().take_confirmed(now);
-            if !confirmed.is_empty() {
-                info!("event=absence_confirmed count={}", confirmed.len());
-                gateway.metrics.count("absence_confirmed");
-            }
+        if is_absence_confirmed(&gateway) && gateway.store_belief_mut().end_rewriting(now) {
+            let confirmed = gateway.absences_mut().take_all();
+            info!("event=absence_confirmed count={}", confirmed.len());
+            gateway.metrics.count("absence_confirmed");
             absent.extend(confirmed);
         }
         for id in absent {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -29,6 +29,8 @@
 use jujubewall_routing::fleet::gossip_datagram::GossipDatagram;
 use jujubewall_routing::fleet::instances::PeerReport;
 use jujubewall_routing::fleet::rendezvous;
+use jujubewall_routing::fleet::store_belief::FollowerCounts;
+use jujubewall_routing::fleet::store_timing::CONFIG_FETCH_DELAY;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::id::StorePosition;
@@ -59,10 +61,6 @@
 /// The size of the receive buffer. Larger datagrams do not belong to this protocol.
 const DATAGRAM_BUFFER_BYTES: usize = 4 * 1024;
 
-/// The time for which a gateway that follows the store waits for the store to deliver a
-/// newer configuration before it fetches it from a peer.
-const CONFIG_FETCH_DELAY: Duration = Duration::from_millis(600);
-
 /// The timeout of a request to a peer for what this gateway cannot serve without.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -117,18 +115,32 @@
         self.follows.get()
     }
 
-    /// Returns the number of other live gateways that follow the store and get answers from
-    /// it.
-    pub fn store_follower_count(&self) -> u32 {
+    /// Returns how many other live gateways follow the store, and whether it serves them.
+    pub fn follower_counts(&self) -> FollowerCounts {
         let gossip = self.gossip.borrow();
         let live = gossip
             .claims()
             .live_holders(gossip.timing().silence_timeout(), Instant::now());
-        u32::try_from(
-            live.filter(|claim| claim.follower == FollowerRole::Served)
-                .count(),
-        )
-        .unwrap_or(u32::MAX)
+        let mut counts = FollowerCounts::default();
+        for claim in live {
+            match claim.follower {
+                FollowerRole::None => {}
+                FollowerRole::Unserved => counts.unserved += 1,
+                FollowerRole::Served => counts.served += 1,
+            }
+        }
+        counts
+    }
+
+    /// Returns this gateway's place in the order of the followers that the store serves.
+    pub fn follower_rank(&self) -> usize {
+        let gossip = self.gossip.borrow();
+        let own = gossip.own_address();
+        gossip
+            .claims()
+            .live_holders(gossip.timing().silence_timeout(), Instant::now())
+            .filter(|claim| claim.follower == FollowerRole::Served && claim.holder < own)
+            .count()
     }
 
     /// Returns whether a peer that follows the store has newer entries than `position`.
@@ -380,10 +392,12 @@
             || planner::is_planner(gateway)
     };
     if gateway.peers.follows.replace(follows) != follows {
-        info!(
-            "event=follows_store holds={follows} others={}",
-            gateway.peers.store_follower_count()
-        );
+        if follows {
+            // What calls have shown long ago is no evidence now.
+            gateway.store_belief_mut().forget_link();
+        }
+        let FollowerCounts { served, unserved } = gateway.peers.follower_counts();
+        info!("event=follows_store holds={follows} served={served} unserved={unserved}");
     }
 }
 
@@ -460,6 +474,8 @@
         return Applied::Nothing;
     }
     gateway.apply_store_era(document.position.era);
+    // The peer may be the first one that the store serves again.
+    gateway.weigh_followers();
     // An answer from an earlier era may contain entries that the store has lost since.
     if document.position.era < gateway.instances_position().era {
         return Applied::Nothing;
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -245,7 +245,9 @@
 }
 
 async fn renew_lease(gateway: &Gateway, lease: LeaseId) {
+    let begun_at = Instant::now();
     let renewed = gateway.store().keep_alive(lease).await;
+    gateway.record_store_call(&renewed, begun_at);
     gateway.apply_store_era(gateway.store().era());
     // A new store era has begun, so the lease is lost; its identifier may belong to another
     // gateway by now.
@@ -262,9 +264,6 @@
         // and no other gateway can acquire it.
         Err(failure) => {
             info!("event=lease_not_renewed reason=\"{failure}\"");
-            if !matches!(failure, PlatformError::RateLimited) {
-                gateway.record_store_call(false);
-            }
             // After the process was held up, the lease does not count until it is confirmed.
             if !is_planner(gateway) {
                 gateway.planner.lease.set(None);
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -6,9 +6,12 @@
 use std::cell::RefMut;
 use std::collections::HashMap;
 use std::future::pending;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use jujubewall_http_client::CallDeadlines;
+use jujubewall_platform::error::PlatformError;
 use jujubewall_platform::site::settings::SiteBounds;
 use jujubewall_platform::site::settings::SiteSettings;
 use jujubewall_platform::site::store::StoreClient;
@@ -23,6 +26,11 @@
 use jujubewall_routing::fleet::retry_budget::WindowedRetryBudget;
 use jujubewall_routing::fleet::retry_schedule::RetrySchedule;
 use jujubewall_routing::fleet::routes::RouteTable;
+use jujubewall_routing::fleet::store_belief::BeliefChange;
+use jujubewall_routing::fleet::store_belief::FollowerCounts;
+use jujubewall_routing::fleet::store_belief::StoreBelief;
+use jujubewall_routing::fleet::store_belief::StoreCall;
+use jujubewall_routing::fleet::store_timing;
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::id::Revision;
@@ -49,15 +57,6 @@
 /// likely to have capacity before.
 const MAX_RESUME_RETRY_AFTER: Duration = Duration::from_secs(4);
 
-/// The state of the connection to the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum StoreLink {
-    /// The last call was answered.
-    Up,
-    /// Calls have failed since this time.
-    Lost(Instant),
-}
-
 /// The state of one gateway.
 pub struct Gateway {
     settings: RefCell<SiteSettings>,
@@ -74,7 +73,7 @@
     in_flight: Cell<usize>,
     streams_in_flight: Cell<usize>,
     drain: watch::Sender<Option<Drain>>,
-    store_link: Cell<StoreLink>,
+    store_belief: RefCell<StoreBelief>,
     entry_log: RefCell<EntryLog>,
     /// Wakes silent streams when an upstream is newly suspected.
     pub suspicions: Notify,
@@ -96,7 +95,7 @@
 impl Gateway {
     /// Creates a gateway that knows neither a configuration nor an upstream.
     pub fn new(settings: SiteSettings) -> Rc<Self> {
-        let store = Rc::new(StoreClient::new(settings.store_address));
+        let store = Rc::new(store_client(settings.store_address));
         let budget = WindowedRetryBudget::new(repeat_bounds(&settings.bounds), Instant::now());
         let mut rng: SmallRng = rand::make_rng();
         let peers = Peers::new(&settings, rng.next_u64());
@@ -114,7 +113,7 @@
             in_flight: Cell::new(0),
             streams_in_flight: Cell::new(0),
             drain: watch::Sender::new(None),
-            store_link: Cell::new(StoreLink::Up),
+            store_belief: RefCell::new(StoreBelief::new()),
             entry_log: RefCell::new(EntryLog::new()),
             suspicions: Notify::new(),
             suspicion_count: Cell::new(0),
@@ -145,7 +144,7 @@
             settings.store_address, settings.bounds.drain_ms, settings.bounds.config_apply_ms
         );
         if known.store_address != settings.store_address {
-            *self.store.borrow_mut() = Rc::new(StoreClient::new(settings.store_address));
+            *self.store.borrow_mut() = Rc::new(store_client(settings.store_address));
         }
         if known.client_address != settings.client_address {
             warn!("event=reload_partial field=client_address reason=\"applies after a restart\"");
@@ -160,9 +159,19 @@
         Rc::clone(&self.store.borrow())
     }
 
-    /// Returns whether the last call to the store was answered.
+    /// Returns what this gateway believes about the store.
+    pub fn store_belief(&self) -> Ref<'_, StoreBelief> {
+        self.store_belief.borrow()
+    }
+
+    /// Returns what this gateway believes about the store for modification.
+    pub fn store_belief_mut(&self) -> RefMut<'_, StoreBelief> {
+        self.store_belief.borrow_mut()
+    }
+
+    /// Returns whether the store serves this gateway as far as is known.
     pub fn is_store_up(&self) -> bool {
-        self.store_link.get() == StoreLink::Up
+        self.store_belief.borrow().is_link_up()
     }
 
     /// Returns whether this gateway has all upstreams' entries from the store itself.
@@ -175,7 +184,7 @@
 
     /// Returns whether this gateway receives changes, from the store or through a peer.
     pub fn receives_changes(&self) -> bool {
-        self.is_store_source() || self.peers.store_follower_count() > 0
+        self.is_store_source() || self.peers.follower_counts().served > 0
     }
 
     /// Returns the log of changes of upstreams' entries that this gateway got from the store.
@@ -199,26 +208,66 @@
         EntryBounds::new(bound, self.peers.gossip().timing())
     }
 
-    /// Records whether the store answered a call.
+    /// Records how a call to the store ended that began at `begun_at`.
     ///
-    /// Returns whether the store has just become available again.
-    pub fn record_store_call(&self, answered: bool) -> bool {
-        match (self.store_link.get(), answered) {
-            (StoreLink::Up, false) => {
-                self.store_link.set(StoreLink::Lost(Instant::now()));
+    /// A call that is refused because of the rate of calls shows nothing.
+    pub fn record_store_call<T>(&self, result: &Result<T, PlatformError>, begun_at: Instant) {
+        let now = Instant::now();
+        let call = match result {
+            Ok(_) | Err(PlatformError::LeaseLapsed) => StoreCall::Answered,
+            Err(PlatformError::RateLimited) => return,
+            Err(_) => StoreCall::Failed { begun_at },
+        };
+        let (own, all) = {
+            let mut belief = self.store_belief.borrow_mut();
+            let own = belief.on_call(call, now);
+            let is_answered = call == StoreCall::Answered;
+            (own, is_answered.then(|| belief.on_present(now)).flatten())
+        };
+        self.note_belief_change(own);
+        self.note_belief_change(all);
+    }
+
+    /// Weighs what the other gateways that follow the store say of it.
+    pub fn weigh_followers(&self) {
+        let others = self.peers.follower_counts();
+        let follows = self.peers.follows();
+        let now = Instant::now();
+        let change = self
+            .store_belief
+            .borrow_mut()
+            .on_followers(others, follows, now);
+        self.note_belief_change(change);
+    }
+
+    fn note_belief_change(&self, change: Option<BeliefChange>) {
+        let Some(change) = change else {
+            return;
+        };
+        let FollowerCounts { served, unserved } = self.peers.follower_counts();
+        let others = format!("served={served} unserved={unserved}");
+        match change {
+            BeliefChange::LinkLost => {
                 self.metrics.count("store_lost");
-                warn!("event=store_lost");
-                false
+                warn!("event=store_lost {others}");
+            }
+            BeliefChange::LinkRegained { lost_for } => {
+                info!(
+                    "event=store_regained lost_ms={} {others}",
+                    lost_for.as_millis()
+                );
+            }
+            BeliefChange::WentAway => {
+                self.metrics.count("store_away");
+                warn!("event=store_away {others}");
             }
-            (StoreLink::Lost(since), true) => {
-                self.store_link.set(StoreLink::Up);
+            BeliefChange::Returned { away_for } => {
+                self.metrics.count("store_returned");
                 info!(
-                    "event=store_regained lost_ms={}",
-                    since.elapsed().as_millis()
+                    "event=store_returned away_ms={} {others}",
+                    away_for.as_millis()
                 );
-                true
             }
-            _ => false,
         }
     }
 
@@ -310,7 +359,7 @@
         }
         self.metrics.count("store_era");
         self.entry_log.borrow_mut().stop();
-        self.absences_mut().on_new_era(Instant::now());
+        self.store_belief_mut().on_new_era(Instant::now());
         self.planner.forget_lease();
     }
 
@@ -500,6 +549,11 @@
     }
 }
 
+fn store_client(address: SocketAddr) -> StoreClient {
+    let deadlines = CallDeadlines::new(store_timing::CONNECT_TIMEOUT, store_timing::REPLY_TIMEOUT);
+    StoreClient::new(address, deadlines)
+}
+
 fn repeat_bounds(bounds: &SiteBounds) -> RetryBounds {
     RetryBounds {
         ratio: bounds.retry_budget_ratio,
--- a/daemon/tests/test_gateway_store_trouble.rs
+++ b/daemon/tests/test_gateway_store_trouble.rs
@@ -1,5 +1,5 @@
-//! Changes in the store that follow some trouble of the store: they are in force everywhere in
-//! time.
+//! Changes in the store that follow some trouble of the store, of the connections to it or of
+//! the gateways that follow it: they are in force everywhere in time.
 
 use std::path::Path;
 use std::time::Duration;
@@ -15,6 +15,10 @@
 /// The bound on the time from the acknowledgement of a configuration until it is in force.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
+/// The bound on the time from the acknowledgement that an upstream has left to the last
+/// request to it.
+const DRAIN: Duration = Duration::from_secs(2);
+
 /// The time after a disturbance from which on the bounds hold.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
@@ -70,3 +74,58 @@
 async fn test_withdrawn_key_is_refused_soon_after_an_outage_in_a_domain_of_six() {
     check_withdrawn_key(&[HALL; 6], StoreMood::Silent, Duration::from_secs(5)).await;
 }
+
+/// Guards against upstreams that got requests long after they had left, since a call on a
+/// silent connection was taken for an outage of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_that_leaves_gets_no_requests_after_store_links_went_silent() {
+    let mut fleet = start(&[HALL, HALL, APRON, APRON, "dock"]).await;
+    for index in 0..2 {
+        let silenced_at = Instant::now();
+        fleet.silence_store_links();
+        sleep(Duration::from_millis(500)).await;
+        let left_at = fleet.replace_runner(index).await;
+        sleep(OBSERVATION).await;
+        let runner = format!("ledger-{index}");
+        let late = fleet.runs_at(&runner, left_at + DRAIN, silenced_at + STABLE_WINDOW);
+        assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
+    }
+}
+
+/// Guards against the same when the store closes watches that wait, which it may.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_that_leaves_gets_no_requests_while_watches_are_cut() {
+    let mut fleet = start(&[HALL, HALL, APRON, APRON, "dock"]).await;
+    for index in 0..2 {
+        fleet.store.cut_watches();
+        sleep(Duration::from_millis(100)).await;
+        let left_at = fleet.replace_runner(index).await;
+        for _ in 0..5 {
+            sleep(OBSERVATION / 5).await;
+            fleet.store.cut_watches();
+        }
+        let runner = format!("ledger-{index}");
+        let late = fleet.runs_at(&runner, left_at + DRAIN, left_at);
+        assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
+    }
+}
+
+/// Guards against upstreams that got requests long after they had left, since the loss of all
+/// followers was taken for an outage of the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_that_leaves_gets_no_requests_after_the_followers_were_killed() {
+    let mut fleet = start(&[HALL; 6]).await;
+    for index in 0..2 {
+        let followers = fleet.followers();
+        assert!(followers.len() < fleet.len(), "all follow the store");
+        fleet.kill(&followers).await;
+        sleep(Duration::from_millis(100)).await;
+        let left_at = fleet.replace_runner(index).await;
+        sleep(Duration::from_secs(2)).await;
+        fleet.restart(&followers);
+        sleep(OBSERVATION).await;
+        let runner = format!("ledger-{index}");
+        let late = fleet.runs_at(&runner, left_at + DRAIN, left_at);
+        assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
+    }
+}
--- a/http-client/src/client.rs
+++ b/http-client/src/client.rs
@@ -40,8 +40,8 @@
 
 /// An HTTP/1.1 client for one address.
 ///
-/// A call that passes its deadline abandons every pooled connection, since
-/// connections that share a path tend to go silent together. The next call
+/// A call without a reply abandons every pooled connection, since connections
+/// that share a path tend to go silent or to be cut together. The next call
 /// opens a new socket.
 pub struct HttpClient {
     address: SocketAddr,
@@ -82,14 +82,24 @@
         let request = self.with_address(request)?;
         let (client, generation) = self.client();
         let limit = self.deadlines.connect + reply_limit;
-        let Ok(result) = timeout(limit, exchange(client, request)).await else {
-            self.abandon(generation);
+        let result = timeout(limit, exchange(client, request)).await;
+        let result = result.unwrap_or_else(|_| {
             let text = format!("no reply within {} ms", limit.as_millis());
-            return Err(HttpCallError::ReplyLost(text));
-        };
+            Err(HttpCallError::ReplyLost(text))
+        });
+        if result.is_err() {
+            self.abandon(generation);
+        }
         result
     }
 
+    /// Abandons every pooled connection, so that the next call opens a new one. Calls in
+    /// progress go on.
+    pub fn abandon_connections(&self) {
+        let (_, generation) = self.client();
+        self.abandon(generation);
+    }
+
     fn with_address(&self, request: Request<Bytes>) -> Result<Request<Full<Bytes>>, HttpCallError> {
         let (mut parts, body) = request.into_parts();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -113,10 +123,7 @@
         if pool.generation != generation {
             return;
         }
-        log::warn!(
-            "connections to {} are silent and are replaced",
-            self.address
-        );
+        log::debug!("event=connections_replaced address={}", self.address);
         pool.client = build_client(self.deadlines);
         pool.generation += 1;
     }
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -21,7 +21,9 @@
 //! | [`planner_election`] | which gateway plans when no other does | a planner that is lost or stalled |
 //! | [`entry_log`] | which upstreams' entries are new to another gateway | many changes at once |
 //! | [`entry_sync`], [`entry_bounds`] | when entries are fetched from a peer, and which one | followers that the store turns away, entries that differ |
-//! | [`absences`] | which upstreams without an entry are kept | a store that was unavailable, for all or for this gateway |
+//! | [`store_belief`] | whether the store serves this gateway, or any | failed calls, silent connections and peers, outages |
+//! | [`store_timing`] | how long each step may take by which changes in the store are learned | lost connections, followers and outages, one after the other |
+//! | [`absences`] | which upstreams without an entry are kept | entries that lapsed while the store was away |
 //! | [`silence`] | when a silent stream is given up | unreachable and partitioned parts |
 //! | [`drain`] | which requests a draining gateway accepts | gateways stopped one after another |
 
@@ -50,3 +52,5 @@
 pub mod routes;
 pub mod service_choice;
 pub mod silence;
+pub mod store_belief;
+pub mod store_timing;
--- a/routing/tests/entry_world/mod.rs
+++ b/routing/tests/entry_world/mod.rs
@@ -25,6 +25,16 @@
 use jujubewall_routing::fleet::gossip::GossipMessage;
 use jujubewall_routing::fleet::gossip::PROTOCOL;
 use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_routing::fleet::store_belief::FollowerCounts;
+use jujubewall_routing::fleet::store_belief::StoreBelief;
+use jujubewall_routing::fleet::store_belief::StoreCall;
+use jujubewall_routing::fleet::store_timing::CONNECT_TIMEOUT;
+use jujubewall_routing::fleet::store_timing::MAX_RETRY_PAUSE;
+use jujubewall_routing::fleet::store_timing::MIN_RETRY_PAUSE;
+use jujubewall_routing::fleet::store_timing::PROBE_WAIT;
+use jujubewall_routing::fleet::store_timing::REPLY_TIMEOUT;
+use jujubewall_routing::fleet::store_timing::WATCH_OVERDUE;
+use jujubewall_routing::fleet::store_timing::watch_wait;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::id::FailureDomainName;
@@ -45,18 +55,10 @@
 /// The number of upstreams.
 pub const UPSTREAMS: usize = 20;
 
-const DOMAINS: usize = 3;
 const STEP: Duration = Duration::from_millis(10);
 
-/// The time after which a call that the store does not answer fails.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_100);
-
-/// The pause between two failed calls.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
-
-/// The longest duration of a watch call, and what it takes for each peer that follows.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(8);
-const WATCH_WAIT_PER_PEER: Duration = Duration::from_millis(500);
+/// The number of failure domains of the large fleets.
+const DOMAINS: usize = 3;
 
 /// The share of datagrams that the network loses.
 const LOSS: f64 = 0.02;
@@ -73,9 +75,19 @@
 /// The call to the store that a gateway makes.
 #[derive(Clone, Copy, Debug)]
 enum Call {
-    None { next_at: Instant },
-    List { ends_at: Instant },
-    Watch { ends_at: Instant },
+    None {
+        next_at: Instant,
+    },
+    List {
+        begun_at: Instant,
+        ends_at: Instant,
+    },
+    Watch {
+        begun_at: Instant,
+        ends_at: Instant,
+        /// Whether its connection has gone silent.
+        is_silent: bool,
+    },
 }
 
 fn id(upstream: usize) -> SmolStr {
@@ -101,13 +113,17 @@
     election: FollowerElection,
     sync: EntrySync,
     absences: Absences,
+    belief: StoreBelief,
     table: InstanceTable,
     log: EntryLog,
     position: StorePosition,
     watched: u64,
     call: Call,
+    changed_at: Instant,
+    retry_pause: Duration,
     behind_since: Option<Instant>,
-    is_store_up: bool,
+    is_running: bool,
+    incarnation: u64,
     is_synced: bool,
     away: Option<(Away, Instant)>,
     is_cut: bool,
@@ -116,22 +132,26 @@
 }
 
 impl Gateway {
-    fn new(index: usize, size: usize, seed: u64, now: Instant) -> Self {
+    fn new(index: usize, size: usize, domains: usize, seed: u64, now: Instant) -> Self {
         let seeds: Vec<SocketAddr> = (0..3.min(size)).map(address).collect();
-        let domain = u64::try_from(index % DOMAINS).unwrap();
+        let domain = u64::try_from(index % domains).unwrap();
         let draw = seed * 1_000 + u64::try_from(index).unwrap();
         Self {
             gossip: Gossip::new(address(index), domain, &seeds, draw, now),
             election: FollowerElection::new(),
             sync: EntrySync::new(),
             absences: Absences::new(),
+            belief: StoreBelief::new(),
             table: InstanceTable::new(),
             log: EntryLog::new(),
             position: StorePosition::default(),
             watched: 0,
             call: Call::None { next_at: now },
+            changed_at: now,
+            retry_pause: MIN_RETRY_PAUSE,
             behind_since: None,
-            is_store_up: true,
+            is_running: true,
+            incarnation: 1,
             is_synced: false,
             away: None,
             is_cut: false,
@@ -141,7 +161,10 @@
     }
 
     fn is_store_source(&self) -> bool {
-        self.election.is_following() && self.is_store_up && self.is_synced && self.log.is_running()
+        self.election.is_following()
+            && self.belief.is_link_up()
+            && self.is_synced
+            && self.log.is_running()
     }
 
     fn away(&self, now: Instant) -> Option<Away> {
@@ -161,7 +184,7 @@
             own_claim: RoleClaim {
                 holder: self.gossip.own_address(),
                 domain: self.gossip.domain(),
-                incarnation: 1,
+                incarnation: self.incarnation,
                 heartbeat: self.gossip.messages_sent(),
                 planner: PlannerRole::None,
                 follower: match (self.election.is_following(), self.is_store_source()) {
@@ -198,8 +221,11 @@
     }
 
     fn remove(&mut self, id: &str, now: Instant) {
-        if !self.absences.may_be_rewritten(id, now) {
-            self.table.depart(id, now);
+        match self.belief.rewriting_until(now) {
+            Some(until) => self.absences.keep(id, until),
+            None => {
+                self.table.depart(id, now);
+            }
         }
     }
 
@@ -220,22 +246,18 @@
         self.is_synced = true;
     }
 
-    fn on_store_answer(&mut self, is_answered: bool, now: Instant) {
-        if is_answered {
-            self.absences.on_followers_seen(true, now);
-            if !self.is_store_up {
-                self.absences.on_store_return(now);
-            }
-        }
-        self.is_store_up = is_answered;
+    fn on_answer(&mut self, now: Instant) {
+        self.belief.on_call(StoreCall::Answered, now);
+        self.belief.on_present(now);
+        self.retry_pause = MIN_RETRY_PAUSE;
     }
 
-    fn on_call_failed(&mut self, now: Instant) {
-        self.on_store_answer(false, now);
-        self.log.stop();
+    fn on_call_failed(&mut self, begun_at: Instant, now: Instant) {
+        self.belief.on_call(StoreCall::Failed { begun_at }, now);
         self.call = Call::None {
-            next_at: now + RETRY_PAUSE,
+            next_at: now + self.retry_pause,
         };
+        self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
     }
 
     fn follow(&mut self, store: &Store, bounds: EntryBounds, now: Instant) {
@@ -247,87 +269,134 @@
         let away = self.away(now);
         match self.call {
             Call::None { next_at } if now >= next_at => {
+                if self.log.is_running() {
+                    self.call = Call::Watch {
+                        begun_at: now,
+                        ends_at: now + PROBE_WAIT,
+                        is_silent: false,
+                    };
+                    return;
+                }
                 let time = match away {
-                    Some(Away::Silent) => CALL_TIMEOUT,
+                    Some(Away::Silent) => CONNECT_TIMEOUT + REPLY_TIMEOUT,
                     _ => STEP,
                 };
                 self.call = Call::List {
+                    begun_at: now,
                     ends_at: now + time,
                 };
             }
-            Call::List { ends_at } if now >= ends_at => {
+            Call::List { begun_at, ends_at } if now >= ends_at => {
                 if away.is_some() {
-                    self.on_call_failed(now);
+                    self.on_call_failed(begun_at, now);
                     return;
                 }
-                self.on_store_answer(true, now);
+                self.on_answer(now);
                 self.replace(&store.list(), now);
                 self.advance(store.newest_entry);
                 self.log.restart(Revision(store.revision));
                 self.watched = store.revision;
+                self.changed_at = now;
                 self.begin_watch(now);
             }
-            Call::Watch { ends_at } => self.watch(store, away, ends_at, bounds, now),
+            Call::Watch {
+                begun_at,
+                ends_at,
+                is_silent,
+            } => {
+                let away = away.or(is_silent.then_some(Away::Silent));
+                self.watch(store, away, begun_at, ends_at, now);
+                if matches!(self.call, Call::Watch { .. }) {
+                    self.check_behind(bounds, now);
+                }
+            }
             Call::None { .. } | Call::List { .. } => {}
         }
     }
 
     fn begin_watch(&mut self, now: Instant) {
-        let wait = WATCH_WAIT_PER_PEER * self.served_peers(now);
-        let wait = wait.clamp(Duration::from_millis(800), MAX_WATCH_WAIT);
+        let followers = self.served_peers(now) + 1;
+        let wait = watch_wait(self.rank(now), followers, now - self.changed_at);
         self.behind_since = None;
         self.call = Call::Watch {
+            begun_at: now,
             ends_at: now + wait,
+            is_silent: false,
         };
     }
 
-    /// Returns the number of other gateways that follow the store and are answered.
-    fn served_peers(&self, now: Instant) -> u32 {
+    fn counts(&self, now: Instant) -> FollowerCounts {
+        let silence = self.gossip.timing().silence_timeout();
+        let live: Vec<&RoleClaim> = self.gossip.claims().live_holders(silence, now).collect();
+        let count = |role: FollowerRole| live.iter().filter(|claim| claim.follower == role).count();
+        FollowerCounts {
+            served: count(FollowerRole::Served),
+            unserved: count(FollowerRole::Unserved),
+        }
+    }
+
+    /// Returns the number of other gateways that follow the store and are served.
+    fn served_peers(&self, now: Instant) -> usize {
+        self.counts(now).served
+    }
+
+    fn rank(&self, now: Instant) -> usize {
         let silence = self.gossip.timing().silence_timeout();
         let live = self.gossip.claims().live_holders(silence, now);
-        let served = live.filter(|claim| claim.follower == FollowerRole::Served);
-        u32::try_from(served.count()).unwrap()
+        let own = self.gossip.own_address();
+        live.filter(|claim| claim.follower == FollowerRole::Served && claim.holder < own)
+            .count()
     }
 
     fn watch(
         &mut self,
         store: &Store,
         away: Option<Away>,
+        begun_at: Instant,
         ends_at: Instant,
-        bounds: EntryBounds,
         now: Instant,
     ) {
-        if away == Some(Away::Refused) {
-            self.on_call_failed(now);
-            return;
-        }
-        if away.is_none() && store.revision > self.watched {
-            self.on_store_answer(true, now);
-            for (revision, upstream) in store.changes_after(self.watched) {
-                self.advance(revision);
-                self.log.note(Revision(revision), &id(upstream));
-                if store.entries.contains(&upstream) {
-                    self.upsert(instance(upstream), now);
-                } else {
-                    self.remove(&id(upstream), now);
+        let overdue_at = ends_at + WATCH_OVERDUE;
+        let is_away = self.away(now).is_some();
+        match away {
+            Some(Away::Refused) => self.on_call_failed(begun_at, now),
+            // A second watch on a new connection is answered at once, or fails as well.
+            Some(Away::Silent) if is_away && now >= overdue_at + CONNECT_TIMEOUT => {
+                self.on_call_failed(overdue_at, now);
+            }
+            Some(Away::Silent) if is_away || now < overdue_at => {}
+            _ if store.revision > self.watched => {
+                self.on_answer(now);
+                for (revision, upstream) in store.changes_after(self.watched) {
+                    self.advance(revision);
+                    self.log.note(Revision(revision), &id(upstream));
+                    if store.entries.contains(&upstream) {
+                        self.upsert(instance(upstream), now);
+                    } else {
+                        self.remove(&id(upstream), now);
+                    }
                 }
+                self.watched = store.revision;
+                self.changed_at = now;
+                self.begin_watch(now + BATCH_PAUSE);
             }
-            self.watched = store.revision;
-            self.begin_watch(now + BATCH_PAUSE);
-            return;
-        }
-        if now >= ends_at && away.is_none() {
-            self.begin_watch(now);
-        } else if now >= ends_at + CALL_TIMEOUT {
-            self.on_call_failed(now);
-        } else if self.is_behind(now) {
-            let since = *self.behind_since.get_or_insert(now);
-            if now - since >= bounds.max_behind() {
-                self.log.stop();
-                self.call = Call::None { next_at: now };
+            _ if now >= ends_at => {
+                self.on_answer(now);
+                self.begin_watch(now);
             }
-        } else {
+            _ => {}
+        }
+    }
+
+    fn check_behind(&mut self, bounds: EntryBounds, now: Instant) {
+        if !self.is_behind(now) {
             self.behind_since = None;
+            return;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= bounds.max_behind() {
+            self.log.stop();
+            self.call = Call::None { next_at: now };
         }
     }
 
@@ -339,10 +408,14 @@
         })
     }
 
+    fn weigh_followers(&mut self, now: Instant) {
+        let follows = self.election.is_following();
+        self.belief.on_followers(self.counts(now), follows, now);
+    }
+
     fn remove_absent(&mut self, now: Instant) {
-        let is_any_served = self.is_store_source() || self.served_peers(now) > 0;
-        self.absences.on_followers_seen(is_any_served, now);
-        if !self.is_store_up {
+        self.weigh_followers(now);
+        if self.belief.is_away() {
             return;
         }
         let mut absent = self.absences.take_overdue(now);
@@ -350,8 +423,10 @@
             let digest = self.table.entries_digest_without(self.absences.missing());
             let silence = self.gossip.timing().silence_timeout();
             let own = self.gossip.own_address();
-            if most_followers_have(digest, own, self.gossip.claims(), silence, now) {
-                absent.extend(self.absences.take_confirmed(now));
+            if most_followers_have(digest, own, self.gossip.claims(), silence, now)
+                && self.belief.end_rewriting(now)
+            {
+                absent.extend(self.absences.take_all());
             }
         }
         for id in absent {
@@ -417,18 +492,26 @@
 /// Gateways, their network and the store.
 pub struct World {
     gateways: Vec<Gateway>,
+    domains: usize,
+    seed: u64,
     store: Store,
     bound: Duration,
     /// The time between two changes of an entry, as in a release.
     change_interval: Option<Duration>,
     next_change_at: Instant,
     rng: ChaCha8Rng,
+    start: Instant,
     now: Instant,
 }
 
 impl World {
     /// Creates a fleet that starts with all upstreams in the store.
     pub fn new(size: usize, bound: Duration, seed: u64) -> Self {
+        Self::with_domains(size, DOMAINS, bound, seed)
+    }
+
+    /// Creates a fleet in so many failure domains that starts with all upstreams in the store.
+    pub fn with_domains(size: usize, domains: usize, bound: Duration, seed: u64) -> Self {
         let now = Instant::now();
         let mut store = Store {
             revision: 10,
@@ -441,13 +524,16 @@
         }
         Self {
             gateways: (0..size)
-                .map(|index| Gateway::new(index, size, seed, now))
+                .map(|index| Gateway::new(index, size, domains, seed, now))
                 .collect(),
+            domains,
+            seed,
             store,
             bound,
             change_interval: None,
             next_change_at: now,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            start: now,
             now,
         }
     }
@@ -460,6 +546,49 @@
         }
     }
 
+    /// Makes the open connections of all gateways to the store go silent.
+    pub fn silence_links(&mut self) {
+        for gateway in &mut self.gateways {
+            if let Call::Watch { is_silent, .. } = &mut gateway.call {
+                *is_silent = true;
+            }
+        }
+    }
+
+    /// Closes the connections of all watches that wait.
+    pub fn cut_watches(&mut self) {
+        for gateway in &mut self.gateways {
+            if let Call::Watch {
+                begun_at, ends_at, ..
+            } = gateway.call
+                && ends_at > self.now + STEP
+            {
+                gateway.on_call_failed(begun_at, self.now);
+            }
+        }
+    }
+
+    /// Kills all gateways that follow the store.
+    pub fn kill_followers(&mut self) -> Vec<usize> {
+        let follows = |index: &usize| self.gateways[*index].election.is_following();
+        let killed: Vec<usize> = (0..self.gateways.len()).filter(follows).collect();
+        for &index in &killed {
+            self.gateways[index].is_running = false;
+        }
+        killed
+    }
+
+    /// Starts killed gateways again.
+    pub fn restart(&mut self, killed: &[usize]) {
+        let size = self.gateways.len();
+        for &index in killed {
+            let seed = self.seed + 1;
+            self.gateways[index] = Gateway::new(index, size, self.domains, seed, self.now);
+            self.gateways[index].incarnation =
+                u64::try_from((self.now - self.start).as_millis()).unwrap();
+        }
+    }
+
     /// Cuts a share of the gateways off from the store and from the others; they still reach
     /// each other.
     pub fn partition(&mut self, share: f64) -> Vec<usize> {
@@ -508,6 +637,11 @@
         }
     }
 
+    /// Writes the entry of an upstream.
+    pub fn write_entry(&mut self, upstream: usize) {
+        self.store.change(upstream, true);
+    }
+
     /// Writes the entries of all upstreams from `first` on again.
     pub fn rewrite_entries(&mut self, first: usize) {
         for upstream in first..UPSTREAMS {
@@ -518,7 +652,7 @@
     /// Returns whether some gateway uses an upstream.
     pub fn is_known(&self, upstream: usize) -> bool {
         let id = id(upstream);
-        let connected = self.gateways.iter().filter(|gateway| !gateway.is_cut);
+        let connected = self.running().filter(|gateway| !gateway.is_cut);
         connected
             .into_iter()
             .any(|gateway| gateway.table.by_id(&id).is_some())
@@ -527,11 +661,19 @@
     /// Returns whether every gateway uses an upstream.
     pub fn is_known_to_all(&self, upstream: usize) -> bool {
         let id = id(upstream);
-        self.gateways
-            .iter()
+        self.running()
             .all(|gateway| gateway.table.by_id(&id).is_some())
     }
 
+    fn running(&self) -> impl Iterator<Item = &Gateway> {
+        self.gateways.iter().filter(|gateway| gateway.is_running)
+    }
+
+    /// Returns whether some gateway believes that the store is away for all.
+    pub fn is_any_belief_away(&self) -> bool {
+        self.running().any(|gateway| gateway.belief.is_away())
+    }
+
     /// Runs for some time.
     pub fn run_for(&mut self, time: Duration) {
         self.run_until(time, |_| false);
@@ -558,12 +700,18 @@
     fn step(&mut self, index: usize) {
         let now = self.now;
         let gateway = &mut self.gateways[index];
+        if !gateway.is_running {
+            return;
+        }
         let bounds = EntryBounds::new(self.bound, gateway.gossip.timing());
         gateway.follow(&self.store, bounds, now);
         if gateway.next_sync_at <= now {
             gateway.next_sync_at = now + SYNC_INTERVAL;
-            let is_served = gateway.is_store_up;
-            gateway.election.step(&gateway.gossip, is_served, now);
+            let is_served = gateway.belief.is_link_up();
+            let before = gateway.election.is_following();
+            if gateway.election.step(&gateway.gossip, is_served, now) && !before {
+                gateway.belief.forget_link();
+            }
             gateway.remove_absent(now);
             if let Some(fetch) = gateway.next_fetch(bounds, now) {
                 self.fetch(index, fetch);
@@ -579,7 +727,8 @@
         };
         let now = self.now;
         let source = &self.gateways[index_of(peer)];
-        if source.is_cut != self.gateways[index].is_cut || !source.is_store_source() {
+        let is_reachable = source.is_running && source.is_cut == self.gateways[index].is_cut;
+        if !is_reachable || !source.is_store_source() {
             return;
         }
         let (position, digest) = (source.position, source.table.entries_digest());
@@ -592,6 +741,7 @@
         let changed = since.and_then(|since| source.log.since(since));
         let changed = changed.map(|ids| ids.into_iter().cloned().collect::<Vec<_>>());
         let gateway = &mut self.gateways[index];
+        gateway.weigh_followers(now);
         match changed {
             None => gateway.replace(&all, now),
             Some(ids) => {
@@ -622,6 +772,9 @@
             let is_cut = gateway.is_cut != self.gateways[index_of(target)].is_cut;
             if !is_cut && !self.rng.random_bool(LOSS) {
                 let receiver = &mut self.gateways[index_of(target)];
+                if !receiver.is_running {
+                    continue;
+                }
                 receiver.gossip.on_message(from, &message, now);
             }
         }
