gateway: answers without end share a bounded memory

An operators' report: a faulty upstream sends bytes that are no answer, without end, until its caller closes.

Cause: each answer had a limit, and nothing bounded their sum; interim answers had none.

All unfinished answers now share a sixteenth of the host's memory, of which a single one may hold a quarter of what is free. Connections to upstreams have the smallest read buffer, and end after 64 KB without a whole head. The host's memory bounds the requests in progress, and more are rejected at once.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -30,6 +30,7 @@
 mod state;
 mod stream;
 mod stream_head;
+mod upstream_socket;
 mod upstreams;
 
 use std::path::Path;
--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -33,6 +33,7 @@
 use crate::gateway::answer::Reply;
 use crate::gateway::answer::strip_connection_headers;
 use crate::gateway::body::AnswerCut;
+use crate::gateway::body::HeldBytes;
 use crate::gateway::body::ReplyBody;
 use crate::gateway::crash_watch;
 use crate::gateway::crash_watch::CrashWatch;
@@ -53,8 +54,8 @@
 /// answer is also sent to a second upstream. Calls of usual length have ended by then.
 const SECOND_SEND_FACTOR: f64 = 1.2;
 
-/// The size in bytes up to which an answer is buffered until it is complete. The rest of a
-/// larger one is passed on as it arrives.
+/// The size in bytes up to which an answer is buffered until it is complete, if there is memory
+/// for it. The rest of a larger one is passed on as it arrives.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
 /// The result of one send of a call.
@@ -83,7 +84,7 @@
 /// The body of an answer.
 enum CallBody {
     /// The complete body.
-    Whole(Bytes),
+    Whole(HeldBytes),
     /// A body of which only the start has arrived.
     Long(LongBody),
 }
@@ -91,7 +92,9 @@
 /// A body that is passed on while it arrives.
 struct LongBody {
     /// The buffered start, until it has been passed on.
-    start: Option<Bytes>,
+    start: Option<HeldBytes>,
+    /// The part that was not buffered any more.
+    next: Option<Bytes>,
     rest: Incoming,
     /// The connection that the rest arrives over, closed with it.
     _connection: Connection,
@@ -101,8 +104,12 @@
 impl LongBody {
     /// Returns the next bytes; `None` after the last ones.
     async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        if let Some(start) = self.start.take() {
-            return Some(Ok(start));
+        if let Some(part) = self.start.as_mut().and_then(HeldBytes::next_part) {
+            return Some(Ok(part));
+        }
+        self.start = None;
+        if let Some(bytes) = self.next.take() {
+            return Some(Ok(bytes));
         }
         loop {
             match self.rest.frame().await? {
@@ -402,7 +409,7 @@
             "upstream_failure"
         };
         let body = match body {
-            CallBody::Whole(bytes) => ReplyBody::whole(bytes),
+            CallBody::Whole(bytes) => ReplyBody::Whole(bytes),
             CallBody::Long(body) => {
                 self.long_body = Some(body);
                 ReplyBody::whole(Bytes::new())
@@ -515,7 +522,7 @@
     }
 }
 
-/// Checks the head of an answer, and reads its body up to [`MAX_BUFFERED_BYTES`].
+/// Checks the head of an answer, and reads its body as far as it may be buffered.
 async fn read_answer(
     counted: CountedCall,
     connection: Connection,
@@ -540,23 +547,28 @@
         return SendResult::Lost;
     }
     let mut buffer = BytesMut::new();
+    let mut share = gateway.answer_share();
     loop {
-        match body.frame().await {
-            Some(Ok(frame)) => {
-                if let Ok(bytes) = frame.into_data() {
-                    buffer.extend_from_slice(&bytes);
-                }
-            }
+        let bytes = match body.frame().await {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(_)) => return SendResult::Cut,
             None => {
                 gateway.connections.put(key, connection);
-                let body = CallBody::Whole(buffer.freeze());
+                let body = CallBody::Whole(HeldBytes::new(buffer.freeze(), share));
                 return SendResult::Answered(Box::new(CallAnswer { head, body }));
             }
+        };
+        let size = buffer.len() + bytes.len();
+        let may_hold = share.try_hold(size);
+        if !may_hold {
+            gateway.note_answer_memory_full(request_id, size);
         }
-        if buffer.len() > MAX_BUFFERED_BYTES {
+        if may_hold && size <= MAX_BUFFERED_BYTES {
+            buffer.extend_from_slice(&bytes);
+        } else {
             let body = CallBody::Long(LongBody {
-                start: Some(buffer.freeze()),
+                start: Some(HeldBytes::new(buffer.freeze(), share)),
+                next: Some(bytes),
                 rest: body,
                 _connection: connection,
                 _counted: counted,
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -217,6 +217,9 @@
     });
     let connection = http1::Builder::new()
         .header_read_timeout(None)
+        // Parts of answers are copied into one buffer. Queued as they are, small ones would keep
+        // the larger buffers alive into which they were read.
+        .writev(false)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -324,6 +327,12 @@
         return answer::reject_unadmitted(id, reason, START_RETRY_AFTER);
     };
     gateway.count_request(&service.name);
+    if gateway.in_flight() >= gateway.answer_memory.max_requests() {
+        gateway.metrics.count("rejected_full");
+        discard_body(body, &parts.headers);
+        let wait = gateway.next_retry_after(&service.name);
+        return answer::reject_unadmitted(id, "too many requests in progress", wait);
+    }
     let in_flight = gateway.begin_request();
     let max_bytes = routes.config().limits.max_body_bytes;
     let limit = Duration::from_millis(route.timeout_ms);
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -511,7 +511,7 @@
     path: &str,
     limit: Duration,
 ) -> Option<Bytes> {
-    let (is_success, body) = timeout(limit, probe::get(gateway, peer, path))
+    let (is_success, body) = timeout(limit, probe::get_document(gateway, peer, path))
         .await
         .ok()??;
     is_success.then_some(body)
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -9,9 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -39,6 +37,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::gateway::body::read_held;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::Connection;
 
@@ -85,9 +84,12 @@
 /// The timeout of a health check, which waits for a free request slot of the upstream.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// The largest answer that is read. The largest valid one is a configuration from a peer,
-/// which the platform's store limits to one megabyte in its own format.
-const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// The largest answer that is read from a peer. The largest valid one is a configuration, which
+/// the platform's store limits to one megabyte in its own format.
+const MAX_DOCUMENT_BYTES: usize = 4 * 1024 * 1024;
+
+/// The largest answer that is read from an upstream: a report of some hundred streams.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
 
 /// Starts to probe suspected upstreams until they answer, and to check for silent engines.
 pub fn start(gateway: &Rc<Gateway>) {
@@ -512,7 +514,8 @@
             Some(connection) => connection,
             None => Connection::open(address).await.ok()?,
         };
-        let answer = get_over(gateway, &mut connection, address, REPORT_PATH).await?;
+        let path = REPORT_PATH;
+        let answer = get_over(gateway, &mut connection, address, path, MAX_REPORT_BYTES).await?;
         gateway.connections.put(key, connection);
         Some(answer)
     };
@@ -554,10 +557,22 @@
     timeout(ORDER_TIMEOUT, exchange).await.ok()?
 }
 
-/// Fetches a path over a new connection.
-pub async fn get(gateway: &Rc<Gateway>, address: SocketAddr, path: &str) -> Option<(bool, Bytes)> {
+/// Fetches a document from a peer over a new connection; returns whether that succeeded, and
+/// the body.
+pub async fn get_document(
+    gateway: &Rc<Gateway>,
+    peer: SocketAddr,
+    path: &str,
+) -> Option<(bool, Bytes)> {
+    let mut connection = Connection::open(peer).await.ok()?;
+    get_over(gateway, &mut connection, peer, path, MAX_DOCUMENT_BYTES).await
+}
+
+/// Fetches a path of an upstream over a new connection; returns whether that succeeded, and
+/// the body.
+async fn get(gateway: &Rc<Gateway>, address: SocketAddr, path: &str) -> Option<(bool, Bytes)> {
     let mut connection = Connection::open(address).await.ok()?;
-    get_over(gateway, &mut connection, address, path).await
+    get_over(gateway, &mut connection, address, path, MAX_REPORT_BYTES).await
 }
 
 /// Fetches a path over a connection; returns whether that succeeded, and the body.
@@ -566,19 +581,17 @@
     connection: &mut Connection,
     address: SocketAddr,
     path: &str,
+    max_bytes: usize,
 ) -> Option<(bool, Bytes)> {
     let answer = connection.send(request(address, path)?).await.ok()?;
     process_answer_from(gateway, address, &answer);
     let is_success = answer.status().is_success();
     // A faulty upstream may send a body without end.
-    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
-    match body.collect().await {
-        Ok(body) => Some((is_success, body.to_bytes())),
-        Err(failure) => {
-            warn!("event=answer_unreadable address={address} path={path} reason=\"{failure}\"");
-            None
-        }
-    }
+    let Some(body) = read_held(gateway, path, answer.into_body(), max_bytes).await else {
+        warn!("event=answer_unreadable address={address} path={path}");
+        return None;
+    };
+    Some((is_success, body.into_bytes()))
 }
 
 fn request(address: SocketAddr, path: &str) -> Option<Request<Full<Bytes>>> {
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -12,7 +12,6 @@
 use futures_util::future::LocalBoxFuture;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
@@ -37,6 +36,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::gateway::body::read_held;
 use crate::gateway::crash_watch::CrashWatch;
 use crate::gateway::path;
 use crate::gateway::path::CountedPath;
@@ -299,15 +299,14 @@
             self.message = None;
             return Ok(());
         }
-        let body = Limited::new(body, MAX_FAILURE_BYTES).collect().await;
-        match body {
-            Ok(body) => Err(RunFault::Failed(Box::new(FailedAnswer {
+        match read_held(gateway, &self.request_id, body, MAX_FAILURE_BYTES).await {
+            Some(body) => Err(RunFault::Failed(Box::new(FailedAnswer {
                 first: self.first,
                 status: head.status,
                 headers: head.headers,
-                body: body.to_bytes(),
+                body,
             }))),
-            Err(_) => Err(self.bad_answer(Some(self.first))),
+            None => Err(self.bad_answer(Some(self.first))),
         }
     }
 
--- a/daemon/src/gateway/run_fault.rs
+++ b/daemon/src/gateway/run_fault.rs
@@ -3,12 +3,13 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::layer_path::NoPath;
 
+use crate::gateway::body::HeldBytes;
+
 /// The reason why a run ended without completing its stream.
 pub enum RunFault {
     /// There is no path, so nothing was sent.
@@ -75,7 +76,7 @@
     /// The headers.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldBytes,
 }
 
 impl fmt::Display for RunFault {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -16,6 +16,8 @@
 use jujubewall_platform::site::settings::SiteSettings;
 use jujubewall_platform::site::store::StoreClient;
 use jujubewall_routing::fleet::absences::Absences;
+use jujubewall_routing::fleet::answer_memory::AnswerMemory;
+use jujubewall_routing::fleet::answer_memory::AnswerShare;
 use jujubewall_routing::fleet::drain::Drain;
 use jujubewall_routing::fleet::entry_bounds::EntryBounds;
 use jujubewall_routing::fleet::entry_log::EntryLog;
@@ -90,6 +92,8 @@
     pub poison: PoisonState,
     /// The upstreams whose entries the store lost while it was unavailable.
     absences: RefCell<Absences>,
+    /// The memory for unfinished answers.
+    pub answer_memory: Rc<AnswerMemory>,
 }
 
 impl Gateway {
@@ -123,6 +127,7 @@
             planner: PlannerState::default(),
             poison: PoisonState::default(),
             absences: RefCell::new(Absences::new()),
+            answer_memory: AnswerMemory::new(settings.max_memory_bytes),
             settings: RefCell::new(settings),
         })
     }
@@ -271,6 +276,21 @@
         }
     }
 
+    /// Returns a share of the memory for unfinished answers.
+    pub fn answer_share(&self) -> AnswerShare {
+        AnswerShare::new(&self.answer_memory)
+    }
+
+    /// Records that an answer may not hold more.
+    pub fn note_answer_memory_full(&self, id: &str, bytes: usize) {
+        self.metrics.count("answer_memory_full");
+        warn!(
+            "event=answer_memory_full id={id} bytes={bytes} used={} capacity={}",
+            self.answer_memory.used_bytes(),
+            self.answer_memory.capacity_bytes()
+        );
+    }
+
     /// Returns the routes of the configuration in force; `None` if there is none yet.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use jujubewall_routing::fleet::answer_memory::AnswerShare;
 use jujubewall_routing::fleet::attempts::Attempts;
 use jujubewall_routing::fleet::attempts::Barred;
 use jujubewall_routing::fleet::events::EventFilter;
@@ -26,6 +27,7 @@
 use crate::gateway::answer::Reply;
 use crate::gateway::answer::strip_connection_headers;
 use crate::gateway::body::AnswerCut;
+use crate::gateway::body::MAX_PART_BYTES;
 use crate::gateway::body::ReplyBody;
 use crate::gateway::crash_watch;
 use crate::gateway::poison;
@@ -106,6 +108,8 @@
     request: ClientRequest,
     spec: Rc<EngineSpec>,
     filter: EventFilter,
+    /// The memory of incomplete events, and of whole ones that the client has not taken.
+    share: AnswerShare,
     run: Option<Run>,
     /// The silent run before `run`, until that has been accepted.
     held: Option<HeldRun>,
@@ -182,6 +186,7 @@
     let mut relay = Box::new(Relay {
         gateway: Rc::clone(gateway),
         filter,
+        share: gateway.answer_share(),
         spec: Rc::new(spec),
         run: None,
         held: None,
@@ -225,11 +230,14 @@
             if has_ended {
                 return None;
             }
-            if let Some(events) = pending {
-                return Some((Ok(events), (relay, None, false)));
+            if let Some((part, rest)) = pending.and_then(split_part) {
+                return Some((Ok(part), (relay, rest, false)));
             }
             match relay.next_in_time().await {
-                Ok(RelayOutput::Events(events)) => Some((Ok(events), (relay, None, false))),
+                Ok(RelayOutput::Events(events)) => {
+                    let (part, rest) = split_part(events)?;
+                    Some((Ok(part), (relay, rest, false)))
+                }
                 Ok(RelayOutput::End) => {
                     relay.outcome = "completed";
                     None
@@ -281,7 +289,7 @@
                 self.outcome = "upstream_failure";
                 let mut fields = failed.headers;
                 strip_connection_headers(&mut fields);
-                with_head(failed.status, fields, ReplyBody::whole(failed.body))
+                with_head(failed.status, fields, ReplyBody::Whole(failed.body))
             }
         }
     }
@@ -418,6 +426,15 @@
                     info!("event=bad_event id={} reason=\"{fault}\"", self.request.id);
                     run.bad_answer(None)
                 })?;
+                let held = self.held.as_ref();
+                let held_bytes = held.map_or(0, |held| held.partial_event.len());
+                let bytes = events.len() + self.filter.partial_bytes() + held_bytes;
+                // Whole events are passed on in any case.
+                if !self.share.try_hold(bytes) && events.is_empty() {
+                    self.gateway
+                        .note_answer_memory_full(&self.request.id, bytes);
+                    return Err(run.bad_answer(None));
+                }
                 if events.is_empty() {
                     return Ok(None);
                 }
@@ -542,6 +559,16 @@
     }
 }
 
+/// Splits events into the part that is handed to the library now, and the rest; `None` if
+/// there are none. What the library has not written yet is not accounted for.
+fn split_part(mut events: Bytes) -> Option<(Bytes, Option<Bytes>)> {
+    if events.len() <= MAX_PART_BYTES {
+        return (!events.is_empty()).then_some((events, None));
+    }
+    let part = Bytes::copy_from_slice(&events.split_to(MAX_PART_BYTES));
+    Some((part, Some(events)))
+}
+
 /// Returns a reply with the given head and body.
 fn with_head(status: StatusCode, fields: HeaderMap, body: ReplyBody) -> Reply {
     let mut reply = Response::new(body);
--- a/daemon/src/gateway/upstreams.rs
+++ b/daemon/src/gateway/upstreams.rs
@@ -27,6 +27,8 @@
 use tokio::time::timeout;
 
 use crate::gateway::answer::KEEP_ALIVE;
+use crate::gateway::upstream_socket::HeadLimit;
+use crate::gateway::upstream_socket::UpstreamSocket;
 
 /// The timeout for opening a connection to an upstream. The round trip is a few
 /// milliseconds, and the upstream may need some time to accept.
@@ -39,6 +41,10 @@
 /// kept, so that the upstream does not close it just as it is used again.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
+/// The size in bytes of a connection's read buffer, and so of the largest head of an answer. It
+/// is the smallest one that the HTTP library allows.
+const MAX_READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// The largest number of idle connections that are kept for one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 64;
 
@@ -59,6 +65,7 @@
 /// A connection to one upstream, closed on drop.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     driver: JoinHandle<()>,
     max_idle: Duration,
     is_reusable: bool,
@@ -82,7 +89,10 @@
         socket
             .set_nodelay(true)
             .map_err(|_| SendFault::NotConnected)?;
+        let head_limit = HeadLimit::default();
+        let socket = UpstreamSocket::new(socket, head_limit.clone());
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
             .await
             .map_err(|_| SendFault::NotConnected)?;
@@ -92,6 +102,7 @@
         });
         Ok(Self {
             sender,
+            head_limit,
             driver,
             max_idle: DEFAULT_MAX_IDLE,
             is_reusable: true,
@@ -105,7 +116,9 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFault> {
         self.sends = self.sends.saturating_add(1);
+        self.head_limit.begin_head();
         let answer = self.sender.try_send_request(request).await;
+        self.head_limit.end_head();
         match answer {
             Ok(answer) => {
                 check_head(&answer).map_err(SendFault::BadHead)?;
--- a/routing/src/fleet/events.rs
+++ b/routing/src/fleet/events.rs
@@ -70,6 +70,15 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the memory that an incomplete event takes.
+    pub fn partial_bytes(&self) -> usize {
+        if self.partial.is_empty() {
+            0
+        } else {
+            self.partial.capacity()
+        }
+    }
+
     /// Takes the incomplete event of a run that has ended or is set aside.
     pub fn take_partial_event(&mut self) -> BytesMut {
         std::mem::take(&mut self.partial)
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -24,10 +24,12 @@
 //! | [`store_belief`] | whether the store serves this gateway, or any | failed calls, silent connections and peers, outages |
 //! | [`store_timing`] | how long each step may take by which changes in the store are learned | lost connections, followers and outages, one after the other |
 //! | [`absences`] | which upstreams without an entry are kept | entries that lapsed while the store was away |
+//! | [`answer_memory`] | how much of unfinished answers is held | upstreams that send bytes without end to many requests |
 //! | [`silence`] | when a silent stream is given up | unreachable and partitioned parts |
 //! | [`drain`] | which requests a draining gateway accepts | gateways stopped one after another |
 
 pub mod absences;
+pub mod answer_memory;
 pub mod attempts;
 pub mod claims;
 pub mod drain;
