streams: one that lost its path waits as long as its client

Cause: a stream for which no path exists waited for one for 1.3 s only, though clients wait for two seconds and more. Layers that are missing are missing for all gateways, so a client that is cut finds nothing better elsewhere.

A stream that has begun now waits until its deadline; the wait ends with its client. test_stream_whose_path_is_lost_goes_on_while_its_client_waits failed before: cut after 1,335 ms.

--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -54,10 +54,6 @@
 /// The shortest `Retry-After` time after a rejection for another reason than full engines.
 const MIN_FAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The time after its last event for which a stream waits for a path. Clients disconnect
-/// after two seconds without an event.
-const MAX_PATH_WAIT: Duration = Duration::from_millis(1_300);
-
 /// The interval between attempts to find a path.
 const PATH_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -387,10 +383,10 @@
         Ok(())
     }
 
-    /// Returns whether a stream that has begun may wait for a complete path.
-    fn can_wait_for_path(&self) -> bool {
-        let last_at = self.timing.last_at;
-        last_at.is_some_and(|last| last.elapsed() < MAX_PATH_WAIT)
+    /// Returns whether a stream may wait for a complete path: once it has begun, it does until
+    /// its deadline, or until its client leaves.
+    const fn can_wait_for_path(&self) -> bool {
+        self.timing.last_at.is_some()
     }
 
     /// Advances the present run, or starts one; `None` if no whole event came of it.
--- a/daemon/tests/test_gateway_streams.rs
+++ b/daemon/tests/test_gateway_streams.rs
@@ -11,6 +11,7 @@
 use jujubewall_testutils::scripted_upstream::Script;
 use jujubewall_testutils::scripted_upstream::ScriptedSite;
 use jujubewall_testutils::scripted_upstream::Written;
+use tokio::time::sleep;
 
 /// The program under test.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_jujubewalld");
@@ -376,3 +377,36 @@
         }
     }
 }
+
+/// The time without an engine after which a client still waits for its stream.
+const WITHOUT_ENGINE: Duration = Duration::from_millis(1_700);
+
+/// Guards against streams that were cut 1.3 s after their path was lost, though their clients
+/// wait for two seconds and most of their time was left.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_whose_path_is_lost_goes_on_while_its_client_waits() {
+    let site = ScriptedSite::start(Path::new(PROGRAM), |_| {}).await;
+    let first: Script = Arc::new(|received| {
+        let part = chunk(&events(0..BEFORE_BREAK));
+        Written::new(head(&received.id, "200 OK", CHUNKED) + &part, After::Reset)
+    });
+    let lost = site.upstream("engine-0", "llm", first).await;
+    site.wait_for_retry_budget().await;
+    let answer = site.raw_answer("POST", "/notes/1", "s-1");
+    let replacement = async {
+        sleep(Duration::from_millis(200)).await;
+        site.store.remove("servers/engine-0");
+        drop(lost);
+        sleep(WITHOUT_ENGINE).await;
+        let rest: Script = Arc::new(|received| {
+            let next = received.last_event_id.map_or(0, |last| last + 1);
+            let body = events(next..EVENTS);
+            let answer = with_length(&received.id, "200 OK", "text/event-stream", &body);
+            Written::new(answer, After::Keep)
+        });
+        site.upstream("engine-1", "llm", rest).await
+    };
+    let (answer, _engine) = tokio::join!(answer, replacement);
+    assert_eq!(answer.body, events(0..EVENTS), "{}", site.gateway.log());
+    assert!(answer.is_complete);
+}
