--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Gateways run before stand-ins of the store and the runners, behind loopback proxies.
 //! A seed decides what fails, when, and for how long: signals, restarts, silent
-//! connections, the store's moods, runners that fail, leave and come back, changed
-//! configurations and keys. Planned work alone alternates with everything at once. What
+//! connections, cut watches, the store's moods, outages that changes follow at once, followers
+//! killed together, runners that fail, leave and come back, changed configurations and keys. Planned work alone alternates with everything at once. What
 //! clients and runners see is checked against [`promises`].
 
 pub mod clients;
@@ -42,7 +42,7 @@
 ///
 /// `program` is run with `--gateway`. The logs of the gateways are in `folder`.
 pub async fn soak(program: &Path, folder: &Path, seed: u64, length: Duration) -> Report {
-    let world = World::start(program, folder).await;
+    let world = World::start(program, folder, seed).await;
     let load = clients::start(&world, seed);
     let failing = tokio::spawn(schedule::fail_runners(Arc::clone(&world), seed));
     let mut schedule = Schedule::new(seed);
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
-use crate::world::GATEWAYS;
+use crate::world::Leave;
 use crate::world::World;
 
 /// The time for which only planned work is played, and then everything.
@@ -23,7 +23,13 @@
     Configure,
     RevokeKey,
     DrainRunner(u64),
+    RemoveRunner(u64),
+    CutWatches,
     Kill(usize),
+    KillFollowers,
+    /// An outage of the store that is followed at once by changes.
+    OutageThenChanges(StoreMood, Duration, u64),
+    SilenceStoreLinks(u64),
     Pause(usize, Duration),
     Store(StoreMood, Duration),
     CompactStore,
@@ -37,7 +43,12 @@
     const fn is_planned(self) -> bool {
         matches!(
             self,
-            Self::Terminate(_) | Self::Configure | Self::RevokeKey | Self::DrainRunner(_)
+            Self::Terminate(_)
+                | Self::Configure
+                | Self::RevokeKey
+                | Self::DrainRunner(_)
+                | Self::RemoveRunner(_)
+                | Self::CutWatches
         )
     }
 }
@@ -74,7 +85,7 @@
             self.phase_left = PHASE;
             world.change_phase().await;
         }
-        let event = self.draw();
+        let event = self.draw(world.gateway_count());
         if !event.is_planned() && !world.may_be_disturbed() {
             return;
         }
@@ -84,12 +95,12 @@
         task.spawn(async move { play(&world, event).await });
     }
 
-    fn draw(&mut self) -> Event {
+    fn draw(&mut self, gateways: usize) -> Event {
         let rng = &mut self.rng;
-        let gateway = rng.random_range(0..GATEWAYS);
+        let gateway = rng.random_range(0..gateways);
         let runner: u64 = rng.random();
         let span = Duration::from_millis(rng.random_range(100..2_500));
-        match rng.random_range(0..14) {
+        match rng.random_range(0..19) {
             0 => Event::Terminate(gateway),
             1 => Event::Configure,
             2 => Event::RevokeKey,
@@ -110,6 +121,16 @@
             10 => Event::SilenceStoreLink(gateway),
             11 => Event::SilenceRunners,
             12 => Event::CrashRunner(runner, span),
+            13 => Event::RemoveRunner(runner),
+            14 => Event::CutWatches,
+            15 => Event::KillFollowers,
+            16 => Event::SilenceStoreLinks(runner),
+            17 => {
+                let moods = [StoreMood::Closing, StoreMood::Silent];
+                let mood = moods[rng.random_range(0..moods.len())];
+                let span = Duration::from_millis(rng.random_range(500..5_000));
+                Event::OutageThenChanges(mood, span, runner)
+            }
             _ => {
                 let faults = runner_faults(rng.random_range(0..20));
                 let fault = faults[rng.random_range(0..faults.len())];
@@ -161,14 +182,29 @@
         Event::Terminate(gateway) => world.restart_gateway(gateway, true).await,
         Event::Configure => world.configure(),
         Event::RevokeKey => world.revoke_key(),
-        Event::DrainRunner(pick) => world.replace_runner(pick, true, Duration::ZERO).await,
+        Event::DrainRunner(pick) => world.replace_runner(pick, Leave::Drain).await,
+        Event::RemoveRunner(pick) => world.replace_runner(pick, Leave::RemoveEntry).await,
+        Event::CutWatches => world.cut_watches(),
+        Event::KillFollowers => {
+            let kills = world.kill_followers();
+            tokio::join!(kills, world.replace_runner(0, Leave::RemoveEntry));
+        }
+        Event::SilenceStoreLinks(pick) => {
+            world.silence_store_links();
+            world.replace_runner(pick, Leave::RemoveEntry).await;
+        }
+        Event::OutageThenChanges(mood, span, pick) => {
+            world.disturb_store(mood, span).await;
+            world.revoke_key();
+            world.replace_runner(pick, Leave::RemoveEntry).await;
+        }
         Event::Kill(gateway) => world.restart_gateway(gateway, false).await,
         Event::Pause(gateway, span) => world.pause_gateway(gateway, span).await,
         Event::Store(mood, span) => world.disturb_store(mood, span).await,
         Event::CompactStore => world.compact_store(),
         Event::SilenceStoreLink(gateway) => world.silence_store_link(gateway),
         Event::SilenceRunners => world.silence_runners(),
-        Event::CrashRunner(pick, span) => world.replace_runner(pick, false, span).await,
+        Event::CrashRunner(pick, span) => world.replace_runner(pick, Leave::Crash(span)).await,
         Event::FailRunner(pick, fault, span) => world.fail_runner(pick, fault, span).await,
     }
     if !event.is_planned() {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -11,13 +11,14 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use jujubewall_testutils::gateway_site::ENGINES_PER_ZONE;
 use jujubewall_testutils::gateway_site::EVENTS;
 use jujubewall_testutils::gateway_site::GatewayProcess;
 use jujubewall_testutils::gateway_site::GatewayStart;
 use jujubewall_testutils::gateway_site::all_events;
 use jujubewall_testutils::gateway_site::config_with;
-use jujubewall_testutils::gateway_site::neighbour;
+use jujubewall_testutils::gateway_site::neighbour_at;
 use jujubewall_testutils::gateway_site::stream_request;
 use jujubewall_testutils::gateway_site::wait_until;
 use jujubewall_testutils::http_server::ServerHandle;
@@ -41,8 +42,8 @@
 use crate::promises::Run;
 use crate::promises::Sent;
 
-/// The number of gateways.
-pub const GATEWAYS: usize = 2;
+/// The failure domains of gateways.
+const ZONES: [&str; 2] = ["hall", "apron"];
 
 /// The keys of clients, of which all but the first may be taken away.
 pub const KEYS: [&str; 4] = ["key-1", "key-2", "key-3", "key-4"];
@@ -62,12 +63,26 @@
 /// The time for which a leaving runner serves beyond the bound.
 const LINGER: Duration = Duration::from_millis(1_500);
 
+/// The time from the start of a runner to the removal of the entry of the one that it replaces.
+const REMOVAL_DELAY: Duration = Duration::from_millis(100);
+
 /// The time for which the balancer sends connections to a gateway that stops.
 const BALANCER_DELAY: Duration = Duration::from_secs(1);
 
 /// The time after which a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// How a runner leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Leave {
+    /// It reports that it drains.
+    Drain,
+    /// Its entry is removed, and it serves on for a while.
+    RemoveEntry,
+    /// It ends, and comes back after this time.
+    Crash(Duration),
+}
+
 /// A gateway as clients see it.
 #[derive(Clone, Copy, Debug)]
 pub struct GatewayView {
@@ -81,6 +96,7 @@
 
 struct Slot {
     name: String,
+    zone: &'static str,
     peers: SocketAddr,
     store_link: Relay,
     process: AsyncMutex<GatewayProcess>,
@@ -130,12 +146,15 @@
 }
 
 impl World {
-    /// Starts everything and waits until it serves.
+    /// Starts everything, with two to six gateways in one or two failure domains as a seed
+    /// decides, and waits until it serves.
     ///
     /// # Panics
     ///
     /// Panics if it does not serve in time.
-    pub async fn start(program: &Path, folder: &Path) -> Arc<Self> {
+    pub async fn start(program: &Path, folder: &Path, seed: u64) -> Arc<Self> {
+        let gateways = 2 + usize::try_from(seed % 5).unwrap_or_default();
+        let zones = 1 + usize::try_from(seed / 5 % 2).unwrap_or_default();
         let store = SiteStore::new();
         let store_server = store.serve(listener().await);
         let fleet = SiteRunners::new(&store, EVENTS);
@@ -159,8 +178,10 @@
         };
         store.put_config(&document(&state));
         let mut slots: Vec<Slot> = Vec::new();
-        let mut peers = free_address();
-        for index in 0..GATEWAYS {
+        let first_peers = free_address();
+        let mut peers = first_peers;
+        for index in 0..gateways {
+            let zone = ZONES[index % zones];
             let name = format!("front-{index}");
             let store_link = Relay::new(listener().await, store_server.address());
             let seed = slots.first().map(|slot| slot.peers);
@@ -168,7 +189,7 @@
                 program,
                 folder,
                 name: &name,
-                zone: "hall",
+                zone,
                 store: store_link.address(),
                 peers,
                 seed,
@@ -177,11 +198,12 @@
             state.begin_life(index, &process);
             slots.push(Slot {
                 name,
+                zone,
                 peers,
                 store_link,
                 process: AsyncMutex::new(process),
             });
-            peers = neighbour(peers);
+            peers = neighbour_at(first_peers, u8::try_from(index + 1).unwrap_or(u8::MAX));
         }
         let world = Arc::new(Self {
             program: program.to_owned(),
@@ -316,12 +338,12 @@
 
     fn start_again(&self, index: usize, process: &mut GatewayProcess) {
         let slot = &self.slots[index];
-        let seed = &self.slots[(index + 1) % GATEWAYS];
+        let seed = &self.slots[(index + 1) % self.slots.len()];
         *process = GatewayProcess::start(&GatewayStart {
             program: &self.program,
             folder: &self.folder,
             name: &slot.name,
-            zone: "hall",
+            zone: slot.zone,
             store: slot.store_link.address(),
             peers: slot.peers,
             seed: Some(seed.peers),
@@ -342,6 +364,31 @@
         self.state().disturbed_at[index] = Some(Instant::now());
     }
 
+    /// Returns the number of gateways.
+    pub fn gateway_count(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Kills all gateways that follow the store at once and starts them again.
+    pub async fn kill_followers(&self) {
+        let mut followers = Vec::new();
+        for (index, slot) in self.slots.iter().enumerate() {
+            let Ok(process) = slot.process.try_lock() else {
+                continue;
+            };
+            let log = process.log();
+            let mut changes = log.lines().filter(|line| line.contains("follows_store"));
+            let last = changes.next_back();
+            if last.is_some_and(|line| line.contains("holds=true")) {
+                followers.push(index);
+            }
+        }
+        let kills = followers
+            .iter()
+            .map(|index| self.restart_gateway(*index, false));
+        join_all(kills).await;
+    }
+
     /// Kills all gateways at once and starts them again.
     pub async fn kill_all_gateways(&self) {
         // Requests that are in flight now are not cut by planned work.
@@ -421,6 +468,19 @@
         self.store.compact();
     }
 
+    /// Closes the connections of watches that wait, which is no disturbance by the platform's
+    /// protocol.
+    pub fn cut_watches(&self) {
+        self.store.cut_watches();
+    }
+
+    /// Silences the open connections of all gateways to the store.
+    pub fn silence_store_links(&self) {
+        for index in 0..self.slots.len() {
+            self.silence_store_link(index);
+        }
+    }
+
     /// Silences a gateway's open connections to the store.
     pub fn silence_store_link(&self, index: usize) {
         self.state().disturbed_at[index] = Some(Instant::now());
@@ -451,8 +511,16 @@
         Some(runner.id().to_owned())
     }
 
-    /// Lets a runner leave, with or without saying so; one like it comes.
-    pub async fn replace_runner(&self, pick: u64, is_planned: bool, pause: Duration) {
+    /// Returns whether the store has been undisturbed for a while.
+    fn is_store_stable(&self) -> bool {
+        let disturbed_at = self.state().store_disturbed_at;
+        disturbed_at.is_none_or(|at| at.elapsed() > STABLE_WINDOW)
+    }
+
+    /// Lets a runner leave, by its entry's state or by removing the entry, or end without a
+    /// word; one like it comes.
+    pub async fn replace_runner(&self, pick: u64, leave: Leave) {
+        let is_planned = !matches!(leave, Leave::Crash(_));
         let Some(id) = self.pick_runner(pick) else {
             return;
         };
@@ -471,9 +539,17 @@
             };
             let new = self.fleet.start_relayed(&new_id, &kind).await;
             self.state().runners.push(new);
-            sleep(LINGER).await;
-            self.fleet.drain(&id);
-            self.state().drained.insert(id.clone(), Instant::now());
+            if leave == Leave::Drain {
+                sleep(LINGER).await;
+                self.fleet.drain(&id);
+            } else {
+                sleep(REMOVAL_DELAY).await;
+                self.fleet.remove_entry(&id);
+            }
+            // An acknowledgement counts only if the store gives it while it is stable.
+            if self.is_store_stable() {
+                self.state().drained.insert(id.clone(), Instant::now());
+            }
             sleep(BOUNDS.drain + LINGER).await;
         }
         let ended = {
@@ -486,7 +562,9 @@
             self.fleet.remove_entry(&id);
             return;
         }
-        sleep(pause).await;
+        if let Leave::Crash(pause) = leave {
+            sleep(pause).await;
+        }
         let again = self.fleet.start_relayed(&id, &kind).await;
         let mut state = self.state();
         state.runners.push(again);
