gateway: reports and documents of peers are read when answers fill the memory

A gateway whose memory for answers is used up could not have read a configuration from a peer, nor the report of a sound engine, which it would then have suspected. Found by reading the change before it landed.

--- a/daemon/src/gateway/body.rs
+++ b/daemon/src/gateway/body.rs
@@ -44,11 +44,6 @@
         }
     }
 
-    /// Returns all bytes, which are no longer accounted for.
-    pub fn into_bytes(self) -> Bytes {
-        self.bytes
-    }
-
     /// Takes the next bytes, at most [`MAX_PART_BYTES`]; `None` if all have been taken.
     ///
     /// Parts are copied, so that one that is not written yet does not keep all bytes.
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -37,7 +39,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::gateway::body::read_held;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::Connection;
 
@@ -586,12 +587,16 @@
     let answer = connection.send(request(address, path)?).await.ok()?;
     process_answer_from(gateway, address, &answer);
     let is_success = answer.status().is_success();
-    // A faulty upstream may send a body without end.
-    let Some(body) = read_held(gateway, path, answer.into_body(), max_bytes).await else {
-        warn!("event=answer_unreadable address={address} path={path}");
-        return None;
-    };
-    Some((is_success, body.into_bytes()))
+    // A faulty upstream may send a body without end. What sound ones answer is read even if
+    // there is no memory for further answers to clients.
+    let body = Limited::new(answer.into_body(), max_bytes);
+    match body.collect().await {
+        Ok(body) => Some((is_success, body.to_bytes())),
+        Err(failure) => {
+            warn!("event=answer_unreadable address={address} path={path} reason=\"{failure}\"");
+            None
+        }
+    }
 }
 
 fn request(address: SocketAddr, path: &str) -> Option<Request<Full<Bytes>>> {
