placement: more engines hold the first layers where slots are scarce

Callers were rejected for lack of room while the engines' memory for context was half empty: a stream takes a slot only at the first engine of its path, and each copy had one such engine, whatever its memory held. The engine with the least memory is now followed by others that hold the first layers too, as long as the memory of the domain's copies holds more streams than its first engines have slots. Domains with one copy are placed as before.

A rejection names what was short. A domain without free first slots was reported as one that lacks layer zero, and its clients were told to return after a repair.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -26,6 +26,10 @@
 //! engine would come back empty after several. A returning or new engine gets the layers
 //! with the least memory for context.
 //!
+//! A stream takes a slot only at the first engine of its path. Where the copies of a domain have
+//! memory for more streams than their first engines have slots, more engines hold the first
+//! layers.
+//!
 //! An engine normally loads new layers only after the requests through the layers that it
 //! gives up have finished. Where layers are missing it aborts these requests instead: no
 //! stream of the copy can finish, streams of other copies continue on other engines, and
@@ -76,6 +80,17 @@
 /// used for weights holds the context of the streams there.
 const FAST_COPY_MEMORY_FACTOR: f64 = 1.45;
 
+/// Share of an engine's first-part slots that gateways plan for. What their peers have sent is
+/// known some hundred milliseconds later, so the rest is left for that.
+const PLANNED_SLOT_SHARE: f64 = 0.85;
+
+/// Share of an engine's free memory that gateways plan for the context of streams.
+const PLANNED_CONTEXT_SHARE: f64 = 0.92;
+
+/// Smallest number of engines that hold a copy in which one more engine only holds the first
+/// layers. In smaller copies, each engine would have to hold many more layers.
+const MIN_ENGINES_PER_FIRST_HOLDER: usize = 6;
+
 /// Time to pass a token to another engine of the same failure domain, including the wait
 /// for that engine's next step.
 const STAGE_DELAY_MS: f64 = 0.5;
@@ -331,6 +346,7 @@
                     self.split_among(whole, engines, &mut planned)
                 });
                 if fits {
+                    self.add_first_holders(&distribution, &mut planned);
                     changes.append(&mut planned);
                     return;
                 }
@@ -338,6 +354,110 @@
         }
     }
 
+    /// Lets more engines hold the first layers of the copy with the most engines, as long as
+    /// the copies' memory holds more streams than their first engines have slots.
+    ///
+    /// A stream takes a slot only at the first engine of its path. With one such engine for
+    /// each copy, the copy is full at that engine's slots while the memory of all others is
+    /// half empty.
+    fn add_first_holders(&self, distribution: &[Vec<&PlacedEngine>], planned: &mut Vec<Placement>) {
+        if distribution.len() < 2 {
+            return;
+        }
+        let Some(largest) = distribution.iter().max_by_key(|engines| engines.len()) else {
+            return;
+        };
+        let others: Vec<Placement> = planned
+            .iter()
+            .filter(|placement| !largest.iter().any(|engine| engine.id == placement.id))
+            .cloned()
+            .collect();
+        let max_added = largest.len() / MIN_ENGINES_PER_FIRST_HOLDER;
+        for added in 1..=max_added {
+            if self.planned_slots(planned) >= self.planned_streams(planned, distribution) {
+                return;
+            }
+            let mut candidate = others.clone();
+            if !self.split_with_first_holders(largest, added, &mut candidate) {
+                return;
+            }
+            *planned = candidate;
+        }
+    }
+
+    /// Splits a copy among `engines`, with the first layers on `added` more of them.
+    ///
+    /// The engines with the least memory hold the first layers. Returns whether the copy fits.
+    fn split_with_first_holders(
+        &self,
+        engines: &[&PlacedEngine],
+        added: usize,
+        changes: &mut Vec<Placement>,
+    ) -> bool {
+        let mut by_memory = engines.to_vec();
+        by_memory.sort_by(|a, b| a.memory_mb.total_cmp(&b.memory_mb));
+        let (holders, rest) = by_memory.split_at(added + 1);
+        let is_holder = |engine: &PlacedEngine| holders.iter().any(|known| known.id == engine.id);
+        let mut split = vec![holders[0]];
+        split.extend(engines.iter().filter(|engine| !is_holder(engine)));
+        debug_assert_eq!(
+            split.len(),
+            rest.len() + 1,
+            "each engine is split among once"
+        );
+        let begin = changes.len();
+        let whole = LayerRange::new(0, self.spec.layer_count);
+        if !self.split_among(whole, &split, changes) {
+            return false;
+        }
+        let Some(first) = changes[begin..]
+            .iter()
+            .find(|placement| placement.id == split[0].id)
+        else {
+            return false;
+        };
+        let first = first.clone();
+        changes.extend(holders[1..].iter().map(|engine| Placement {
+            id: engine.id.clone(),
+            ..first.clone()
+        }));
+        true
+    }
+
+    /// Returns the streams for which the planned holders of layer zero have slots.
+    fn planned_slots(&self, planned: &[Placement]) -> f64 {
+        let holders = planned
+            .iter()
+            .filter(|placement| placement.layers.first == 0);
+        self.slots_of(holders.count())
+    }
+
+    /// Returns the streams for which a number of holders of layer zero have slots.
+    fn slots_of(&self, first_holders: usize) -> f64 {
+        PLANNED_SLOT_SHARE * f64::from(self.spec.slots) * first_holders as f64
+    }
+
+    /// Returns the streams for whose context the planned copies have memory. The engine with
+    /// the least memory for each layer limits its copy.
+    fn planned_streams(&self, planned: &[Placement], copies: &[Vec<&PlacedEngine>]) -> f64 {
+        let streams_of_copy = |engines: &Vec<&PlacedEngine>| {
+            let streams = engines.iter().filter_map(|engine| {
+                let placement = planned.iter().find(|placement| placement.id == engine.id)?;
+                let layers = placement.layers.len();
+                Some(self.streams_in(self.free_mb(engine, layers) / f64::from(layers.max(1))))
+            });
+            streams.fold(f64::INFINITY, f64::min)
+        };
+        copies.iter().map(streams_of_copy).sum()
+    }
+
+    /// Returns the number of usual streams whose context for one layer fits into `mb`.
+    fn streams_in(&self, mb: f64) -> f64 {
+        let tokens = self.spec.usual_prompt_tokens + self.spec.usual_answer_tokens;
+        let stream_mb = tokens * self.spec.token_layer_bytes() / 1_000_000.0;
+        PLANNED_CONTEXT_SHARE * mb / stream_mb.max(f64::MIN_POSITIVE)
+    }
+
     /// Gives the fastest engines to one copy and distributes the others evenly among the
     /// rest.
     ///
@@ -590,6 +710,9 @@
     fn assign_empty_engines(&self, empty: &[&PlacedEngine], changes: &mut Vec<Placement>) {
         let mut context_mb = self.context_mb_by_layer();
         let mut replica_counts = self.replica_counts();
+        let holds_first =
+            |engine: &&PlacedEngine| engine.layers.is_some_and(|held| held.first == 0);
+        let mut first_holders = self.answering().filter(holds_first).count();
         for engine in empty {
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let wanted = (self.replica_share(engine).round() as u32).max(1);
@@ -599,7 +722,14 @@
             if len == 0 {
                 continue;
             }
-            let layers = scarcest_window(&context_mb, len, underreplicated);
+            let layers = if underreplicated.is_empty()
+                && self.lacks_first_slots(&context_mb, first_holders)
+            {
+                LayerRange::new(0, len)
+            } else {
+                scarcest_window(&context_mb, len, underreplicated)
+            };
+            first_holders += usize::from(layers.first == 0);
             let added_mb = self.free_mb(engine, layers.len()) / f64::from(layers.len());
             for layer in layers.first..layers.end {
                 context_mb[layer as usize] += added_mb;
@@ -613,6 +743,13 @@
         }
     }
 
+    /// Returns whether several copies have fewer slots at their first engines than memory for
+    /// streams at the layer with the least of it.
+    fn lacks_first_slots(&self, context_mb: &[f64], first_holders: usize) -> bool {
+        let least_mb = context_mb.iter().copied().fold(f64::INFINITY, f64::min);
+        self.copy_count() > 1 && self.slots_of(first_holders) < self.streams_in(least_mb)
+    }
+
     /// Returns the memory for context of each layer, summed over all answering engines.
     fn context_mb_by_layer(&self) -> Vec<f64> {
         let mut context_mb = vec![0.0; self.spec.layer_count as usize];
--- a/control/tests/test_placement.rs
+++ b/control/tests/test_placement.rs
@@ -122,6 +122,57 @@
     assert_eq!(fleet.min_replicas("a"), 2);
 }
 
+/// Guards against copies that reject streams for lack of first slots while their memory is half
+/// empty: two copies had two engines with layer zero, whatever their memory held.
+#[test]
+fn test_copies_with_memory_for_more_streams_than_slots_get_more_first_engines() {
+    let mut fleet = Fleet::new(&[("a", &roomy_domain_mb())]);
+    fleet.settle();
+    assert_eq!(fleet.min_replicas("a"), 2);
+    // The copies have memory for 458 streams, and each first engine has 163 planned slots.
+    assert!(first_engines(&fleet) >= 3);
+}
+
+/// Guards against first slots that stay lost after a failure: replacements were all given the
+/// layers with the least memory for context.
+#[test]
+fn test_engines_that_return_restore_lost_first_slots() {
+    let mut fleet = Fleet::new(&[("a", &roomy_domain_mb())]);
+    fleet.settle();
+    let before = first_engines(&fleet);
+    let mut lost: Vec<PlacedEngine> = Vec::new();
+    for _ in 0..2 {
+        let small_first = |engine: &&PlacedEngine| {
+            engine.memory_mb < 30_000.0 && engine.layers.is_some_and(|held| held.first == 0)
+        };
+        let id = fleet.engines.values().find(small_first).unwrap().id.clone();
+        lost.push(fleet.engines.remove(&id).unwrap());
+    }
+    fleet.settle();
+    for engine in lost {
+        let returned = PlacedEngine {
+            layers: None,
+            ..engine
+        };
+        fleet.engines.insert(returned.id.clone(), returned);
+        fleet.settle();
+    }
+    assert_eq!(first_engines(&fleet), before);
+}
+
+/// Returns the memory of a domain whose two copies leave half of it for context.
+fn roomy_domain_mb() -> Vec<f64> {
+    let large = [72_000.0; 3].into_iter();
+    let medium = [43_200.0; 4].into_iter();
+    large.chain(medium).chain([21_600.0; 9]).collect()
+}
+
+/// Returns the number of engines that hold layer zero.
+fn first_engines(fleet: &Fleet) -> usize {
+    let first = |engine: &&PlacedEngine| engine.layers.is_some_and(|held| held.first == 0);
+    fleet.engines.values().filter(first).count()
+}
+
 /// Guards against slow recovery from the loss of one engine under a hundred streams: the
 /// engines that take over prefill the context of all of them at once.
 ///
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -16,6 +16,7 @@
 use jujubewall_routing::fleet::events::EventFilter;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::layer_path::NoPath;
+use jujubewall_routing::fleet::layer_path::Shortage;
 use jujubewall_types::fleet::EngineSpec;
 use log::info;
 use smallvec::SmallVec;
@@ -43,7 +44,10 @@
 use crate::gateway::state::InFlightGuard;
 
 /// The reason of a rejection because every engine is full.
-const ALL_FULL: &str = "every engine is full";
+const NO_FIRST_SLOT: &str = "every first engine is full";
+
+/// The reason of a rejection because every path lacks memory for the context.
+const NO_CONTEXT_MEMORY: &str = "every path is short of memory";
 
 /// The reason of a rejection because each failure domain lacks some layer.
 const INCOMPLETE_DOMAINS: &str = "no failure domain holds all layers";
@@ -261,7 +265,7 @@
                         let quarantine = poison::quarantine(&self.gateway, &self.request.suspects);
                         quarantine.map_or(MIN_FAULT_RETRY_AFTER, |quarantine| quarantine.left)
                     }
-                    ALL_FULL => self.gateway.next_retry_after(service),
+                    NO_FIRST_SLOT | NO_CONTEXT_MEMORY => self.gateway.next_retry_after(service),
                     INCOMPLETE_DOMAINS | LAYER_MISSING => {
                         self.gateway.retry_after_repair(service, &self.spec)
                     }
@@ -543,7 +547,8 @@
     /// Returns the end of a stream for which no path exists.
     fn end_without_path(&self, reason: NoPath) -> RelayEnd {
         let reason = match reason {
-            NoPath::NoCapacity => ALL_FULL,
+            NoPath::NoCapacity(Shortage::FirstSlots) => NO_FIRST_SLOT,
+            NoPath::NoCapacity(Shortage::ContextMemory) => NO_CONTEXT_MEMORY,
             NoPath::OnlyAcrossDomains => INCOMPLETE_DOMAINS,
             NoPath::LayerMissing(_) => LAYER_MISSING,
         };
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -11,6 +11,8 @@
 //! engines of its own failure domain, whose load it learns soonest, overflows to the other
 //! domains in an order of its own, and adds jitter to the costs.
 
+use std::fmt;
+
 use jujubewall_types::fleet::EngineSpec;
 use jujubewall_types::id::FailureDomainName;
 use jujubewall_types::id::ServiceName;
@@ -168,11 +170,29 @@
     pub crossings: usize,
 }
 
+/// The resource of which every path is short.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// No engine that holds the first layers has a free slot for another first part.
+    FirstSlots,
+    /// Some engine of every path has no memory for the context of the stream.
+    ContextMemory,
+}
+
+impl fmt::Display for Shortage {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::FirstSlots => "first_slots",
+            Self::ContextMemory => "context_memory",
+        })
+    }
+}
+
 /// The reason why no path was found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoPath {
     /// Every path includes an engine without free capacity.
-    NoCapacity,
+    NoCapacity(Shortage),
     /// No single failure domain holds all layers on usable engines.
     OnlyAcrossDomains,
     /// No usable engine holds this layer.
@@ -250,6 +270,7 @@
         first_layer: 0,
         preference: choice.preference,
         now,
+        takes_slots: true,
     };
     for usable in [&expected_free, &trusted, &with_capacity] {
         if let Ok(path) = search.cheapest(usable)
@@ -322,6 +343,7 @@
                 ..Preference::default()
             },
             now,
+            takes_slots: true,
         };
         if let Ok(mut rest) = search.cheapest(&usable) {
             rest.parts.insert(0, first);
@@ -353,19 +375,38 @@
     first_layer: u32,
     preference: Preference<'a>,
     now: Instant,
+    /// Whether a first part needs a free slot.
+    takes_slots: bool,
 }
 
 impl Search<'_> {
     /// Returns why no path was found, by searching without regard to capacity.
     fn no_path_reason(&self, candidates: &[Candidate<'_>]) -> NoPath {
         let all: Vec<&Candidate<'_>> = candidates.iter().collect();
-        match self.cheapest(&all) {
+        let unlimited = Search {
+            takes_slots: false,
+            ..*self
+        };
+        match unlimited.cheapest(&all) {
             Ok(path) if path.crossings > 0 => NoPath::OnlyAcrossDomains,
-            Ok(_) => NoPath::NoCapacity,
+            Ok(_) => NoPath::NoCapacity(self.shortage(candidates)),
             Err(layer) => NoPath::LayerMissing(layer),
         }
     }
 
+    /// Returns the resource that no path has free, by the engines that hold the first layers:
+    /// if one of them takes another stream, memory is short there or behind it.
+    fn shortage(&self, candidates: &[Candidate<'_>]) -> Shortage {
+        let has_slot = candidates
+            .iter()
+            .any(|candidate| candidate.available_layers(self.spec).first == 0);
+        if has_slot {
+            Shortage::ContextMemory
+        } else {
+            Shortage::FirstSlots
+        }
+    }
+
     /// Returns the cheapest path, or the first layer that no path reaches.
     fn cheapest(&self, candidates: &[&Candidate<'_>]) -> Result<LayerPath, u32> {
         let Self {
@@ -383,7 +424,11 @@
                 domains.push(name);
                 domains.len() - 1
             });
-            let layers = candidate.available_layers(spec);
+            let layers = if self.takes_slots {
+                candidate.available_layers(spec)
+            } else {
+                candidate.layers
+            };
             // [`cheapest_path`] starts at layer zero, so layers are counted relative to
             // `first_layer`.
             let layers = LayerRange::new(
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -16,6 +16,7 @@
 use jujubewall_routing::fleet::layer_path::PathPart;
 use jujubewall_routing::fleet::layer_path::PathRequest;
 use jujubewall_routing::fleet::layer_path::Preference;
+use jujubewall_routing::fleet::layer_path::Shortage;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::layer_path::choose_path;
 use jujubewall_routing::fleet::layer_path::part_work;
@@ -207,7 +208,25 @@
     let begun = std::iter::from_fn(|| fleet.begin().ok()).count();
     assert!(begun as f64 * per_stream_bytes <= free_bytes);
     assert!(begun as f64 * per_stream_bytes >= 0.85 * free_bytes);
-    assert_eq!(fleet.choose(&[], true), Err(NoPath::NoCapacity));
+    assert_eq!(
+        fleet.choose(&[], true),
+        Err(NoPath::NoCapacity(Shortage::ContextMemory))
+    );
+}
+
+/// Guards against rejections that hide what is short: streams were rejected as if all engines
+/// were full while only the first engines of their paths had no slots left.
+#[test]
+fn test_streams_beyond_the_first_slots_are_rejected_for_them_with_memory_free() {
+    let mut fleet = Fleet::new();
+    for first in [0, 20, 40, 60] {
+        fleet.add("a", "large", LayerRange::new(first, first + 20));
+    }
+    while fleet.begin().is_ok() {}
+    assert_eq!(
+        fleet.choose(&[], false),
+        Err(NoPath::NoCapacity(Shortage::FirstSlots))
+    );
 }
 
 #[test]
@@ -217,7 +236,10 @@
     while other.begin().is_ok() {}
     let reports = other.table.work_reports();
     fleet.report("other", &reports, &[], &[]);
-    assert_eq!(fleet.choose(&[], false), Err(NoPath::NoCapacity));
+    assert_eq!(
+        fleet.choose(&[], false),
+        Err(NoPath::NoCapacity(Shortage::ContextMemory))
+    );
     fleet
         .table
         .expire_peer_reports(fleet.now + Duration::from_secs(2));
@@ -234,7 +256,10 @@
     assert!(fleet.table.try_begin_load_query(full, fleet.now));
     assert!(!fleet.table.try_begin_load_query(full, fleet.now));
     fleet.table.note_load(full, 1e9, fleet.now);
-    assert_eq!(fleet.choose(&[], false), Err(NoPath::NoCapacity));
+    assert_eq!(
+        fleet.choose(&[], false),
+        Err(NoPath::NoCapacity(Shortage::ContextMemory))
+    );
     fleet.now += Duration::from_secs(4);
     assert!(fleet.choose(&[], false).is_ok());
     // Known work is not counted twice.
