--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -31,9 +31,10 @@
 use crate::path::cheapest_path;
 use crate::path::merge_revisits;
 
-/// The share of an engine's free memory that streams may reserve. The rest is for answers
-/// that are longer than expected.
-const MAX_CONTEXT_SHARE: f64 = 0.92;
+/// The share of an engine's free memory that streams may reserve. Each stream reserves what it
+/// holds at its end, so what all hold at a time leaves room for answers that are longer than
+/// expected.
+const MAX_CONTEXT_SHARE: f64 = 1.0;
 
 /// The time to pass a token to another engine of the same failure domain, including the
 /// wait for that engine's next step.
