admission: streams wait for scarce capacity, by rank and account

Every stream without capacity was rejected at once, and all ranks and accounts alike. A gateway now keeps capacity free for more urgent ranks, from its own arrivals and releases, and lets a stream wait while it can meet its objective. An account above its fair share yields while capacity is scarce. A stream for whose start none of the gateway has ended leaves more free, since peers see the same capacity.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -32,6 +32,7 @@
 mod stream_head;
 mod upstream_socket;
 mod upstreams;
+mod waiting;
 
 use std::path::Path;
 use std::rc::Rc;
--- a/daemon/src/gateway/metrics.rs
+++ b/daemon/src/gateway/metrics.rs
@@ -19,6 +19,14 @@
     event: &'static str,
 }
 
+/// The labels of a stream that got no capacity.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct NotAdmittedLabels {
+    rank: u32,
+    resource: &'static str,
+    cause: &'static str,
+}
+
 /// The metrics of a gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -27,6 +35,8 @@
     events: Family<EventLabel, Counter>,
     answer_time: Histogram,
     first_event_time: Histogram,
+    wait_time: Histogram,
+    not_admitted: Family<NotAdmittedLabels, Counter>,
     message_bytes: Counter,
     /// The number of requests in progress.
     pub in_flight: Gauge,
@@ -43,6 +53,8 @@
             events: Family::default(),
             answer_time: duration_histogram(),
             first_event_time: duration_histogram(),
+            wait_time: duration_histogram(),
+            not_admitted: Family::default(),
             message_bytes: Counter::default(),
             in_flight: Gauge::default(),
             config_version: Gauge::default(),
@@ -73,6 +85,16 @@
             "Time from a request to the first event of its stream",
             self.first_event_time.clone(),
         );
+        registry.register(
+            "wait_seconds",
+            "Time for which streams that were started had waited for capacity",
+            self.wait_time.clone(),
+        );
+        registry.register(
+            "not_admitted",
+            "Streams that got no capacity, by rank, scarce resource and cause",
+            self.not_admitted.clone(),
+        );
         registry.register(
             "message_bytes",
             "Bytes of the messages sent to other gateways",
@@ -98,6 +120,21 @@
         observe(&self.first_event_time, time);
     }
 
+    /// Records the time for which a stream waited before it was started.
+    pub fn observe_wait(&self, time: Duration) {
+        observe(&self.wait_time, time);
+    }
+
+    /// Counts a stream that got no capacity.
+    pub fn count_not_admitted(&self, rank: u32, resource: &'static str, cause: &'static str) {
+        let labels = NotAdmittedLabels {
+            rank,
+            resource,
+            cause,
+        };
+        self.not_admitted.get_or_create(&labels).inc();
+    }
+
     /// Counts a message to another gateway, and its size in bytes.
     pub fn count_message(&self, bytes: usize) {
         self.count("telling");
--- a/daemon/src/gateway/path.rs
+++ b/daemon/src/gateway/path.rs
@@ -6,6 +6,7 @@
 use jujubewall_platform::site::headers;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_routing::fleet::layer_path::CapacityLimits;
 use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathPart;
@@ -158,6 +159,8 @@
     pub excluded: &'a [InstanceKey],
     /// Whether the stream has lost an earlier path.
     pub is_moved: bool,
+    /// The shares of each engine's resources that the path may plan for.
+    pub limits: CapacityLimits,
 }
 
 impl Choice<'_> {
@@ -176,6 +179,7 @@
                 domain_order_seed: rendezvous::gateway_key(settings.peer_address),
                 jitter_seed: gateway.random_u64(),
             },
+            limits: self.limits,
         };
         choose_path(&gateway.instances(), &choice, Instant::now())
     }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -331,6 +331,7 @@
         instances.apply_slowdown_reports(&message.slowdowns);
     }
     drop(instances);
+    gateway.admissions.wake();
     for suspect in &message.suspects {
         let is_chosen =
             gateway
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -78,6 +78,8 @@
     pub config_version: u64,
     /// What may crash the upstreams that run the request.
     pub suspects: Suspects,
+    /// The rank, where 0 is the most urgent.
+    pub rank: u32,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -189,6 +191,7 @@
             give_up_at,
             config_version: admission.config_version,
             suspects,
+            rank: priority,
             method: parts.method,
             uri: parts.uri,
             headers: fields,
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -22,6 +22,7 @@
 use jujubewall_routing::fleet::attempts::Attempts;
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::layer_path::CapacityLimits;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::silence;
 use jujubewall_routing::fleet::silence::PathState;
@@ -71,6 +72,15 @@
 /// A request on its way, which ends with its connection and the head of the answer.
 type Exchange = LocalBoxFuture<'static, (Connection, Result<Response<Incoming>, SendFault>)>;
 
+/// The shares of each engine's resources that the paths of a stream may plan for.
+#[derive(Clone, Copy, Debug)]
+pub struct RunLimits {
+    /// The limits of a stream that has not been sent.
+    pub new: CapacityLimits,
+    /// The limits of a stream that lost a path, or a part of it.
+    pub moved: CapacityLimits,
+}
+
 /// A run on a chosen path.
 pub struct Run {
     work: CountedPath,
@@ -91,6 +101,8 @@
     client_timeout: Duration,
     is_queued: bool,
     can_move: bool,
+    /// The limits of a path that replaces parts of this one, or all of it.
+    moved_limits: CapacityLimits,
     /// The gateway's count of suspicions when this run last checked for lost engines.
     known_suspicions: u64,
     watch: CrashWatch,
@@ -143,15 +155,18 @@
         last_event_id: Option<u64>,
         attempts: &Attempts,
         excluded: &[InstanceKey],
+        limits: RunLimits,
     ) -> Result<Self, RunFault> {
         let left = request.time_left().ok_or(RunFault::NoTime)?;
         let need = remaining_need(request, spec, last_event_id);
+        let is_moved = last_event_id.is_some() || !excluded.is_empty();
         let choice = path::Choice {
             service: &request.service.name,
             spec,
             need: &need,
             excluded,
-            is_moved: last_event_id.is_some() || !excluded.is_empty(),
+            is_moved,
+            limits: if is_moved { limits.moved } else { limits.new },
         };
         let chosen = choice.choose(gateway, request).map_err(RunFault::NoPath)?;
         let expected_gap = event_gap(spec, chosen.path.token_ms);
@@ -181,6 +196,7 @@
             client_timeout: request.client_timeout(),
             is_queued: false,
             can_move: request.route.is_resumable,
+            moved_limits: limits.moved,
             known_suspicions: gateway.suspicion_count(),
             watch: CrashWatch::new(gateway, request.suspects.clone(), chosen.first),
             message: Some(message),
@@ -461,6 +477,7 @@
             need: &self.work.need,
             excluded: &excluded,
             is_moved: true,
+            limits: self.moved_limits,
         };
         choice.has_path(gateway) && gateway.try_repeat(&self.service)
     }
--- a/daemon/src/gateway/run/repair.rs
+++ b/daemon/src/gateway/run/repair.rs
@@ -48,6 +48,7 @@
                     jitter_seed: gateway.random_u64(),
                     ..Preference::default()
                 },
+                limits: self.moved_limits,
             };
             let path = repair_path(&instances, &choice, &self.work.path, Instant::now());
             path.map(|path| (path::path_text(&instances, &path), path))
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -53,6 +53,7 @@
 use crate::gateway::planner::PlannerState;
 use crate::gateway::poison::PoisonState;
 use crate::gateway::upstreams::ConnectionPool;
+use crate::gateway::waiting::StreamAdmissions;
 use crate::supervise::spawn_supervised;
 
 /// The longest `Retry-After` time that is due to paused upstreams: other upstreams are
@@ -94,6 +95,8 @@
     absences: RefCell<Absences>,
     /// The memory for unfinished answers.
     pub answer_memory: Rc<AnswerMemory>,
+    /// The admission of streams.
+    pub admissions: Rc<StreamAdmissions>,
 }
 
 impl Gateway {
@@ -127,6 +130,7 @@
             planner: PlannerState::default(),
             poison: PoisonState::default(),
             absences: RefCell::new(Absences::new()),
+            admissions: StreamAdmissions::new(),
             answer_memory: AnswerMemory::new(settings.max_memory_bytes),
             settings: RefCell::new(settings),
         })
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use jujubewall_routing::admission::Applicant;
 use jujubewall_routing::fleet::answer_memory::AnswerShare;
 use jujubewall_routing::fleet::attempts::Attempts;
 use jujubewall_routing::fleet::attempts::Barred;
@@ -36,12 +37,15 @@
 use crate::gateway::poison::REQUEST_CRASHES;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::run::Run;
+use crate::gateway::run::RunLimits;
 use crate::gateway::run::RunStep;
 use crate::gateway::run_fault::BrokenRun;
 use crate::gateway::run_fault::FailedAnswer;
 use crate::gateway::run_fault::RunFault;
 use crate::gateway::state::Gateway;
 use crate::gateway::state::InFlightGuard;
+use crate::gateway::waiting::AdmittedStream;
+use crate::gateway::waiting::queue_account;
 
 /// The reason of a rejection because every engine is full.
 const NO_FIRST_SLOT: &str = "every first engine is full";
@@ -117,6 +121,8 @@
     run_begins_after: Option<u64>,
     excluded: SmallVec<[InstanceKey; 4]>,
     attempts: Attempts,
+    /// The stream as admission counts it.
+    admission: AdmittedStream,
     /// The first engines of the runs that broke off while they were young.
     young_losses: SmallVec<[InstanceKey; 4]>,
     timing: Timing,
@@ -183,6 +189,17 @@
 ) -> Reply {
     let filter = EventFilter::new(request.last_event_id());
     gateway.count_stream(true);
+    let routes = gateway.routes();
+    let is_ranked = routes.is_some_and(|routes| routes.has_ranked_streams(&request.service.name));
+    let applicant = Applicant {
+        rank: request.rank,
+        account: queue_account(&request.account),
+        received_at: request.received_at,
+        target: Duration::from_millis(request.route.target_latency_ms),
+    };
+    let admission = gateway
+        .admissions
+        .offer(&request.service.name, applicant, is_ranked);
     let mut relay = Box::new(Relay {
         gateway: Rc::clone(gateway),
         filter,
@@ -193,6 +210,7 @@
         run_begins_after: None,
         excluded: SmallVec::new(),
         attempts: Attempts::new(&request.route),
+        admission,
         young_losses: SmallVec::new(),
         timing: Timing::default(),
         repaths: 0,
@@ -205,6 +223,7 @@
         Ok(RelayOutput::Events(events)) => {
             let time = relay.request.received_at.elapsed();
             gateway.metrics.observe_first_event(time);
+            relay.admission.on_first_event();
             relay.into_reply(Some(events))
         }
         Ok(RelayOutput::End) => relay.into_reply(None),
@@ -321,12 +340,23 @@
     /// Waits for whole events, and continues in another run if the present one is lost.
     async fn next(&mut self) -> Result<RelayOutput, RelayEnd> {
         loop {
+            if self.run.is_none() && self.attempts.sends() == 0 && self.admission.must_wait() {
+                self.wait_for_capacity(None).await?;
+            }
             let fault = match self.step().await {
                 Ok(Some(next)) => return Ok(next),
                 Ok(None) => continue,
                 Err(fault) => fault,
             };
             self.set_aside_run(&fault);
+            if let RunFault::NoPath(NoPath::NoCapacity(shortage)) = fault
+                && self.attempts.sends() == 1
+                && !self.can_wait_for_path()
+            {
+                self.attempts.cancel_send();
+                self.wait_for_capacity(Some(shortage)).await?;
+                continue;
+            }
             let can_wait = self.held.is_none() && self.can_wait_for_path();
             if matches!(fault, RunFault::NoPath(_)) && can_wait {
                 self.attempts.cancel_send();
@@ -348,6 +378,47 @@
         }
     }
 
+    /// Waits in the order of admission until a stream that was not sent may search for a path,
+    /// after a search that found every path short of `shortage`, if there was one.
+    async fn wait_for_capacity(&mut self, shortage: Option<Shortage>) -> Result<(), RelayEnd> {
+        let Err(end) = self.admission.wait_for_turn(shortage).await else {
+            return Ok(());
+        };
+        info!(
+            "event=not_admitted id={} rank={} account={} resource={} cause={} \
+             expected_wait_ms={} waited_ms={}",
+            self.request.id,
+            self.request.rank,
+            self.request.account,
+            end.shortage,
+            end.cause,
+            end.expected_wait.as_millis(),
+            self.admission.waited().as_millis()
+        );
+        self.gateway.metrics.count_not_admitted(
+            self.request.rank,
+            end.shortage.as_str(),
+            end.cause.as_str(),
+        );
+        Err(self.end_without_path(NoPath::NoCapacity(end.shortage)))
+    }
+
+    /// Records that a path was found, and how long the stream waited for it.
+    fn record_start(&mut self) {
+        let context_tokens = self.request.need(&self.spec).context_tokens();
+        let Some(wait) = self.admission.start(context_tokens) else {
+            return;
+        };
+        info!(
+            "event=waited id={} rank={} account={} wait_ms={}",
+            self.request.id,
+            self.request.rank,
+            self.request.account,
+            wait.as_millis()
+        );
+        self.gateway.metrics.observe_wait(wait);
+    }
+
     /// Ends the present run after a fault. One that is only silent is kept until another one
     /// has taken the stream.
     fn set_aside_run(&mut self, fault: &RunFault) {
@@ -401,6 +472,11 @@
                 return Err(RunFault::Quarantined(quarantine.reason));
             }
             self.attempts.begin_send();
+            let report_age = self.gateway.instances().report_age();
+            let limits = RunLimits {
+                new: self.admission.limits(report_age),
+                moved: self.admission.moved_limits(),
+            };
             let run = Run::new(
                 &self.gateway,
                 &self.request,
@@ -408,8 +484,10 @@
                 self.filter.last_id(),
                 &self.attempts,
                 &self.excluded,
+                limits,
             );
             self.run = Some(run?);
+            self.record_start();
             return Ok(None);
         };
         if !run.is_accepted() {
--- a/routing/src/admission/fair_queue.rs
+++ b/routing/src/admission/fair_queue.rs
@@ -1,5 +1,7 @@
 //! Weighted fair queueing over accounts, and over the priorities within an
 //! account.
+//!
+//! Agents queue work at one upstream with it, and gateways the streams of one rank.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -62,6 +64,8 @@
 struct Item<T> {
     value: T,
     cost: u64,
+    /// The place within the account and the priority: lower ones are served first.
+    order: u64,
 }
 
 /// The queue of one account.
@@ -189,10 +193,26 @@
         priority: Priority,
         cost: u64,
         value: T,
+    ) {
+        self.push_ordered(name, weight, priority, cost, 0, value);
+    }
+
+    /// Adds an item to the queue of its account and priority, behind those of the same or a
+    /// lower order.
+    pub(super) fn push_ordered(
+        &mut self,
+        name: &AccountName,
+        weight: u32,
+        priority: Priority,
+        cost: u64,
+        order: u64,
+        value: T,
     ) {
         let key = self.intern(name, weight);
         let account = &mut self.accounts[key];
-        account.classes[class_index(priority)].push_back(Item { value, cost });
+        let class = &mut account.classes[class_index(priority)];
+        let index = class.partition_point(|item| item.order <= order);
+        class.insert(index, Item { value, cost, order });
         account.queued_cost += cost;
         self.len += 1;
         self.schedule(key);
@@ -213,6 +233,49 @@
         Some(item.value)
     }
 
+    /// Returns the item that is served next.
+    pub(super) fn peek(&self) -> Option<&T> {
+        let (_, key) = self.schedule_order.first()?;
+        let account = &self.accounts[*key];
+        let class = &account.classes[account.next_class()?];
+        class.front().map(|item| &item.value)
+    }
+
+    /// Removes and returns the last item of the account that would wait longest for all of its
+    /// items, without charging it.
+    pub(super) fn pop_last(&mut self) -> Option<T> {
+        let finish = |&(start, key): &(u64, AccountKey)| {
+            let account = &self.accounts[key];
+            start.saturating_add(virtual_cost(account.queued_cost, account.weight))
+        };
+        let (_, key) = *self
+            .schedule_order
+            .iter()
+            .max_by_key(|entry| finish(entry))?;
+        let account = &mut self.accounts[key];
+        let class = account.classes.iter_mut().find(|class| !class.is_empty())?;
+        let item = class.pop_back()?;
+        account.queued_cost -= item.cost;
+        self.len -= 1;
+        if account.next_class().is_none() {
+            self.unschedule(key);
+        }
+        Some(item.value)
+    }
+
+    /// Removes the items of one account for which `should_remove` holds, without charging it.
+    pub(super) fn remove_of_account(
+        &mut self,
+        name: &AccountName,
+        mut should_remove: impl FnMut(&T) -> bool,
+    ) -> Vec<T> {
+        let mut removed = Vec::new();
+        if let Some(&key) = self.by_name.get(name) {
+            self.remove_from_account(key, &mut should_remove, &mut removed);
+        }
+        removed
+    }
+
     /// Removes every item for which `should_remove` holds, without charging its
     /// account.
     pub(super) fn remove_where(&mut self, mut should_remove: impl FnMut(&T) -> bool) -> Vec<T> {
--- a/routing/src/admission/fair_weights.rs
+++ b/routing/src/admission/fair_weights.rs
@@ -14,6 +14,10 @@
 /// The largest factor by which a weight is raised or lowered.
 const MAX_FACTOR: f64 = 64.0;
 
+/// The service, relative to the mean, above which an account is above its fair share. Accounts
+/// that ask for the same seem to differ by less in the few requests that an entry sees.
+const FAIR_SHARE_FACTOR: f64 = 2.0;
+
 /// The service that one account has recently received.
 #[derive(Clone, Copy, Debug)]
 struct AttainedService {
@@ -88,6 +92,16 @@
         scaled
     }
 
+    /// Returns whether an account has recently received far more than the mean service.
+    pub fn is_above_fair_share(&mut self, now: Instant, account: &AccountName) -> bool {
+        let mean = self.mean_per_weight(now);
+        let service = self.accounts.get(account);
+        service.is_some_and(|service| {
+            let per_weight = service.decayed_cost(now) / f64::from(service.weight.max(1));
+            per_weight > FAIR_SHARE_FACTOR * mean
+        })
+    }
+
     /// Returns the mean service that accounts received per unit of weight.
     fn mean_per_weight(&mut self, now: Instant) -> f64 {
         if let Some((computed_at, mean)) = self.mean
--- a/routing/src/fleet/instances/recent.rs
+++ b/routing/src/fleet/instances/recent.rs
@@ -71,6 +71,11 @@
         self.sharing = sharing;
     }
 
+    /// Returns the mean age of the peers' reports.
+    pub const fn report_age(&self) -> Duration {
+        self.sharing.report_age
+    }
+
     /// Records work that was just given to an upstream.
     pub(super) fn note_recent(&mut self, key: super::InstanceKey, work: &Work, now: Instant) {
         let age = self.sharing.report_age;
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -31,11 +31,6 @@
 use crate::path::cheapest_path;
 use crate::path::merge_revisits;
 
-/// The share of an engine's free memory that streams may reserve. Each stream reserves what it
-/// holds at its end, so what all hold at a time leaves room for answers that are longer than
-/// expected.
-const MAX_CONTEXT_SHARE: f64 = 1.0;
-
 /// The time to pass a token to another engine of the same failure domain, including the
 /// wait for that engine's next step.
 const STAGE_DELAY_MS: f64 = 0.5;
@@ -59,10 +54,6 @@
 /// The platform's protocol allows at most this many parts in a path.
 const MAX_PATH_PARTS: usize = 32;
 
-/// The share of an engine's first-part slots that may be planned for. It is below one
-/// because the load that peers report is a few hundred milliseconds old.
-const MAX_SLOT_SHARE: f64 = 0.85;
-
 /// The lowest cost factor for engines outside the gateway's own failure domain. Such
 /// engines are chosen once the load in the own domain makes it more expensive by this
 /// factor.
@@ -79,6 +70,42 @@
 /// The cost of an engine that fails every request.
 const FAILURE_COST_S: f64 = 10.0;
 
+/// The shares of an engine's resources that a stream may plan for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapacityLimits {
+    /// The share of the slots for first parts.
+    pub first_slots: f64,
+    /// The share of the free memory that streams may reserve. Each stream reserves what it
+    /// holds at its end, so what all hold at a time leaves room for answers that are longer
+    /// than expected.
+    pub context_memory: f64,
+}
+
+impl CapacityLimits {
+    /// The limits where all streams of a service have the same rank. The share of the slots is
+    /// below one because the load that peers report is a few hundred milliseconds old.
+    pub const UNRANKED: Self = Self {
+        first_slots: 0.85,
+        context_memory: 1.0,
+    };
+
+    /// The limits of the most urgent rank. An engine admits the more urgent requests from its
+    /// own queue first, so errors of the known load delay the less urgent ones.
+    pub const MOST_URGENT: Self = Self {
+        first_slots: 0.97,
+        context_memory: 1.0,
+    };
+
+    /// Returns the limits that leave free another `share` of each resource.
+    #[must_use]
+    pub fn with_headroom(self, share: f64) -> Self {
+        Self {
+            first_slots: self.first_slots - share,
+            context_memory: self.context_memory - share,
+        }
+    }
+}
+
 /// The expected token counts of a stream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StreamNeed {
@@ -149,6 +176,8 @@
     pub may_cross: bool,
     /// The preference among paths of nearly the same cost.
     pub preference: Preference<'a>,
+    /// The shares of each engine's resources that the stream may plan for.
+    pub limits: CapacityLimits,
 }
 
 /// One engine of a path and its layers.
@@ -180,12 +209,19 @@
     ContextMemory,
 }
 
-impl fmt::Display for Shortage {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+impl Shortage {
+    /// Returns the name in log lines and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
             Self::FirstSlots => "first_slots",
             Self::ContextMemory => "context_memory",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Shortage {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
     }
 }
 
@@ -249,11 +285,13 @@
     choice: &PathRequest<'_>,
     now: Instant,
 ) -> Result<LayerPath, NoPath> {
-    let PathRequest { spec, need, .. } = *choice;
+    let PathRequest {
+        spec, need, limits, ..
+    } = *choice;
     let candidates = candidates(table, choice.service, spec, choice.excluded, now);
     let with_capacity: Vec<&Candidate<'_>> = candidates
         .iter()
-        .filter(|candidate| candidate.has_capacity(spec, need))
+        .filter(|candidate| candidate.has_capacity(spec, need, limits))
         .collect();
     let trusted: Vec<&Candidate<'_>> = with_capacity
         .iter()
@@ -262,7 +300,7 @@
         .collect();
     let expected_free: Vec<&Candidate<'_>> = trusted
         .iter()
-        .filter(|candidate| candidate.has_expected_capacity(spec, need))
+        .filter(|candidate| candidate.has_expected_capacity(spec, need, limits))
         .copied()
         .collect();
     let search = Search {
@@ -271,9 +309,15 @@
         first_layer: 0,
         preference: choice.preference,
         now,
+        limits,
         takes_slots: true,
     };
+    let mut searched = usize::MAX;
     for usable in [&expected_free, &trusted, &with_capacity] {
+        // Each list contains the one before, so one of the same length is the same.
+        if std::mem::replace(&mut searched, usable.len()) == usable.len() {
+            continue;
+        }
         if let Ok(path) = search.cheapest(usable)
             && (choice.may_cross || path.crossings == 0)
         {
@@ -306,7 +350,9 @@
     old: &LayerPath,
     now: Instant,
 ) -> Option<LayerPath> {
-    let PathRequest { spec, need, .. } = *choice;
+    let PathRequest {
+        spec, need, limits, ..
+    } = *choice;
     let first = old.parts.first()?.clone();
     let domain = &table.get(first.instance)?.instance.failure_domain;
     let mut excluded: SmallVec<[InstanceKey; 8]> = SmallVec::from_slice(choice.excluded);
@@ -333,7 +379,9 @@
         }
         let usable: Vec<&Candidate<'_>> = candidates
             .iter()
-            .filter(|candidate| was_part(candidate.key) || candidate.has_capacity(spec, need))
+            .filter(|candidate| {
+                was_part(candidate.key) || candidate.has_capacity(spec, need, limits)
+            })
             .collect();
         let search = Search {
             spec,
@@ -344,6 +392,7 @@
                 ..Preference::default()
             },
             now,
+            limits,
             takes_slots: true,
         };
         if let Ok(mut rest) = search.cheapest(&usable) {
@@ -376,6 +425,7 @@
     first_layer: u32,
     preference: Preference<'a>,
     now: Instant,
+    limits: CapacityLimits,
     /// Whether a first part needs a free slot.
     takes_slots: bool,
 }
@@ -400,7 +450,7 @@
     fn shortage(&self, candidates: &[Candidate<'_>]) -> Shortage {
         let has_slot = candidates
             .iter()
-            .any(|candidate| candidate.available_layers(self.spec).first == 0);
+            .any(|candidate| candidate.available_layers(self.spec, self.limits).first == 0);
         if has_slot {
             Shortage::ContextMemory
         } else {
@@ -426,7 +476,7 @@
                 domains.len() - 1
             });
             let layers = if self.takes_slots {
-                candidate.available_layers(spec)
+                candidate.available_layers(spec, self.limits)
             } else {
                 candidate.layers
             };
@@ -505,19 +555,30 @@
     }
 
     /// Returns whether the context of the whole stream fits beside the known work.
-    fn has_capacity(&self, spec: &EngineSpec, need: &StreamNeed) -> bool {
-        self.fits_beside(&self.work, spec, need)
+    fn has_capacity(&self, spec: &EngineSpec, need: &StreamNeed, limits: CapacityLimits) -> bool {
+        self.fits_beside(&self.work, spec, need, limits)
     }
 
     /// Returns whether the context of the whole stream fits beside the expected work.
-    fn has_expected_capacity(&self, spec: &EngineSpec, need: &StreamNeed) -> bool {
-        self.fits_beside(&self.expected, spec, need)
+    fn has_expected_capacity(
+        &self,
+        spec: &EngineSpec,
+        need: &StreamNeed,
+        limits: CapacityLimits,
+    ) -> bool {
+        self.fits_beside(&self.expected, spec, need, limits)
     }
 
-    fn fits_beside(&self, work: &Work, spec: &EngineSpec, need: &StreamNeed) -> bool {
+    fn fits_beside(
+        &self,
+        work: &Work,
+        spec: &EngineSpec,
+        need: &StreamNeed,
+        limits: CapacityLimits,
+    ) -> bool {
         let layers = f64::from(self.layers.len());
         let free_bytes = (self.memory_mb - layers * spec.layer_mb).max(0.0) * 1_000_000.0;
-        let free_token_layers = MAX_CONTEXT_SHARE * free_bytes / spec.token_layer_bytes();
+        let free_token_layers = limits.context_memory * free_bytes / spec.token_layer_bytes();
         let held = work.token_layers + self.unaccounted_token_layers;
         held + need.context_tokens() * layers <= free_token_layers
     }
@@ -525,9 +586,9 @@
     /// Returns the layers for which the engine accepts another request.
     ///
     /// Without a free first-part slot, the engine runs later parts only.
-    fn available_layers(&self, spec: &EngineSpec) -> LayerRange {
+    fn available_layers(&self, spec: &EngineSpec, limits: CapacityLimits) -> LayerRange {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let max_first = (MAX_SLOT_SHARE * f64::from(spec.slots)) as u32;
+        let max_first = (limits.first_slots * f64::from(spec.slots)) as u32;
         if self.layers.first == 0 && self.work.first_requests >= max_first {
             LayerRange::new(1, self.layers.end)
         } else {
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! | [`routes`] | the route and the service of a request | changes of configuration, split routes |
 //! | [`instances`] | which upstreams are usable, and their load | stale entries, unreachable and failing upstreams |
 //! | [`layer_path`] | the path of a stream | full memory, uneven load, lost parts |
+//! | [`demand`] | how much capacity a stream leaves free for more urgent ones | bursts of less urgent streams |
 //! | [`service_choice`] | the upstream of a call | slow and failing upstreams, full slots |
 //! | [`retry_budget`] | whether a request may be sent again | retry storms |
 //! | [`retry_schedule`] | when a rejected client should retry | bursts above capacity |
@@ -32,6 +33,7 @@
 pub mod answer_memory;
 pub mod attempts;
 pub mod claims;
+pub mod demand;
 pub mod drain;
 pub mod entry_bounds;
 pub mod entry_log;
--- a/routing/src/fleet/routes.rs
+++ b/routing/src/fleet/routes.rs
@@ -1,8 +1,10 @@
 //! Finds the route of a request and the service that handles it.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use jujubewall_types::fleet::FleetConfig;
+use jujubewall_types::fleet::RequestKind;
 use jujubewall_types::fleet::Route;
 use jujubewall_types::fleet::Service;
 use jujubewall_types::id::AccountName;
@@ -29,6 +31,8 @@
     /// The routes of each host, longest prefix first.
     by_host: HashMap<SmolStr, Vec<usize>>,
     by_key: Option<HashMap<SmolStr, KeyHolder>>,
+    /// The services whose stream routes have different ranks.
+    ranked_services: HashSet<ServiceName>,
 }
 
 impl RouteTable {
@@ -55,10 +59,12 @@
             }
             by_key
         });
+        let ranked_services = ranked_services(&config);
         Self {
             config,
             by_host,
             by_key,
+            ranked_services,
         }
     }
 
@@ -100,6 +106,11 @@
         }
     }
 
+    /// Returns whether the stream routes of a service have different ranks.
+    pub fn has_ranked_streams(&self, service: &ServiceName) -> bool {
+        self.ranked_services.contains(service)
+    }
+
     /// Returns the service with the given name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.config
@@ -127,3 +138,21 @@
         self.service(&share.service)
     }
 }
+
+/// Returns the services whose stream routes have different ranks.
+fn ranked_services(config: &FleetConfig) -> HashSet<ServiceName> {
+    let mut first_ranks: HashMap<&ServiceName, u32> = HashMap::new();
+    let mut ranked = HashSet::new();
+    for route in &config.routes {
+        if route.kind != RequestKind::Stream {
+            continue;
+        }
+        for share in &route.shares {
+            let first = *first_ranks.entry(&share.service).or_insert(route.rank);
+            if first != route.rank {
+                ranked.insert(share.service.clone());
+            }
+        }
+    }
+    ranked
+}
--- a/routing/tests/test_fleet_herding.rs
+++ b/routing/tests/test_fleet_herding.rs
@@ -9,6 +9,7 @@
 use jujubewall_routing::fleet::instances::PeerReport;
 use jujubewall_routing::fleet::instances::PeerSharing;
 use jujubewall_routing::fleet::instances::WorkReport;
+use jujubewall_routing::fleet::layer_path::CapacityLimits;
 use jujubewall_routing::fleet::layer_path::PathRequest;
 use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
@@ -162,6 +163,7 @@
             excluded: &[],
             may_cross: false,
             preference,
+            limits: CapacityLimits::UNRANKED,
         };
         let (table, keys) = &mut gateways[gateway];
         let Ok(path) = choose_path(table, &choice, now) else {
@@ -242,6 +244,7 @@
                         domain_order_seed: gateway,
                         jitter_seed: 1 + stream,
                     },
+                    limits: CapacityLimits::UNRANKED,
                 };
                 let path = choose_path(&table, &choice, now).unwrap();
                 for part in &path.parts {
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -11,6 +11,7 @@
 use jujubewall_routing::fleet::instances::PeerReport;
 use jujubewall_routing::fleet::instances::Suspicion;
 use jujubewall_routing::fleet::instances::WorkReport;
+use jujubewall_routing::fleet::layer_path::CapacityLimits;
 use jujubewall_routing::fleet::layer_path::LayerPath;
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathPart;
@@ -112,6 +113,7 @@
             excluded,
             may_cross,
             preference: *preference,
+            limits: CapacityLimits::UNRANKED,
         };
         choose_path(&self.table, &choice, self.now)
     }
@@ -124,6 +126,7 @@
             excluded: lost,
             may_cross: false,
             preference: Preference::default(),
+            limits: CapacityLimits::UNRANKED,
         };
         repair_path(&self.table, &choice, old, self.now)
     }
