admission: return times by rank, and both resources named

A rejected client was told to return at the rate at which requests end, where rejected ones counted as ended, whatever its rank and whatever new arrivals take. Return times of streams now follow the rank and what arrivals of the same and more urgent ranks leave of the released capacity; while nothing is left, clients are spread over the second half of the time that they honour. A rejection names both resources if first slots and context memory are short. A path is searched for at most every 10 ms.

Return times are tested by order and spread only; repeated clients were not measured.

--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -53,6 +53,9 @@
 /// The reason of a rejection because every path lacks memory for the context.
 const NO_CONTEXT_MEMORY: &str = "every path is short of memory";
 
+/// The reason of a rejection because both is the case.
+const NEITHER_SLOT_NOR_MEMORY: &str = "every first engine is full, every path short of memory";
+
 /// The reason of a rejection because each failure domain lacks some layer.
 const INCOMPLETE_DOMAINS: &str = "no failure domain holds all layers";
 
@@ -62,6 +65,10 @@
 /// The shortest `Retry-After` time after a rejection for another reason than full engines.
 const MIN_FAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The part of its remaining time for which a client waits at most before it retries, by the
+/// platform's protocol: a third.
+const HONOURED_TIME_PART: u32 = 3;
+
 /// The interval between attempts to find a path.
 const PATH_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -157,7 +164,10 @@
         self.repaths += self.run.as_ref().map_or(0, Run::repaths);
         let time = self.request.received_at.elapsed();
         self.gateway.metrics.count_outcome(self.outcome, time);
-        self.gateway.record_end(&self.request.service.name);
+        // A rejected stream frees nothing.
+        if self.admission.has_started() {
+            self.gateway.record_end(&self.request.service.name);
+        }
         self.gateway.count_stream(false);
         info!(
             "event=end id={} route={} account={} outcome={} reason=\"{}\" sends={} repaths={} \
@@ -284,7 +294,13 @@
                         let quarantine = poison::quarantine(&self.gateway, &self.request.suspects);
                         quarantine.map_or(MIN_FAULT_RETRY_AFTER, |quarantine| quarantine.left)
                     }
-                    NO_FIRST_SLOT | NO_CONTEXT_MEMORY => self.gateway.next_retry_after(service),
+                    NO_FIRST_SLOT | NO_CONTEXT_MEMORY | NEITHER_SLOT_NOR_MEMORY => {
+                        let left = self.request.time_left().unwrap_or_default();
+                        let longest = left / HONOURED_TIME_PART;
+                        let draw = self.gateway.random_u64() as f64 / u64::MAX as f64;
+                        let retry_after = self.admission.next_retry_after(longest, draw);
+                        retry_after.unwrap_or_else(|| self.gateway.next_retry_after(service))
+                    }
                     INCOMPLETE_DOMAINS | LAYER_MISSING => {
                         self.gateway.retry_after_repair(service, &self.spec)
                     }
@@ -627,6 +643,7 @@
         let reason = match reason {
             NoPath::NoCapacity(Shortage::FirstSlots) => NO_FIRST_SLOT,
             NoPath::NoCapacity(Shortage::ContextMemory) => NO_CONTEXT_MEMORY,
+            NoPath::NoCapacity(Shortage::Both) => NEITHER_SLOT_NOR_MEMORY,
             NoPath::OnlyAcrossDomains => INCOMPLETE_DOMAINS,
             NoPath::LayerMissing(_) => LAYER_MISSING,
         };
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -27,7 +27,7 @@
 
 /// The shortest time between two such searches. One takes about 0.1 ms, and a gateway may have a
 /// tenth of a core.
-const MIN_SEARCH_SPACING: Duration = Duration::from_millis(5);
+const MIN_SEARCH_SPACING: Duration = Duration::from_millis(10);
 
 /// The account of requests that need no key.
 const NO_ACCOUNT: &str = "-";
@@ -271,6 +271,20 @@
         place.map_or(Duration::ZERO, |place| place.since.elapsed())
     }
 
+    /// Returns whether the stream has got a path.
+    pub const fn has_started(&self) -> bool {
+        self.started_at.is_some()
+    }
+
+    /// Returns the time after which the client of the rejected stream should retry; `None` if too
+    /// few streams have ended to tell. `draw` is uniformly distributed from zero to one.
+    pub fn next_retry_after(&self, longest: Duration, draw: f64) -> Option<Duration> {
+        self.update(|streams, now| {
+            let admission = &mut streams.admission;
+            admission.next_retry_after(&self.applicant, longest, draw, now)
+        })
+    }
+
     fn enqueue(&mut self) -> Result<(), NotAdmitted> {
         let waker = Rc::new(Notify::new());
         let placed = self.update(|streams, now| {
@@ -301,7 +315,7 @@
 impl Drop for AdmittedStream {
     fn drop(&mut self) {
         let ticket = self.place.take().map(|place| place.ticket);
-        let has_started = self.started_at.is_some();
+        let has_started = self.has_started();
         self.update(|streams, now| {
             if let Some(ticket) = ticket {
                 streams.admission.leave(ticket);
--- a/routing/src/admission/stream_admission.rs
+++ b/routing/src/admission/stream_admission.rs
@@ -18,6 +18,8 @@
 use crate::fleet::demand::StreamDemand;
 use crate::fleet::layer_path::CapacityLimits;
 use crate::fleet::layer_path::Shortage;
+use crate::fleet::retry_schedule::ReturnCapacity;
+use crate::fleet::retry_schedule::StreamRetries;
 
 /// The largest number of waiting streams. A gateway starts some tens of streams a second at
 /// most, and each waits for less than a second.
@@ -36,6 +38,9 @@
 /// about nine of ten streams are faster.
 const DEVIATIONS: f64 = 2.0;
 
+/// The rate of ended streams below which it does not show when capacity becomes free.
+const MIN_RELEASES_PER_S: f64 = 0.5;
+
 /// The smallest part of the released capacity that a rank expects to get beside the arrivals of
 /// more urgent ranks.
 const MIN_RELEASE_SHARE: f64 = 0.25;
@@ -149,6 +154,7 @@
     scarce_at: Option<Instant>,
     first_event: FirstEventTime,
     shortage: Shortage,
+    retries: StreamRetries,
 }
 
 impl StreamAdmission {
@@ -162,6 +168,7 @@
             scarce_at: None,
             first_event: FirstEventTime::new(),
             shortage: Shortage::ContextMemory,
+            retries: StreamRetries::new(),
         }
     }
 
@@ -319,6 +326,28 @@
         self.demand.on_ended(now);
     }
 
+    /// Returns the time after which the client of a rejected stream should retry, at most
+    /// `longest`; `None` if too few streams have ended to tell. `draw` is uniformly distributed
+    /// from zero to one.
+    pub fn next_retry_after(
+        &mut self,
+        applicant: &Applicant,
+        longest: Duration,
+        draw: f64,
+        now: Instant,
+    ) -> Option<Duration> {
+        let released_per_s = self.demand.releases_per_s(now);
+        let rank = self.queue_rank(applicant, now);
+        let capacity = ReturnCapacity {
+            released_per_s,
+            offered_per_s: self.demand.more_urgent_per_s(rank.saturating_add(1), now),
+        };
+        (released_per_s >= MIN_RELEASES_PER_S).then(|| {
+            self.retries
+                .next_retry_after(rank, capacity, longest, draw, now)
+        })
+    }
+
     /// Returns the latest time at which a stream starts in time.
     fn start_by(&self, applicant: &Applicant) -> Instant {
         let longest = applicant.target.saturating_sub(self.first_event.usual());
--- a/routing/src/fleet/demand.rs
+++ b/routing/src/fleet/demand.rs
@@ -4,6 +4,8 @@
 //! those of the fleet. Shares of the fleet's capacity are therefore derived from this gateway's
 //! own streams, without a message.
 
+use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -50,6 +52,12 @@
 /// The number of recent offers below which a served share is not judged.
 const MIN_JUDGED_OFFERS: f64 = 4.0;
 
+/// The smallest number of kinds that are kept before those without recent streams are dropped.
+const MIN_KEPT_KINDS: usize = 64;
+
+/// The decayed count of offered streams below which a kind may be dropped.
+const MIN_KEPT_COUNT: f64 = 0.01;
+
 /// A count that decays exponentially.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DecayingCount {
@@ -113,33 +121,39 @@
 #[derive(Debug)]
 pub(crate) struct ServedShares<K> {
     total: ServedCount,
-    kinds: Vec<(K, ServedCount)>,
+    kinds: HashMap<K, ServedCount>,
+    /// The number of kinds at which those without recent streams are dropped.
+    max_kinds: usize,
 }
 
-impl<K: Clone + Eq> ServedShares<K> {
-    pub(crate) const fn new(now: Instant) -> Self {
+impl<K: Clone + Eq + Hash> ServedShares<K> {
+    pub(crate) fn new(now: Instant) -> Self {
         Self {
             total: ServedCount::new(now),
-            kinds: Vec::new(),
+            kinds: HashMap::new(),
+            max_kinds: MIN_KEPT_KINDS,
         }
     }
 
     pub(crate) fn on_offered(&mut self, kind: &K, now: Instant) {
         self.total.offered.add(now);
-        if let Some((_, count)) = self.kinds.iter_mut().find(|(known, _)| known == kind) {
+        if let Some(count) = self.kinds.get_mut(kind) {
             count.offered.add(now);
             return;
         }
-        self.kinds
-            .retain(|(_, count)| count.offered.get(now) >= 0.01);
+        if self.kinds.len() >= self.max_kinds {
+            self.kinds
+                .retain(|_, count| count.offered.get(now) >= MIN_KEPT_COUNT);
+            self.max_kinds = MIN_KEPT_KINDS.max(2 * self.kinds.len());
+        }
         let mut count = ServedCount::new(now);
         count.offered.add(now);
-        self.kinds.push((kind.clone(), count));
+        self.kinds.insert(kind.clone(), count);
     }
 
     pub(crate) fn on_started(&mut self, kind: &K, now: Instant) {
         self.total.started.add(now);
-        if let Some((_, count)) = self.kinds.iter_mut().find(|(known, _)| known == kind) {
+        if let Some(count) = self.kinds.get_mut(kind) {
             count.started.add(now);
         }
     }
@@ -151,8 +165,7 @@
 
     /// Returns whether a kind is served far less than all kinds together.
     pub(crate) fn is_starved(&self, kind: &K, now: Instant) -> bool {
-        let known = self.kinds.iter().find(|(known, _)| known == kind);
-        known.is_some_and(|(_, count)| {
+        self.kinds.get(kind).is_some_and(|count| {
             count.offered.get(now) >= MIN_JUDGED_OFFERS
                 && count.share(now) < MIN_RELATIVE_SHARE * self.total.share(now)
         })
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -207,6 +207,8 @@
     FirstSlots,
     /// Some engine of every path has no memory for the context of the stream.
     ContextMemory,
+    /// Both of them.
+    Both,
 }
 
 impl Shortage {
@@ -215,6 +217,7 @@
         match self {
             Self::FirstSlots => "first_slots",
             Self::ContextMemory => "context_memory",
+            Self::Both => "both",
         }
     }
 }
@@ -440,21 +443,28 @@
         };
         match unlimited.cheapest(&all) {
             Ok(path) if path.crossings > 0 => NoPath::OnlyAcrossDomains,
-            Ok(_) => NoPath::NoCapacity(self.shortage(candidates)),
+            Ok(_) => NoPath::NoCapacity(self.shortage(candidates, &unlimited)),
             Err(layer) => NoPath::LayerMissing(layer),
         }
     }
 
     /// Returns the resource that no path has free, by the engines that hold the first layers:
-    /// if one of them takes another stream, memory is short there or behind it.
-    fn shortage(&self, candidates: &[Candidate<'_>]) -> Shortage {
+    /// if one of them takes another stream, memory is short there or behind it. `unlimited` is
+    /// the search that needs no slot.
+    fn shortage(&self, candidates: &[Candidate<'_>], unlimited: &Search<'_>) -> Shortage {
         let has_slot = candidates
             .iter()
             .any(|candidate| candidate.available_layers(self.spec, self.limits).first == 0);
         if has_slot {
-            Shortage::ContextMemory
-        } else {
-            Shortage::FirstSlots
+            return Shortage::ContextMemory;
+        }
+        let with_memory = candidates
+            .iter()
+            .filter(|candidate| candidate.has_capacity(self.spec, self.need, self.limits));
+        let with_memory: Vec<&Candidate<'_>> = with_memory.collect();
+        match unlimited.cheapest(&with_memory) {
+            Ok(path) if path.crossings == 0 => Shortage::FirstSlots,
+            _ => Shortage::Both,
         }
     }
 
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -145,7 +145,20 @@
     }
 
     fn begin(&mut self) -> Result<LayerPath, NoPath> {
-        let path = self.choose(&[], false)?;
+        self.begin_within(CapacityLimits::UNRANKED)
+    }
+
+    fn begin_within(&mut self, limits: CapacityLimits) -> Result<LayerPath, NoPath> {
+        let choice = PathRequest {
+            service: &name(),
+            spec: &engine_spec(),
+            need: &NEED,
+            excluded: &[],
+            may_cross: false,
+            preference: Preference::default(),
+            limits,
+        };
+        let path = choose_path(&self.table, &choice, self.now)?;
         for part in &path.parts {
             self.table
                 .begin_work(part.instance, &part_work(&NEED, part), self.now);
@@ -232,6 +245,18 @@
     );
 }
 
+/// Guards against urgent streams that find every engine full because less urgent ones have taken
+/// all memory: those have to leave some free.
+#[test]
+fn test_less_urgent_streams_leave_memory_free_for_urgent_ones() {
+    let mut fleet = Fleet::with_copies(&["a"]);
+    let less_urgent = CapacityLimits::MOST_URGENT.with_headroom(0.2);
+    let begun = std::iter::from_fn(|| fleet.begin_within(less_urgent).ok()).count();
+    let more = std::iter::from_fn(|| fleet.begin_within(CapacityLimits::MOST_URGENT).ok()).count();
+    let left = more as f64 / (begun + more) as f64;
+    assert!((0.15..=0.25).contains(&left), "{left}");
+}
+
 #[test]
 fn test_work_reported_by_peers_counts_until_the_report_expires() {
     let mut fleet = Fleet::with_copies(&["a", "b"]);
--- a/routing/tests/test_stream_admission.rs
+++ b/routing/tests/test_stream_admission.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jujubewall_routing::admission::Applicant;
+use jujubewall_routing::admission::NotAdmittedCause;
 use jujubewall_routing::admission::StreamAdmission;
 use jujubewall_routing::admission::StreamTicket;
 use jujubewall_types::id::AccountName;
@@ -13,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
+const SECOND: Duration = Duration::from_secs(1);
 const STEP: Duration = Duration::from_millis(5);
 const TARGET: Duration = Duration::from_millis(500);
 const STREAM_LIFE: Duration = Duration::from_secs(3);
@@ -282,6 +284,93 @@
     }
 }
 
+fn applicant(rank: u32, account: &str, received_at: Instant) -> Applicant {
+    Applicant {
+        rank,
+        account: AccountName::new(account).unwrap(),
+        received_at,
+        target: TARGET,
+    }
+}
+
+/// Returns the admission of a gateway at which `per_s` streams end a second.
+fn admission_with_releases(per_s: u32, now: Instant) -> StreamAdmission {
+    let mut admission = StreamAdmission::new(now - 10 * SECOND);
+    for step in 0..10 * per_s {
+        let at = now - 10 * SECOND + SECOND / per_s * step;
+        admission.on_started(&applicant(2, "a", at), None, 1_000, at);
+        admission.on_ended(at);
+    }
+    admission
+}
+
+/// Sixty streams at once where 100 end a second, of which about 40 start within the objective.
+/// Guards against requests that are held until their deadline, and against clients that left or
+/// less urgent requests that keep the place of others.
+#[test]
+fn test_sixty_streams_at_once_wait_only_as_long_as_they_can_be_served() {
+    let now = Instant::now() + 20 * SECOND;
+    let mut admission = admission_with_releases(100, now);
+    let placed: Vec<_> = (0..60)
+        .filter_map(|_| admission.enqueue(&applicant(2, "a", now), now).ok())
+        .collect();
+    assert!((35..=45).contains(&placed.len()), "{} wait", placed.len());
+    let refused = admission.enqueue(&applicant(2, "a", now), now);
+    assert_eq!(refused.unwrap_err().cause, NotAdmittedCause::ExpectedWait);
+    // The places of clients that leave are free at once.
+    for place in &placed[..10] {
+        admission.leave(place.ticket);
+    }
+    assert!(admission.enqueue(&applicant(2, "a", now), now).is_ok());
+    // Another account is served next, and a more urgent stream before it.
+    let other = admission.enqueue(&applicant(2, "b", now), now).unwrap();
+    assert_eq!(admission.head(), Some(other.ticket));
+    let urgent = admission.enqueue(&applicant(0, "a", now), now).unwrap();
+    assert_eq!(admission.head(), Some(urgent.ticket));
+    // More urgent streams take the last places when the queue is full.
+    let evicted: Vec<_> = (0..35)
+        .filter_map(|_| {
+            admission
+                .enqueue(&applicant(0, "a", now), now)
+                .ok()?
+                .evicted
+        })
+        .collect();
+    assert!(!evicted.is_empty());
+    assert!(evicted.iter().all(|ticket| !admission.is_waiting(*ticket)));
+}
+
+/// Clients of two ranks that are rejected at once, while 100 streams end and 60 urgent ones arrive
+/// a second. Guards against clients that return as told, all at once, and are rejected again.
+#[test]
+fn test_rejected_clients_return_spread_and_the_urgent_first() {
+    let now = Instant::now() + 20 * SECOND;
+    let mut admission = admission_with_releases(100, now);
+    for step in 0..600 {
+        let at = now - 10 * SECOND + SECOND / 60 * step;
+        admission.on_offered(&applicant(0, "a", at), at);
+        admission.on_offered(&applicant(2, "a", at), at);
+    }
+    let longest = 10 * SECOND;
+    let mut told = |rank| -> Vec<Duration> {
+        let draws = (0..40_u32).map(|step| f64::from(step * 7 % 40) / 40.0);
+        let times = draws.map(|draw| {
+            let applicant = applicant(rank, "a", now);
+            admission.next_retry_after(&applicant, longest, draw, now)
+        });
+        times.map(Option::unwrap).collect()
+    };
+    let urgent = told(0);
+    let late = told(2);
+    assert!(urgent.iter().max() < late.iter().min());
+    for times in [urgent, late] {
+        assert!(times.iter().all(|time| *time <= longest));
+        let first = times.iter().min().unwrap();
+        let at_once = times.iter().filter(|time| **time < *first + SECOND / 10);
+        assert!(at_once.count() <= 8, "{times:?}");
+    }
+}
+
 /// A burst of the least urgent rank of 2.2 times its usual load, four of every eight seconds.
 /// Guards against rejections that hit all ranks alike.
 #[test]
