admission: order by account and route, overdue streams last, more memory planned

Clients were rejected alike whatever the urgency of their route, since nearly all accounts of a deployment have one rank, which goes before that of the route. The rank of the route now decides among accounts of the same rank.

Clients that return after a rejection competed with those that could still be served in time, although their own objective had passed. They name less time than others of their route; while capacity is scarce they are queued behind the others, and wait longer.

What ranks leave free is taken off a limit above the engines' free memory, since streams hold less than they reserve until their end: with the limit at the free memory, a tenth of it was idle.

--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -78,8 +78,9 @@
     pub config_version: u64,
     /// What may crash the upstreams that run the request.
     pub suspects: Suspects,
-    /// The rank, where 0 is the most urgent.
-    pub rank: u32,
+    /// The urgency among streams of one service, where 0 is the most urgent: by the rank that
+    /// applies to the account, then by that of the route.
+    pub urgency: u32,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -191,7 +192,7 @@
             give_up_at,
             config_version: admission.config_version,
             suspects,
-            rank: priority,
+            urgency: priority * (MAX_PRIORITY + 1) + route.rank.min(MAX_PRIORITY),
             method: parts.method,
             uri: parts.uri,
             headers: fields,
@@ -234,6 +235,11 @@
         }
     }
 
+    /// Returns the time that the client says it will wait.
+    pub fn patience(&self) -> Option<Duration> {
+        headers::number(&self.headers, &headers::DEADLINE_MS).map(Duration::from_millis)
+    }
+
     /// Returns the identifier of the last event that the client has received.
     pub fn last_event_id(&self) -> Option<u64> {
         headers::number(&self.headers, &headers::LAST_EVENT_ID)
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -201,11 +201,15 @@
     gateway.count_stream(true);
     let routes = gateway.routes();
     let is_ranked = routes.is_some_and(|routes| routes.has_ranked_streams(&request.service.name));
+    let target = Duration::from_millis(request.route.target_latency_ms);
     let applicant = Applicant {
-        rank: request.rank,
+        rank: request.urgency,
         account: queue_account(&request.account),
         received_at: request.received_at,
-        target: Duration::from_millis(request.route.target_latency_ms),
+        target,
+        is_overdue: gateway
+            .admissions
+            .is_overdue(&request.route.name, request.patience(), target),
     };
     let admission = gateway
         .admissions
@@ -404,7 +408,7 @@
             "event=not_admitted id={} rank={} account={} resource={} cause={} \
              expected_wait_ms={} waited_ms={}",
             self.request.id,
-            self.request.rank,
+            self.request.urgency,
             self.request.account,
             end.shortage,
             end.cause,
@@ -412,7 +416,7 @@
             self.admission.waited().as_millis()
         );
         self.gateway.metrics.count_not_admitted(
-            self.request.rank,
+            self.request.urgency,
             end.shortage.as_str(),
             end.cause.as_str(),
         );
@@ -428,7 +432,7 @@
         info!(
             "event=waited id={} rank={} account={} wait_ms={}",
             self.request.id,
-            self.request.rank,
+            self.request.urgency,
             self.request.account,
             wait.as_millis()
         );
--- a/routing/src/admission/stream_admission.rs
+++ b/routing/src/admission/stream_admission.rs
@@ -49,9 +49,20 @@
 /// free. Streams last for some seconds, so capacity stays scarce about as long.
 const SCARCITY_TIME: Duration = Duration::from_secs(2);
 
-/// The number of ranks by which streams of an account above its fair share count as less urgent.
-/// With three, they yield to those of all ranks in use of the other accounts.
-const YIELDED_RANKS: u32 = 3;
+/// The number of reserves that a stream leaves free which yields to those of all other ranks.
+const YIELDED_RESERVES: f64 = 3.0;
+
+/// What is added to the rank of streams that missed their objective before they arrived, so that
+/// they are queued behind all that can still be served in time.
+const OVERDUE_RANKS: u32 = 1_000;
+
+/// What is added to the rank of streams of an account above its fair share, so that they are
+/// queued behind those of all ranks of the other accounts.
+const YIELDED_RANKS: u32 = 2_000;
+
+/// The longest wait of a stream that missed its objective before it arrived. Its client leaves
+/// after two seconds without an event.
+const MAX_OVERDUE_WAIT: Duration = Duration::from_millis(1_200);
 
 /// The time to the first event of streams, as observed.
 #[derive(Clone, Copy, Debug)]
@@ -90,6 +101,8 @@
     pub received_at: Instant,
     /// The time to the first event that the route wants.
     pub target: Duration,
+    /// Whether the client has waited longer than that before, since it was rejected once.
+    pub is_overdue: bool,
 }
 
 /// The place of a stream in the queue.
@@ -203,7 +216,11 @@
         }
         if is_scarce && self.must_yield(&applicant.account, now) {
             let offered_per_s = self.accounts.offered_per_s(now);
-            headroom += f64::from(YIELDED_RANKS) * self.demand.reserve(offered_per_s, report_age);
+            headroom += YIELDED_RESERVES * self.demand.reserve(offered_per_s, report_age);
+        }
+        if is_scarce && applicant.is_overdue {
+            let offered_per_s = self.accounts.offered_per_s(now);
+            headroom += YIELDED_RESERVES * self.demand.reserve(offered_per_s, report_age);
         }
         limits.with_headroom(headroom.min(MAX_HEADROOM_SHARE))
     }
@@ -350,6 +367,9 @@
 
     /// Returns the latest time at which a stream starts in time.
     fn start_by(&self, applicant: &Applicant) -> Instant {
+        if applicant.is_overdue {
+            return applicant.received_at + MAX_OVERDUE_WAIT;
+        }
         let longest = applicant.target.saturating_sub(self.first_event.usual());
         applicant.received_at + longest.max(applicant.target / HARMLESS_SHARE)
     }
@@ -367,7 +387,10 @@
     /// than the others go first until that has changed.
     fn queue_rank(&mut self, applicant: &Applicant, now: Instant) -> u32 {
         let is_starved = self.demand.is_starved(applicant.rank, now);
-        let rank = if is_starved { 0 } else { applicant.rank };
+        let mut rank = if is_starved { 0 } else { applicant.rank };
+        if applicant.is_overdue {
+            rank += OVERDUE_RANKS;
+        }
         if self.is_scarce(now) && self.must_yield(&applicant.account, now) {
             rank + YIELDED_RANKS
         } else {
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -93,7 +93,7 @@
     /// own queue first, so errors of the known load delay the less urgent ones.
     pub const MOST_URGENT: Self = Self {
         first_slots: 0.97,
-        context_memory: 1.0,
+        context_memory: 1.1,
     };
 
     /// Returns the limits that leave free another `share` of each resource.
--- a/routing/tests/test_stream_admission.rs
+++ b/routing/tests/test_stream_admission.rs
@@ -180,6 +180,7 @@
             account: AccountName::new(format!("account-{account}")).unwrap(),
             received_at: self.now,
             target: TARGET,
+            is_overdue: false,
         };
         self.count(&applicant, |count| count.offered += 1.0);
         let now = self.now;
@@ -290,6 +291,7 @@
         account: AccountName::new(account).unwrap(),
         received_at,
         target: TARGET,
+        is_overdue: false,
     }
 }
 
