pace: a new or recovered upstream is preferred only at its pace

Cause: an upstream that starts or recovers has no work in flight, so every gateway chooses it at once. Change: each gateway starts requests there at its share of an initial rate, which doubles with each round of kept answers and halves with a late or failed one. Paces only order candidates.

--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -18,6 +18,7 @@
 use jujubewall_platform::site::headers;
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::TimedAnswer;
 use jujubewall_routing::fleet::service_choice::CALL_WORK;
 use jujubewall_routing::fleet::service_choice::NoUpstream;
 use jujubewall_routing::fleet::service_choice::choose_upstream;
@@ -222,8 +223,8 @@
             Ok(send) => sends.push(send),
             Err(reply) => return *reply,
         }
-        let target = Duration::from_millis(self.request.route.target_latency_ms.max(1));
-        let second_send_at = self.request.received_at + target.mul_f64(SECOND_SEND_FACTOR);
+        let second_send_at =
+            self.request.received_at + self.target_latency().mul_f64(SECOND_SEND_FACTOR);
         let mut is_second_due = self.is_idempotent();
         loop {
             tokio::select! {
@@ -246,6 +247,7 @@
                 }
                 () = sleep_until(second_send_at), if is_second_due => {
                     is_second_due = false;
+                    self.note_pace_failures();
                     let suspects = &self.request.suspects;
                     if self.sends < self.request.route.max_attempts
                         && poison::quarantine(&self.gateway, suspects).is_none()
@@ -266,6 +268,18 @@
         self.request.route.kind == RequestKind::Idempotent
     }
 
+    fn target_latency(&self) -> Duration {
+        Duration::from_millis(self.request.route.target_latency_ms.max(1))
+    }
+
+    /// Records that the upstreams of all sends so far are late.
+    fn note_pace_failures(&self) {
+        let mut instances = self.gateway.instances_mut();
+        for key in &self.excluded {
+            instances.note_pace_failure(*key, Instant::now());
+        }
+    }
+
     /// Returns whether several upstreams have crashed while they ran the call.
     async fn has_crashed_upstreams(&self) -> bool {
         let check = crash_watch::has_crashed_upstreams(&self.gateway, &self.losses);
@@ -315,8 +329,11 @@
         let gateway = Rc::clone(&self.gateway);
         let can_use_kept = self.is_idempotent();
         let mut watch = CrashWatch::new(&gateway, self.request.suspects.clone(), key);
+        let service = self.request.service.name.clone();
+        let target = self.target_latency();
         let send = async move {
             let counted = CountedCall::new(&gateway, key);
+            let started_at = Instant::now();
             // A kept connection may have been closed by the upstream; a send on it may then
             // fail without showing whether the call ran.
             let kept = can_use_kept
@@ -348,6 +365,14 @@
                 // A failure may be due to a deadline that passed before the call ran.
                 SendResult::Answered(answer) if !answer.head.status.is_server_error() => {
                     watch.on_answer();
+                    let answer = TimedAnswer {
+                        service: &service,
+                        predicted: target,
+                        started_at,
+                    };
+                    let now = Instant::now();
+                    let mut instances = gateway.instances_mut();
+                    instances.note_answer([key].into_iter(), &answer, now);
                 }
                 SendResult::Cut => {
                     watch.on_connection_lost();
@@ -379,9 +404,12 @@
             SendResult::NotRun => false,
         };
         let now = Instant::now();
-        self.gateway
-            .instances_mut()
-            .note_outcome(key, is_failure, now);
+        let mut instances = self.gateway.instances_mut();
+        instances.note_outcome(key, is_failure, now);
+        if matches!(result, SendResult::NotRun) {
+            instances.note_pace_failure(key, now);
+        }
+        drop(instances);
         match result {
             SendResult::Answered(answer) => {
                 self.runs += 1;
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -325,10 +325,10 @@
     let mut instances = gateway.instances_mut();
     instances.apply_peer_report(&message.member, &beliefs, now);
     if !gateway.receives_changes() {
-        instances.apply_layer_reports(&message.layers);
+        instances.apply_layer_reports(&message.layers, now);
     }
     if message.own_claim.planner.is_planning() && !planner::is_planner(gateway) {
-        instances.apply_slowdown_reports(&message.slowdowns);
+        instances.apply_slowdown_reports(&message.slowdowns, now);
     }
     drop(instances);
     for suspect in &message.suspects {
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -153,7 +153,9 @@
 }
 
 fn record_slowdown(gateway: &Gateway, key: InstanceKey, factor: f64) {
-    let has_changed = gateway.instances_mut().set_slowdown(key, factor);
+    let has_changed = gateway
+        .instances_mut()
+        .set_slowdown(key, factor, Instant::now());
     if !has_changed {
         return;
     }
@@ -506,7 +508,9 @@
     let layers = report.layers;
     open_orders.remove(id);
     drop(open_orders);
-    gateway.instances_mut().set_layers(id, layers);
+    gateway
+        .instances_mut()
+        .set_layers(id, layers, Instant::now());
 }
 
 /// Issues an order, or queries the engine for its number of begun orders if that is unknown.
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -30,6 +30,8 @@
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::Suspicion;
+use jujubewall_routing::fleet::pace::PaceChange;
+use jujubewall_routing::fleet::pace::PaceStep;
 use jujubewall_types::fleet::EngineState;
 use log::info;
 use log::warn;
@@ -120,6 +122,7 @@
         sleep(PROBE_INTERVAL).await;
         gateway.connections.expire();
         gateway.instances_mut().expire_departed(Instant::now());
+        log_pace_changes(&gateway);
         rounds = rounds.wrapping_add(1);
         if rounds.is_multiple_of(RARE_PROBE_ROUNDS) {
             let leaving = gateway.instances().leaving();
@@ -330,7 +333,7 @@
 }
 
 fn clear(gateway: &Gateway, key: InstanceKey) {
-    let since = gateway.instances_mut().clear_suspicion(key);
+    let since = gateway.instances_mut().clear_suspicion(key, Instant::now());
     if let Some(since) = since {
         log_cleared(gateway, key, since, "it answers");
     }
@@ -348,6 +351,31 @@
     }
 }
 
+/// Logs and counts how the paces of upstreams have changed.
+fn log_pace_changes(gateway: &Gateway) {
+    let changes = gateway.instances_mut().take_pace_changes(Instant::now());
+    for PaceChange {
+        id,
+        step,
+        starts_per_s,
+    } in changes
+    {
+        let (metric, change) = match step {
+            PaceStep::Begin(_) => ("pace_begin", "begin"),
+            PaceStep::Raise => ("pace_raise", "raise"),
+            PaceStep::LowerLate | PaceStep::LowerFailed => ("pace_lower", "lower"),
+            PaceStep::EndAboveDemand | PaceStep::EndKept | PaceStep::EndTimeLimit => {
+                ("pace_end", "end")
+            }
+        };
+        gateway.metrics.count(metric);
+        info!(
+            "event=pace upstream={id} change={change} reason={} starts_per_s={starts_per_s:.2}",
+            step.reason()
+        );
+    }
+}
+
 /// Probes upstreams that another gateway suspects and this one does not.
 pub fn probe_suspects_of_peer(gateway: &Rc<Gateway>, suspects: &[u64]) {
     let keys = gateway.instances().unsuspected_among(suspects);
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -22,7 +22,9 @@
 use jujubewall_routing::fleet::attempts::Attempts;
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
+use jujubewall_routing::fleet::instances::TimedAnswer;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
+use jujubewall_routing::fleet::pace::predicted_first_event;
 use jujubewall_routing::fleet::silence;
 use jujubewall_routing::fleet::silence::PathState;
 use jujubewall_routing::fleet::silence::SilenceAction;
@@ -84,6 +86,9 @@
     attempts: Attempts,
     excluded: SmallVec<[InstanceKey; 4]>,
     expected_gap: Duration,
+    begun_at: Instant,
+    /// The time to the first event that the engines' specification predicts.
+    predicted_first_event: Duration,
     has_begun: bool,
     last_event_at: Option<Instant>,
     /// The time spent waiting for this run since its last whole event.
@@ -155,6 +160,8 @@
         };
         let chosen = choice.choose(gateway, request).map_err(RunFault::NoPath)?;
         let expected_gap = event_gap(spec, chosen.path.token_ms);
+        let predicted_first_event =
+            predicted_first_event(&gateway.instances(), spec, &need, &chosen.path);
         let mut work = CountedPath::new(gateway, chosen.path, need);
         work.begin_prefill(need.prompt_tokens, |_| true);
         let mut message = request.for_upstream(&chosen.first_id, left);
@@ -175,6 +182,8 @@
             attempts: attempts.clone(),
             excluded: excluded.into(),
             expected_gap,
+            begun_at: Instant::now(),
+            predicted_first_event,
             has_begun: false,
             last_event_at: None,
             silence: Duration::ZERO,
@@ -377,6 +386,13 @@
         if !self.has_begun {
             self.has_begun = true;
             instances.note_successful_run(self.first);
+            let answer = TimedAnswer {
+                service: &self.service,
+                predicted: self.predicted_first_event,
+                started_at: self.begun_at,
+            };
+            let keys = self.work.path.parts.iter().map(|part| part.instance);
+            instances.note_answer(keys, &answer, now);
         }
         drop(instances);
         for (key, since) in cleared {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -103,10 +103,12 @@
         let budget = WindowedRetryBudget::new(repeat_bounds(&settings.bounds), Instant::now());
         let mut rng: SmallRng = rand::make_rng();
         let peers = Peers::new(&settings, rng.next_u64());
+        let mut instances = InstanceTable::new();
+        instances.set_pace_seed(rng.next_u64());
         Rc::new(Self {
             store: RefCell::new(store),
             routes: RefCell::new(None),
-            instances: RefCell::new(InstanceTable::new()),
+            instances: RefCell::new(instances),
             is_synced: Cell::new(false),
             instances_position: Cell::new(StorePosition::default()),
             budget: RefCell::new(budget),
@@ -386,6 +388,7 @@
     /// Records that all upstreams' entries have been read once.
     pub fn set_synced(&self) {
         self.is_synced.set(true);
+        self.instances_mut().set_filled();
     }
 
     /// Returns whether all upstreams' entries have been read once.
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -25,10 +25,12 @@
 use tokio::time::Instant;
 use twox_hash::XxHash64;
 
+mod pacing;
 mod recent;
 mod reports;
 mod unaccounted;
 
+pub use self::pacing::TimedAnswer;
 pub use self::recent::PeerSharing;
 use self::recent::RecentWork;
 pub use self::reports::LayerReport;
@@ -38,6 +40,10 @@
 use self::reports::TotalWork;
 pub use self::reports::WorkReport;
 use self::unaccounted::UnaccountedWork;
+use super::pace::PaceChange;
+use super::pace::Pacing;
+use super::pace::Recovery;
+use super::pace::UsualRatio;
 
 new_key_type! {
     /// The key of one incarnation of an upstream.
@@ -188,6 +194,7 @@
     failure_rate: f64,
     failure_rate_at: Instant,
     slowdown: f64,
+    pacing: Pacing,
 }
 
 impl TrackedInstance {
@@ -216,6 +223,7 @@
             failure_rate: 0.0,
             failure_rate_at: now,
             slowdown: 1.0,
+            pacing: Pacing::default(),
         }
     }
 
@@ -332,6 +340,14 @@
     /// The work of all peers, by the lower half of the upstream's digest.
     peer_totals: HashMap<u32, TotalWork>,
     sharing: PeerSharing,
+    /// Whether the table has been filled once.
+    is_filled: bool,
+    pace_seed: u64,
+    /// The number of phases of paces drawn so far.
+    pace_draws: u64,
+    /// The changes of paces that have not been logged yet.
+    pace_changes: Vec<PaceChange>,
+    usual_ratios: HashMap<ServiceName, UsualRatio>,
 }
 
 impl InstanceTable {
@@ -345,10 +361,12 @@
     /// An upstream that has restarted is another upstream: work in flight at the earlier
     /// incarnation and evidence against it do not count for the new one.
     pub fn upsert(&mut self, instance: Instance, now: Instant) -> InstanceKey {
+        let mut pacing = Pacing::default();
         if let Some(&key) = self.by_id.get(&instance.id) {
             let known = &mut self.instances[key];
             if known.is_same_incarnation(&instance) {
                 let has_left = known.instance.state == InstanceState::Draining;
+                let has_other_layers = known.instance.layers != instance.layers;
                 known.instance = instance;
                 // An upstream that drains does not become ready again, whatever an older
                 // copy of its entry says.
@@ -356,8 +374,12 @@
                     known.instance.state = InstanceState::Draining;
                 }
                 known.has_reported_layers = false;
+                if has_other_layers {
+                    self.begin_pace(key, Recovery::LayersChanged, now);
+                }
                 return key;
             }
+            pacing = known.pacing.for_next_incarnation();
             self.remove_key(key);
         }
         let before = self.instances.values().find(|tracked| {
@@ -366,9 +388,11 @@
         let was_leaving = before.is_some_and(|before| {
             before.has_announced_leaving || before.instance.state == InstanceState::Draining
         });
+        let is_new = before.is_none();
         let id = instance.id.clone();
         let service = instance.service.clone();
         let mut tracked = TrackedInstance::new(instance, now);
+        tracked.pacing = pacing;
         if was_leaving {
             tracked.has_announced_leaving = true;
             tracked.leaving_since = Some(now);
@@ -376,6 +400,9 @@
         let key = self.instances.insert(tracked);
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
+        if is_new {
+            self.begin_pace(key, Recovery::NewIncarnation, now);
+        }
         key
     }
 
@@ -422,22 +449,28 @@
     }
 
     /// Sets the layers that an engine itself reported, before its entry shows them.
-    pub fn set_layers(&mut self, id: &str, layers: Option<LayerRange>) {
+    pub fn set_layers(&mut self, id: &str, layers: Option<LayerRange>, now: Instant) {
         if let Some(&key) = self.by_id.get(id) {
             let tracked = &mut self.instances[key];
-            tracked.instance.layers = layers;
+            let before = std::mem::replace(&mut tracked.instance.layers, layers);
             tracked.has_reported_layers = true;
+            if before != layers {
+                self.begin_pace(key, Recovery::LayersChanged, now);
+            }
         }
     }
 
     /// Sets the factor by which an engine is slower than a healthy one. Returns whether it
     /// has changed.
-    pub fn set_slowdown(&mut self, key: InstanceKey, factor: f64) -> bool {
+    pub fn set_slowdown(&mut self, key: InstanceKey, factor: f64, now: Instant) -> bool {
         let Some(tracked) = self.instances.get_mut(key) else {
             return false;
         };
         let factor = valid_slowdown(factor);
         let before = std::mem::replace(&mut tracked.slowdown, factor);
+        if tracked.pacing.note_slowdown(factor) {
+            self.begin_pace(key, Recovery::SlowdownEnded, now);
+        }
         (before - factor).abs() > f64::EPSILON
     }
 
@@ -514,10 +547,12 @@
 
     /// Records that an upstream answered over a new connection. Returns since when it was
     /// suspected.
-    pub fn clear_suspicion(&mut self, key: InstanceKey) -> Option<Instant> {
+    pub fn clear_suspicion(&mut self, key: InstanceKey, now: Instant) -> Option<Instant> {
         let tracked = self.instances.get_mut(key)?;
         tracked.refused_at = None;
-        tracked.suspected_since.take()
+        let since = tracked.suspected_since.take()?;
+        self.begin_pace(key, Recovery::SuspicionCleared, now);
+        Some(since)
     }
 
     /// Records whether an upstream that rejected work says that it is leaving. Returns
@@ -625,6 +660,7 @@
                 };
                 if let Some(since) = tracked.suspected_since.take_if(|since| is_answered(since)) {
                     cleared.push((key, since));
+                    self.begin_pace(key, Recovery::SuspicionCleared, now);
                 }
             }
         }
@@ -738,11 +774,16 @@
         let outcome = if is_failure { 1.0 } else { 0.0 };
         tracked.failure_rate = before + FAILURE_RATE_STEP * (outcome - before);
         tracked.failure_rate_at = now;
+        self.note_pace_failure_rate(key, now);
+        if is_failure {
+            self.note_pace_failure(key, now);
+        }
     }
 
     /// Counts work that this gateway has given to an upstream.
     pub fn begin_work(&mut self, key: InstanceKey, work: &Work, now: Instant) {
         self.note_recent(key, work, now);
+        self.note_pace_start(key, now);
         if let Some(tracked) = self.instances.get_mut(key) {
             tracked.own.add(work);
         }
--- a/routing/src/fleet/instances/reports.rs
+++ b/routing/src/fleet/instances/reports.rs
@@ -11,15 +11,18 @@
 use jujubewall_types::layer::LayerRange;
 use serde::Deserialize;
 use serde::Serialize;
+use smallvec::SmallVec;
 use smol_str::SmolStr;
 use tokio::time::Instant;
 use twox_hash::XxHash64;
 
+use super::InstanceKey;
 use super::InstanceTable;
 use super::MAX_SUSPECTED_SHARE;
 use super::TrackedInstance;
 use super::Work;
 use super::valid_slowdown;
+use crate::fleet::pace::Recovery;
 
 /// The unit in which reported context is rounded up, in tokens times layers, to keep
 /// messages small. A stream holds some thousands of them at each part of its path.
@@ -146,13 +149,20 @@
     ///
     /// Only for a gateway that the store does not notify of changes: entries that it has
     /// read since are newer.
-    pub fn apply_layer_reports(&mut self, reports: &[LayerReport]) {
+    pub fn apply_layer_reports(&mut self, reports: &[LayerReport], now: Instant) {
+        let mut changed: SmallVec<[InstanceKey; 4]> = SmallVec::new();
         for report in reports {
-            let known = self.instances.values_mut();
-            for tracked in known.filter(|tracked| tracked.digest == report.instance) {
-                tracked.instance.layers = report.layers;
+            let known = self.instances.iter_mut();
+            for (key, tracked) in known.filter(|(_, tracked)| tracked.digest == report.instance) {
+                if tracked.instance.layers != report.layers {
+                    tracked.instance.layers = report.layers;
+                    changed.push(key);
+                }
             }
         }
+        for key in changed {
+            self.begin_pace(key, Recovery::LayersChanged, now);
+        }
     }
 
     /// Returns the engines that are slower than healthy ones, to send to peers.
@@ -168,13 +178,20 @@
     }
 
     /// Applies the reported slowdowns; engines without one count as healthy.
-    pub fn apply_slowdown_reports(&mut self, reports: &[SlowdownReport]) {
-        for tracked in self.instances.values_mut() {
+    pub fn apply_slowdown_reports(&mut self, reports: &[SlowdownReport], now: Instant) {
+        let mut recovered: SmallVec<[InstanceKey; 4]> = SmallVec::new();
+        for (key, tracked) in &mut self.instances {
             let slow = reports
                 .iter()
                 .find(|report| report.instance == tracked.digest);
             let factor = slow.map_or(1.0, |report| report.factor);
             tracked.slowdown = valid_slowdown(factor);
+            if tracked.pacing.note_slowdown(tracked.slowdown) {
+                recovered.push(key);
+            }
+        }
+        for key in recovered {
+            self.begin_pace(key, Recovery::SlowdownEnded, now);
         }
     }
 
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -25,6 +25,7 @@
 use super::instances::InstanceTable;
 use super::instances::TrackedInstance;
 use super::instances::Work;
+use super::pace;
 use crate::path::DomainIndex;
 use crate::path::LinkCosts;
 use crate::path::PathEdge;
@@ -241,8 +242,8 @@
 
 /// Chooses the path of a stream.
 ///
-/// Engines that are expected to be full by now, or that are deprioritized, are used only if
-/// there is no path without them. A path that crosses failure domains is the last resort,
+/// Engines that are expected to be full by now, that are deprioritized, or that are at their
+/// pace, are used only if there is no path without them. A path that crosses failure domains is the last resort,
 /// because a few such streams saturate the link for all.
 pub fn choose_path(
     table: &InstanceTable,
@@ -273,6 +274,20 @@
         now,
         takes_slots: true,
     };
+    let paced = candidates
+        .iter()
+        .filter(|candidate| candidate.tracked.is_paced(now));
+    if pace::is_heeded(paced.count(), candidates.len()) {
+        let mut within_pace = expected_free.clone();
+        within_pace.retain(|candidate| !candidate.tracked.is_at_pace(now));
+        // A path across failure domains costs more than a pace saves.
+        if within_pace.len() < expected_free.len()
+            && let Ok(path) = search.cheapest(&within_pace)
+            && path.crossings == 0
+        {
+            return Ok(path);
+        }
+    }
     for usable in [&expected_free, &trusted, &with_capacity] {
         if let Ok(path) = search.cheapest(usable)
             && (choice.may_cross || path.crossings == 0)
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 //! | [`instances`] | which upstreams are usable, and their load | stale entries, unreachable and failing upstreams |
 //! | [`layer_path`] | the path of a stream | full memory, uneven load, lost parts |
 //! | [`service_choice`] | the upstream of a call | slow and failing upstreams, full slots |
+//! | [`pace`] | how many requests are started at a new or recovered upstream | an idle upstream that all gateways choose at once |
 //! | [`retry_budget`] | whether a request may be sent again | retry storms |
 //! | [`retry_schedule`] | when a rejected client should retry | bursts above capacity |
 //! | [`repair_estimate`] | when a client should return if layers are missing | engines of all domains lost at once |
@@ -43,6 +44,7 @@
 pub mod gossip_timing;
 pub mod instances;
 pub mod layer_path;
+pub mod pace;
 pub mod planner_election;
 pub mod poison_parts;
 pub mod poison_requests;
--- a/routing/tests/test_fleet_herding.rs
+++ b/routing/tests/test_fleet_herding.rs
@@ -220,7 +220,7 @@
         for gateway in 0..21 {
             let (mut table, keys) = table(now);
             // The first copy of the own domain is slightly slower.
-            assert!(table.set_slowdown(keys[0], 1.4));
+            assert!(table.set_slowdown(keys[0], 1.4, now));
             if has_estimate {
                 table.set_peer_sharing(PeerSharing {
                     own_domain: Some(domain(0)),
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -287,7 +287,7 @@
         fleet.choose(&[excluded], false),
         Err(NoPath::OnlyAcrossDomains)
     );
-    assert!(fleet.table.clear_suspicion(suspected).is_some());
+    assert!(fleet.table.clear_suspicion(suspected, fleet.now).is_some());
     assert!(fleet.choose(&[excluded], false).is_ok());
 }
 
@@ -423,7 +423,7 @@
         let mut fleet = Fleet::with_copies(&["a"]);
         let keys: Vec<_> = fleet.keys.values().copied().collect();
         for key in &keys {
-            fleet.table.set_slowdown(*key, factor);
+            fleet.table.set_slowdown(*key, factor, fleet.now);
         }
         let path = fleet.begin().unwrap();
         assert!((0.0..1e9).contains(&path.token_ms), "{factor}: {path:?}");
@@ -435,15 +435,15 @@
     let mut planner = Fleet::with_copies(&["a", "b"]);
     let mut other = Fleet::with_copies(&["a", "b"]);
     let slow = planner.keys["a-40"];
-    assert!(planner.table.set_slowdown(slow, 5.0));
-    assert!(!planner.table.set_slowdown(slow, 5.0));
+    assert!(planner.table.set_slowdown(slow, 5.0, planner.now));
+    assert!(!planner.table.set_slowdown(slow, 5.0, planner.now));
     let reports = planner.table.slowdown_reports();
-    other.table.apply_slowdown_reports(&reports);
+    other.table.apply_slowdown_reports(&reports, other.now);
     for _ in 0..8 {
         let path = other.begin().unwrap();
         assert_eq!(other.domain_of(&path), "b");
     }
-    other.table.apply_slowdown_reports(&[]);
+    other.table.apply_slowdown_reports(&[], other.now);
     let path = other.begin().unwrap();
     assert_eq!(other.domain_of(&path), "a");
 }
@@ -686,10 +686,10 @@
     }
     assert_eq!(other.choose(&[], true), Err(NoPath::LayerMissing(20)));
     let extended = Some(LayerRange::new(0, 40));
-    planner.table.set_layers("a-0", extended);
+    planner.table.set_layers("a-0", extended, planner.now);
     other
         .table
-        .apply_layer_reports(&planner.table.layer_reports());
+        .apply_layer_reports(&planner.table.layer_reports(), planner.now);
     assert_covers_all_layers_in_order(&planner.choose(&[], true).unwrap());
     // An entry that is read later is newer than the report.
     let mut entry = planner.table.by_id("a-0").unwrap().instance.clone();
