explain: where a request would go now, by endpoint and command

Cause: operators could not see why an upstream gets no requests without a request's log. Change: a gateway answers GET /explain at its metrics address with the route, rank, candidates, beliefs and outcome; jujubewall explain prints it. Choices are made by the functions that requests use, without jitter. Nothing is changed or sent.

--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -1,4 +1,4 @@
-//! Requests to an entry's operator address.
+//! Requests to an entry's operator address, or to a gateway's metrics address.
 
 use std::env;
 use std::error::Error;
@@ -42,26 +42,35 @@
 /// The largest accepted answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
-/// A client of one entry with one operator's key.
+/// A client of one entry with one operator's key, or of one gateway.
 pub struct Client {
     entry: SocketAddr,
-    authorization: String,
+    /// The header that carries the key, if one is sent.
+    authorization: Option<String>,
     http: HttpClient<HttpConnector, Full<Bytes>>,
 }
 
 impl Client {
     /// Creates a client from the options and, where they are absent, the environment.
     pub fn new(entry: Option<SocketAddr>, key_file: Option<&Path>) -> Result<Self, Failure> {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let key = read_key(key_file)?;
         Ok(Self {
-            entry: read_entry(entry)?,
-            authorization: format!("Bearer {key}"),
-            http: HttpClient::builder(TokioExecutor::new()).build(connector),
+            authorization: Some(format!("Bearer {key}")),
+            ..Self::without_key(read_entry(entry)?)
         })
     }
 
+    /// Creates a client that sends no key.
+    pub fn without_key(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        Self {
+            entry: address,
+            authorization: None,
+            http: HttpClient::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
     /// Reads the document at `path`.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
         self.send(Method::GET, path, Bytes::new(), ErrorKind::NoUpstream)
@@ -106,10 +115,13 @@
         path: &str,
         body: Bytes,
     ) -> Result<Request<Full<Bytes>>, Failure> {
-        Request::builder()
+        let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.entry))
-            .header(AUTHORIZATION, &self.authorization)
+            .uri(format!("http://{}{path}", self.entry));
+        if let Some(authorization) = &self.authorization {
+            request = request.header(AUTHORIZATION, authorization);
+        }
+        request
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| Failure::new(ErrorKind::BadRequest, error.to_string()))
--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands, one module each.
 
 mod audit;
+mod explain;
 mod keys;
 mod keys_generate;
 mod losses;
@@ -33,6 +34,7 @@
 #[argh(subcommand)]
 enum Command {
     Audit(audit::AuditCommand),
+    Explain(explain::ExplainCommand),
     Keys(keys::KeysCommand),
     Losses(losses::LossesCommand),
     Note(note::NoteCommand),
@@ -46,6 +48,7 @@
     pub async fn run(self) -> Result<(), CommandFailure> {
         match self.command {
             Command::Audit(command) => command.run().await,
+            Command::Explain(command) => command.run().await,
             Command::Keys(command) => command.run(),
             Command::Losses(command) => command.run(),
             Command::Note(command) => command.run().await,
--- a/cli/src/render.rs
+++ b/cli/src/render.rs
@@ -1,6 +1,7 @@
 //! Results of commands as text.
 
 mod audit;
+mod explain;
 pub mod keys;
 pub mod losses;
 pub mod note;
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 mod clients;
 mod clock;
 mod crash_watch;
+mod explain;
 mod followers;
 mod logging;
 mod metrics;
--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -59,6 +59,12 @@
 /// for it. The rest of a larger one is passed on as it arrives.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// The reason of a rejection because every usable upstream is full.
+pub const ALL_FULL: &str = "every upstream is full";
+
+/// The reason of a rejection because no upstream is usable.
+pub const NONE_USABLE: &str = "no upstream is usable";
+
 /// The result of one send of a call.
 enum SendResult {
     /// The upstream answered.
@@ -509,8 +515,8 @@
             return self.reply_without_answer();
         }
         self.reject(match reason {
-            NoUpstream::AllFull => "every upstream is full",
-            NoUpstream::NoneUsable => "no upstream is usable",
+            NoUpstream::AllFull => ALL_FULL,
+            NoUpstream::NoneUsable => NONE_USABLE,
         })
     }
 
--- a/daemon/src/gateway/monitoring.rs
+++ b/daemon/src/gateway/monitoring.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use jujubewall_platform::site::READY_PATH;
+use jujubewall_types::explain::EXPLAIN_PATH;
 use log::warn;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -22,6 +23,7 @@
 use crate::gateway::answer;
 use crate::gateway::answer::Reply;
 use crate::gateway::body::ReplyBody;
+use crate::gateway::explain;
 use crate::gateway::peers;
 use crate::gateway::state::Gateway;
 
@@ -79,6 +81,7 @@
         peers::INSTANCES_PATH => {
             peers::instances_document(gateway, query).map_or_else(not_found, whole)
         }
+        EXPLAIN_PATH => explain::document(gateway, query).unwrap_or_else(not_found),
         _ => not_found(),
     }
 }
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -521,6 +521,14 @@
         self.update_retry_schedule(service, RetrySchedule::next_retry_after)
     }
 
+    /// Returns the time after which the next rejected client will be told to retry. Nothing is
+    /// changed.
+    pub fn peek_retry_after(&self, service: &ServiceName) -> Option<Duration> {
+        let retry_schedules = self.retry_schedules.borrow();
+        let schedule = retry_schedules.get(service)?;
+        Some(schedule.peek_retry_after(Instant::now()))
+    }
+
     /// Returns the time after which a client should retry that was rejected because layers
     /// are missing.
     pub fn retry_after_repair(&self, service: &ServiceName, spec: &EngineSpec) -> Duration {
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -44,16 +44,16 @@
 use crate::gateway::state::InFlightGuard;
 
 /// The reason of a rejection because every engine is full.
-const NO_FIRST_SLOT: &str = "every first engine is full";
+pub const NO_FIRST_SLOT: &str = "every first engine is full";
 
 /// The reason of a rejection because every path lacks memory for the context.
-const NO_CONTEXT_MEMORY: &str = "every path is short of memory";
+pub const NO_CONTEXT_MEMORY: &str = "every path is short of memory";
 
 /// The reason of a rejection because each failure domain lacks some layer.
-const INCOMPLETE_DOMAINS: &str = "no failure domain holds all layers";
+pub const INCOMPLETE_DOMAINS: &str = "no failure domain holds all layers";
 
 /// The reason of a rejection because the whole fleet lacks some layer.
-const LAYER_MISSING: &str = "no engine holds some layer";
+pub const LAYER_MISSING: &str = "no engine holds some layer";
 
 /// The shortest `Retry-After` time after a rejection for another reason than full engines.
 const MIN_FAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -252,6 +252,12 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the time for which the upstream has asked this gateway to send no requests.
+    pub fn pause_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.paused_until?.checked_duration_since(now)?;
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Returns whether the upstream's process has ended, as far as is known.
     pub const fn has_refused(&self) -> bool {
         self.suspected_since.is_some() && self.has_refused
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -32,6 +32,10 @@
 use crate::path::cheapest_path;
 use crate::path::merge_revisits;
 
+mod explain;
+
+pub use self::explain::explain_path;
+
 /// The share of an engine's free memory that streams may reserve. Each stream reserves what it
 /// holds at its end, so what all hold at a time leaves room for answers that are longer than
 /// expected.
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 //! | [`layer_path`] | the path of a stream | full memory, uneven load, lost parts |
 //! | [`service_choice`] | the upstream of a call | slow and failing upstreams, full slots |
 //! | [`pace`] | how many requests are started at a new or recovered upstream | an idle upstream that all gateways choose at once |
+//! | [`explain`] | nothing; it tells where a request would go | questions of operators |
 //! | [`retry_budget`] | whether a request may be sent again | retry storms |
 //! | [`retry_schedule`] | when a rejected client should retry | bursts above capacity |
 //! | [`repair_estimate`] | when a client should return if layers are missing | engines of all domains lost at once |
@@ -38,6 +39,7 @@
 pub mod entry_log;
 pub mod entry_sync;
 pub mod events;
+pub mod explain;
 pub mod follower_election;
 pub mod gossip;
 pub mod gossip_datagram;
--- a/routing/src/fleet/retry_schedule.rs
+++ b/routing/src/fleet/retry_schedule.rs
@@ -51,11 +51,16 @@
         }
     }
 
+    /// Returns what [`Self::next_retry_after`] would return, without assigning a retry.
+    pub fn peek_retry_after(&self, now: Instant) -> Duration {
+        let spacing = Duration::from_secs_f64(self.spacing_s);
+        (self.next_retry_at + spacing).clamp(now + MIN_WAIT, now + MAX_WAIT) - now
+    }
+
     /// Returns the time after which a rejected client should retry.
     pub fn next_retry_after(&mut self, now: Instant) -> Duration {
-        let spacing = Duration::from_secs_f64(self.spacing_s);
-        let retry_at = (self.next_retry_at + spacing).clamp(now + MIN_WAIT, now + MAX_WAIT);
-        self.next_retry_at = retry_at;
-        retry_at - now
+        let wait = self.peek_retry_after(now);
+        self.next_retry_at = now + wait;
+        wait
     }
 }
--- a/routing/src/fleet/service_choice.rs
+++ b/routing/src/fleet/service_choice.rs
@@ -15,10 +15,10 @@
 
 /// The calls in flight for each slot above which an upstream is full: one that runs and two
 /// that wait, with which a call of usual length still meets its objective.
-const MAX_CALLS_PER_SLOT: f64 = 3.0;
+pub(super) const MAX_CALLS_PER_SLOT: f64 = 3.0;
 
 /// The calls for each slot that an upstream which fails every call counts as having.
-const FAILURE_WEIGHT: f64 = 4.0;
+pub(super) const FAILURE_WEIGHT: f64 = 4.0;
 
 /// The work of one call.
 pub const CALL_WORK: Work = Work {
--- a/types/src/lib.rs
+++ b/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod digest;
 pub mod error;
+pub mod explain;
 pub mod fleet;
 pub mod id;
 pub mod layer;
