--- a/cli/src/commands/explain.rs
+++ b/cli/src/commands/explain.rs
@@ -1,5 +1,6 @@
 //! The command `explain`.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 
 use argh::FromArgs;
@@ -70,7 +71,8 @@
         ];
         for (name, value) in options {
             if let Some(value) = value {
-                document.push_str(&format!("&{name}={value}"));
+                // Writing to a string cannot fail.
+                let _ = write!(document, "&{name}={value}");
             }
         }
         Ok(document)
