--- a/routing/tests/test_pace.rs
+++ b/routing/tests/test_pace.rs
@@ -528,8 +528,10 @@
     });
     let path = choose(&table, start);
     let predicted = predicted_first_event(&table, &spec, &NEED, &path);
-    let read_all_s = NEED.prompt_tokens / spec.prompt_tokens_per_s;
-    assert!(predicted.as_secs_f64() > read_all_s, "{predicted:?}");
+    let prefill_s = NEED.prompt_tokens / spec.prompt_tokens_per_s;
+    let first_event_s = prefill_s + spec.tokens_per_event * path.token_ms / 1_000.0;
+    let difference_s = predicted.as_secs_f64() - first_event_s;
+    assert!(difference_s.abs() < 1e-6, "{predicted:?} {first_event_s}");
     let mut pace_after = |factor: f64, started_at: Instant| {
         let answer = TimedAnswer {
             service: &service(),
