--- a/routing/tests/test_explain.rs
+++ b/routing/tests/test_explain.rs
@@ -115,13 +115,30 @@
             layers: Some(part.layers),
         })
         .collect();
-    let mut explained = explain_path(&table, &choice, now);
+    let explained = explain_path(&table, &choice, now);
     assert_eq!(explained.len(), 300);
-    assert_eq!(bound_candidates(&mut explained, &used), 200);
-    let first = &explained[..used.len()];
-    for candidate in first {
-        assert!(used.iter().any(|part| part.upstream == candidate.upstream));
+    let is_used =
+        |used: &[ExplainedPart], upstream: &str| used.iter().any(|part| part.upstream == upstream);
+    let chosen = explained
+        .iter()
+        .filter(|candidate| is_used(&used, &candidate.upstream));
+    for candidate in chosen {
         assert_eq!(candidate.exclusions, []);
         assert!(candidate.free_context_tokens.unwrap() > 1_000);
     }
+    // Without use, the order of equal costs is that of the names.
+    let last = ExplainedPart {
+        upstream: "upstream-299".into(),
+        layers: None,
+    };
+    for used in [&used[..], &[last]] {
+        let mut bounded = explained.clone();
+        assert_eq!(bound_candidates(&mut bounded, used), 200);
+        let first = &bounded[..used.len()];
+        assert!(
+            first
+                .iter()
+                .all(|candidate| is_used(used, &candidate.upstream))
+        );
+    }
 }
