--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -192,7 +192,7 @@
             give_up_at,
             config_version: admission.config_version,
             suspects,
-            urgency: priority * (MAX_PRIORITY + 1) + route.rank.min(MAX_PRIORITY),
+            urgency: urgency(rank, route),
             method: parts.method,
             uri: parts.uri,
             headers: fields,
@@ -261,6 +261,13 @@
     }
 }
 
+/// Returns the urgency of a request of an account with the given rank among the streams of one
+/// service.
+pub fn urgency(account_rank: Option<u32>, route: &Route) -> u32 {
+    let rank = account_rank.unwrap_or(route.rank).min(MAX_PRIORITY);
+    rank * (MAX_PRIORITY + 1) + route.rank.min(MAX_PRIORITY)
+}
+
 /// Returns the digest by which a repeated request is recognised, which is the same in every
 /// build. Clients choose a new identifier and a new deadline for each attempt.
 fn request_digest(method: &Method, uri: &Uri, account: &str, body: &[u8]) -> RequestDigest {
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -106,10 +106,12 @@
         let budget = WindowedRetryBudget::new(repeat_bounds(&settings.bounds), Instant::now());
         let mut rng: SmallRng = rand::make_rng();
         let peers = Peers::new(&settings, rng.next_u64());
+        let mut instances = InstanceTable::new();
+        instances.set_pace_seed(rng.next_u64());
         Rc::new(Self {
             store: RefCell::new(store),
             routes: RefCell::new(None),
-            instances: RefCell::new(InstanceTable::new()),
+            instances: RefCell::new(instances),
             is_synced: Cell::new(false),
             instances_position: Cell::new(StorePosition::default()),
             budget: RefCell::new(budget),
@@ -390,6 +392,7 @@
     /// Records that all upstreams' entries have been read once.
     pub fn set_synced(&self) {
         self.is_synced.set(true);
+        self.instances_mut().set_filled();
     }
 
     /// Returns whether all upstreams' entries have been read once.
@@ -522,6 +525,14 @@
         self.update_retry_schedule(service, RetrySchedule::next_retry_after)
     }
 
+    /// Returns the time after which the next rejected client will be told to retry. Nothing is
+    /// changed.
+    pub fn peek_retry_after(&self, service: &ServiceName) -> Option<Duration> {
+        let retry_schedules = self.retry_schedules.borrow();
+        let schedule = retry_schedules.get(service)?;
+        Some(schedule.peek_retry_after(Instant::now()))
+    }
+
     /// Returns the time after which a client should retry that was rejected because layers
     /// are missing.
     pub fn retry_after_repair(&self, service: &ServiceName, spec: &EngineSpec) -> Duration {
--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -101,6 +101,20 @@
         }
     }
 
+    /// Returns the limits of a path for a stream that is not counted.
+    pub fn limits(
+        &self,
+        service: &ServiceName,
+        applicant: &Applicant,
+        is_ranked: bool,
+        report_age: Duration,
+    ) -> CapacityLimits {
+        self.update(service, |streams, now| {
+            let admission = &mut streams.admission;
+            admission.limits(applicant, is_ranked, report_age, now)
+        })
+    }
+
     /// Returns whether a client that will wait for `patience` has already waited longer than
     /// `target`.
     ///
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -25,12 +25,17 @@
 use super::instances::InstanceTable;
 use super::instances::TrackedInstance;
 use super::instances::Work;
+use super::pace;
 use crate::path::DomainIndex;
 use crate::path::LinkCosts;
 use crate::path::PathEdge;
 use crate::path::cheapest_path;
 use crate::path::merge_revisits;
 
+mod explain;
+
+pub use self::explain::explain_path;
+
 /// The time to pass a token to another engine of the same failure domain, including the
 /// wait for that engine's next step.
 const STAGE_DELAY_MS: f64 = 0.5;
@@ -280,8 +285,8 @@
 
 /// Chooses the path of a stream.
 ///
-/// Engines that are expected to be full by now, or that are deprioritized, are used only if
-/// there is no path without them. A path that crosses failure domains is the last resort,
+/// Engines that are expected to be full by now, that are deprioritized, or that are at their
+/// pace, are used only if there is no path without them. A path that crosses failure domains is the last resort,
 /// because a few such streams saturate the link for all.
 pub fn choose_path(
     table: &InstanceTable,
@@ -315,6 +320,20 @@
         limits,
         takes_slots: true,
     };
+    let paced = candidates
+        .iter()
+        .filter(|candidate| candidate.tracked.is_paced(now));
+    if pace::is_heeded(paced.count(), candidates.len()) {
+        let mut within_pace = expected_free.clone();
+        within_pace.retain(|candidate| !candidate.tracked.is_at_pace(now));
+        // A path across failure domains costs more than a pace saves.
+        if within_pace.len() < expected_free.len()
+            && let Ok(path) = search.cheapest(&within_pace)
+            && path.crossings == 0
+        {
+            return Ok(path);
+        }
+    }
     let mut searched = usize::MAX;
     for usable in [&expected_free, &trusted, &with_capacity] {
         // Each list contains the one before, so one of the same length is the same.
