gateway: watch young runs that their clients abandon

A request that crashes the upstreams that run it was never quarantined if its clients left before the crash: CrashWatch was owned by the task that serves the client and was dropped with it, together with the connection. The same held for runs that the gateway abandons itself, and for streams.

An abandoned young run now passes its socket to a watch. The watch closes the sending side at once, reads for at most 400 ms, and probes the upstream until it refuses connections: for 1 s after it has closed its side, otherwise for up to 3 s. Only a refused connection or a removed entry implicates the request, since clients also leave because an upstream is silent. At most 256 abandoned runs are watched at the same time.

--- a/daemon/src/gateway/call.rs
+++ b/daemon/src/gateway/call.rs
@@ -330,9 +330,13 @@
                 probe::suspect(&gateway, key, Evidence::Silent, "takes no connection");
                 return (key, SendResult::NotConnected);
             };
+            watch.on_send(connection.takeover());
             let answer = match connection.send(upstream).await {
                 Ok(answer) => answer,
-                Err(SendFault::NotConnected) => return (key, SendResult::NotConnected),
+                Err(SendFault::NotConnected) => {
+                    watch.on_run_over();
+                    return (key, SendResult::NotConnected);
+                }
                 Err(SendFault::Lost) => {
                     watch.on_connection_lost();
                     probe::probe_broken(&gateway, key);
@@ -353,6 +357,7 @@
                     watch.on_connection_lost();
                     probe::probe_broken(&gateway, key);
                 }
+                SendResult::Answered(_) | SendResult::NotRun => watch.on_run_over(),
                 _ => {}
             }
             (key, result)
--- a/daemon/src/gateway/poison.rs
+++ b/daemon/src/gateway/poison.rs
@@ -4,6 +4,7 @@
 //! The decisions are in `jujubewall_routing::fleet::poison_requests` and `poison_parts`.
 //! This module tells them of crashes and successes, and logs what they decide.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,6 +48,8 @@
 pub struct PoisonState {
     parts: RefCell<PoisonParts>,
     requests: RefCell<PoisonRequests>,
+    /// The number of abandoned runs that are observed.
+    pub(super) abandoned_watches: Rc<Cell<usize>>,
 }
 
 /// Why a request may not be sent.
--- a/daemon/src/gateway/run.rs
+++ b/daemon/src/gateway/run.rs
@@ -228,6 +228,7 @@
         let Some(message) = self.message.clone() else {
             return;
         };
+        self.watch.on_send(connection.takeover());
         self.exchange = Some(Box::pin(async move {
             let answer = connection.send(message).await;
             (connection, answer)
@@ -242,6 +243,9 @@
         match self.wait_unless_lost(&mut exchange).await {
             Ok((connection, answer)) => {
                 self.connection = Some(connection);
+                if matches!(answer, Err(SendFault::NotConnected)) {
+                    self.watch.on_run_over();
+                }
                 Ok(answer)
             }
             Err(fault) => {
@@ -278,6 +282,7 @@
                 connection.is_own_refusal(answered_id.as_deref(), &self.request_id)
             });
         if is_own_refusal {
+            self.watch.on_run_over();
             return Err(RunFault::NotRun(
                 self.avoid_faulty(&head.headers, head.status),
             ));
@@ -300,12 +305,15 @@
             return Ok(());
         }
         match read_held(gateway, &self.request_id, body, MAX_FAILURE_BYTES).await {
-            Some(body) => Err(RunFault::Failed(Box::new(FailedAnswer {
-                first: self.first,
-                status: head.status,
-                headers: head.headers,
-                body,
-            }))),
+            Some(body) => {
+                self.watch.on_run_over();
+                Err(RunFault::Failed(Box::new(FailedAnswer {
+                    first: self.first,
+                    status: head.status,
+                    headers: head.headers,
+                    body,
+                })))
+            }
             None => Err(self.bad_answer(Some(self.first))),
         }
     }
--- a/daemon/src/gateway/upstreams.rs
+++ b/daemon/src/gateway/upstreams.rs
@@ -28,6 +28,7 @@
 
 use crate::gateway::answer::KEEP_ALIVE;
 use crate::gateway::upstream_socket::HeadLimit;
+use crate::gateway::upstream_socket::SocketTakeover;
 use crate::gateway::upstream_socket::UpstreamSocket;
 
 /// The timeout for opening a connection to an upstream. The round trip is a few
@@ -66,6 +67,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     head_limit: HeadLimit,
+    takeover: SocketTakeover,
     driver: JoinHandle<()>,
     max_idle: Duration,
     is_reusable: bool,
@@ -90,7 +92,8 @@
             .set_nodelay(true)
             .map_err(|_| SendFault::NotConnected)?;
         let head_limit = HeadLimit::default();
-        let socket = UpstreamSocket::new(socket, head_limit.clone());
+        let takeover = SocketTakeover::default();
+        let socket = UpstreamSocket::new(socket, head_limit.clone(), takeover.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(socket))
@@ -103,6 +106,7 @@
         Ok(Self {
             sender,
             head_limit,
+            takeover,
             driver,
             max_idle: DEFAULT_MAX_IDLE,
             is_reusable: true,
@@ -110,6 +114,11 @@
         })
     }
 
+    /// Returns a handle that takes over the socket when the connection is dropped.
+    pub fn takeover(&self) -> SocketTakeover {
+        self.takeover.clone()
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &mut self,
--- a/daemon/tests/test_gateway_poison_requests.rs
+++ b/daemon/tests/test_gateway_poison_requests.rs
@@ -5,6 +5,8 @@
 use std::slice;
 use std::time::Duration;
 
+use futures_util::FutureExt as _;
+use futures_util::future::join_all;
 use jujubewall_testutils::gateway_site::GatewayProcess;
 use jujubewall_testutils::gateway_traffic::LastPart;
 use jujubewall_testutils::gateway_traffic::RequestTemplate;
@@ -17,6 +19,7 @@
 use jujubewall_testutils::poison_fleet::share_served;
 use jujubewall_testutils::site_runner::RunnerFault;
 use serde_json::json;
+use tokio::io::AsyncReadExt as _;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -34,6 +37,22 @@
 /// The time after which clients leave without an answer.
 const LEAVES_AFTER: Duration = Duration::from_millis(40);
 
+/// The time from the start of a run to the crash in the test whose connections are closed by
+/// then: the gateway closes them within 500 ms after the client has left.
+const CRASH_AFTER_CLOSE: Duration = Duration::from_millis(600);
+
+/// The time after its client has left within which the connection to an upstream is closed.
+const MAX_CLOSE_DELAY: Duration = Duration::from_millis(500);
+
+/// The requests whose connections are observed until they are closed.
+const OBSERVED_CLOSES: usize = 3;
+
+/// The requests that are sent at the same time, of which few reach the observed upstream.
+const ATTEMPTS_AT_ONCE: usize = 20;
+
+/// The time within which requests reach the observed upstream.
+const MAX_CLOSE_TEST_TIME: Duration = Duration::from_secs(20);
+
 /// The upstreams that accept no connection, over a third of all.
 const UNREACHABLE: usize = 20;
 
@@ -192,29 +211,121 @@
     fleet.assert_served("after", &[Kind::Order.sound(0)]).await;
 }
 
-/// Guards against more crashes by a request whose clients leave before the upstream crashes.
-#[tokio::test(flavor = "multi_thread")]
-async fn test_request_whose_clients_leave_early_stops_reaching_upstreams() {
-    let fleet = PoisonFleet::start(&[Path::new(PROGRAM); 2]).await;
-    let runners = &fleet.site.runners;
-    let fatal = Kind::Order.request("fatal");
-    runners.set_crash_delay(LEAVES_AFTER * 2);
-    runners.crash_on_request(fatal.as_fatal());
+/// Sends a request again and again, by clients that leave after [`LEAVES_AFTER`].
+async fn play_leaving(fleet: &PoisonFleet, request: &RequestTemplate, length: Duration) {
     let gateways = fleet.gateways();
     let begun = Instant::now();
     for index in 0.. {
-        if begun.elapsed() > STABLE_WINDOW + OBSERVED {
+        if begun.elapsed() > length {
             break;
         }
-        let attempt = fatal.build(&format!("left-{index}"), "");
+        let attempt = request.build(&format!("left-{index}"), "");
         let clients = gateways[index % gateways.len()].clients;
         // The connection is closed.
         let _ = timeout(LEAVES_AFTER, GatewayProcess::send_to(clients, attempt)).await;
         sleep(LEAVES_AFTER * 5).await;
     }
+}
+
+/// Guards against more crashes by a request whose clients leave before the upstream crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_request_whose_clients_leave_early_stops_reaching_upstreams() {
+    let fleet = PoisonFleet::start(&[Path::new(PROGRAM); 2]).await;
+    let runners = &fleet.site.runners;
+    let fatal = Kind::Order.request("fatal");
+    runners.set_crash_delay(LEAVES_AFTER * 2);
+    runners.crash_on_request(fatal.as_fatal());
+    play_leaving(&fleet, &fatal, STABLE_WINDOW + OBSERVED).await;
+    fleet.assert_bound_holds(&[fatal]);
+}
+
+/// Guards against more crashes by a stream whose clients leave before the engine crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_whose_clients_leave_early_stops_reaching_engines() {
+    let fleet = PoisonFleet::start(&[Path::new(PROGRAM); 2]).await;
+    let runners = &fleet.site.runners;
+    let fatal = Kind::Stream.request("fatal");
+    let fatal = fatal.with_prompt(&[], LastPart::Same("91bd3f06"));
+    runners.set_crash_delay(LEAVES_AFTER * 2);
+    runners.crash_on_request(fatal.as_fatal());
+    play_leaving(&fleet, &fatal, STABLE_WINDOW + OBSERVED).await;
     fleet.assert_bound_holds(&[fatal]);
 }
 
+/// Guards against more crashes by a request on which upstreams crash only after the gateway has
+/// closed the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_request_that_crashes_upstreams_after_the_close_stops_reaching_them() {
+    let fleet = PoisonFleet::start(&[Path::new(PROGRAM); 2]).await;
+    let runners = &fleet.site.runners;
+    let fatal = Kind::Order.request("fatal");
+    runners.set_crash_delay(CRASH_AFTER_CLOSE);
+    runners.crash_on_request(fatal.as_fatal());
+    play_leaving(&fleet, &fatal, STABLE_WINDOW + OBSERVED).await;
+    fleet.assert_bound_holds(&[fatal]);
+}
+
+/// Guards against sound requests being implicated because their clients leave.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_sound_request_whose_clients_leave_early_is_not_implicated() {
+    let fleet = PoisonFleet::start(&[Path::new(PROGRAM); 2]).await;
+    fleet.site.runners.set_call_time(LEAVES_AFTER * 5);
+    let sound = Kind::Order.request("sound");
+    play_leaving(&fleet, &sound, STABLE_WINDOW).await;
+    sleep(CRASH_AFTER_CLOSE).await;
+    for gateway in fleet.gateways() {
+        assert_eq!(gateway.log().matches("event=request_implicated").count(), 0);
+    }
+}
+
+/// Guards against the watch of a run delaying the close that tells the upstream to stop its work.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_connection_to_upstream_is_closed_soon_after_its_client_leaves() {
+    let fleet = PoisonFleet::start(&[Path::new(PROGRAM); 2]).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let entry = json!({
+        "service": "ledger", "address": listener.local_addr().unwrap(), "zone": "z1",
+        "version": "v1", "slots": 8, "cold_remaining_ms": 0, "seq": 1, "state": "ready",
+        "kind": null, "born": 1, "layers": null,
+    });
+    fleet
+        .site
+        .store
+        .put("servers/unanswering", entry.to_string().as_bytes());
+    let upstream = tokio::spawn(async move {
+        let mut close_times = Vec::new();
+        while close_times.len() < OBSERVED_CLOSES {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4_096];
+            // Probes open a connection and send nothing.
+            if !matches!(socket.read(&mut buffer).await, Ok(1..)) {
+                continue;
+            }
+            let sent_at = Instant::now();
+            while matches!(socket.read(&mut buffer).await, Ok(1..)) {}
+            close_times.push(sent_at.elapsed());
+        }
+        close_times
+    });
+    let sound = Kind::Order.request("sound");
+    let begun = Instant::now();
+    while !upstream.is_finished() && begun.elapsed() < MAX_CLOSE_TEST_TIME {
+        let clients = fleet.gateways()[0].clients;
+        let attempts = (0..ATTEMPTS_AT_ONCE).map(|index| {
+            let attempt = sound.build(&format!("left-{:?}-{index}", begun.elapsed()), "");
+            timeout(LEAVES_AFTER, GatewayProcess::send_to(clients, attempt))
+        });
+        // The connections are closed.
+        join_all(attempts).await;
+    }
+    let close_times = upstream.now_or_never();
+    let close_times = close_times.expect("requests reached the upstream").unwrap();
+    println!("closed after {close_times:?}");
+    for time in close_times {
+        assert!(time <= LEAVES_AFTER + MAX_CLOSE_DELAY, "{time:?}");
+    }
+}
+
 /// Guards against more crashes while a third of all upstreams is suspected for another reason,
 /// beyond which a gateway suspects no further ones.
 #[tokio::test(flavor = "multi_thread")]
