entry: say "not run" of a keyed call only if its key was looked up

test_key_outlives_a_killed_agent: an order repeated with its key was once answered not_run at the second entry though it had run. An entry that sees no live agent of the service refuses with no_upstream, which says not_run, although no agent has looked the key up; a caller may then send the order again without its key. The second entry may see the killed agent as gone for longer than the first, for which the test waits. The same holds for a drain, for a deadline that passes before the key is claimed, and for an agent that cannot reach the key-value service.

The entry now answers outcome_unknown to calls with a key in these cases, with the same Retry-After. Calls without a key are answered as before, as are the results between agents and entries. A first call with a key that in fact did not run is called unknown as well; the entry cannot tell the two apart.

Two new tests show the cause without a race, and failed before with not_run: no agent in reach, and a new agent in an outage.

--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -201,6 +201,23 @@
         view: Arc<View>,
         request: &Parts,
         body: &mut LimitedBody,
+    ) -> Result<Answer, Failure> {
+        let has_key = credentials::idempotency_key(&request.headers)?.is_some();
+        let answer = self.call_once(view, request, body).await;
+        answer.map_err(|failure| {
+            if has_key {
+                without_not_run_claim(failure)
+            } else {
+                failure
+            }
+        })
+    }
+
+    async fn call_once(
+        self,
+        view: Arc<View>,
+        request: &Parts,
+        body: &mut LimitedBody,
     ) -> Result<Answer, Failure> {
         let account = authenticate(&view, &request.headers)?.name.clone();
         let wait = credentials::deadline(&request.headers)?;
@@ -237,6 +254,25 @@
     }
 }
 
+/// Returns the failure of a call with an idempotency key. If the key may not have been looked up,
+/// an earlier call with it, at any entry, may have run.
+fn without_not_run_claim(failure: Failure) -> Failure {
+    match failure.kind {
+        ErrorKind::NoUpstream
+        | ErrorKind::Draining
+        | ErrorKind::DeadlineUnreachable
+        | ErrorKind::PlatformUnavailable => Failure {
+            kind: ErrorKind::OutcomeUnknown,
+            message: format!(
+                "{}; an earlier call with this key may have run",
+                failure.message
+            ),
+            ..failure
+        },
+        _ => failure,
+    }
+}
+
 /// Names the engines of a pipeline with their layers.
 fn set_pipeline(answer: &mut Answer, route: &Route) {
     let stages: Vec<_> = route
--- a/daemon/tests/test_orders.rs
+++ b/daemon/tests/test_orders.rs
@@ -83,6 +83,51 @@
     assert_eq!(fleet.site.service.fake.runs_of_body(b"order 3"), 1);
 }
 
+/// Guards against a repeated order being called unrun by an entry that reaches no agent: the caller
+/// could send it again without its key.
+#[tokio::test]
+async fn test_repeated_key_is_not_called_unrun_while_no_agent_is_reachable() {
+    let mut fleet = start().await;
+    let first = order(&fleet, 0, Some("key-7"), "order 10").await;
+    assert_eq!(outcome(&first), "completed");
+    let mut agent = fleet.agents.pop().expect("the service has an agent");
+    agent.signal(Signal::Kill);
+    assert!(!agent.wait().await);
+    eventually("the second entry knows no agent", async || {
+        let answer = order(&fleet, 1, None, "probe").await;
+        answer.error_code() == "no_upstream"
+    })
+    .await;
+    let repeated = order(&fleet, 1, Some("key-7"), "order 10").await;
+    assert_eq!(outcome(&repeated), "unknown");
+    assert!(repeated.retry_after_s.is_some());
+    assert_eq!(fleet.site.service.fake.runs_of_body(b"order 10"), 1);
+}
+
+/// Guards against a repeated order being called unrun by an agent that cannot look its key up.
+#[tokio::test]
+async fn test_repeated_key_is_not_called_unrun_by_a_new_agent_in_an_outage() {
+    let mut fleet = start().await;
+    let first = order(&fleet, 0, Some("key-8"), "order 11").await;
+    assert_eq!(outcome(&first), "completed");
+    let key_value = fleet.site.key_value.clone();
+    key_value.set_faults(|faults| faults.outage = Outage::Refusing);
+    let mut agent = fleet.agents.pop().expect("the service has an agent");
+    agent.signal(Signal::Kill);
+    assert!(!agent.wait().await);
+    let agent = agent.restart(Path::new(env!("CARGO_BIN_EXE_jujubewalld")));
+    agent.wait_until_ready().await;
+    fleet.agents.push(agent);
+    eventually("the second entry knows the new process", async || {
+        let answer = order(&fleet, 1, None, "probe").await;
+        outcome(&answer) == "completed"
+    })
+    .await;
+    let repeated = order(&fleet, 1, Some("key-8"), "order 11").await;
+    assert_eq!(outcome(&repeated), "unknown");
+    assert_eq!(fleet.site.service.fake.runs_of_body(b"order 11"), 1);
+}
+
 #[tokio::test]
 async fn test_paused_agent_neither_doubles_nor_falsifies() {
     let fleet = start().await;
