choice: a tenth more context may be planned, less what admission leaves free

While capacity is scarce, admission leaves free what other gateways may have taken, up to a tenth, although streams hold less than they reserve: the limits start above an engine's free memory by about the half of an answer that streams have not written on average.

--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -91,14 +91,14 @@
     /// below one because the load that peers report is a few hundred milliseconds old.
     pub const UNRANKED: Self = Self {
         first_slots: 0.85,
-        context_memory: 1.0,
+        context_memory: 1.1,
     };
 
     /// The limits of the most urgent rank. An engine admits the more urgent requests from its
     /// own queue first, so errors of the known load delay the less urgent ones.
     pub const MOST_URGENT: Self = Self {
         first_slots: 0.97,
-        context_memory: 1.1,
+        context_memory: 1.15,
     };
 
     /// Returns the limits that leave free another `share` of each resource.
