gateway: unfinished requests share a bounded memory

Cause: a body was collected frame by frame without a bound on the sum of all bodies. Each kept frame kept the read buffer that it came from, so that chunks of one byte took many times their size.

Change: routing::fleet::request_memory decides how much each request may hold and which one gives way: the one whose sender has stopped for longest. Bodies are copied into one buffer; without memory they are not read. Partial heads are counted; the number of connections follows the host's memory; bodies of refused requests are dropped for 64 requests at a time.

--- a/daemon/src/gateway/activity.rs
+++ b/daemon/src/gateway/activity.rs
@@ -14,19 +14,38 @@
 
 use crate::gateway::body::AnswerCut;
 use crate::gateway::body::ReplyBody;
+use crate::gateway::client_socket::HeadMeter;
 
 /// The requests in progress on a connection, and since when there are none.
 pub struct ConnectionActivity {
     requests: Cell<usize>,
     idle_since: Cell<Instant>,
+    head: Rc<HeadMeter>,
 }
 
 impl ConnectionActivity {
     /// Creates the state of a connection that has just been accepted.
-    pub fn new() -> Self {
+    pub fn new(head: Rc<HeadMeter>) -> Self {
         Self {
             requests: Cell::new(0),
             idle_since: Cell::new(Instant::now()),
+            head,
+        }
+    }
+
+    /// Returns whether no request is in progress.
+    pub fn is_idle(&self) -> bool {
+        self.requests.get() == 0
+    }
+
+    /// Waits until the connection, on which no request is in progress, has to give way to
+    /// others.
+    pub async fn evicted(&self) {
+        loop {
+            self.head.evicted().await;
+            if self.is_idle() {
+                return;
+            }
         }
     }
 
@@ -41,6 +60,7 @@
     /// Counts a request as in progress until the guard is dropped.
     pub fn begin_request(self: &Rc<Self>) -> ActiveRequest {
         self.requests.set(self.requests.get() + 1);
+        self.head.end_head();
         ActiveRequest {
             activity: Rc::clone(self),
         }
@@ -59,6 +79,9 @@
             .requests
             .set(activity.requests.get().saturating_sub(1));
         activity.idle_since.set(Instant::now());
+        if activity.is_idle() {
+            activity.head.end_request();
+        }
     }
 }
 
--- /dev/null
+++ b/daemon/src/gateway/client_socket.rs
@@ -0,0 +1,143 @@
+//! A client's socket whose reads are bounded by the memory that all requests share.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use thiserror::Error;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+use crate::request_memory::RequestShare;
+use crate::request_memory::SharedRequestMemory;
+
+/// The part of a head that is covered by what an open connection takes in any case: the first
+/// read buffer of the HTTP library, in bytes.
+const FREE_HEAD_BYTES: usize = 8 * 1024;
+
+/// The error that ends a connection for whose request's head there is no memory.
+#[derive(Debug, Error)]
+#[error("no memory for the head of a request")]
+struct NoHeadMemory;
+
+/// What a connection holds of the head of a request.
+pub struct HeadMeter {
+    share: RequestShare,
+    head_bytes: Cell<usize>,
+    last_read_bytes: Cell<usize>,
+    is_in_head: Cell<bool>,
+}
+
+impl HeadMeter {
+    /// Creates the meter of a connection that has just been accepted, whose client is expected
+    /// to send a request.
+    pub fn new(memory: &Arc<SharedRequestMemory>) -> Rc<Self> {
+        let share = RequestShare::new(memory);
+        share.begin_receiving();
+        Rc::new(Self {
+            share,
+            head_bytes: Cell::new(0),
+            last_read_bytes: Cell::new(0),
+            is_in_head: Cell::new(true),
+        })
+    }
+
+    /// Records that a head has arrived. What it takes is held until its request ends.
+    pub fn end_head(&self) {
+        self.is_in_head.set(false);
+        self.share.end_receiving();
+    }
+
+    /// Records that a request has ended, so that the next bytes are those of another head.
+    pub fn end_request(&self) {
+        self.is_in_head.set(true);
+        // The library may have read the begin of the next head together with the last request.
+        self.head_bytes.set(0);
+        self.share.try_hold(0);
+        self.hold(self.last_read_bytes.get());
+    }
+
+    /// Records that the connection may give way to others while it waits for a request.
+    pub fn expect_request(&self) {
+        self.share.begin_receiving();
+    }
+
+    /// Waits until the connection has to give way to others.
+    pub async fn evicted(&self) {
+        self.share.evicted().await;
+    }
+
+    /// Counts bytes that were read. Returns whether there is memory for them.
+    fn on_read(&self, bytes: usize) -> bool {
+        self.last_read_bytes.set(bytes);
+        if !self.is_in_head.get() {
+            return true;
+        }
+        if self.head_bytes.get() == 0 {
+            self.share.begin_receiving();
+        }
+        self.share.on_received(bytes);
+        self.hold(bytes)
+    }
+
+    fn hold(&self, more_bytes: usize) -> bool {
+        let head_bytes = self.head_bytes.get() + more_bytes;
+        self.head_bytes.set(head_bytes);
+        // The library doubles the size of its buffer.
+        head_bytes <= FREE_HEAD_BYTES || self.share.try_hold(head_bytes.next_power_of_two())
+    }
+}
+
+/// The socket of a client's connection.
+pub struct ClientSocket {
+    stream: TcpStream,
+    meter: Rc<HeadMeter>,
+}
+
+impl ClientSocket {
+    /// Creates a socket whose reads are counted.
+    pub const fn new(stream: TcpStream, meter: Rc<HeadMeter>) -> Self {
+        Self { stream, meter }
+    }
+}
+
+impl AsyncRead for ClientSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read_bytes = buffer.filled().len() - before;
+        if read_bytes > 0 && !self.meter.on_read(read_bytes) {
+            return Poll::Ready(Err(io::Error::other(NoHeadMemory)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ClientSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -20,6 +20,7 @@
 use jujubewall_platform::site::headers;
 use jujubewall_routing::fleet::drain::DrainDecision;
 use jujubewall_routing::fleet::drain::PeerAvailability;
+use jujubewall_routing::fleet::request_memory::Need;
 use jujubewall_routing::fleet::routes::RouteTable;
 use jujubewall_types::fleet::ClientLimits;
 use jujubewall_types::fleet::RequestKind;
@@ -35,20 +36,25 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::gateway::activity::ActiveBody;
 use crate::gateway::activity::ConnectionActivity;
 use crate::gateway::answer;
 use crate::gateway::answer::Reply;
 use crate::gateway::call;
+use crate::gateway::client_socket::ClientSocket;
+use crate::gateway::client_socket::HeadMeter;
 use crate::gateway::request;
 use crate::gateway::request::Admission;
-use crate::gateway::request::BodyFault;
 use crate::gateway::request::ClientRequest;
+use crate::gateway::request::HeldBody;
 use crate::gateway::request::discard_body;
-use crate::gateway::request::read_body;
 use crate::gateway::state::Gateway;
 use crate::gateway::stream;
+use crate::request_memory::MEMORY_WAIT;
+use crate::request_memory::ReadFault;
+use crate::request_memory::read_body;
 
 /// The pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -56,6 +62,10 @@
 /// The number of file descriptors that are kept free for upstreams, the store and files.
 const RESERVED_DESCRIPTORS: usize = 1_000;
 
+/// The number of connections above the limit that are accepted while as many others, whose
+/// clients have stopped sending, are being closed.
+const MAX_EVICTING: usize = 64;
+
 /// The largest number of connections that wait to be accepted, by the system's usual limit.
 const MAX_BACKLOG: usize = 4_096;
 
@@ -157,10 +167,16 @@
     open: &Rc<Cell<usize>>,
     stopped: &watch::Receiver<bool>,
 ) {
-    let max_open = gateway.settings().max_descriptors;
-    if open.get() >= max_open.saturating_sub(RESERVED_DESCRIPTORS) {
-        gateway.metrics.count("connection_refused");
-        return;
+    let max_descriptors = gateway.settings().max_descriptors;
+    let max_open = max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+    if open.get() >= max_open.min(gateway.max_connections()) {
+        if open.get() >= max_open.min(gateway.max_connections()) + MAX_EVICTING
+            || !gateway.request_memory.evict(Need::Connection)
+        {
+            gateway.metrics.count("connection_refused");
+            return;
+        }
+        gateway.metrics.count("connection_evicted");
     }
     let open = OpenConnection::new(open);
     let gateway = Rc::clone(gateway);
@@ -177,12 +193,13 @@
 }
 
 /// Counts a connection as open until it is dropped.
-struct OpenConnection {
+pub struct OpenConnection {
     count: Rc<Cell<usize>>,
 }
 
 impl OpenConnection {
-    fn new(count: &Rc<Cell<usize>>) -> Self {
+    /// Counts a connection.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
         count.set(count.get() + 1);
         Self {
             count: Rc::clone(count),
@@ -204,7 +221,8 @@
     // If this fails, small packets may be delayed, which does no other harm.
     let _ = stream.set_nodelay(true);
     let limits = limits(gateway);
-    let activity = Rc::new(ConnectionActivity::new());
+    let head = HeadMeter::new(&gateway.request_memory);
+    let activity = Rc::new(ConnectionActivity::new(Rc::clone(&head)));
     let first_request = Notify::new();
     let service = service_fn(|request| {
         first_request.notify_one();
@@ -221,7 +239,7 @@
         // the larger buffers alive into which they were read.
         .writev(false)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ClientSocket::new(stream, head)), service);
     let mut connection = std::pin::pin!(connection);
     // A connection that has just been accepted gets time for its first request, since a
     // graceful shutdown in the library closes a connection at once if nothing has been read
@@ -233,6 +251,7 @@
     };
     let mut close_allowed = std::pin::pin!(close_allowed);
     let mut idle_end = std::pin::pin!(idle_end(gateway, &activity));
+    let mut evicted = std::pin::pin!(activity.evicted());
     let mut is_closing = false;
     loop {
         tokio::select! {
@@ -250,6 +269,11 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = idle_end.as_mut() => return,
+            () = evicted.as_mut() => {
+                gateway.metrics.count("head_stalled");
+                info!("event=head_stalled reason=\"others needed its place\"");
+                return;
+            }
         }
     }
 }
@@ -304,7 +328,7 @@
     let (parts, mut body) = request.into_parts();
     let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default();
     let Some(routes) = gateway.routes() else {
-        discard_body(body, &parts.headers);
+        discard_body(gateway, body, &parts.headers);
         return answer::reject_unadmitted(id, "no configuration yet", START_RETRY_AFTER);
     };
     let host = parts.uri.host().or_else(|| {
@@ -313,54 +337,59 @@
     });
     let route = host.and_then(|host| routes.find(host, parts.uri.path()));
     let Some(route) = route else {
-        discard_body(body, &parts.headers);
+        discard_body(gateway, body, &parts.headers);
         return refuse(&routes, &parts, StatusCode::NOT_FOUND, "no route");
     };
     let key = headers::bearer_key(&parts.headers);
     let Ok(holder) = routes.authenticate(route, key) else {
-        discard_body(body, &parts.headers);
+        discard_body(gateway, body, &parts.headers);
         return refuse(&routes, &parts, StatusCode::UNAUTHORIZED, "unknown key");
     };
     let Some(service) = routes.service_for(route, gateway.random_u64()) else {
         let reason = "the route's service is unknown";
-        discard_body(body, &parts.headers);
+        discard_body(gateway, body, &parts.headers);
         return answer::reject_unadmitted(id, reason, START_RETRY_AFTER);
     };
     gateway.count_request(&service.name);
-    if gateway.in_flight() >= gateway.answer_memory.max_requests() {
+    // A request whose body does not arrive makes room for this one.
+    if gateway.in_flight() >= gateway.answer_memory.max_requests()
+        && (gateway.in_flight() >= gateway.answer_memory.max_requests() + MAX_EVICTING
+            || !gateway.request_memory.evict(Need::Connection))
+    {
         gateway.metrics.count("rejected_full");
-        discard_body(body, &parts.headers);
+        discard_body(gateway, body, &parts.headers);
         let wait = gateway.next_retry_after(&service.name);
         return answer::reject_unadmitted(id, "too many requests in progress", wait);
     }
     let in_flight = gateway.begin_request();
     let max_bytes = routes.config().limits.max_body_bytes;
-    let limit = Duration::from_millis(route.timeout_ms);
+    let read_until = Instant::now() + Duration::from_millis(route.timeout_ms);
     let give_up_at = request::deadline(&parts.headers, route, received_at);
+    let share = gateway.request_share();
     let read = tokio::select! {
         biased;
-        read = read_body(&mut body, max_bytes, limit) => Ok(read),
+        read = timeout_at(read_until, read_body(&mut body, &share, max_bytes, give_up_at)) => Ok(read),
         wait = drain_rejected(gateway, give_up_at) => Err(wait),
     };
     let read = match read {
         Ok(read) => read,
         Err(wait) => {
-            discard_body(body, &parts.headers);
+            discard_body(gateway, body, &parts.headers);
             return reject_leaving(gateway, id, wait);
         }
     };
-    let whole = match read {
-        Ok(whole) => whole,
-        Err(fault) => {
-            discard_body(body, &parts.headers);
-            let (status, reason) = match fault {
-                BodyFault::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
-                BodyFault::Cut => (StatusCode::BAD_REQUEST, "body incomplete"),
-                BodyFault::TooSlow => (StatusCode::REQUEST_TIMEOUT, "body too slow"),
-            };
-            return refuse(&routes, &parts, status, reason);
+    let bytes = match read {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(fault)) => {
+            return refuse_body(gateway, &routes, &parts, body, fault);
+        }
+        Err(_) => {
+            discard_body(gateway, body, &parts.headers);
+            let status = StatusCode::REQUEST_TIMEOUT;
+            return refuse(&routes, &parts, status, "body too slow");
         }
     };
+    let whole = HeldBody { bytes, share };
     let admission = Admission {
         route,
         service,
@@ -415,6 +444,38 @@
     }
 }
 
+/// Refuses a request whose body was not read completely.
+fn refuse_body(
+    gateway: &Gateway,
+    routes: &RouteTable,
+    parts: &hyper::http::request::Parts,
+    body: Incoming,
+    fault: ReadFault,
+) -> Reply {
+    let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default();
+    let (status, reason) = match fault {
+        ReadFault::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        ReadFault::Cut => (StatusCode::BAD_REQUEST, "body incomplete"),
+        ReadFault::Stalled => {
+            gateway.note_request_memory_full(id, "body_stalled");
+            // Nothing more is read of the body, so the connection cannot be used again.
+            let reason = "body too slow while others waited for memory";
+            let mut reply = refuse(routes, parts, StatusCode::REQUEST_TIMEOUT, reason);
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(CONNECTION, close);
+            return reply;
+        }
+        ReadFault::NoMemory => {
+            gateway.note_request_memory_full(id, "request_memory_full");
+            discard_body(gateway, body, &parts.headers);
+            let reason = "no memory for the body";
+            return answer::reject_unadmitted(id, reason, MEMORY_WAIT);
+        }
+    };
+    discard_body(gateway, body, &parts.headers);
+    refuse(routes, parts, status, reason)
+}
+
 /// Refuses a request that the configuration does not allow.
 fn refuse(
     routes: &RouteTable,
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -1,13 +1,12 @@
 //! Client requests, read completely and matched with the configuration.
 
+use std::cell::Cell;
 use std::hash::Hasher as _;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -29,11 +28,13 @@
 use smol_str::SmolStr;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
-use tokio::time::timeout;
 use twox_hash::XxHash64;
 
 use crate::gateway::answer::strip_connection_headers;
 use crate::gateway::crash_watch::Suspects;
+use crate::gateway::state::Gateway;
+use crate::request_memory;
+use crate::request_memory::RequestShare;
 
 /// The remaining time below which a request is not sent, since no upstream can answer
 /// within it.
@@ -54,6 +55,10 @@
 /// The largest part of a refused request's body that is read and dropped, in bytes.
 const MAX_DISCARDED_BYTES: usize = 32 * 1024 * 1024;
 
+/// The largest number of refused requests whose bodies are read and dropped at a time. Each
+/// takes processor time and the read buffer of its connection.
+const MAX_DISCARDS: usize = 64;
+
 /// The time for which the body of a refused request is read and dropped.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -82,6 +87,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// What the body takes of the memory for requests.
+    _share: RequestShare,
 }
 
 /// The parts of the configuration that apply to a request.
@@ -96,52 +103,33 @@
     pub config_version: u64,
 }
 
-/// The reason why a request's body was not read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum BodyFault {
-    /// The body is larger than the limit.
-    TooLarge,
-    /// The client stopped sending before the end of the body.
-    Cut,
-    /// The client took longer than its route allows.
-    TooSlow,
-}
-
-/// Reads a body of at most `max_bytes` within `limit`. After a fault, the rest of it is left.
-pub async fn read_body(
-    body: &mut Incoming,
-    max_bytes: usize,
-    limit: Duration,
-) -> Result<Bytes, BodyFault> {
-    match timeout(limit, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
-        Ok(Err(_)) => Err(BodyFault::Cut),
-        Err(_) => Err(BodyFault::TooSlow),
-    }
+/// A body that has arrived completely, with what it takes of the memory for requests.
+pub struct HeldBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// What it takes.
+    pub share: RequestShare,
 }
 
 /// Reads and drops the rest of a refused request's body while the refusal is sent.
 ///
 /// A connection that is closed with unread data is reset, and its client may lose the
-/// refusal.
-pub fn discard_body(mut body: Incoming, fields: &HeaderMap) {
+/// refusal. Where many bodies are dropped already, that is accepted.
+pub fn discard_body(gateway: &Gateway, mut body: Incoming, fields: &HeaderMap) {
     // A client that waits for leave to send the body may never send it.
     if body.is_end_stream() || fields.contains_key(EXPECT) {
         return;
     }
+    let Some(discarding) = DiscardGuard::new(&gateway.discards) else {
+        gateway.metrics.count("body_not_discarded");
+        return;
+    };
     let id = headers::request_id(fields).unwrap_or_default();
     spawn_local(async move {
-        let discarded = timeout(DISCARD_TIMEOUT, async {
-            let mut discarded_bytes = 0;
-            while discarded_bytes < MAX_DISCARDED_BYTES {
-                let Some(Ok(frame)) = body.frame().await else {
-                    return;
-                };
-                discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
-            }
-        });
-        if discarded.await.is_err() {
+        let _discarding = discarding;
+        let has_ended =
+            request_memory::discard(&mut body, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
+        if !has_ended {
             info!(
                 "event=body_unfinished id={id} reason=\"the request was refused before its end\""
             );
@@ -149,6 +137,30 @@
     });
 }
 
+/// Counts a body as being dropped until the guard is dropped.
+struct DiscardGuard {
+    count: Rc<Cell<usize>>,
+}
+
+impl DiscardGuard {
+    /// Returns `None` if too many bodies are being dropped.
+    fn new(count: &Rc<Cell<usize>>) -> Option<Self> {
+        if count.get() >= MAX_DISCARDS {
+            return None;
+        }
+        count.set(count.get() + 1);
+        Some(Self {
+            count: Rc::clone(count),
+        })
+    }
+}
+
+impl Drop for DiscardGuard {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
+
 /// Returns the deadline of a request: the earlier of the client's and the route's.
 pub fn deadline(fields: &HeaderMap, route: &Route, received_at: Instant) -> Instant {
     let timeout = Duration::from_millis(route.timeout_ms);
@@ -159,7 +171,13 @@
 
 impl ClientRequest {
     /// Creates a request from its head, its body and the configuration that applies to it.
-    pub fn new(parts: Parts, body: Bytes, admission: &Admission<'_>, received_at: Instant) -> Self {
+    pub fn new(
+        parts: Parts,
+        body: HeldBody,
+        admission: &Admission<'_>,
+        received_at: Instant,
+    ) -> Self {
+        let HeldBody { bytes: body, share } = body;
         let Admission { route, service, .. } = *admission;
         let mut fields = parts.headers;
         let give_up_at = deadline(&fields, route, received_at);
@@ -193,6 +211,7 @@
             uri: parts.uri,
             headers: fields,
             body,
+            _share: share,
         }
     }
 
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use jujubewall_http_client::CallDeadlines;
@@ -24,6 +25,7 @@
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::max_crossing_streams_per_s;
 use jujubewall_routing::fleet::repair_estimate::RepairEstimate;
+use jujubewall_routing::fleet::request_memory;
 use jujubewall_routing::fleet::retry_budget::RetryBounds;
 use jujubewall_routing::fleet::retry_budget::WindowedRetryBudget;
 use jujubewall_routing::fleet::retry_schedule::RetrySchedule;
@@ -53,6 +55,8 @@
 use crate::gateway::planner::PlannerState;
 use crate::gateway::poison::PoisonState;
 use crate::gateway::upstreams::ConnectionPool;
+use crate::request_memory::RequestShare;
+use crate::request_memory::SharedRequestMemory;
 use crate::supervise::spawn_supervised;
 
 /// The longest `Retry-After` time that is due to paused upstreams: other upstreams are
@@ -94,6 +98,12 @@
     absences: RefCell<Absences>,
     /// The memory for unfinished answers.
     pub answer_memory: Rc<AnswerMemory>,
+    /// The memory for unfinished requests.
+    pub request_memory: Arc<SharedRequestMemory>,
+    /// The number of refused requests whose bodies are being read and dropped.
+    pub discards: Rc<Cell<usize>>,
+    /// The number of connections that clients may hold open.
+    max_connections: usize,
 }
 
 impl Gateway {
@@ -128,6 +138,11 @@
             poison: PoisonState::default(),
             absences: RefCell::new(Absences::new()),
             answer_memory: AnswerMemory::new(settings.max_memory_bytes),
+            request_memory: SharedRequestMemory::new(request_memory::capacity_bytes(
+                settings.max_memory_bytes,
+            )),
+            discards: Rc::default(),
+            max_connections: request_memory::max_connections(settings.max_memory_bytes),
             settings: RefCell::new(settings),
         })
     }
@@ -291,6 +306,27 @@
         );
     }
 
+    /// Returns a share of the memory for unfinished requests.
+    pub fn request_share(&self) -> RequestShare {
+        RequestShare::new(&self.request_memory)
+    }
+
+    /// Returns the number of connections that clients may hold open, as far as memory goes.
+    pub const fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
+    /// Records that there is no memory for the body of a request, or that its sender has stopped
+    /// while others waited for memory.
+    pub fn note_request_memory_full(&self, id: &str, event: &'static str) {
+        self.metrics.count(event);
+        warn!(
+            "event={event} id={id} used={} capacity={}",
+            self.request_memory.used_bytes(),
+            self.request_memory.capacity_bytes()
+        );
+    }
+
     /// Returns the routes of the configuration in force; `None` if there is none yet.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod metrics;
 pub mod network;
 pub mod process;
+pub mod request_memory;
 pub mod server;
 pub mod settings;
 pub mod supervise;
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 //! | [`store_timing`] | how long each step may take by which changes in the store are learned | lost connections, followers and outages, one after the other |
 //! | [`absences`] | which upstreams without an entry are kept | entries that lapsed while the store was away |
 //! | [`answer_memory`] | how much of unfinished answers is held | upstreams that send bytes without end to many requests |
+//! | [`request_memory`] | how much of unfinished requests is held, and which gives way | clients that leave large bodies and heads unfinished |
 //! | [`silence`] | when a silent stream is given up | unreachable and partitioned parts |
 //! | [`drain`] | which requests a draining gateway accepts | gateways stopped one after another |
 
@@ -49,6 +50,7 @@
 pub mod recent_successes;
 pub mod rendezvous;
 pub mod repair_estimate;
+pub mod request_memory;
 pub mod retry_budget;
 pub mod retry_schedule;
 pub mod routes;
--- a/testutils/src/daemon.rs
+++ b/testutils/src/daemon.rs
@@ -105,6 +105,24 @@
         line.parse().ok()
     }
 
+    /// Returns how many file descriptors the process has open.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn open_descriptors(&self) -> usize {
+        program::open_descriptors(self.child.id().expect("the process runs"))
+    }
+
+    /// Returns the most memory that the process has used so far, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        program::peak_memory_bytes(self.child.id().expect("the process runs"))
+    }
+
     /// Sends a signal by its number.
     ///
     /// # Panics
--- a/testutils/src/gateway_site.rs
+++ b/testutils/src/gateway_site.rs
@@ -95,6 +95,15 @@
     ///
     /// Panics if its files cannot be written or the program does not start.
     pub fn start(start: &GatewayStart<'_>) -> Self {
+        Self::start_changed(start, |_| {})
+    }
+
+    /// Starts a gateway whose platform settings `change` changes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its files cannot be written or the program does not start.
+    pub fn start_changed(start: &GatewayStart<'_>, change: impl FnOnce(&mut Value)) -> Self {
         let GatewayStart {
             program,
             folder,
@@ -106,7 +115,7 @@
             retry_burst,
         } = *start;
         let [clients, ready, metrics] = [(); 3].map(|()| free_address());
-        let document = json!({
+        let mut document = json!({
             "metrics_port": metrics.port(),
             "platform_settings": {
                 "node": name,
@@ -123,6 +132,7 @@
                 "platform": {"address": store, "min_ttl_ms": 1000}
             }
         });
+        change(&mut document["platform_settings"]);
         let settings = folder.join(format!("{name}.json"));
         std::fs::write(&settings, document.to_string()).unwrap();
         let log = folder.join(format!("{name}.log"));
@@ -191,18 +201,22 @@
         count.map_or(0, |count| count.trim().parse().unwrap())
     }
 
+    /// Returns how many file descriptors the process has open.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn open_descriptors(&self) -> usize {
+        program::open_descriptors(self.child.id().expect("the process runs"))
+    }
+
     /// Returns the most memory that the process has used so far, in bytes.
     ///
     /// # Panics
     ///
     /// Panics if the process has ended.
     pub fn peak_memory_bytes(&self) -> u64 {
-        let id = self.child.id().expect("the process runs");
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let mut lines = status.lines();
-        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
-        let kilobytes = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
-        kilobytes.unwrap().trim().parse::<u64>().unwrap() * 1_024
+        program::peak_memory_bytes(self.child.id().expect("the process runs"))
     }
 
     /// Sends the termination signal.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 //! served over HTTP, so that separate processes meet the same behaviour. All
 //! time is the runtime's clock, which tests pause and advance.
 
+pub mod body_crowd;
 pub mod certificates;
 pub mod client;
 pub mod daemon;
--- a/testutils/src/scripted_upstream.rs
+++ b/testutils/src/scripted_upstream.rs
@@ -313,6 +313,20 @@
     ///
     /// Panics if the gateway is not ready in time.
     pub async fn start(program: &Path, change: impl FnOnce(&mut Value)) -> Self {
+        Self::start_changed(program, change, |_| {}).await
+    }
+
+    /// Starts a site like [`Self::start`]. `change_settings` changes the platform settings of
+    /// the gateway.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the gateway is not ready in time.
+    pub async fn start_changed(
+        program: &Path,
+        change: impl FnOnce(&mut Value),
+        change_settings: impl FnOnce(&mut Value),
+    ) -> Self {
         let store = SiteStore::new();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store_server = store.serve(listener);
@@ -321,7 +335,7 @@
         change(&mut config);
         store.put_config(&config);
         let folder = TempDir::new().unwrap();
-        let gateway = GatewayProcess::start(&GatewayStart {
+        let start = GatewayStart {
             program,
             folder: folder.path(),
             name: "front-1",
@@ -330,7 +344,8 @@
             peers: free_address(),
             seed: None,
             retry_burst: 200,
-        });
+        };
+        let gateway = GatewayProcess::start_changed(&start, change_settings);
         wait_until("the gateway is ready", async || gateway.is_ready().await).await;
         Self {
             store,
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -154,6 +154,7 @@
     certificates: TestCertificates,
     platform: [ServerHandle; 3],
     relays: Vec<UdpRelay>,
+    limits: Value,
 }
 
 impl TestSite {
@@ -191,6 +192,7 @@
             certificates,
             platform,
             relays: Vec::new(),
+            limits: json!({ "body_timeout_ms": BODY_TIMEOUT_MS }),
         }
     }
 
@@ -199,6 +201,11 @@
         self.directory.path()
     }
 
+    /// Sets one of the limits in settings that are written later.
+    pub fn set_limit(&mut self, name: &str, value: u64) {
+        self.limits[name] = json!(value);
+    }
+
     /// Writes the settings of an entry and returns their path.
     pub fn entry_settings(&self, member: &str) -> PathBuf {
         let mut document = self.settings(member, free_address());
@@ -332,7 +339,7 @@
                 "host_list_address": host_list.address(),
                 "weight_store_address": weight_store.address(),
             },
-            "limits": { "body_timeout_ms": BODY_TIMEOUT_MS },
+            "limits": self.limits,
             "seed_peers": [self.engines[0].upstream.agent_address],
         })
     }
