entry: unfinished bodies share a bounded memory

Cause: nothing bounded the sum of unfinished bodies, and a connection that sent nothing was never closed, so that all others waited to be accepted. HTTP/2 connections held up to 1 MiB unread each.

Change: bodies of callers and operators share limits.request_memory_bytes (64 MiB). Counter limit_events, and log events of the same names.

--- a/daemon/src/entry/callers.rs
+++ b/daemon/src/entry/callers.rs
@@ -122,7 +122,7 @@
         Box::pin(async move {
             let metrics = Arc::clone(&callers.metrics);
             let (head, body) = request.into_parts();
-            let mut body = LimitedBody::new(body, callers.limits);
+            let mut body = LimitedBody::new(body, &head, callers.limits.clone());
             match callers.dispatch(head, &mut body).await {
                 Ok(answer) => answer,
                 Err(failure) => {
--- a/daemon/src/entry/operators.rs
+++ b/daemon/src/entry/operators.rs
@@ -102,7 +102,7 @@
         let operators = self.clone();
         Box::pin(async move {
             let (head, body) = request.into_parts();
-            let mut body = LimitedBody::new(body, operators.limits);
+            let mut body = LimitedBody::new(body, &head, operators.limits.clone());
             match operators.dispatch(head, &mut body).await {
                 Ok(answer) => answer,
                 Err(failure) => {
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -43,6 +43,12 @@
     result: &'static str,
 }
 
+/// The label that names an event.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct EventLabel {
+    event: &'static str,
+}
+
 /// The metrics of a process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -50,6 +56,7 @@
     requests: Family<CodeLabel, Counter>,
     notes: Family<ResultLabel, Counter>,
     violations: Family<InvariantLabel, Counter>,
+    limit_events: Family<EventLabel, Counter>,
     /// The number of tokens sent to callers.
     pub tokens: Counter,
     /// The time from a request to its first token, in seconds.
@@ -86,6 +93,7 @@
             requests: Family::default(),
             notes: Family::default(),
             violations: Family::default(),
+            limit_events: Family::default(),
             tokens: Counter::default(),
             first_token: duration_histogram(),
             token_gap: duration_histogram(),
@@ -150,6 +158,11 @@
             "Violations of what must always hold",
             self.violations.clone(),
         );
+        registry.register(
+            "limit_events",
+            "Requests and connections that gave way because memory or connections were short",
+            self.limit_events.clone(),
+        );
         registry.register(
             "applied_revision",
             "Configuration revision that is applied",
@@ -191,6 +204,11 @@
         self.requests.get_or_create(&label).inc();
     }
 
+    /// Counts a request or connection that gave way because a limit was reached.
+    pub fn count_limit(&self, event: &'static str) {
+        self.limit_events.get_or_create(&EventLabel { event }).inc();
+    }
+
     /// Sets the configuration revision that is applied.
     pub fn set_applied_revision(&self, revision: Revision) {
         let revision = i64::try_from(revision.0).unwrap_or(i64::MAX);
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -259,12 +259,18 @@
         actor.clone(),
         planner.clone(),
     ));
+    let memory = limits::request_memory(settings);
     let callers = Callers {
         actor: actor.clone(),
         view: view.clone(),
         members: shared.members.clone(),
         metrics: Arc::clone(&shared.metrics),
-        limits: limits::bodies(settings, settings.limits.max_body_bytes),
+        limits: limits::bodies(
+            settings,
+            settings.limits.max_body_bytes,
+            &memory,
+            &shared.metrics,
+        ),
         own_address: shared.network.own_address(),
     };
     let operators = Operators {
@@ -275,7 +281,12 @@
         dissemination: shared.dissemination.clone(),
         partners: Arc::new(settings.partners.clone()),
         metrics: Arc::clone(&shared.metrics),
-        limits: limits::bodies(settings, settings.limits.max_note_bytes),
+        limits: limits::bodies(
+            settings,
+            settings.limits.max_note_bytes,
+            &memory,
+            &shared.metrics,
+        ),
     };
     let connections = limits::connections(settings);
     let caller_socket = limits::bind(caller_address).await?;
@@ -283,12 +294,18 @@
     Ok(RunningRole::Entry {
         actor,
         planner,
-        callers: Listener::start(caller_socket, connections, move |request| {
-            callers.handle(request)
-        })?,
-        operators: Listener::start(operator_socket, connections, move |request| {
-            operators.handle(request)
-        })?,
+        callers: Listener::start(
+            caller_socket,
+            connections,
+            &shared.metrics,
+            move |request| callers.handle(request),
+        )?,
+        operators: Listener::start(
+            operator_socket,
+            connections,
+            &shared.metrics,
+            move |request| operators.handle(request),
+        )?,
     })
 }
 
--- a/daemon/src/process/monitoring.rs
+++ b/daemon/src/process/monitoring.rs
@@ -31,6 +31,7 @@
     metrics: &Arc<Metrics>,
     is_serving: watch::Receiver<bool>,
 ) -> eyre::Result<Listener> {
+    let counted = Arc::clone(metrics);
     let metrics = Arc::clone(metrics);
     let handler = move |request: Request<Incoming>| {
         let is_ready = *is_serving.borrow() && metrics.has_configuration();
@@ -41,6 +42,7 @@
     Ok(Listener::start(
         socket,
         limits::connections(settings),
+        &counted,
         handler,
     )?)
 }
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -3,4 +3,5 @@
 pub mod answer;
 pub mod body;
 pub mod listener;
+mod socket;
 pub mod sse;
--- a/daemon/src/settings/limits.rs
+++ b/daemon/src/settings/limits.rs
@@ -46,6 +46,9 @@
     max_body_bytes = 4 * MIB, at most 8 * MIB;
     /// The largest body of an operator's request, in bytes.
     max_note_bytes = 8 * MIB, at most 64 * MIB;
+    /// The memory that all unfinished bodies share, in bytes. A single body of legal size is
+    /// always read.
+    request_memory_bytes = 64 * MIB, at most 65_536 * MIB;
     /// The largest header section of a request, in bytes.
     max_header_bytes = 16 * KIB, at most MIB;
     /// The number of connections that callers and operators may hold open.
