--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -4,10 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -29,11 +26,13 @@
 use smol_str::SmolStr;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
-use tokio::time::timeout;
 use twox_hash::XxHash64;
 
 use crate::gateway::answer::strip_connection_headers;
 use crate::gateway::crash_watch::Suspects;
+use crate::gateway::state::Gateway;
+use crate::request_memory;
+use crate::request_memory::RequestShare;
 
 /// The remaining time below which a request is not sent, since no upstream can answer
 /// within it.
@@ -85,6 +84,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// What the body takes of the memory for requests.
+    _share: RequestShare,
 }
 
 /// The parts of the configuration that apply to a request.
@@ -99,52 +100,33 @@
     pub config_version: u64,
 }
 
-/// The reason why a request's body was not read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum BodyFault {
-    /// The body is larger than the limit.
-    TooLarge,
-    /// The client stopped sending before the end of the body.
-    Cut,
-    /// The client took longer than its route allows.
-    TooSlow,
-}
-
-/// Reads a body of at most `max_bytes` within `limit`. After a fault, the rest of it is left.
-pub async fn read_body(
-    body: &mut Incoming,
-    max_bytes: usize,
-    limit: Duration,
-) -> Result<Bytes, BodyFault> {
-    match timeout(limit, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
-        Ok(Err(_)) => Err(BodyFault::Cut),
-        Err(_) => Err(BodyFault::TooSlow),
-    }
+/// A body that has arrived completely, with what it takes of the memory for requests.
+pub struct HeldBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// What it takes.
+    pub share: RequestShare,
 }
 
 /// Reads and drops the rest of a refused request's body while the refusal is sent.
 ///
 /// A connection that is closed with unread data is reset, and its client may lose the
-/// refusal.
-pub fn discard_body(mut body: Incoming, fields: &HeaderMap) {
+/// refusal. Where many bodies are dropped already, that is accepted.
+pub fn discard_body(gateway: &Gateway, mut body: Incoming, fields: &HeaderMap) {
     // A client that waits for leave to send the body may never send it.
     if body.is_end_stream() || fields.contains_key(EXPECT) {
         return;
     }
+    let Some(discarding) = gateway.request_memory.try_discard() else {
+        gateway.metrics.count("body_not_discarded");
+        return;
+    };
     let id = headers::request_id(fields).unwrap_or_default();
     spawn_local(async move {
-        let discarded = timeout(DISCARD_TIMEOUT, async {
-            let mut discarded_bytes = 0;
-            while discarded_bytes < MAX_DISCARDED_BYTES {
-                let Some(Ok(frame)) = body.frame().await else {
-                    return;
-                };
-                discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
-            }
-        });
-        if discarded.await.is_err() {
+        let _discarding = discarding;
+        let has_ended =
+            request_memory::discard(&mut body, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
+        if !has_ended {
             info!(
                 "event=body_unfinished id={id} reason=\"the request was refused before its end\""
             );
@@ -162,7 +144,13 @@
 
 impl ClientRequest {
     /// Creates a request from its head, its body and the configuration that applies to it.
-    pub fn new(parts: Parts, body: Bytes, admission: &Admission<'_>, received_at: Instant) -> Self {
+    pub fn new(
+        parts: Parts,
+        body: HeldBody,
+        admission: &Admission<'_>,
+        received_at: Instant,
+    ) -> Self {
+        let HeldBody { bytes: body, share } = body;
         let Admission { route, service, .. } = *admission;
         let mut fields = parts.headers;
         let give_up_at = deadline(&fields, route, received_at);
@@ -197,6 +185,7 @@
             uri: parts.uri,
             headers: fields,
             body,
+            _share: share,
         }
     }
 
