admission: clients that return are told apart in code of its own, with tests

The limit of context memory goes back to the free memory where all streams have one rank, and to a tenth above it for the most urgent rank, so that what streams hold on average over their lives still fits; a test guards that.

--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use jujubewall_routing::admission::Applicant;
+use jujubewall_routing::admission::ClientPatience;
 use jujubewall_routing::admission::NotAdmitted;
 use jujubewall_routing::admission::NotAdmittedCause;
 use jujubewall_routing::admission::StreamAdmission;
@@ -30,12 +31,6 @@
 /// tenth of a core.
 const MIN_SEARCH_SPACING: Duration = Duration::from_millis(10);
 
-/// The time after which the longest patience of a route's clients is observed anew.
-const PATIENCE_LIFETIME: Duration = Duration::from_secs(10);
-
-/// The number of routes whose clients' patience is remembered.
-const MAX_KNOWN_ROUTES: usize = 4_096;
-
 /// The account of requests that need no key.
 const NO_ACCOUNT: &str = "-";
 
@@ -68,8 +63,7 @@
 #[derive(Debug, Default)]
 pub struct StreamAdmissions {
     services: RefCell<HashMap<ServiceName, ServiceStreams>>,
-    /// The longest time that clients of a route recently said they would wait, and since when.
-    patience: RefCell<HashMap<SmolStr, (Duration, Instant)>>,
+    patience: RefCell<ClientPatience>,
 }
 
 impl StreamAdmissions {
@@ -117,31 +111,16 @@
 
     /// Returns whether a client that will wait for `patience` has already waited longer than
     /// `target`.
-    ///
-    /// A rejected client returns with a new identifier and with what is left of its time, so it
-    /// names less than the others of its route do.
     pub fn is_overdue(
         &self,
         route: &SmolStr,
         patience: Option<Duration>,
         target: Duration,
     ) -> bool {
-        let Some(patience) = patience else {
-            return false;
-        };
-        let now = Instant::now();
-        let mut known = self.patience.borrow_mut();
-        if let Some((longest, since)) = known.get_mut(route) {
-            if patience >= *longest || now - *since >= PATIENCE_LIFETIME {
-                (*longest, *since) = (patience, now);
-            }
-            return patience + target < *longest;
-        }
-        if known.len() >= MAX_KNOWN_ROUTES {
-            known.clear();
-        }
-        known.insert(route.clone(), (patience, now));
-        false
+        patience.is_some_and(|patience| {
+            let mut known = self.patience.borrow_mut();
+            known.is_overdue(route, patience, target, Instant::now())
+        })
     }
 
     /// Makes the streams that are served next search for a path again, since capacity may have
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -80,10 +80,12 @@
 pub struct CapacityLimits {
     /// The share of the slots for first parts.
     pub first_slots: f64,
-    /// The share of the free memory that streams may reserve. Each stream reserves what it
-    /// holds at its end, so what all hold at a time leaves room for answers that are longer
-    /// than expected.
+    /// The share of the free memory that streams may hold.
     pub context_memory: f64,
+    /// The context that streams may reserve for each that they hold. A stream reserves what it
+    /// holds at its end. With 1.0, what all hold at a time leaves room for answers that are
+    /// longer than expected.
+    reserved_per_held: f64,
 }
 
 impl CapacityLimits {
@@ -91,14 +93,17 @@
     /// below one because the load that peers report is a few hundred milliseconds old.
     pub const UNRANKED: Self = Self {
         first_slots: 0.85,
-        context_memory: 1.1,
+        context_memory: 1.0,
+        reserved_per_held: 1.0,
     };
 
     /// The limits of the most urgent rank. An engine admits the more urgent requests from its
-    /// own queue first, so errors of the known load delay the less urgent ones.
+    /// own queue first, so errors of the known load delay the less urgent ones. What streams hold
+    /// on average over their lives fits; the other ranks leave part of the memory free.
     pub const MOST_URGENT: Self = Self {
         first_slots: 0.97,
-        context_memory: 1.15,
+        context_memory: 1.0,
+        reserved_per_held: 1.1,
     };
 
     /// Returns the limits that leave free another `share` of each resource.
@@ -107,8 +112,14 @@
         Self {
             first_slots: self.first_slots - share,
             context_memory: self.context_memory - share,
+            reserved_per_held: self.reserved_per_held,
         }
     }
+
+    /// Returns the share of the free memory that streams may reserve.
+    fn reserved_memory(self) -> f64 {
+        self.context_memory * self.reserved_per_held
+    }
 }
 
 /// The expected token counts of a stream.
@@ -607,7 +618,7 @@
     ) -> bool {
         let layers = f64::from(self.layers.len());
         let free_bytes = (self.memory_mb - layers * spec.layer_mb).max(0.0) * 1_000_000.0;
-        let free_token_layers = limits.context_memory * free_bytes / spec.token_layer_bytes();
+        let free_token_layers = limits.reserved_memory() * free_bytes / spec.token_layer_bytes();
         let held = work.token_layers + self.unaccounted_token_layers;
         held + need.context_tokens() * layers <= free_token_layers
     }
--- a/routing/src/fleet/layer_path/explain.rs
+++ b/routing/src/fleet/layer_path/explain.rs
@@ -27,7 +27,7 @@
             let layers = f64::from(engine.layers.len());
             let free_bytes = (engine.memory_mb - layers * spec.layer_mb).max(0.0) * 1_000_000.0;
             let held = engine.work.token_layers + engine.unaccounted_token_layers;
-            let free = limits.context_memory * free_bytes / spec.token_layer_bytes() - held;
+            let free = limits.reserved_memory() * free_bytes / spec.token_layer_bytes() - held;
             candidate.free_context_tokens = Some(u64::from(whole(free / layers.max(1.0))));
             if engine.layers.first == 0 {
                 let first = f64::from(engine.work.first_requests);
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -230,6 +230,19 @@
     );
 }
 
+/// Guards against overcommitted memory where urgent streams may reserve more than there is: what
+/// they hold on average over their lives, with half of their answers, has to fit.
+#[test]
+fn test_context_of_the_most_urgent_streams_fits_on_average() {
+    let mut fleet = Fleet::with_copies(&["a"]);
+    let free_bytes = (40_000.0 - 20.0 * 1_750.0) * 1e6;
+    let mean_tokens = NEED.prompt_tokens + NEED.answer_tokens / 2.0;
+    let mean_bytes = mean_tokens * 20.0 * 590_000.0 / 80.0;
+    let limits = CapacityLimits::MOST_URGENT;
+    let begun = std::iter::from_fn(|| fleet.begin_within(limits).ok()).count();
+    assert!(begun as f64 * mean_bytes <= free_bytes);
+}
+
 /// Guards against rejections that hide what is short: streams were rejected as if all engines
 /// were full while only the first engines of their paths had no slots left.
 #[test]
--- a/routing/tests/test_stream_admission.rs
+++ b/routing/tests/test_stream_admission.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jujubewall_routing::admission::Applicant;
+use jujubewall_routing::admission::ClientPatience;
 use jujubewall_routing::admission::NotAdmittedCause;
 use jujubewall_routing::admission::StreamAdmission;
 use jujubewall_routing::admission::StreamTicket;
@@ -12,6 +13,7 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use smol_str::SmolStr;
 use tokio::time::Instant;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -477,3 +479,43 @@
     assert!(most.refused_share() <= least.refused_share() / 4.0);
     outcome.assert_no_rank_starves();
 }
+
+/// Guards against clients that return after a rejection taking the capacity of those that can
+/// still be served in time: their own objective has passed.
+#[test]
+fn test_returning_clients_wait_behind_those_that_can_be_served_in_time() {
+    let now = Instant::now();
+    let mut patience = ClientPatience::new();
+    let route = SmolStr::new("route");
+    let whole = Duration::from_secs(20);
+    assert!(!patience.is_overdue(&route, whole, TARGET, now));
+    assert!(!patience.is_overdue(&route, whole - TARGET / 2, TARGET, now));
+    let returned_at = now + Duration::from_secs(4);
+    let left = whole - Duration::from_secs(4);
+    assert!(patience.is_overdue(&route, left, TARGET, returned_at));
+
+    let mut admission = admission_with_releases(50, now);
+    let returned = Applicant {
+        is_overdue: true,
+        ..applicant(0, "first", now)
+    };
+    let returned = admission.enqueue(&returned, now).unwrap();
+    let fresh = admission
+        .enqueue(&applicant(2, "second", now), now)
+        .unwrap();
+    assert_eq!(admission.head(), Some(fresh.ticket));
+    // A returned client waits for what is left, beyond its objective.
+    assert!(returned.start_by > now + TARGET);
+}
+
+/// Guards against a route whose clients name less time after a change of the configuration, and
+/// would all be taken for returning ones for good.
+#[test]
+fn test_clients_that_all_name_less_time_are_not_taken_for_returning_ones() {
+    let now = Instant::now();
+    let mut patience = ClientPatience::new();
+    let route = SmolStr::new("route");
+    assert!(!patience.is_overdue(&route, Duration::from_secs(20), TARGET, now));
+    let later = now + Duration::from_secs(11);
+    assert!(!patience.is_overdue(&route, Duration::from_secs(5), TARGET, later));
+}
