--- a/daemon/src/gateway/explain.rs
+++ b/daemon/src/gateway/explain.rs
@@ -13,7 +13,6 @@
 use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathRequest;
 use jujubewall_routing::fleet::layer_path::Preference;
-use jujubewall_routing::fleet::layer_path::Shortage;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
 use jujubewall_routing::fleet::layer_path::choose_path;
 use jujubewall_routing::fleet::layer_path::explain_path;
@@ -200,18 +199,11 @@
     };
     let outcome = match choose_path(&instances, &choice, now) {
         Ok(path) => parts(path),
-        Err(NoPath::NoCapacity(Shortage::FirstSlots)) => {
-            rejected(gateway, service, stream::NO_FIRST_SLOT)
-        }
-        Err(NoPath::NoCapacity(Shortage::ContextMemory)) => {
-            rejected(gateway, service, stream::NO_CONTEXT_MEMORY)
-        }
-        Err(NoPath::NoCapacity(Shortage::Both)) => {
-            rejected(gateway, service, stream::NEITHER_SLOT_NOR_MEMORY)
+        Err(reason @ NoPath::NoCapacity(_)) => {
+            rejected(gateway, service, stream::rejection_reason(reason))
         }
         // The time follows from earlier repairs, and a draw for each client.
-        Err(NoPath::OnlyAcrossDomains) => without_time(stream::INCOMPLETE_DOMAINS),
-        Err(NoPath::LayerMissing(_)) => without_time(stream::LAYER_MISSING),
+        Err(reason) => without_time(stream::rejection_reason(reason)),
     };
     (outcome, candidates)
 }
--- a/daemon/src/gateway/stream.rs
+++ b/daemon/src/gateway/stream.rs
@@ -47,20 +47,20 @@
 use crate::gateway::waiting::AdmittedStream;
 use crate::gateway::waiting::queue_account;
 
-/// The reason of a rejection because every engine is full.
-pub const NO_FIRST_SLOT: &str = "every first engine is full";
+/// The reason of a rejection because no engine with the first layers has a free slot.
+const NO_FIRST_SLOT: &str = "every first engine is full";
 
 /// The reason of a rejection because every path lacks memory for the context.
-pub const NO_CONTEXT_MEMORY: &str = "every path is short of memory";
+const NO_CONTEXT_MEMORY: &str = "every path is short of memory";
 
 /// The reason of a rejection because both is the case.
-pub const NEITHER_SLOT_NOR_MEMORY: &str = "every first engine is full, every path short of memory";
+const NEITHER_SLOT_NOR_MEMORY: &str = "every first engine is full, every path short of memory";
 
 /// The reason of a rejection because each failure domain lacks some layer.
-pub const INCOMPLETE_DOMAINS: &str = "no failure domain holds all layers";
+const INCOMPLETE_DOMAINS: &str = "no failure domain holds all layers";
 
 /// The reason of a rejection because the whole fleet lacks some layer.
-pub const LAYER_MISSING: &str = "no engine holds some layer";
+const LAYER_MISSING: &str = "no engine holds some layer";
 
 /// The shortest `Retry-After` time after a rejection for another reason than full engines.
 const MIN_FAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -644,13 +644,7 @@
 
     /// Returns the end of a stream for which no path exists.
     fn end_without_path(&self, reason: NoPath) -> RelayEnd {
-        let reason = match reason {
-            NoPath::NoCapacity(Shortage::FirstSlots) => NO_FIRST_SLOT,
-            NoPath::NoCapacity(Shortage::ContextMemory) => NO_CONTEXT_MEMORY,
-            NoPath::NoCapacity(Shortage::Both) => NEITHER_SLOT_NOR_MEMORY,
-            NoPath::OnlyAcrossDomains => INCOMPLETE_DOMAINS,
-            NoPath::LayerMissing(_) => LAYER_MISSING,
-        };
+        let reason = rejection_reason(reason);
         if self.attempts.may_have_run() {
             RelayEnd::Unknown(reason)
         } else {
@@ -659,6 +653,17 @@
     }
 }
 
+/// Returns the reason of a rejection for want of a path.
+pub const fn rejection_reason(reason: NoPath) -> &'static str {
+    match reason {
+        NoPath::NoCapacity(Shortage::FirstSlots) => NO_FIRST_SLOT,
+        NoPath::NoCapacity(Shortage::ContextMemory) => NO_CONTEXT_MEMORY,
+        NoPath::NoCapacity(Shortage::Both) => NEITHER_SLOT_NOR_MEMORY,
+        NoPath::OnlyAcrossDomains => INCOMPLETE_DOMAINS,
+        NoPath::LayerMissing(_) => LAYER_MISSING,
+    }
+}
+
 /// Splits events into the part that is handed to the library now, and the rest; `None` if
 /// there are none. What the library has not written yet is not accounted for.
 fn split_part(mut events: Bytes) -> Option<(Bytes, Option<Bytes>)> {
