admission: state each rule of headroom and each rejection once

Arrivals of more urgent ranks were filtered in three places, the reserve of a stream that yields was added by two equal blocks, and a rejection was put together beside the function that does it. No decision changes.

--- a/daemon/src/gateway/waiting.rs
+++ b/daemon/src/gateway/waiting.rs
@@ -258,21 +258,22 @@
         let mut is_woken = false;
         loop {
             let now = Instant::now();
-            let (is_waiting, is_head, shortage) = self.update(|streams, _| {
+            let (is_waiting, is_head) = self.update(|streams, _| {
                 let admission = &streams.admission;
                 let is_head = admission.head() == Some(ticket);
-                (admission.is_waiting(ticket), is_head, admission.shortage())
+                (admission.is_waiting(ticket), is_head)
             });
-            let lost = |cause| NotAdmitted {
-                cause,
-                shortage,
-                expected_wait,
+            let lost_by = if !is_waiting {
+                Some(NotAdmittedCause::QueueFull)
+            } else if now >= start_by {
+                Some(NotAdmittedCause::Expired)
+            } else {
+                None
             };
-            if !is_waiting {
-                return Err(lost(NotAdmittedCause::QueueFull));
-            }
-            if now >= start_by {
-                return Err(lost(NotAdmittedCause::Expired));
+            if let Some(cause) = lost_by {
+                return Err(
+                    self.update(|streams, _| streams.admission.not_admitted(cause, expected_wait))
+                );
             }
             let spacing = if is_woken {
                 MIN_SEARCH_SPACING
--- a/routing/src/admission/stream_admission.rs
+++ b/routing/src/admission/stream_admission.rs
@@ -210,22 +210,22 @@
         } else {
             (CapacityLimits::UNRANKED, 0.0)
         };
-        let is_scarce = self.is_scarce(now);
-        if is_scarce {
+        if self.is_scarce(now) {
             let contested = self.demand.contested_share(report_age, now);
             headroom += if is_ranked {
                 contested.min(self.demand.max_contested_share(applicant.rank))
             } else {
                 contested
             };
-        }
-        if is_scarce && self.must_yield(&applicant.account, now) {
-            let offered_per_s = self.accounts.offered_per_s(now);
-            headroom += YIELDED_RESERVES * self.demand.reserve(offered_per_s, report_age);
-        }
-        if is_scarce && applicant.is_overdue {
+            // A stream of a large account whose client was rejected before yields twice.
+            let yields = [
+                self.must_yield(&applicant.account, now),
+                applicant.is_overdue,
+            ];
+            let yield_count = yields.into_iter().filter(|yields| *yields).count();
             let offered_per_s = self.accounts.offered_per_s(now);
-            headroom += YIELDED_RESERVES * self.demand.reserve(offered_per_s, report_age);
+            let reserve = self.demand.reserve(offered_per_s, report_age);
+            headroom += yield_count as f64 * YIELDED_RESERVES * reserve;
         }
         limits.with_headroom(headroom.min(MAX_HEADROOM_SHARE))
     }
@@ -253,11 +253,6 @@
         self.shortage = shortage;
     }
 
-    /// Returns the resource of which every path was short at the last search.
-    pub const fn shortage(&self) -> Shortage {
-        self.shortage
-    }
-
     /// Places a stream without capacity in the queue, unless it cannot be expected to start in
     /// time.
     pub fn enqueue(&mut self, applicant: &Applicant, now: Instant) -> Result<Placed, NotAdmitted> {
--- a/routing/src/fleet/demand.rs
+++ b/routing/src/fleet/demand.rs
@@ -234,10 +234,15 @@
         self.ends.per_s(now)
     }
 
+    /// Returns the arrivals of the ranks more urgent than `rank`.
+    fn more_urgent(&self, rank: u32) -> impl Iterator<Item = &DecayingCount> {
+        let more_urgent = self.arrivals.iter().filter(move |(known, _)| *known < rank);
+        more_urgent.map(|(_, count)| count)
+    }
+
     /// Returns the number of streams a second that are offered at ranks more urgent than `rank`.
     pub fn more_urgent_per_s(&self, rank: u32, now: Instant) -> f64 {
-        let more_urgent = self.arrivals.iter().filter(|(known, _)| *known < rank);
-        more_urgent.map(|(_, count)| count.per_s(now)).sum()
+        self.more_urgent(rank).map(|count| count.per_s(now)).sum()
     }
 
     /// Returns whether a rank is served far less than all ranks together.
@@ -252,13 +257,13 @@
         if self.is_starved(rank, now) {
             return 0.0;
         }
-        let more_urgent = self.arrivals.iter().filter(|(known, _)| *known < rank);
-        let rates = more_urgent.map(|(_, count)| count.per_s(now));
-        let levels = rates.clone().map(|per_s| self.reserve(per_s, report_age));
-        let levels: f64 = levels.sum();
-        let excess_per_s = (rates.sum::<f64>() - self.releases_per_s(now)).max(0.0);
-        let excess = self.capacity_share(excess_per_s, report_age);
-        (levels + excess).min(MAX_HEADROOM_SHARE)
+        let reserves: f64 = self
+            .more_urgent(rank)
+            .map(|count| self.reserve(count.per_s(now), report_age))
+            .sum();
+        let excess_per_s = self.more_urgent_per_s(rank, now) - self.releases_per_s(now);
+        let excess = self.capacity_share(excess_per_s.max(0.0), report_age);
+        (reserves + excess).min(MAX_HEADROOM_SHARE)
     }
 
     /// Returns the share of capacity that is kept free for streams that arrive at a rate and find
@@ -283,8 +288,7 @@
     /// have taken. With the reserves, a less urgent stream that is sure of its capacity still
     /// yields to a more urgent one of another gateway that is not.
     pub fn max_contested_share(&self, rank: u32) -> f64 {
-        let more_urgent = self.arrivals.iter().filter(|(known, _)| *known < rank);
-        RESERVE_SHARE * (1 + more_urgent.count()) as f64
+        RESERVE_SHARE * (1 + self.more_urgent(rank).count()) as f64
     }
 
     /// Returns the share of the fleet's capacity that streams at a rate take within the lag of
