explain: no retry time for streams without capacity

The time shown was that of the schedule for plain calls. Clients of streams are told one that follows their rank, what becomes free and a draw, so none can be named in advance, as for missing layers.

--- a/daemon/src/gateway/explain.rs
+++ b/daemon/src/gateway/explain.rs
@@ -10,7 +10,6 @@
 use jujubewall_routing::fleet::explain::explain_call;
 use jujubewall_routing::fleet::layer_path::CapacityLimits;
 use jujubewall_routing::fleet::layer_path::LayerPath;
-use jujubewall_routing::fleet::layer_path::NoPath;
 use jujubewall_routing::fleet::layer_path::PathRequest;
 use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::StreamNeed;
@@ -199,10 +198,7 @@
     };
     let outcome = match choose_path(&instances, &choice, now) {
         Ok(path) => parts(path),
-        Err(reason @ NoPath::NoCapacity(_)) => {
-            rejected(gateway, service, stream::rejection_reason(reason))
-        }
-        // The time follows from earlier repairs, and a draw for each client.
+        // The time follows from the rank, or from earlier repairs, and a draw for each client.
         Err(reason) => without_time(stream::rejection_reason(reason)),
     };
     (outcome, candidates)
