--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -169,7 +169,7 @@
             parts: headers::shared_prompt_parts(&fields),
         };
         let rank = admission.holder.and_then(|holder| holder.rank);
-        let priority = rank.unwrap_or(route.rank).min(MAX_PRIORITY);
+        let priority = priority(rank, route);
         fields.insert(headers::REQUEST_PRIORITY, HeaderValue::from(priority));
         Self {
             id: headers::request_id(&fields).unwrap_or_default(),
@@ -253,8 +253,13 @@
 /// Returns the urgency of a request of an account with the given rank among the streams of one
 /// service.
 pub fn urgency(account_rank: Option<u32>, route: &Route) -> u32 {
-    let rank = account_rank.unwrap_or(route.rank).min(MAX_PRIORITY);
-    rank * (MAX_PRIORITY + 1) + route.rank.min(MAX_PRIORITY)
+    priority(account_rank, route) * (MAX_PRIORITY + 1) + route.rank.min(MAX_PRIORITY)
+}
+
+/// Returns the priority of a request at its upstream: the rank of its account, if that has one,
+/// or else of its route.
+fn priority(account_rank: Option<u32>, route: &Route) -> u32 {
+    account_rank.unwrap_or(route.rank).min(MAX_PRIORITY)
 }
 
 /// Returns the digest by which a repeated request is recognised, which is the same in every
