--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -20,7 +20,6 @@
 use jujubewall_platform::site::headers;
 use jujubewall_routing::fleet::drain::DrainDecision;
 use jujubewall_routing::fleet::drain::PeerAvailability;
-use jujubewall_routing::fleet::request_memory::Need;
 use jujubewall_routing::fleet::routes::RouteTable;
 use jujubewall_types::fleet::ClientLimits;
 use jujubewall_types::fleet::RequestKind;
@@ -169,13 +168,13 @@
 ) {
     let max_descriptors = gateway.settings().max_descriptors;
     let max_open = max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-    if open.get() >= max_open.min(gateway.max_connections()) {
-        if open.get() >= max_open.min(gateway.max_connections()) + MAX_EVICTING
-            || !gateway.request_memory.evict(Need::Connection)
-        {
-            gateway.metrics.count("connection_refused");
-            return;
-        }
+    let max_open = max_open.min(gateway.max_connections());
+    let memory = &gateway.request_memory;
+    if !memory.make_room(open.get(), max_open, MAX_EVICTING) {
+        gateway.metrics.count("connection_refused");
+        return;
+    }
+    if open.get() >= max_open {
         gateway.metrics.count("connection_evicted");
     }
     let open = OpenConnection::new(open);
@@ -352,10 +351,9 @@
     };
     gateway.count_request(&service.name);
     // A request whose body does not arrive makes room for this one.
-    if gateway.in_flight() >= gateway.answer_memory.max_requests()
-        && (gateway.in_flight() >= gateway.answer_memory.max_requests() + MAX_EVICTING
-            || !gateway.request_memory.evict(Need::Connection))
-    {
+    let max_requests = gateway.answer_memory.max_requests();
+    let memory = &gateway.request_memory;
+    if !memory.make_room(gateway.in_flight(), max_requests, MAX_EVICTING) {
         gateway.metrics.count("rejected_full");
         discard_body(gateway, body, &parts.headers);
         let wait = gateway.next_retry_after(&service.name);
--- a/daemon/src/gateway/monitoring.rs
+++ b/daemon/src/gateway/monitoring.rs
@@ -16,7 +16,6 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use jujubewall_platform::site::READY_PATH;
-use jujubewall_routing::fleet::request_memory::Need;
 use jujubewall_types::explain::EXPLAIN_PATH;
 use log::warn;
 use tokio::net::TcpListener;
@@ -74,9 +73,7 @@
             }
         };
         // A connection whose sender has stopped makes room for a new one.
-        if open.get() >= MAX_CONNECTIONS
-            && (open.get() >= 2 * MAX_CONNECTIONS || !memory.evict(Need::Connection))
-        {
+        if !memory.make_room(open.get(), MAX_CONNECTIONS, MAX_CONNECTIONS) {
             gateway.metrics.count("monitoring_connection_refused");
             continue;
         }
--- a/daemon/src/request_memory.rs
+++ b/daemon/src/request_memory.rs
@@ -107,6 +107,14 @@
         self.state().evict(need)
     }
 
+    /// Returns whether one more connection or request is accepted beside `count` open ones.
+    ///
+    /// Beyond `max`, one whose sender has stopped gives way to it. As long as those are being
+    /// closed, at most `max_evicting` more are open.
+    pub fn make_room(&self, count: usize, max: usize, max_evicting: usize) -> bool {
+        count < max || (count < max + max_evicting && self.evict(Need::Connection))
+    }
+
     /// Returns leave to read and drop the body of a refused request while it is kept; `None` if
     /// that is done for too many.
     pub fn try_discard(&self) -> Option<OwnedSemaphorePermit> {
