placement: simpler split of a copy with several first engines

The state that only served an assertion is gone. The comment on the share of memory said that gateways plan for no more, which they do by now.

--- a/control/src/placement.rs
+++ b/control/src/placement.rs
@@ -84,7 +84,8 @@
 /// known some hundred milliseconds later, so the rest is left for that.
 const PLANNED_SLOT_SHARE: f64 = 0.85;
 
-/// Share of an engine's free memory that gateways plan for the context of streams.
+/// Share of an engine's free memory that counts for the context of streams. Gateways plan for
+/// all of it; with a little less, no engine holds first layers for streams that hardly fit.
 const PLANNED_CONTEXT_SHARE: f64 = 0.92;
 
 /// Smallest number of engines that hold a copy in which one more engine only holds the first
@@ -396,40 +397,32 @@
     ) -> bool {
         let mut by_memory = engines.to_vec();
         by_memory.sort_by(|a, b| a.memory_mb.total_cmp(&b.memory_mb));
-        let (holders, rest) = by_memory.split_at(added + 1);
-        let is_holder = |engine: &PlacedEngine| holders.iter().any(|known| known.id == engine.id);
-        let mut split = vec![holders[0]];
-        split.extend(engines.iter().filter(|engine| !is_holder(engine)));
-        debug_assert_eq!(
-            split.len(),
-            rest.len() + 1,
-            "each engine is split among once"
-        );
-        let begin = changes.len();
+        let Some((first, more)) = by_memory[..=added].split_first() else {
+            return false;
+        };
+        let is_more = |engine: &PlacedEngine| more.iter().any(|known| known.id == engine.id);
+        let mut split = vec![*first];
+        let others = engines.iter().filter(|engine| engine.id != first.id);
+        split.extend(others.filter(|engine| !is_more(engine)));
         let whole = LayerRange::new(0, self.spec.layer_count);
         if !self.split_among(whole, &split, changes) {
             return false;
         }
-        let Some(first) = changes[begin..]
-            .iter()
-            .find(|placement| placement.id == split[0].id)
-        else {
+        let mut planned = changes.iter();
+        let Some(placement) = planned.find(|placement| placement.id == first.id).cloned() else {
             return false;
         };
-        let first = first.clone();
-        changes.extend(holders[1..].iter().map(|engine| Placement {
+        changes.extend(more.iter().map(|engine| Placement {
             id: engine.id.clone(),
-            ..first.clone()
+            ..placement.clone()
         }));
         true
     }
 
     /// Returns the streams for which the planned holders of layer zero have slots.
     fn planned_slots(&self, planned: &[Placement]) -> f64 {
-        let holders = planned
-            .iter()
-            .filter(|placement| placement.layers.first == 0);
-        self.slots_of(holders.count())
+        let holds_first = |placement: &&Placement| placement.layers.first == 0;
+        self.slots_of(planned.iter().filter(holds_first).count())
     }
 
     /// Returns the streams for which a number of holders of layer zero have slots.
--- a/routing/src/fleet/layer_path.rs
+++ b/routing/src/fleet/layer_path.rs
@@ -297,8 +297,8 @@
 /// Chooses the path of a stream.
 ///
 /// Engines that are expected to be full by now, that are deprioritized, or that are at their
-/// pace, are used only if there is no path without them. A path that crosses failure domains is the last resort,
-/// because a few such streams saturate the link for all.
+/// pace, are used only if there is no path without them. A path that crosses failure domains
+/// is the last resort, because a few such streams saturate the link for all.
 pub fn choose_path(
     table: &InstanceTable,
     choice: &PathRequest<'_>,
