daemon: one metered socket for gateways and entries

The sockets of a gateway's clients and of an entry's connections forwarded reads and writes alike and differed in what they count. They share the socket now, and each keeps its meter. Vectored writes are passed on at the monitoring address again, as before the meter; for clients of a gateway the library does not use them.

--- a/daemon/src/gateway/activity.rs
+++ b/daemon/src/gateway/activity.rs
@@ -14,7 +14,7 @@
 
 use crate::gateway::body::AnswerCut;
 use crate::gateway::body::ReplyBody;
-use crate::gateway::client_socket::HeadMeter;
+use crate::gateway::head_meter::HeadMeter;
 
 /// The requests in progress on a connection, and since when there are none.
 pub struct ConnectionActivity {
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -42,8 +42,7 @@
 use crate::gateway::answer;
 use crate::gateway::answer::Reply;
 use crate::gateway::call;
-use crate::gateway::client_socket::ClientSocket;
-use crate::gateway::client_socket::HeadMeter;
+use crate::gateway::head_meter::HeadMeter;
 use crate::gateway::request;
 use crate::gateway::request::Admission;
 use crate::gateway::request::ClientRequest;
@@ -51,6 +50,7 @@
 use crate::gateway::request::discard_body;
 use crate::gateway::state::Gateway;
 use crate::gateway::stream;
+use crate::metered_socket::MeteredSocket;
 use crate::request_memory::MEMORY_WAIT;
 use crate::request_memory::ReadFault;
 use crate::request_memory::read_body;
@@ -238,7 +238,7 @@
         // the larger buffers alive into which they were read.
         .writev(false)
         .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(ClientSocket::new(stream, head)), service);
+        .serve_connection(TokioIo::new(MeteredSocket::new(stream, head)), service);
     let mut connection = std::pin::pin!(connection);
     // A connection that has just been accepted gets time for its first request, since a
     // graceful shutdown in the library closes a connection at once if nothing has been read
--- a/daemon/src/gateway/client_socket.rs
+++ b/daemon/src/gateway/head_meter.rs
@@ -1,20 +1,13 @@
-//! A client's socket whose reads are bounded by the memory that all requests share.
+//! Bounds what connections hold of the heads of requests by the memory that all requests share.
 
 use std::cell::Cell;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
 
 use thiserror::Error;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
-use tokio::net::TcpStream;
 
+use crate::metered_socket::Meter;
 use crate::request_memory::RequestShare;
 use crate::request_memory::SharedRequestMemory;
 
@@ -82,7 +75,7 @@
     }
 
     /// Counts bytes that were read. Returns whether there is memory for them.
-    fn on_read(&self, bytes: usize) -> bool {
+    fn count_read(&self, bytes: usize) -> bool {
         self.last_read_bytes.set(bytes);
         if !self.is_in_head.get() {
             return true;
@@ -102,54 +95,16 @@
     }
 }
 
-/// The socket of a client's connection.
-pub struct ClientSocket {
-    stream: TcpStream,
-    meter: Rc<HeadMeter>,
-}
-
-impl ClientSocket {
-    /// Creates a socket whose reads are counted.
-    pub const fn new(stream: TcpStream, meter: Rc<HeadMeter>) -> Self {
-        Self { stream, meter }
-    }
-}
-
-impl AsyncRead for ClientSocket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let read_bytes = buffer.filled().len() - before;
-        if read_bytes > 0 && !self.meter.on_read(read_bytes) {
-            return Poll::Ready(Err(io::Error::other(NoHeadMemory)));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for ClientSocket {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        if let Poll::Ready(Ok(written_bytes)) = written {
-            // A client that takes an answer has not stopped.
-            self.meter.share.on_progress(written_bytes);
+impl Meter for Rc<HeadMeter> {
+    fn on_read(&self, bytes: usize) -> io::Result<()> {
+        if bytes > 0 && !self.count_read(bytes) {
+            return Err(io::Error::other(NoHeadMemory));
         }
-        written
+        Ok(())
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn on_written(&self, bytes: usize) {
+        // A client that takes an answer has not stopped.
+        self.share.on_progress(bytes);
     }
 }
--- a/daemon/src/gateway/monitoring.rs
+++ b/daemon/src/gateway/monitoring.rs
@@ -26,12 +26,12 @@
 use crate::gateway::answer;
 use crate::gateway::answer::Reply;
 use crate::gateway::body::ReplyBody;
-use crate::gateway::client_socket::ClientSocket;
-use crate::gateway::client_socket::HeadMeter;
 use crate::gateway::clients::OpenConnection;
 use crate::gateway::explain;
+use crate::gateway::head_meter::HeadMeter;
 use crate::gateway::peers;
 use crate::gateway::state::Gateway;
+use crate::metered_socket::MeteredSocket;
 use crate::request_memory::SharedRequestMemory;
 
 /// The path that serves the metrics.
@@ -106,7 +106,7 @@
         .header_read_timeout(IDLE_TIMEOUT)
         .max_buf_size(HEAD_BUFFER_BYTES)
         .serve_connection(
-            TokioIo::new(ClientSocket::new(stream, Rc::clone(&head))),
+            TokioIo::new(MeteredSocket::new(stream, Rc::clone(&head))),
             service,
         );
     tokio::select! {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod membership;
+mod metered_socket;
 pub mod metrics;
 pub mod network;
 pub mod process;
--- a/daemon/src/server/socket.rs
+++ b/daemon/src/metered_socket.rs
@@ -1,8 +1,7 @@
-//! A socket that shows whether its client goes on sending or reading.
+//! A client's socket that reports what is read from it and written to it.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -12,29 +11,38 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-use crate::request_memory::RequestShare;
+/// Counts the bytes of a connection.
+pub trait Meter {
+    /// Counts bytes that were read; none at the end of the connection. An error ends the
+    /// connection.
+    fn on_read(&self, bytes: usize) -> io::Result<()>;
+
+    /// Counts bytes that were written.
+    fn on_written(&self, bytes: usize);
+}
 
 /// The socket of a connection.
-pub struct ProgressSocket {
+#[derive(Debug)]
+pub struct MeteredSocket<M> {
     stream: TcpStream,
-    share: Arc<RequestShare>,
+    meter: M,
 }
 
-impl ProgressSocket {
-    /// Creates a socket whose reads and writes count as progress of a share.
-    pub const fn new(stream: TcpStream, share: Arc<RequestShare>) -> Self {
-        Self { stream, share }
+impl<M: Meter> MeteredSocket<M> {
+    /// Creates a socket whose bytes `meter` counts.
+    pub const fn new(stream: TcpStream, meter: M) -> Self {
+        Self { stream, meter }
     }
 
-    fn on_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = written {
-            self.share.on_progress(bytes);
+            self.meter.on_written(bytes);
         }
         written
     }
 }
 
-impl AsyncRead for ProgressSocket {
+impl<M: Meter + Unpin> AsyncRead for MeteredSocket<M> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -42,19 +50,18 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.share.on_progress(buffer.filled().len() - before);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.meter.on_read(buffer.filled().len() - before))
     }
 }
 
-impl AsyncWrite for ProgressSocket {
+impl<M: Meter + Unpin> AsyncWrite for MeteredSocket<M> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.on_written(written)
+        self.count_written(written)
     }
 
     fn poll_write_vectored(
@@ -63,7 +70,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.on_written(written)
+        self.count_written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/daemon/src/request_memory.rs
+++ b/daemon/src/request_memory.rs
@@ -4,6 +4,7 @@
 //! wait for memory and wakes up those that give way.
 
 use std::collections::HashMap;
+use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -28,6 +29,8 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::metered_socket::Meter;
+
 /// The longest time for which a body waits for memory: until those whose senders have stopped
 /// by now have given way.
 pub const MEMORY_WAIT: Duration = Duration::from_secs(1);
@@ -250,6 +253,17 @@
     }
 }
 
+impl Meter for Arc<RequestShare> {
+    fn on_read(&self, bytes: usize) -> io::Result<()> {
+        self.on_progress(bytes);
+        Ok(())
+    }
+
+    fn on_written(&self, bytes: usize) {
+        self.on_progress(bytes);
+    }
+}
+
 impl Drop for RequestShare {
     fn drop(&mut self) {
         let mut state = self.memory.state();
--- a/daemon/src/server.rs
+++ b/daemon/src/server.rs
@@ -3,5 +3,4 @@
 pub mod answer;
 pub mod body;
 pub mod listener;
-mod socket;
 pub mod sse;
--- a/daemon/src/server/listener.rs
+++ b/daemon/src/server/listener.rs
@@ -34,12 +34,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::metered_socket::MeteredSocket;
 use crate::metrics::Metrics;
 use crate::request_memory::RequestShare;
 use crate::request_memory::SharedRequestMemory;
 use crate::server::answer::Answer;
 use crate::server::answer::AnswerBody;
-use crate::server::socket::ProgressSocket;
 
 /// The pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -220,7 +220,7 @@
         };
         let handler = handler.clone();
         let requests = Arc::new(ConnectionRequests::new(&waiting));
-        let socket = ProgressSocket::new(stream, Arc::clone(&requests.share));
+        let socket = MeteredSocket::new(stream, Arc::clone(&requests.share));
         let begun = Arc::clone(&requests);
         let service = service_fn(move |request| {
             let request_guard = begun.begin();
