--- a/review/standin-2/src/cases/stale_followers.rs
+++ b/review/standin-2/src/cases/stale_followers.rs
@@ -14,6 +14,7 @@
 use crate::Verdict;
 use crate::client;
 use crate::client::Request;
+use crate::gateway::Signal;
 use crate::record::Record;
 use crate::site::Config;
 use crate::site::Site;
@@ -173,9 +174,9 @@
                 Trouble::Cut => site.links[*reader].cut(),
                 Trouble::Refused => *site.doors[*reader].mood.lock().unwrap() = Mood::Refuse(429),
                 Trouble::Busy => *site.doors[*reader].mood.lock().unwrap() = Mood::Refuse(503),
-                Trouble::Frozen => gateway.signal("-STOP"),
-                Trouble::Stopped => gateway.signal("-TERM"),
-                Trouble::Killed => gateway.signal("-KILL"),
+                Trouble::Frozen => gateway.signal(Signal::Stop),
+                Trouble::Stopped => gateway.signal(Signal::Term),
+                Trouble::Killed => gateway.signal(Signal::Kill),
             }
             record.note(&format!("disruption: {trouble:?} begins at gateway {reader}"));
         }
@@ -194,7 +195,7 @@
                 Trouble::Refused | Trouble::Busy => {
                     *site.doors[*reader].mood.lock().unwrap() = Mood::Well;
                 }
-                Trouble::Frozen => site.gateways[*reader].signal("-CONT"),
+                Trouble::Frozen => site.gateways[*reader].signal(Signal::Cont),
                 Trouble::Stopped => {}
                 Trouble::Killed => site.gateways[*reader].run(),
             }
--- a/review/standin-2/src/gateway.rs
+++ b/review/standin-2/src/gateway.rs
@@ -15,6 +15,19 @@
 
 use crate::client;
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+/// Signals, by their numbers on Linux.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    Kill = 9,
+    Term = 15,
+    Cont = 18,
+    Stop = 19,
+}
+
 /// The bounds of the small deployments' sheets.
 const BOUNDS: &str = r#"{"seed_lag_s":3,"addr_reuse_s":2,"stable_window_ms":3000,"ack_ms":4000,
 "catch_up_s":4,"drain_ms":2000,"grace_s":8,"loss_slack_ms":200,"config_apply_ms":2000,
@@ -155,16 +168,17 @@
 
     /// Stops the process as planned work does, and starts it again.
     pub fn restart(&mut self) {
-        self.signal("-TERM");
+        self.signal(Signal::Term);
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
         }
         self.run();
     }
 
-    pub fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+            // SAFETY: the process was started here and has not been waited for.
+            unsafe { kill(child.id().cast_signed(), signal as i32) };
         }
     }
 
