review: a runner that left is kept when the store's readers are cut from it

Both gateways that read the store for their zone are cut from it for four seconds, and a runner's entry is removed.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod forgotten_pause;
+mod kept_runner;
 mod stale_followers;
 
 use std::path::Path;
@@ -19,6 +20,7 @@
         "frozen-followers" => stale(Trouble::Frozen),
         "stopped-followers" => stale(Trouble::Stopped),
         "killed-followers" => stale(Trouble::Killed),
+        "kept-runner" => kept_runner::play(root, record, has_trouble),
         "forgotten-pause" => forgotten_pause::play(root, record, has_trouble),
         _ => Verdict::NotPlayed(format!("there is no case {case}")),
     }
--- a/review/standin-2/src/cases/stale_followers.rs
+++ b/review/standin-2/src/cases/stale_followers.rs
@@ -76,7 +76,7 @@
 /// The longest time between two reads of one that follows the store.
 const READ_INTERVAL: Duration = Duration::from_millis(2_500);
 
-const KEPT_KEY: &str = "k1kept7d2m0q4";
+pub const KEPT_KEY: &str = "k1kept7d2m0q4";
 const TAKEN_KEY: &str = "k2taken9x5b1z";
 const KEPT_ROUTE: &str = "/stock/";
 const DROPPED_ROUTE: &str = "/depot/";
@@ -93,7 +93,8 @@
     is_served: bool,
 }
 
-fn start(
+/// Starts a deployment, and returns the gateways that read the store for the others.
+pub fn start(
     root: &Path,
     record: &Arc<Record>,
     trouble: Trouble,
--- a/review/standin-2/src/runner.rs
+++ b/review/standin-2/src/runner.rs
@@ -38,6 +38,8 @@
     reaches_store: bool,
     heard_at: Instant,
     has_entry: bool,
+    /// Whether it leaves: it serves on, and all its answers say so.
+    is_leaving: bool,
     seq: u64,
     arrivals: Vec<Arrival>,
 }
@@ -76,6 +78,7 @@
                 reaches_store: true,
                 heard_at: Instant::now(),
                 has_entry: false,
+                is_leaving: false,
                 seq: 0,
                 arrivals: Vec::new(),
             }),
@@ -96,6 +99,9 @@
             thread::sleep(Duration::from_millis(50));
             let (reaches, silent, has_entry) = {
                 let state = self.state.lock().unwrap();
+                if state.is_leaving {
+                    return;
+                }
                 (state.reaches_store, state.heard_at.elapsed(), state.has_entry)
             };
             if reaches && silent >= HEARTBEAT {
@@ -128,6 +134,15 @@
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Removes its entry, as a runner does that leaves without a word; returns when the store has
+    /// acknowledged that.
+    pub fn leave(&self) -> Instant {
+        let mut state = self.state.lock().unwrap();
+        state.is_leaving = true;
+        state.has_entry = false;
+        self.store.remove(&format!("servers/{}", self.id))
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         self.state.lock().unwrap().mode = mode;
     }
@@ -147,7 +162,10 @@
         let id = request.field("request-id").unwrap_or("").to_owned();
         let at = Instant::now();
         let is_other = request.field("expect-instance").is_some_and(|other| other != self.id);
-        let mode = self.state.lock().unwrap().mode.clone();
+        let (mode, is_leaving) = {
+            let state = self.state.lock().unwrap();
+            (state.mode.clone(), state.is_leaving)
+        };
         let pause = match mode {
             Mode::PauseUntil(until) if until > at => Some(until - at),
             _ => None,
@@ -175,6 +193,9 @@
         if let Some(pause) = pause {
             answer = answer.with("Retry-After", &format!("{:.3}", pause.as_secs_f64()));
         }
+        if is_leaving {
+            answer = answer.with("Server-Leaving", "1");
+        }
         answer.with("Request-Id", &id)
     }
 }
