review: a runner that left is kept after a planned stop of the store's readers

Both gateways that read the store for their zone are stopped as planned, and a runner's entry is removed 0.3 s later.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod forgotten_pause;
 mod kept_runner;
+mod planned_stops;
 mod stale_followers;
 
 use std::path::Path;
@@ -21,6 +22,7 @@
         "stopped-followers" => stale(Trouble::Stopped),
         "killed-followers" => stale(Trouble::Killed),
         "kept-runner" => kept_runner::play(root, record, has_trouble),
+        "planned-stops" => planned_stops::play(root, record, has_trouble),
         "forgotten-pause" => forgotten_pause::play(root, record, has_trouble),
         _ => Verdict::NotPlayed(format!("there is no case {case}")),
     }
--- a/review/standin-2/src/gateway.rs
+++ b/review/standin-2/src/gateway.rs
@@ -169,6 +169,11 @@
     /// Stops the process as planned work does, and starts it again.
     pub fn restart(&mut self) {
         self.signal(Signal::Term);
+        self.finish_restart();
+    }
+
+    /// Starts the process again when it has ended.
+    pub fn finish_restart(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
         }
