gateway: whoever knows of no young answer of the store asks it

Cause: the hand-over of the role answered a list of losses (silent links, silent followers, an absent store). Followers that live and are not served are none of these: they noticed the cut after two failed calls, kept the role for 1.5 s more, and their claims kept the others back.

Change: gateways tell how old the store's last answers to each follower are, by topic, in an extension of the datagrams that earlier builds skip. A follower that knows of no answer younger than 0.7 to 0.9 s watches beside its own watch on a new connection; any other gateway that knows of none younger than 1 s reads the store, in the order of candidates, with at most four holders in a domain, once until the store has answered somebody. The role is decided in a loop of its own, which no fetch from a peer delays. A surplus holder that is not served leaves at once.

The chain of waits stays within 2 s at 1 to 300 gateways (test_chains_of_waits_add_up_to_less_than_the_bounds).

--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -18,11 +18,13 @@
 use jujubewall_platform::site::store::Watched;
 use jujubewall_routing::fleet::entry_bounds::BATCH_PAUSE;
 use jujubewall_routing::fleet::entry_bounds::SYNC_INTERVAL;
+use jujubewall_routing::fleet::store_answers::Topic;
 use jujubewall_routing::fleet::store_timing::MAX_RETRY_PAUSE;
 use jujubewall_routing::fleet::store_timing::MIN_RETRY_PAUSE;
 use jujubewall_routing::fleet::store_timing::PROBE_WAIT;
 use jujubewall_routing::fleet::store_timing::ROLE_POLL_INTERVAL;
 use jujubewall_routing::fleet::store_timing::WATCH_OVERDUE;
+use jujubewall_routing::fleet::store_timing::follower_answer_age;
 use jujubewall_routing::fleet::store_timing::watch_wait;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
@@ -34,6 +36,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use crate::gateway::state::Gateway;
 
@@ -41,6 +44,8 @@
 trait Follower {
     /// Returns the prefix.
     fn prefix(&self) -> &'static str;
+    /// Returns what is followed.
+    fn topic(&self) -> Topic;
     /// Returns the metric event that counts list calls.
     fn list_event(&self) -> &'static str;
     /// Returns the metric event that counts watch calls.
@@ -89,7 +94,8 @@
         if has_tried && !gateway.peers.follows() {
             cursor.position = None;
             follower.on_stopped(&gateway);
-            sleep(ROLE_POLL_INTERVAL).await;
+            let began = gateway.peers.began_to_follow.notified();
+            let _ = timeout(ROLE_POLL_INTERVAL, began).await;
             continue;
         }
         has_tried = true;
@@ -130,6 +136,8 @@
     let list = list?;
     cursor.changed_at = Instant::now();
     gateway.metrics.count(follower.list_event());
+    // Before the items are applied, since it shows whether missing ones may be rewritten.
+    gateway.record_store_read(follower.topic(), cursor.listed_at);
     follower.on_list(gateway, list.items, list.watch_from);
     Ok(Some(list.watch_from))
 }
@@ -165,6 +173,7 @@
     gateway.apply_store_era(gateway.store().era());
     match watched? {
         Watched::Changes(changes, next) => {
+            gateway.record_store_read(follower.topic(), Instant::now());
             let has_changes = !changes.is_empty();
             for change in changes {
                 follower.on_change(gateway, change, next.era);
@@ -185,8 +194,9 @@
     }
 }
 
-/// Watches for changes. If the watch does not end in time, watches on a new connection beside
-/// it, since its own one may have gone silent, and returns what ends first.
+/// Watches for changes. If the watch does not end in time, or the newest answer to any gateway
+/// is too old, watches on a new connection beside it, since its own one may have gone silent,
+/// and returns what ends first.
 async fn watch_over_live_connection(
     gateway: &Gateway,
     follower: &impl Follower,
@@ -205,14 +215,18 @@
     tokio::pin!(first);
     tokio::select! {
         watched = &mut first => return watched,
-        () = sleep(wait + WATCH_OVERDUE) => {}
+        () = sleep(wait + WATCH_OVERDUE) => {
+            info!(
+                "event=watch_overdue prefix={} wait_ms={}",
+                follower.prefix(),
+                wait.as_millis()
+            );
+            gateway.metrics.count("watch_overdue");
+        }
+        () = answers_overdue(gateway, follower.topic()), if wait > PROBE_WAIT => {
+            gateway.metrics.count("answers_overdue");
+        }
     }
-    info!(
-        "event=watch_overdue prefix={} wait_ms={}",
-        follower.prefix(),
-        wait.as_millis()
-    );
-    gateway.metrics.count("watch_overdue");
     store.abandon_connections();
     tokio::select! {
         watched = first => watched,
@@ -220,6 +234,22 @@
     }
 }
 
+/// Returns once it is this gateway's turn to ask the store, since the newest answer to any
+/// gateway is too old.
+async fn answers_overdue(gateway: &Gateway, topic: Topic) {
+    loop {
+        gateway.weigh_store_answers();
+        let answered_at = gateway.store_belief().answers().answered_at(topic);
+        // Without any answer, the own first read is under way.
+        let since = answered_at.unwrap_or_else(Instant::now);
+        let due_at = since + follower_answer_age(gateway.peers.follower_rank());
+        if answered_at.is_some() && due_at <= Instant::now() {
+            return;
+        }
+        sleep_until(due_at).await;
+    }
+}
+
 /// Returns once the store has begun an era after `era`.
 async fn era_changed(gateway: &Gateway, era: StoreEra) {
     while gateway.instances_position().era <= era {
@@ -252,6 +282,10 @@
         CONFIG_KEY
     }
 
+    fn topic(&self) -> Topic {
+        Topic::Config
+    }
+
     fn list_event(&self) -> &'static str {
         "store_list_config"
     }
@@ -301,6 +335,10 @@
         INSTANCE_PREFIX
     }
 
+    fn topic(&self) -> Topic {
+        Topic::Entries
+    }
+
     fn list_event(&self) -> &'static str {
         "store_list_entries"
     }
@@ -479,13 +517,13 @@
     }
 }
 
-/// Weighs what is known of the store, and removes upstreams that have not rewritten their
+/// Removes upstreams that have not rewritten their
 /// entries in time, or whose entries are gone for most of the gateways that follow the store.
 async fn remove_absent(gateway: Rc<Gateway>) {
     loop {
         sleep(SYNC_INTERVAL).await;
         let now = Instant::now();
-        gateway.weigh_followers();
+        gateway.weigh_store_answers();
         if gateway.store_belief().is_away() {
             continue;
         }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -7,12 +7,14 @@
 use std::cell::Cell;
 use std::cell::Ref;
 use std::cell::RefCell;
+use std::iter;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use jujubewall_platform::site::settings::SiteSettings;
+use jujubewall_routing::fleet::claims::FollowerCounts;
 use jujubewall_routing::fleet::claims::FollowerRole;
 use jujubewall_routing::fleet::claims::RoleClaim;
 use jujubewall_routing::fleet::entry_bounds::SYNC_INTERVAL;
@@ -29,7 +31,7 @@
 use jujubewall_routing::fleet::gossip_datagram::GossipDatagram;
 use jujubewall_routing::fleet::instances::PeerReport;
 use jujubewall_routing::fleet::rendezvous;
-use jujubewall_routing::fleet::store_belief::FollowerCounts;
+use jujubewall_routing::fleet::store_answers::AnswerAges;
 use jujubewall_routing::fleet::store_timing::CONFIG_FETCH_DELAY;
 use jujubewall_types::fleet::FleetConfig;
 use jujubewall_types::fleet::Instance;
@@ -40,6 +42,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -83,6 +86,8 @@
     gossip: RefCell<Gossip>,
     election: RefCell<FollowerElection>,
     follows: Cell<bool>,
+    /// Wakes the tasks that follow the store when this gateway begins to.
+    pub began_to_follow: Notify,
     incarnation: u64,
 }
 
@@ -101,6 +106,7 @@
             gossip: RefCell::new(gossip),
             election: RefCell::new(FollowerElection::new()),
             follows: Cell::new(false),
+            began_to_follow: Notify::new(),
             incarnation: clock::unix_ms(),
         }
     }
@@ -176,6 +182,7 @@
     gateway.spawn_loop("listen", move |gateway| {
         receive_loop(gateway, Rc::clone(&socket))
     });
+    gateway.spawn_loop("follow_duty", follow_duty_loop);
     gateway.spawn_loop("relay", sync_loop);
 }
 
@@ -212,13 +219,19 @@
 fn build_message(gateway: &Gateway) -> GossipMessage {
     let now = Instant::now();
     let own = own_claim(gateway);
-    let (claims, peers) = {
+    let own_answers = gateway.store_belief().own_answers();
+    let (claims, peers, answer_ages) = {
         let mut gossip = gateway.peers.gossip.borrow_mut();
         let silence = gossip.timing().silence_timeout();
-        (
-            gossip.claims().to_relay(silence, now),
-            gossip.sample_peers(),
-        )
+        let claims = gossip.claims().to_relay(silence, now);
+        let told = claims
+            .iter()
+            .map(|claim| gossip.claims().answers_of(claim.holder));
+        let answers = iter::once(own_answers).chain(told);
+        let answer_ages = answers
+            .map(|answers| AnswerAges::new(answers, now))
+            .collect();
+        (claims, gossip.sample_peers(), answer_ages)
     };
     let instances = gateway.instances();
     GossipMessage {
@@ -238,6 +251,7 @@
         own_claim: own,
         claims,
         peers,
+        answer_ages,
     }
 }
 
@@ -344,14 +358,21 @@
     }
 }
 
-/// Decides whether this gateway follows the store, and fetches from peers what it does not
-/// get from the store.
+/// Decides whether this gateway follows the store.
+async fn follow_duty_loop(gateway: Rc<Gateway>) {
+    loop {
+        sleep(SYNC_INTERVAL).await;
+        gateway.weigh_store_answers();
+        update_follow_duty(&gateway);
+    }
+}
+
+/// Fetches from peers what this gateway does not get from the store.
 async fn sync_loop(gateway: Rc<Gateway>) {
     let mut behind_since: Option<Instant> = None;
     let mut entry_sync = EntrySync::new();
     loop {
         sleep(SYNC_INTERVAL).await;
-        update_follow_duty(&gateway);
         let now = Instant::now();
         let own_domain = gateway.settings().failure_domain.clone();
         let sharing = gateway.peers.gossip().peer_sharing(own_domain, now);
@@ -385,20 +406,30 @@
 }
 
 fn update_follow_duty(gateway: &Gateway) {
+    let now = Instant::now();
+    let store = gateway.store_view();
     let follows = {
         let gossip = gateway.peers.gossip();
         let mut election = gateway.peers.election.borrow_mut();
         // The planner bases its orders on the entries, so it always follows the store.
-        election.step(&gossip, gateway.is_store_up(), Instant::now())
-            || planner::is_planner(gateway)
+        election.step(&gossip, store, now) || planner::is_planner(gateway)
     };
     if gateway.peers.follows.replace(follows) != follows {
         if follows {
-            // What calls have shown long ago is no evidence now.
+            // What calls have shown long ago is no evidence now, and connections that were
+            // idle meanwhile may have gone silent.
             gateway.store_belief_mut().forget_link();
+            gateway.store().abandon_connections();
+            gateway.peers.began_to_follow.notify_waiters();
         }
         let FollowerCounts { served, unserved } = gateway.peers.follower_counts();
-        info!("event=follows_store holds={follows} served={served} unserved={unserved}");
+        let answered_at = store.answers.complete_until();
+        let age_ms = answered_at.map(|at| now.saturating_duration_since(at).as_millis());
+        info!(
+            "event=follows_store holds={follows} served={served} unserved={unserved} \
+             answer_age_ms={}",
+            age_ms.map_or_else(|| "none".to_owned(), |age_ms| age_ms.to_string())
+        );
     }
 }
 
@@ -476,7 +507,7 @@
     }
     gateway.apply_store_era(document.position.era);
     // The peer may be the first one that the store serves again.
-    gateway.weigh_followers();
+    gateway.weigh_store_answers();
     // An answer from an earlier era may contain entries that the store has lost since.
     if document.position.era < gateway.instances_position().era {
         return Applied::Nothing;
--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -19,9 +19,11 @@
 use jujubewall_routing::fleet::absences::Absences;
 use jujubewall_routing::fleet::answer_memory::AnswerMemory;
 use jujubewall_routing::fleet::answer_memory::AnswerShare;
+use jujubewall_routing::fleet::claims::FollowerCounts;
 use jujubewall_routing::fleet::drain::Drain;
 use jujubewall_routing::fleet::entry_bounds::EntryBounds;
 use jujubewall_routing::fleet::entry_log::EntryLog;
+use jujubewall_routing::fleet::follower_election::StoreView;
 use jujubewall_routing::fleet::instances::InstanceTable;
 use jujubewall_routing::fleet::layer_path::max_crossing_streams_per_s;
 use jujubewall_routing::fleet::repair_estimate::RepairEstimate;
@@ -30,8 +32,8 @@
 use jujubewall_routing::fleet::retry_budget::WindowedRetryBudget;
 use jujubewall_routing::fleet::retry_schedule::RetrySchedule;
 use jujubewall_routing::fleet::routes::RouteTable;
+use jujubewall_routing::fleet::store_answers::Topic;
 use jujubewall_routing::fleet::store_belief::BeliefChange;
-use jujubewall_routing::fleet::store_belief::FollowerCounts;
 use jujubewall_routing::fleet::store_belief::StoreBelief;
 use jujubewall_routing::fleet::store_belief::StoreCall;
 use jujubewall_routing::fleet::store_timing;
@@ -251,18 +253,35 @@
         self.note_belief_change(all);
     }
 
-    /// Weighs what the other gateways that follow the store say of it.
-    pub fn weigh_followers(&self) {
+    /// Records that a read of the store was answered, which shows its state `at` a time.
+    pub fn record_store_read(&self, topic: Topic, at: Instant) {
+        self.store_belief_mut().on_read(topic, at);
+    }
+
+    /// Weighs when the store last answered the other gateways, and what those that follow it say
+    /// of it.
+    pub fn weigh_store_answers(&self) {
+        let told = self.peers.gossip().claims().newest_answers();
         let others = self.peers.follower_counts();
         let follows = self.peers.follows();
-        let now = Instant::now();
-        let change = self
-            .store_belief
-            .borrow_mut()
-            .on_followers(others, follows, now);
+        let change = {
+            let mut belief = self.store_belief_mut();
+            belief.weigh(told);
+            belief.on_followers(others, follows, Instant::now())
+        };
         self.note_belief_change(change);
     }
 
+    /// Returns what is known of the store for the decision whether to follow it.
+    pub fn store_view(&self) -> StoreView {
+        let told = self.peers.gossip().claims().newest_answers();
+        let belief = self.store_belief();
+        StoreView {
+            is_served: belief.is_link_up(),
+            answers: belief.own_answers().newest(told),
+        }
+    }
+
     fn note_belief_change(&self, change: Option<BeliefChange>) {
         let Some(change) = change else {
             return;
--- a/daemon/tests/test_gateway_store_trouble.rs
+++ b/daemon/tests/test_gateway_store_trouble.rs
@@ -28,6 +28,9 @@
 /// The time after a change within which late requests are looked for.
 const OBSERVATION: Duration = Duration::from_secs(5);
 
+/// The time for which the store turns followers away, or they are cut off from it.
+const TURNED_AWAY: Duration = Duration::from_secs(6);
+
 const HALL: &str = "hall";
 const APRON: &str = "apron";
 
@@ -129,3 +132,31 @@
         assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
     }
 }
+
+/// Turns the followers of a domain of `gateways` away, takes a key away, and fails if it opens
+/// anything at the others later than the rules allow.
+async fn check_followers_turned_away(gateways: usize, mood: StoreMood) {
+    let mut fleet = start(&vec![HALL; gateways]).await;
+    let followers = fleet.followers();
+    assert!(followers.len() < fleet.len(), "all follow the store");
+    fleet.turn_away(&followers, mood);
+    sleep(Duration::from_millis(200)).await;
+    fleet.configure(&["key-2"]);
+    let withdrawn_at = Instant::now();
+    sleep(TURNED_AWAY).await;
+    fleet.turn_away(&followers, StoreMood::Well);
+    let late: Vec<_> = fleet
+        .sent()
+        .into_iter()
+        .filter(|sent| !followers.contains(&sent.gateway))
+        .filter(|sent| sent.status == Some(200) && sent.at > withdrawn_at + CONFIG_APPLY)
+        .collect();
+    assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
+}
+
+/// Guards against a withdrawn key that stayed valid at gateways that nothing disturbed, while
+/// those that followed the store for them were cut off from it and kept the role.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_withdrawn_key_is_refused_soon_while_followers_are_cut_off() {
+    check_followers_turned_away(6, StoreMood::Silent).await;
+}
--- a/daemon/tests/test_gateway_wire.rs
+++ b/daemon/tests/test_gateway_wire.rs
@@ -113,6 +113,7 @@
             "127.1.2.4:7100".parse().unwrap(),
             "[::1]:7101".parse().unwrap(),
         ],
+        answer_ages: Vec::new(),
     }
 }
 
--- a/routing/src/fleet/claims.rs
+++ b/routing/src/fleet/claims.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::rendezvous;
+use super::store_answers::StoreAnswers;
 
 /// How long a silent holder is remembered, so that an old message does not revive it.
 const HOLDER_RETENTION: Duration = Duration::from_secs(30);
@@ -61,6 +62,15 @@
     }
 }
 
+/// The gateways that follow the store, as their claims tell.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FollowerCounts {
+    /// Those that the store serves.
+    pub served: usize,
+    /// Those that it does not serve.
+    pub unserved: usize,
+}
+
 /// The roles of a gateway and the state of its knowledge of the upstreams.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RoleClaim {
@@ -94,12 +104,16 @@
 struct HeardClaim {
     claim: RoleClaim,
     heartbeat_at: Instant,
+    /// When the store last answered the holder.
+    answers: StoreAnswers,
 }
 
 /// The known roles of the other gateways.
 #[derive(Debug, Default)]
 pub struct RoleClaims {
     heard: BTreeMap<SocketAddr, HeardClaim>,
+    /// The store's newest answers to any holder.
+    answers: StoreAnswers,
     has_seen_planner: bool,
 }
 
@@ -109,11 +123,12 @@
         Self::default()
     }
 
-    /// Applies a claim that came from its holder. Returns whether it is new.
+    /// Applies a claim that came from its holder, which the store last answered at the time
+    /// of `answers`. Returns whether it is new.
     ///
     /// The holder itself decides which incarnation is current, because the clock by which
     /// incarnations are distinguished may have been set back.
-    pub fn on_direct(&mut self, claim: RoleClaim, now: Instant) -> bool {
+    pub fn on_direct(&mut self, claim: RoleClaim, answers: StoreAnswers, now: Instant) -> bool {
         let known = self.heard.get(&claim.holder);
         let is_old = known.is_some_and(|known| {
             known.claim.incarnation == claim.incarnation && known.claim.heartbeat >= claim.heartbeat
@@ -121,25 +136,27 @@
         if is_old {
             return false;
         }
-        self.insert(claim, now);
+        self.insert(claim, answers, now);
         true
     }
 
     /// Applies a claim that another gateway relayed.
-    pub fn on_relayed(&mut self, claim: RoleClaim, now: Instant) {
+    pub fn on_relayed(&mut self, claim: RoleClaim, answers: StoreAnswers, now: Instant) {
         let is_newer = self.heard.get(&claim.holder).is_none_or(|known| {
             (claim.incarnation, claim.heartbeat) > (known.claim.incarnation, known.claim.heartbeat)
         });
         if is_newer {
-            self.insert(claim, now);
+            self.insert(claim, answers, now);
         }
     }
 
-    fn insert(&mut self, claim: RoleClaim, now: Instant) {
+    fn insert(&mut self, claim: RoleClaim, answers: StoreAnswers, now: Instant) {
         self.has_seen_planner |= claim.planner.is_planning();
+        self.answers = self.answers.newest(answers);
         let heard = HeardClaim {
             claim,
             heartbeat_at: now,
+            answers,
         };
         self.heard.insert(claim.holder, heard);
     }
@@ -164,6 +181,17 @@
             .filter(|claim| claim.has_role())
     }
 
+    /// Returns the store's newest answers to any gateway that has been heard of.
+    pub const fn newest_answers(&self) -> StoreAnswers {
+        self.answers
+    }
+
+    /// Returns the store's last answers to a gateway.
+    pub fn answers_of(&self, holder: SocketAddr) -> StoreAnswers {
+        let heard = self.heard.get(&holder);
+        heard.map_or_else(StoreAnswers::new, |heard| heard.answers)
+    }
+
     /// Returns whether a gateway had a role when its heartbeat last rose, longer than `silence`
     /// ago.
     pub fn is_silent_holder(&self, address: SocketAddr, silence: Duration, now: Instant) -> bool {
--- a/routing/src/fleet/follower_election.rs
+++ b/routing/src/fleet/follower_election.rs
@@ -6,6 +6,10 @@
 //! it over when a holder falls silent, and a surplus holder gives it up. Too many holders
 //! for a while only cost calls, and too few are noticed within the propagation time.
 //!
+//! Holders of the role may all be alive and useless: cut off, refused, slow, just starting or
+//! stopping. So candidates also step in when the newest answer of the store to any gateway is
+//! too old, whatever the reason, each of them once until the store has answered somebody.
+//!
 //! A gateway that the store does not serve leaves the role to one that has not tried yet,
 //! which may be served: candidates follow such holders in a cyclic order. It never leaves the
 //! role to nobody: while the store is away for all, some gateways of each domain try to
@@ -18,8 +22,10 @@
 
 use super::claims::FollowerRole;
 use super::claims::RoleClaim;
+use super::entry_bounds::SYNC_INTERVAL;
 use super::gossip::Gossip;
 use super::rendezvous;
+use super::store_answers::StoreAnswers;
 
 /// The number of gateways of a domain that follow the store, so that one may be lost
 /// without a gap.
@@ -36,9 +42,22 @@
 /// longer than a claim takes to be heard.
 pub const TAKEOVER_STAGGER: Duration = Duration::from_millis(300);
 
+/// The age of the newest answer of the store to any gateway from which candidates read the
+/// store themselves. It is longer than an answer takes to be known everywhere while some
+/// follower asks as often as [`store_timing`](super::store_timing) says.
+pub const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_000);
+
+/// The time between two updates from which the process counts as held up, so that what it
+/// knows may be older than what the others have told.
+const HELD_UP_TIME: Duration = SYNC_INTERVAL.saturating_mul(3);
+
 /// How long a gateway that the store does not serve keeps the role while others could try.
 pub const MAX_UNSERVED: Duration = Duration::from_millis(1_500);
 
+/// How long a gateway that the store did not serve comes last in the order of candidates while
+/// it serves others.
+const UNSERVED_MEMORY: Duration = Duration::from_secs(5);
+
 /// How long a surplus holder continues, during which another holder may be lost.
 const MIN_SURPLUS_TIME: Duration = Duration::from_secs(2);
 
@@ -77,6 +96,20 @@
     /// The highest score of the last holders if the store served none of them, after which
     /// the order of candidates begins.
     last_unserved: Option<u64>,
+    /// When this gateway last gave up the role because the store did not serve it.
+    gave_up_at: Option<Instant>,
+    updated_at: Option<Instant>,
+    /// Until when messages that came while the process was held up may not have been read.
+    catching_up_until: Option<Instant>,
+}
+
+/// What a gateway knows of the store when it decides whether to follow it.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreView {
+    /// Whether the store serves this gateway as far as is known.
+    pub is_served: bool,
+    /// When the store last answered any gateway, as far as is known.
+    pub answers: StoreAnswers,
 }
 
 impl FollowerElection {
@@ -86,6 +119,9 @@
             state: State::IDLE,
             has_heard_holder: false,
             last_unserved: None,
+            gave_up_at: None,
+            updated_at: None,
+            catching_up_until: None,
         }
     }
 
@@ -95,39 +131,33 @@
     }
 
     /// Updates the decision. Returns whether this gateway follows the store from now on.
-    ///
-    /// `is_served` tells whether the store serves this gateway as far as is known.
-    pub fn step(&mut self, gossip: &Gossip, is_served: bool, now: Instant) -> bool {
+    pub fn step(&mut self, gossip: &Gossip, store: StoreView, now: Instant) -> bool {
         let domain = DomainView::new(gossip, now);
         self.has_heard_holder |= !domain.holders.is_empty();
-        let own = self.is_following().then_some(is_served);
+        let is_held_up = self
+            .updated_at
+            .replace(now)
+            .is_some_and(|at| now.saturating_duration_since(at) >= HELD_UP_TIME);
+        if is_held_up {
+            self.catching_up_until = Some(now + TAKEOVER_CONFIRMATION);
+        }
+        let own = self.is_following().then_some(store.is_served);
         if domain.is_any_served(own) {
             self.last_unserved = None;
         } else if domain.holders.len() + usize::from(own.is_some()) >= FOLLOWERS_PER_DOMAIN {
             self.last_unserved = domain.last_holder(own.is_some());
         }
         self.state = match self.state {
-            State::Idle { missing_since } => self.idle_step(&domain, missing_since, now),
+            State::Idle { missing_since } => self.idle_step(&domain, missing_since, store, now),
             State::Following {
                 unserved_since,
                 surplus_since,
             } => {
-                let unserved_since = (!is_served).then(|| unserved_since.unwrap_or(now));
-                let surplus_since = domain
-                    .is_surplus(is_served)
-                    .then(|| surplus_since.unwrap_or(now));
-                let lasts = |since: Option<Instant>, limit: Duration| {
-                    since.is_some_and(|since| now.saturating_duration_since(since) >= limit)
-                };
-                let can_release = lasts(unserved_since, MAX_UNSERVED) && domain.can_release();
-                if can_release || lasts(surplus_since, MIN_SURPLUS_TIME) {
-                    State::IDLE
-                } else {
-                    State::Following {
-                        unserved_since,
-                        surplus_since,
-                    }
+                let state = following_step(&domain, unserved_since, surplus_since, store, now);
+                if matches!(state, State::Idle { .. }) && !store.is_served {
+                    self.gave_up_at = Some(now);
                 }
+                state
             }
         };
         self.is_following()
@@ -137,12 +167,28 @@
         &self,
         domain: &DomainView,
         missing_since: Option<Instant>,
+        store: StoreView,
         now: Instant,
     ) -> State {
+        const FOLLOWING: State = State::Following {
+            unserved_since: None,
+            surplus_since: None,
+        };
+        if self.is_answer_overdue(domain, store, now) {
+            return FOLLOWING;
+        }
         let missing = FOLLOWERS_PER_DOMAIN.saturating_sub(domain.holders.len());
         if missing == 0 {
             return State::IDLE;
         }
+        let mut before = domain.candidates_before(self.last_unserved);
+        let has_just_given_up = self
+            .gave_up_at
+            .is_some_and(|at| now.saturating_duration_since(at) < UNSERVED_MEMORY);
+        if has_just_given_up && self.last_unserved.is_none() {
+            // The store serves some holder, so one that it did not serve is the last choice.
+            before += domain.candidates.len();
+        }
         let since = missing_since.unwrap_or(now);
         // A gateway that has just started may not have heard of the holders yet.
         let hearing_time = if self.has_heard_holder {
@@ -156,20 +202,66 @@
         } else {
             missing
         };
-        let before = domain.candidates_before(self.last_unserved) / at_once;
-        let before = u32::try_from(before).unwrap_or(u32::MAX);
-        let wait = hearing_time + TAKEOVER_STAGGER.saturating_mul(before);
+        let wait = hearing_time + stagger(before, at_once);
         if now.saturating_duration_since(since) >= wait {
-            State::Following {
-                unserved_since: None,
-                surplus_since: None,
-            }
+            FOLLOWING
         } else {
             State::Idle {
                 missing_since: Some(since),
             }
         }
     }
+
+    /// Returns whether it is this gateway's turn to read the store, since the newest answer to
+    /// any gateway is too old. Few gateways of a domain try at a time.
+    fn is_answer_overdue(&self, domain: &DomainView, store: StoreView, now: Instant) -> bool {
+        let Some(answered_at) = store.answers.complete_until() else {
+            return false;
+        };
+        let is_catching_up = self.catching_up_until.is_some_and(|until| now < until);
+        // One that has just tried in vain leaves the next try to the order of holders.
+        let has_tried = self.gave_up_at.is_some_and(|at| at > answered_at);
+        let at_once = CANDIDATES_AT_ONCE.saturating_sub(domain.holders.len());
+        if is_catching_up || has_tried || at_once == 0 {
+            return false;
+        }
+        let before = domain.candidates_before(self.last_unserved);
+        let wait = MAX_ANSWER_AGE + stagger(before, at_once);
+        now.saturating_duration_since(answered_at) >= wait
+    }
+}
+
+/// Returns the next state of a gateway that follows the store.
+fn following_step(
+    domain: &DomainView,
+    unserved_since: Option<Instant>,
+    surplus_since: Option<Instant>,
+    store: StoreView,
+    now: Instant,
+) -> State {
+    let unserved_since = (!store.is_served).then(|| unserved_since.unwrap_or(now));
+    let is_surplus = domain.is_surplus(store.is_served);
+    let surplus_since = is_surplus.then(|| surplus_since.unwrap_or(now));
+    let lasts = |since: Option<Instant>, limit: Duration| {
+        since.is_some_and(|since| now.saturating_duration_since(since) >= limit)
+    };
+    let can_release = lasts(unserved_since, MAX_UNSERVED) && domain.can_release();
+    // A surplus holder that is not served replaces nobody who may be lost.
+    let is_useless = is_surplus && !store.is_served;
+    if can_release || is_useless || lasts(surplus_since, MIN_SURPLUS_TIME) {
+        State::IDLE
+    } else {
+        State::Following {
+            unserved_since,
+            surplus_since,
+        }
+    }
+}
+
+/// Returns how long a gateway waits for the candidates before it, so many of which act at once.
+fn stagger(before: usize, at_once: usize) -> Duration {
+    let turns = u32::try_from(before / at_once).unwrap_or(u32::MAX);
+    TAKEOVER_STAGGER.saturating_mul(turns)
 }
 
 /// The gateways of the own failure domain, as far as they are heard.
--- a/routing/src/fleet/gossip.rs
+++ b/routing/src/fleet/gossip.rs
@@ -21,6 +21,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use super::claims::FollowerRole;
 use super::claims::RoleClaim;
 use super::claims::RoleClaims;
 use super::gossip_timing::GossipTiming;
@@ -29,6 +30,8 @@
 use super::instances::SlowdownReport;
 use super::instances::WorkReport;
 use super::rendezvous;
+use super::store_answers::AnswerAges;
+use super::store_answers::StoreAnswers;
 
 /// Identifies messages of this protocol; other datagrams are ignored.
 pub const PROTOCOL: u32 = 0x6a77_0003;
@@ -81,9 +84,26 @@
     pub claims: Vec<RoleClaim>,
     /// The addresses of some other gateways.
     pub peers: Vec<SocketAddr>,
+    /// How old the store's last answers to the sender and to the holders of `claims` are, in
+    /// this order. Sent as an extension; empty from builds that do not know it.
+    #[serde(skip)]
+    pub answer_ages: Vec<AnswerAges>,
 }
 
 impl GossipMessage {
+    /// Returns when the store last answered the holder of the claim at `index`, of which the
+    /// sender's own is the first.
+    ///
+    /// A gateway of a build that does not tell this counts as answered while it says that
+    /// the store serves it.
+    fn answers(&self, index: usize, claim: &RoleClaim, now: Instant) -> StoreAnswers {
+        match self.answer_ages.get(index) {
+            Some(ages) => ages.answers(now),
+            None if claim.follower == FollowerRole::Served => StoreAnswers::with_both(now),
+            None => StoreAnswers::new(),
+        }
+    }
+
     /// Drops the least urgent parts until the message fits into `max_bytes`.
     ///
     /// Each part is sent again with later messages, so a dropped part is only delayed.
@@ -270,7 +290,8 @@
         if message.own_claim.holder != from || from == self.own {
             return Receipt::Ignored;
         }
-        if !self.claims.on_direct(message.own_claim, now) {
+        let answers = message.answers(0, &message.own_claim, now);
+        if !self.claims.on_direct(message.own_claim, answers, now) {
             return Receipt::Ignored;
         }
         self.named.remove(&from);
@@ -283,12 +304,11 @@
             draining_since: message.is_draining.then_some(before.unwrap_or(now)),
         };
         let is_first = self.peers.insert(from, peer).is_none();
-        for claim in message
-            .claims
-            .iter()
-            .filter(|claim| claim.holder != self.own)
-        {
-            self.claims.on_relayed(*claim, now);
+        for (index, claim) in message.claims.iter().enumerate() {
+            if claim.holder != self.own {
+                let answers = message.answers(index + 1, claim, now);
+                self.claims.on_relayed(*claim, answers, now);
+            }
         }
         for address in &message.peers {
             if *address != self.own && !self.peers.contains_key(address) {
--- a/routing/src/fleet/gossip_datagram.rs
+++ b/routing/src/fleet/gossip_datagram.rs
@@ -24,6 +24,9 @@
 /// The kind of the extension that holds reports of requests in crashes.
 const REQUEST_REPORTS_KIND: u8 = 2;
 
+/// The kind of the extension that holds the ages of the store's answers.
+const ANSWER_AGES_KIND: u8 = 3;
+
 /// What follows a message. The kind says how the body is to be read.
 #[derive(Deserialize, Serialize)]
 struct Extension {
@@ -60,6 +63,12 @@
     reports: &CrashReports,
 ) -> Result<Vec<u8>, postcard::Error> {
     let mut extensions = Vec::new();
+    if !message.answer_ages.is_empty() {
+        extensions.push(Extension {
+            kind: ANSWER_AGES_KIND,
+            body: postcard::to_stdvec(&message.answer_ages)?,
+        });
+    }
     if !reports.parts.is_empty() {
         extensions.push(Extension {
             kind: CRASH_REPORTS_KIND,
@@ -110,6 +119,8 @@
         let is_readable = match extension.kind {
             CRASH_REPORTS_KIND => extend(&mut reports.parts, &extension.body),
             REQUEST_REPORTS_KIND => extend(&mut reports.requests, &extension.body),
+            // Claims that were dropped to fit leave the last ages without one.
+            ANSWER_AGES_KIND => extend(&mut decoded.message.answer_ages, &extension.body),
             _ => {
                 decoded.unknown_extensions += 1;
                 continue;
--- a/routing/src/fleet/mod.rs
+++ b/routing/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 //! | [`planner_election`] | which gateway plans when no other does | a planner that is lost or stalled |
 //! | [`entry_log`] | which upstreams' entries are new to another gateway | many changes at once |
 //! | [`entry_sync`], [`entry_bounds`] | when entries are fetched from a peer, and which one | followers that the store turns away, entries that differ |
+//! | [`store_answers`] | nothing; it keeps how old the news from the store is | followers of the store that are lost, cut off, refused, slow or just starting |
 //! | [`store_belief`] | whether the store serves this gateway, or any | failed calls, silent connections and peers, outages |
 //! | [`store_timing`] | how long each step may take by which changes in the store are learned | lost connections, followers and outages, one after the other |
 //! | [`absences`] | which upstreams without an entry are kept | entries that lapsed while the store was away |
@@ -62,5 +63,6 @@
 pub mod routes;
 pub mod service_choice;
 pub mod silence;
+pub mod store_answers;
 pub mod store_belief;
 pub mod store_timing;
--- a/routing/src/fleet/store_belief.rs
+++ b/routing/src/fleet/store_belief.rs
@@ -16,6 +16,10 @@
 
 use tokio::time::Instant;
 
+use super::claims::FollowerCounts;
+use super::store_answers::StoreAnswers;
+use super::store_answers::Topic;
+
 /// The time after the store's return within which upstreams rewrite entries that it has
 /// lost, by the platform's protocol.
 pub const REWRITE_GRACE: Duration = Duration::from_millis(2_200);
@@ -67,15 +71,6 @@
     },
 }
 
-/// The gateways that follow the store, as their claims tell.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct FollowerCounts {
-    /// Those that the store serves.
-    pub served: usize,
-    /// Those that it does not serve.
-    pub unserved: usize,
-}
-
 /// A change of what a gateway believes about the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BeliefChange {
@@ -100,6 +95,9 @@
 pub struct StoreBelief {
     link: StoreLink,
     reach: Reach,
+    own_answers: StoreAnswers,
+    /// The newest answers to any gateway, as far as is known.
+    answers: StoreAnswers,
     rewriting_until: Option<Instant>,
     era_settled_at: Option<Instant>,
 }
@@ -126,6 +124,28 @@
         matches!(self.reach, Reach::Away { .. })
     }
 
+    /// Returns when the store last answered reads of this gateway.
+    pub const fn own_answers(&self) -> StoreAnswers {
+        self.own_answers
+    }
+
+    /// Returns when the store last answered reads of any gateway, as far as is known.
+    pub const fn answers(&self) -> StoreAnswers {
+        self.answers
+    }
+
+    /// Records that a read of this gateway was answered, which shows the store's state `at` a
+    /// time.
+    pub fn on_read(&mut self, topic: Topic, at: Instant) {
+        self.own_answers.record(topic, at);
+        self.weigh(self.own_answers);
+    }
+
+    /// Weighs when the store last answered other gateways, as they tell.
+    pub fn weigh(&mut self, told: StoreAnswers) {
+        self.answers = self.answers.newest(told);
+    }
+
     /// Forgets what earlier calls have shown, since this gateway begins to follow the store.
     pub fn forget_link(&mut self) {
         self.link = StoreLink::Untried;
--- a/routing/src/fleet/store_timing.rs
+++ b/routing/src/fleet/store_timing.rs
@@ -13,6 +13,7 @@
 
 use super::entry_bounds::SYNC_INTERVAL;
 use super::follower_election::CANDIDATES_AT_ONCE;
+use super::follower_election::MAX_ANSWER_AGE;
 use super::follower_election::TAKEOVER_CONFIRMATION;
 use super::follower_election::TAKEOVER_STAGGER;
 use super::gossip_timing::GossipTiming;
@@ -32,6 +33,18 @@
 /// The time after the end of a watch's duration from which its connection is doubted.
 pub const WATCH_OVERDUE: Duration = Duration::from_millis(300);
 
+/// The age of the newest answer to any gateway from which a gateway that follows the store asks
+/// it at once on a new connection, since its own or those of other followers may be lost.
+const FOLLOWER_ANSWER_AGE: Duration = Duration::from_millis(700);
+
+/// The further time for each follower before it, within which an answer to that one becomes
+/// known.
+const FOLLOWER_STAGGER: Duration = Duration::from_millis(100);
+
+/// The largest number of followers that are waited for, so that the last ones ask before
+/// gateways that do not follow the store.
+const MAX_FOLLOWER_TURNS: usize = 2;
+
 /// The duration of the watch call that shows whether the store answers on a new connection.
 pub const PROBE_WAIT: Duration = Duration::from_millis(1);
 
@@ -88,6 +101,13 @@
     }
 }
 
+/// Returns the age of the newest answer to any gateway from which the follower at `rank` asks
+/// the store beside its own watch.
+pub fn follower_answer_age(rank: usize) -> Duration {
+    let turns = u32::try_from(rank.min(MAX_FOLLOWER_TURNS)).unwrap_or_default();
+    FOLLOWER_ANSWER_AGE + FOLLOWER_STAGGER * turns
+}
+
 /// A loss that a change in the store may meet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Loss {
@@ -99,6 +119,11 @@
         /// The candidates that are lost too.
         candidates: usize,
     },
+    /// The followers of all failure domains live and are not served, whatever the reason.
+    Unserved {
+        /// The candidates of a domain that are not served either.
+        candidates: usize,
+    },
     /// The store is away for all.
     Store,
 }
@@ -119,6 +144,14 @@
                 + ROLE_POLL_INTERVAL
                 + LIST_TIME
         }
+        Loss::Unserved { candidates } => {
+            let waits = u32::try_from(candidates / CANDIDATES_AT_ONCE).unwrap_or(u32::MAX);
+            MAX_ANSWER_AGE
+                + TAKEOVER_STAGGER.saturating_mul(waits)
+                + SYNC_INTERVAL
+                + ROLE_POLL_INTERVAL
+                + LIST_TIME
+        }
         Loss::Store => {
             // The role may have just been given up.
             let change_of_role = SYNC_INTERVAL * 2
--- a/routing/tests/entry_world/mod.rs
+++ b/routing/tests/entry_world/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use jujubewall_routing::fleet::absences::Absences;
+use jujubewall_routing::fleet::claims::FollowerCounts;
 use jujubewall_routing::fleet::claims::FollowerRole;
 use jujubewall_routing::fleet::claims::PlannerRole;
 use jujubewall_routing::fleet::claims::RoleClaim;
@@ -21,11 +22,13 @@
 use jujubewall_routing::fleet::entry_sync::OwnEntries;
 use jujubewall_routing::fleet::entry_sync::most_followers_have;
 use jujubewall_routing::fleet::follower_election::FollowerElection;
+use jujubewall_routing::fleet::follower_election::StoreView;
 use jujubewall_routing::fleet::gossip::Gossip;
 use jujubewall_routing::fleet::gossip::GossipMessage;
 use jujubewall_routing::fleet::gossip::PROTOCOL;
 use jujubewall_routing::fleet::instances::InstanceTable;
-use jujubewall_routing::fleet::store_belief::FollowerCounts;
+use jujubewall_routing::fleet::store_answers::AnswerAges;
+use jujubewall_routing::fleet::store_answers::Topic;
 use jujubewall_routing::fleet::store_belief::StoreBelief;
 use jujubewall_routing::fleet::store_belief::StoreCall;
 use jujubewall_routing::fleet::store_timing::CONNECT_TIMEOUT;
@@ -178,6 +181,14 @@
 
     fn message(&mut self, now: Instant) -> GossipMessage {
         let silence = self.gossip.timing().silence_timeout();
+        let claims = self.gossip.claims().to_relay(silence, now);
+        let told = claims
+            .iter()
+            .map(|claim| self.gossip.claims().answers_of(claim.holder));
+        let answers = std::iter::once(self.belief.own_answers()).chain(told);
+        let answer_ages = answers
+            .map(|answers| AnswerAges::new(answers, now))
+            .collect();
         GossipMessage {
             protocol: PROTOCOL,
             member: MemberName::new(format!("front-{}", self.gossip.own_address().ip())).unwrap(),
@@ -202,8 +213,9 @@
             failing: Vec::new(),
             layers: Vec::new(),
             slowdowns: Vec::new(),
-            claims: self.gossip.claims().to_relay(silence, now),
+            claims,
             peers: self.gossip.sample_peers(),
+            answer_ages,
         }
     }
 
@@ -249,6 +261,8 @@
     fn on_answer(&mut self, now: Instant) {
         self.belief.on_call(StoreCall::Answered, now);
         self.belief.on_present(now);
+        self.belief.on_read(Topic::Config, now);
+        self.belief.on_read(Topic::Entries, now);
         self.retry_pause = MIN_RETRY_PAUSE;
     }
 
@@ -410,6 +424,8 @@
 
     fn weigh_followers(&mut self, now: Instant) {
         let follows = self.election.is_following();
+        let told = self.gossip.claims().newest_answers();
+        self.belief.weigh(told);
         self.belief.on_followers(self.counts(now), follows, now);
     }
 
@@ -707,9 +723,12 @@
         gateway.follow(&self.store, bounds, now);
         if gateway.next_sync_at <= now {
             gateway.next_sync_at = now + SYNC_INTERVAL;
-            let is_served = gateway.belief.is_link_up();
+            let view = StoreView {
+                is_served: gateway.belief.is_link_up(),
+                answers: gateway.belief.answers(),
+            };
             let before = gateway.election.is_following();
-            if gateway.election.step(&gateway.gossip, is_served, now) && !before {
+            if gateway.election.step(&gateway.gossip, view, now) && !before {
                 gateway.belief.forget_link();
             }
             gateway.remove_absent(now);
--- a/routing/tests/gossip_messages/mod.rs
+++ b/routing/tests/gossip_messages/mod.rs
@@ -35,5 +35,6 @@
         slowdowns: Vec::new(),
         claims: gossip.claims().to_relay(silence, now),
         peers: gossip.sample_peers(),
+        answer_ages: Vec::new(),
     }
 }
--- a/routing/tests/test_fleet_spread.rs
+++ b/routing/tests/test_fleet_spread.rs
@@ -12,6 +12,7 @@
 use jujubewall_routing::fleet::claims::RoleClaim;
 use jujubewall_routing::fleet::entry_log::EntryLog;
 use jujubewall_routing::fleet::follower_election::FollowerElection;
+use jujubewall_routing::fleet::follower_election::StoreView;
 use jujubewall_routing::fleet::gossip::Gossip;
 use jujubewall_routing::fleet::gossip::GossipMessage;
 use jujubewall_routing::fleet::gossip::MAX_MESSAGE_BYTES;
@@ -22,6 +23,7 @@
 use jujubewall_routing::fleet::planner_election::StallDetector;
 use jujubewall_routing::fleet::retry_budget::RetryBounds;
 use jujubewall_routing::fleet::retry_budget::WindowedRetryBudget;
+use jujubewall_routing::fleet::store_answers::StoreAnswers;
 use jujubewall_types::id::MemberName;
 use jujubewall_types::id::Revision;
 use jujubewall_types::id::ServiceName;
@@ -135,6 +137,7 @@
             slowdowns: Vec::new(),
             claims: self.gossip.claims().to_relay(silence, now),
             peers: self.gossip.sample_peers(),
+            answer_ages: Vec::new(),
         }
     }
 }
@@ -196,9 +199,16 @@
         };
         if gateway.next_role_update_at <= now {
             gateway.next_role_update_at = now + ROLE_INTERVAL;
-            gateway
-                .follower
-                .step(&gateway.gossip, gateway.is_served, now);
+            let told = gateway.gossip.claims().newest_answers();
+            let view = StoreView {
+                is_served: gateway.is_served,
+                answers: if gateway.follows() && gateway.is_served {
+                    StoreAnswers::with_both(now)
+                } else {
+                    told
+                },
+            };
+            gateway.follower.step(&gateway.gossip, view, now);
             // Only one gateway at a time holds the store's lease.
             gateway.follower_updates += 1;
             let is_due = gateway
--- a/routing/tests/test_store_belief.rs
+++ b/routing/tests/test_store_belief.rs
@@ -3,14 +3,19 @@
 
 use std::time::Duration;
 
+use jujubewall_routing::fleet::claims::FollowerCounts;
+use jujubewall_routing::fleet::follower_election::MAX_ANSWER_AGE;
 use jujubewall_routing::fleet::gossip_timing::GossipTiming;
+use jujubewall_routing::fleet::store_answers::AnswerAges;
+use jujubewall_routing::fleet::store_answers::StoreAnswers;
+use jujubewall_routing::fleet::store_answers::Topic;
 use jujubewall_routing::fleet::store_belief::BeliefChange;
-use jujubewall_routing::fleet::store_belief::FollowerCounts;
 use jujubewall_routing::fleet::store_belief::REWRITE_GRACE;
 use jujubewall_routing::fleet::store_belief::StoreBelief;
 use jujubewall_routing::fleet::store_belief::StoreCall;
 use jujubewall_routing::fleet::store_timing::CONFIG_FETCH_DELAY;
 use jujubewall_routing::fleet::store_timing::Loss;
+use jujubewall_routing::fleet::store_timing::follower_answer_age;
 use jujubewall_routing::fleet::store_timing::longest_after;
 use jujubewall_routing::fleet::store_timing::spread_time;
 use jujubewall_routing::fleet::store_timing::watch_wait;
@@ -31,11 +36,13 @@
         let timing = GossipTiming::new(peers);
         let spread = spread_time(timing);
         // Gateways that lost nothing have to keep to the bound itself.
-        let killed = longest_after(Loss::Followers { candidates: 3 }, timing);
-        assert!(
-            killed + spread <= DRAIN_BOUND,
-            "{peers} peers: {killed:?} + {spread:?}"
-        );
+        for loss in [
+            Loss::Followers { candidates: 3 },
+            Loss::Unserved { candidates: 3 },
+        ] {
+            let time = longest_after(loss, timing) + spread;
+            assert!(time <= DRAIN_BOUND, "{peers} peers, {loss:?}: {time:?}");
+        }
         for loss in [Loss::Links, Loss::Store] {
             // A gateway that follows the store leaves it time to deliver a configuration.
             let time = longest_after(loss, timing) + CONFIG_FETCH_DELAY + spread;
@@ -138,3 +145,26 @@
     let until = belief.rewriting_until(now + away_for);
     assert_eq!(until, Some(now + away_for + REWRITE_GRACE));
 }
+
+/// Gateways that follow the store ask before others take that for a loss.
+#[test]
+fn test_followers_ask_before_candidates() {
+    for rank in [0, 1, 2, 7, 40] {
+        assert!(follower_answer_age(rank) < MAX_ANSWER_AGE, "rank {rank}");
+    }
+}
+
+/// Ages survive a message to within their unit, and the absence of answers does too.
+#[test]
+fn test_ages_of_answers_are_told() {
+    let now = Instant::now() + Duration::from_hours(3);
+    let mut answers = StoreAnswers::new();
+    answers.record(Topic::Entries, now);
+    let told = AnswerAges::new(answers, now + ms(1_234)).answers(now + ms(1_234));
+    assert_eq!(told.answered_at(Topic::Config), None);
+    let at = told.answered_at(Topic::Entries).unwrap();
+    assert!(at >= now && at.saturating_duration_since(now) < ms(10));
+    assert_eq!(told.complete_until(), None);
+    let old = AnswerAges::new(answers, now + Duration::from_hours(1));
+    assert_eq!(old.answers(now).last(), None);
+}
--- a/testutils/src/gateway_fleet.rs
+++ b/testutils/src/gateway_fleet.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use tempfile::TempDir;
-use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -21,12 +20,12 @@
 use crate::gateway_site::neighbour_at;
 use crate::gateway_site::request;
 use crate::gateway_site::wait_until;
-use crate::http_server::ServerHandle;
 use crate::ports::free_address;
-use crate::relay::Relay;
 use crate::site_runner::RunnerHandle;
 use crate::site_runner::SiteRunners;
 use crate::site_store::SiteStore;
+use crate::site_store::StoreMood;
+use crate::store_door::StoreDoor;
 
 /// The runners of the plain service.
 const RUNNERS: usize = 3;
@@ -57,7 +56,7 @@
     name: String,
     zone: String,
     peers: SocketAddr,
-    link: Relay,
+    door: StoreDoor,
     process: GatewayProcess,
 }
 
@@ -74,7 +73,6 @@
 pub struct GatewayFleet {
     /// The store.
     pub store: Arc<SiteStore>,
-    store_server: ServerHandle,
     /// The runners.
     pub runners: Arc<SiteRunners>,
     handles: Vec<RunnerHandle>,
@@ -95,7 +93,6 @@
     /// Panics if they do not serve in time.
     pub async fn start(program: &Path, zones: &[&str], keys: &[&str]) -> Self {
         let store = SiteStore::new();
-        let store_server = store.serve(listener().await);
         store.put_config(&config_with(7, keys, 8_000));
         let runners = SiteRunners::new(&store, 1);
         let mut handles = Vec::new();
@@ -105,7 +102,6 @@
         }
         let mut fleet = Self {
             store,
-            store_server,
             runners,
             handles,
             members: Vec::new(),
@@ -121,14 +117,14 @@
                 0 => first,
                 index => neighbour_at(first, index),
             };
-            let link = Relay::new(listener().await, fleet.store_server.address());
+            let door = StoreDoor::new(&fleet.store).await;
             let name = format!("front-{index}");
-            let process = fleet.start_process(&name, zone, peers, link.address());
+            let process = fleet.start_process(&name, zone, peers, door.address());
             fleet.members.push(Member {
                 name,
                 zone: (*zone).to_owned(),
                 peers,
-                link,
+                door,
                 process,
             });
         }
@@ -212,7 +208,29 @@
     /// Makes all open connections of all gateways to the store go silent.
     pub fn silence_store_links(&self) {
         for member in &self.members {
-            member.link.silence_open_connections();
+            member.door.silence_open_connections();
+        }
+    }
+
+    /// Lets the store treat calls of some gateways in another way than those of the others.
+    pub fn turn_away(&self, gateways: &[usize], mood: StoreMood) {
+        for gateway in gateways {
+            self.members[*gateway].door.set_mood(mood);
+        }
+    }
+
+    /// Tells gateways to stop, as planned work does. Clients no longer call them.
+    pub async fn terminate(&mut self, gateways: &[usize]) {
+        for gateway in gateways {
+            lock(&self.traffic).addresses[*gateway] = None;
+            self.members[*gateway].process.terminate().await;
+        }
+    }
+
+    /// Waits until gateways that were told to stop have ended.
+    pub async fn wait_ended(&mut self, gateways: &[usize]) {
+        for gateway in gateways {
+            self.members[*gateway].process.ended().await;
         }
     }
 
@@ -228,8 +246,8 @@
     pub fn restart(&mut self, gateways: &[usize]) {
         for &gateway in gateways {
             let member = &self.members[gateway];
-            let link = member.link.address();
-            let process = self.start_process(&member.name, &member.zone, member.peers, link);
+            let store = member.door.address();
+            let process = self.start_process(&member.name, &member.zone, member.peers, store);
             lock(&self.traffic).addresses[gateway] = Some(process.clients);
             self.members[gateway].process = process;
         }
@@ -306,7 +324,3 @@
 fn lock(traffic: &Mutex<Traffic>) -> MutexGuard<'_, Traffic> {
     traffic.lock().unwrap_or_else(PoisonError::into_inner)
 }
-
-async fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").await.unwrap()
-}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod site;
 pub mod site_runner;
 pub mod site_store;
+pub mod store_door;
 pub mod stream_network;
 pub mod udp_relay;
 pub mod weight_store;
--- a/testutils/src/site_store.rs
+++ b/testutils/src/site_store.rs
@@ -43,6 +43,18 @@
     Silent,
 }
 
+impl StoreMood {
+    /// Returns what becomes of a call that is not served; `None` if calls are served.
+    pub(crate) async fn unserved_answer(self) -> Option<ServerAnswer> {
+        match self {
+            Self::Refusing(status) => Some(json_reply(status, &json!({}))),
+            Self::Closing => Some(ServerAnswer::Closed),
+            Self::Silent => std::future::pending().await,
+            Self::Well | Self::LosingReplies => None,
+        }
+    }
+}
+
 #[derive(Clone)]
 struct StoredItem {
     value: String,
@@ -251,15 +263,9 @@
 }
 
 impl SiteStore {
-    /// Returns what becomes of a call that is not served; `None` if calls are served.
     async fn unserved_answer(&self) -> Option<ServerAnswer> {
         let mood = self.state().mood;
-        match mood {
-            StoreMood::Refusing(status) => Some(json_reply(status, &json!({}))),
-            StoreMood::Closing => Some(ServerAnswer::Closed),
-            StoreMood::Silent => std::future::pending().await,
-            StoreMood::Well | StoreMood::LosingReplies => None,
-        }
+        mood.unserved_answer().await
     }
 
     async fn answer_in_mood(&self, request: Request<Bytes>) -> ServerAnswer {
