gateway: a call that the store refuses for its rate has failed

Cause: a 429 counted neither as an answer nor as a failure, so a follower that got nothing else kept the role, and its claims said that the store serves it.

Change: a refused call is a failed call, whatever its status. The stand-in's way of one gateway to the store treats watches that wait by its mood too, as the platform may cut them.

--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -235,12 +235,11 @@
 
     /// Records how a call to the store ended that began at `begun_at`.
     ///
-    /// A call that is refused because of the rate of calls shows nothing.
+    /// A call that the store refuses, also because of the rate of calls, got nothing from it.
     pub fn record_store_call<T>(&self, result: &Result<T, PlatformError>, begun_at: Instant) {
         let now = Instant::now();
         let call = match result {
             Ok(_) | Err(PlatformError::LeaseLapsed) => StoreCall::Answered,
-            Err(PlatformError::RateLimited) => return,
             Err(_) => StoreCall::Failed { begun_at },
         };
         let (own, all) = {
--- a/daemon/tests/test_gateway_store_trouble.rs
+++ b/daemon/tests/test_gateway_store_trouble.rs
@@ -160,3 +160,27 @@
 async fn test_withdrawn_key_is_refused_soon_while_followers_are_cut_off() {
     check_followers_turned_away(6, StoreMood::Silent).await;
 }
+
+/// Guards against the same while the store answers the followers nothing but 429.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_withdrawn_key_is_refused_soon_while_followers_are_rate_limited() {
+    check_followers_turned_away(9, StoreMood::Refusing(429)).await;
+}
+
+/// Guards against followers that get nothing but 429 from the store, which counted as no
+/// failure, so that they kept the role and told the others that the store serves them.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_followers_that_are_rate_limited_leave_the_role() {
+    let fleet = start(&[HALL; 5]).await;
+    let followers = fleet.followers();
+    assert!(followers.len() < fleet.len(), "all follow the store");
+    fleet.turn_away(&followers, StoreMood::Refusing(429));
+    sleep(TURNED_AWAY).await;
+    let planner_may_stay = 1;
+    let still = fleet.followers();
+    let still = still.iter().filter(|index| followers.contains(index));
+    assert!(still.count() <= planner_may_stay);
+    for follower in followers {
+        assert!(fleet.log(follower).contains("event=store_lost"));
+    }
+}
--- a/testutils/src/store_door.rs
+++ b/testutils/src/store_door.rs
@@ -3,13 +3,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use hyper::Request;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::http_server::HttpHandler;
 use crate::http_server::ServerAnswer;
@@ -21,16 +20,23 @@
 
 struct Handler {
     store: Arc<SiteStore>,
-    mood: Mutex<StoreMood>,
+    mood: watch::Sender<StoreMood>,
 }
 
 #[async_trait]
 impl HttpHandler for Handler {
     async fn handle(&self, request: Request<Bytes>) -> ServerAnswer {
-        let mood = *self.mood.lock().unwrap_or_else(PoisonError::into_inner);
-        match mood.unserved_answer().await {
-            Some(answer) => answer,
-            None => self.store.handle(request).await,
+        let mut mood = self.mood.subscribe();
+        loop {
+            let now = *mood.borrow_and_update();
+            if let Some(answer) = now.unserved_answer().await {
+                return answer;
+            }
+            // A watch that waits is treated anew when the mood changes.
+            tokio::select! {
+                answer = self.store.handle(request.clone()) => return answer,
+                _ = mood.changed() => {}
+            }
         }
     }
 }
@@ -51,7 +57,7 @@
     pub async fn new(store: &Arc<SiteStore>) -> Self {
         let handler = Arc::new(Handler {
             store: Arc::clone(store),
-            mood: Mutex::default(),
+            mood: watch::Sender::default(),
         });
         let server = serve_http(
             listener().await,
@@ -75,14 +81,10 @@
         self.link.silence_open_connections();
     }
 
-    /// Sets how the store treats new calls of this gateway. A silent store is one that the
+    /// Sets how the store treats calls of this gateway, watches that wait too. A silent store is one that the
     /// gateway is cut off from, so that open connections go silent too.
     pub fn set_mood(&self, mood: StoreMood) {
-        *self
-            .handler
-            .mood
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = mood;
+        self.handler.mood.send_replace(mood);
         if mood == StoreMood::Silent {
             self.silence_open_connections();
         }
