gateway: the store is away once nobody is known to be answered for long

Cause: a gateway that had not asked the store took role claims that say "not served" for an outage that all share, and the first answer to a new follower for the store's return, after which it kept runners without an entry for 2.2 s.

Change: an outage is concluded from the age of the store's newest answer to anybody: 1.75 heartbeat intervals, in which no entry lapses, and a failed call meanwhile. The heartbeat interval comes from the settings.

--- a/daemon/src/gateway/state.rs
+++ b/daemon/src/gateway/state.rs
@@ -132,7 +132,7 @@
             in_flight: Cell::new(0),
             streams_in_flight: Cell::new(0),
             drain: watch::Sender::new(None),
-            store_belief: RefCell::new(StoreBelief::new()),
+            store_belief: RefCell::new(StoreBelief::new(heartbeat_interval(&settings))),
             entry_log: RefCell::new(EntryLog::new()),
             suspicions: Notify::new(),
             suspicion_count: Cell::new(0),
@@ -176,6 +176,8 @@
         }
         let bounds = repeat_bounds(&settings.bounds);
         self.budget.borrow_mut().set_bounds(bounds);
+        self.store_belief_mut()
+            .set_heartbeat_interval(heartbeat_interval(&settings));
         *known = settings;
     }
 
@@ -237,37 +239,28 @@
     ///
     /// A call that the store refuses, also because of the rate of calls, got nothing from it.
     pub fn record_store_call<T>(&self, result: &Result<T, PlatformError>, begun_at: Instant) {
-        let now = Instant::now();
         let call = match result {
             Ok(_) | Err(PlatformError::LeaseLapsed) => StoreCall::Answered,
             Err(_) => StoreCall::Failed { begun_at },
         };
-        let (own, all) = {
-            let mut belief = self.store_belief.borrow_mut();
-            let own = belief.on_call(call, now);
-            let is_answered = call == StoreCall::Answered;
-            (own, is_answered.then(|| belief.on_present(now)).flatten())
-        };
-        self.note_belief_change(own);
-        self.note_belief_change(all);
+        let change = self.store_belief_mut().on_call(call, Instant::now());
+        self.note_belief_change(change);
     }
 
     /// Records that a read of the store was answered, which shows its state `at` a time.
     pub fn record_store_read(&self, topic: Topic, at: Instant) {
-        self.store_belief_mut().on_read(topic, at);
+        let now = Instant::now();
+        let change = self.store_belief_mut().on_read(topic, at, now);
+        self.note_belief_change(change);
     }
 
-    /// Weighs when the store last answered the other gateways, and what those that follow it say
-    /// of it.
+    /// Weighs when the store last answered the other gateways.
     pub fn weigh_store_answers(&self) {
         let told = self.peers.gossip().claims().newest_answers();
-        let others = self.peers.follower_counts();
-        let follows = self.peers.follows();
-        let change = {
-            let mut belief = self.store_belief_mut();
-            belief.weigh(told);
-            belief.on_followers(others, follows, Instant::now())
-        };
+        let is_other_unserved = self.peers.follower_counts().unserved > 0;
+        let change = self
+            .store_belief_mut()
+            .weigh(told, is_other_unserved, Instant::now());
         self.note_belief_change(change);
     }
 
@@ -635,6 +628,10 @@
     }
 }
 
+fn heartbeat_interval(settings: &SiteSettings) -> Duration {
+    Duration::from_millis(settings.heartbeat_interval_ms)
+}
+
 fn store_client(address: SocketAddr) -> StoreClient {
     let deadlines = CallDeadlines::new(store_timing::CONNECT_TIMEOUT, store_timing::REPLY_TIMEOUT);
     StoreClient::new(address, deadlines)
--- a/daemon/tests/test_gateway_store_trouble.rs
+++ b/daemon/tests/test_gateway_store_trouble.rs
@@ -184,3 +184,21 @@
         assert!(fleet.log(follower).contains("event=store_lost"));
     }
 }
+
+/// Guards against an upstream that had left and got requests through gateways that nothing
+/// disturbed: they took followers that were cut off for an outage of the store, and the first
+/// answer to others for its return.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_that_leaves_gets_no_requests_while_followers_are_cut_off() {
+    let mut fleet = start(&[HALL; 6]).await;
+    let followers = fleet.followers();
+    assert!(followers.len() < fleet.len(), "all follow the store");
+    fleet.turn_away(&followers, StoreMood::Silent);
+    sleep(Duration::from_millis(200)).await;
+    let left_at = fleet.replace_runner(0).await;
+    sleep(TURNED_AWAY).await;
+    fleet.turn_away(&followers, StoreMood::Well);
+    let mut late = fleet.runs_at("ledger-0", left_at + DRAIN, left_at);
+    late.retain(|sent| !followers.contains(&sent.gateway));
+    assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
+}
--- a/routing/src/fleet/follower_election.rs
+++ b/routing/src/fleet/follower_election.rs
@@ -45,7 +45,7 @@
 /// The age of the newest answer of the store to any gateway from which candidates read the
 /// store themselves. It is longer than an answer takes to be known everywhere while some
 /// follower asks as often as [`store_timing`](super::store_timing) says.
-pub const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_000);
+pub const MAX_ANSWER_AGE: Duration = Duration::from_secs(1);
 
 /// The time between two updates from which the process counts as held up, so that what it
 /// knows may be older than what the others have told.
--- a/routing/src/fleet/store_belief.rs
+++ b/routing/src/fleet/store_belief.rs
@@ -4,9 +4,10 @@
 //! silent or been cut, while new ones work. Such a call is followed at once by another one on
 //! a new connection, and only if that fails too, the store does not serve this gateway.
 //!
-//! A store that does not serve this gateway may serve others. It counts as away only while
-//! no gateway is known that it serves, and some gateway has found that it does not serve it.
-//! That the gateways which follow the store have fallen silent says nothing about the store.
+//! A store that does not serve this gateway may serve others, and followers that are not served
+//! say nothing about those that have not asked. The store counts as away only once no answer to
+//! any gateway is known for so long that entries may have lapsed, although a call failed
+//! meanwhile. A gateway that nothing disturbs reads the store itself long before that.
 //!
 //! Entries lapse while the store is away, and upstreams that still run rewrite them shortly
 //! after its return. A gateway that dropped them at once would reject requests that these
@@ -16,7 +17,6 @@
 
 use tokio::time::Instant;
 
-use super::claims::FollowerCounts;
 use super::store_answers::StoreAnswers;
 use super::store_answers::Topic;
 
@@ -24,6 +24,12 @@
 /// lost, by the platform's protocol.
 pub const REWRITE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// The number of heartbeat intervals of an upstream without an answer of the store to any
+/// gateway after which entries may have lapsed. They lapse after three intervals of silence,
+/// of which an upstream may have spent one before the store went away; a quarter is left for
+/// heartbeats that come irregularly.
+const LAPSE_INTERVALS: f64 = 1.75;
+
 /// How a call to the store ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreCall {
@@ -56,21 +62,6 @@
     },
 }
 
-/// Whether the store serves any gateway.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum Reach {
-    /// There is no evidence yet.
-    #[default]
-    Unknown,
-    /// It serves one.
-    Present,
-    /// Some gateway has found that it does not serve it, and none is known that it serves.
-    Away {
-        /// Since when.
-        since: Instant,
-    },
-}
-
 /// A change of what a gateway believes about the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BeliefChange {
@@ -91,21 +82,40 @@
 }
 
 /// What a gateway believes about the store.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StoreBelief {
     link: StoreLink,
-    reach: Reach,
     own_answers: StoreAnswers,
     /// The newest answers to any gateway, as far as is known.
     answers: StoreAnswers,
+    failed_at: Option<Instant>,
+    /// The time without an answer to any gateway after which entries may have lapsed.
+    lapse_time: Duration,
+    /// Since when the store has answered no gateway, if it counts as away.
+    away_since: Option<Instant>,
     rewriting_until: Option<Instant>,
     era_settled_at: Option<Instant>,
 }
 
 impl StoreBelief {
-    /// Creates the belief of a gateway that has just started.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates the belief of a gateway that has just started. Upstreams write their entries
+    /// about every `heartbeat_interval`.
+    pub fn new(heartbeat_interval: Duration) -> Self {
+        Self {
+            link: StoreLink::Untried,
+            own_answers: StoreAnswers::new(),
+            answers: StoreAnswers::new(),
+            failed_at: None,
+            lapse_time: heartbeat_interval.mul_f64(LAPSE_INTERVALS),
+            away_since: None,
+            rewriting_until: None,
+            era_settled_at: None,
+        }
+    }
+
+    /// Sets the time between two writes of an upstream's entry.
+    pub fn set_heartbeat_interval(&mut self, interval: Duration) {
+        self.lapse_time = interval.mul_f64(LAPSE_INTERVALS);
     }
 
     /// Returns whether the store serves this gateway.
@@ -121,7 +131,7 @@
 
     /// Returns whether the store serves no gateway.
     pub const fn is_away(&self) -> bool {
-        matches!(self.reach, Reach::Away { .. })
+        self.away_since.is_some()
     }
 
     /// Returns when the store last answered reads of this gateway.
@@ -134,18 +144,6 @@
         self.answers
     }
 
-    /// Records that a read of this gateway was answered, which shows the store's state `at` a
-    /// time.
-    pub fn on_read(&mut self, topic: Topic, at: Instant) {
-        self.own_answers.record(topic, at);
-        self.weigh(self.own_answers);
-    }
-
-    /// Weighs when the store last answered other gateways, as they tell.
-    pub fn weigh(&mut self, told: StoreAnswers) {
-        self.answers = self.answers.newest(told);
-    }
-
     /// Forgets what earlier calls have shown, since this gateway begins to follow the store.
     pub fn forget_link(&mut self) {
         self.link = StoreLink::Untried;
@@ -153,6 +151,9 @@
 
     /// Records how a call of this gateway ended. Returns what changed for its own link.
     pub fn on_call(&mut self, call: StoreCall, now: Instant) -> Option<BeliefChange> {
+        if matches!(call, StoreCall::Failed { .. }) {
+            self.failed_at = Some(now);
+        }
         let before = self.link;
         self.link = match (call, before) {
             (StoreCall::Answered, _) => StoreLink::Served,
@@ -178,46 +179,44 @@
         }
     }
 
-    /// Weighs what is known of the other followers. `follows` tells whether this gateway
-    /// follows the store, without which its own link is no evidence.
-    ///
-    /// Returns what changed for all gateways.
-    pub fn on_followers(
+    /// Records that a read of this gateway was answered, which shows the store's state `at` a
+    /// time. Returns what changed for all gateways.
+    pub fn on_read(&mut self, topic: Topic, at: Instant, now: Instant) -> Option<BeliefChange> {
+        self.own_answers.record(topic, at);
+        self.weigh(self.own_answers, false, now)
+    }
+
+    /// Weighs when the store last answered other gateways, as they tell, and whether it does not
+    /// serve some of them. Returns what changed for all gateways.
+    pub fn weigh(
         &mut self,
-        others: FollowerCounts,
-        follows: bool,
+        told: StoreAnswers,
+        is_other_unserved: bool,
         now: Instant,
     ) -> Option<BeliefChange> {
-        let link = if follows {
-            self.link
-        } else {
-            StoreLink::Untried
-        };
-        if others.served > 0 || link == StoreLink::Served {
-            return self.on_present(now);
+        let before = self.answers.last();
+        self.answers = self.answers.newest(told);
+        let is_newer = self.answers.last() > before;
+        if let Some(since) = self.away_since {
+            if !is_newer {
+                return None;
+            }
+            self.away_since = None;
+            self.rewriting_until = Some(now + REWRITE_GRACE);
+            return Some(BeliefChange::Returned {
+                away_for: now.saturating_duration_since(since),
+            });
         }
-        let is_unserved = matches!(link, StoreLink::Unserved { .. });
-        if (others.unserved > 0 || is_unserved) && !self.is_away() {
-            self.reach = Reach::Away { since: now };
+        let last = self.answers.last()?;
+        // In a large fleet, not every gateway has asked the store itself when it returns.
+        let has_failed = is_other_unserved || self.failed_at.is_some_and(|at| at > last);
+        if has_failed && now.saturating_duration_since(last) >= self.lapse_time {
+            self.away_since = Some(last);
             return Some(BeliefChange::WentAway);
         }
         None
     }
 
-    /// Records that the store has answered this gateway, whether or not it follows the store.
-    ///
-    /// Returns what changed for all gateways.
-    pub fn on_present(&mut self, now: Instant) -> Option<BeliefChange> {
-        let before = std::mem::replace(&mut self.reach, Reach::Present);
-        let Reach::Away { since } = before else {
-            return None;
-        };
-        self.rewriting_until = Some(now + REWRITE_GRACE);
-        Some(BeliefChange::Returned {
-            away_for: now.saturating_duration_since(since),
-        })
-    }
-
     /// Starts the time in which upstreams may rewrite entries that the store has lost with
     /// the end of its last era.
     pub fn on_new_era(&mut self, now: Instant) {
--- a/routing/tests/entry_world/mod.rs
+++ b/routing/tests/entry_world/mod.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use jujubewall_routing::fleet::absences::Absences;
-use jujubewall_routing::fleet::claims::FollowerCounts;
 use jujubewall_routing::fleet::claims::FollowerRole;
 use jujubewall_routing::fleet::claims::PlannerRole;
 use jujubewall_routing::fleet::claims::RoleClaim;
@@ -31,12 +30,14 @@
 use jujubewall_routing::fleet::store_answers::Topic;
 use jujubewall_routing::fleet::store_belief::StoreBelief;
 use jujubewall_routing::fleet::store_belief::StoreCall;
+use jujubewall_routing::fleet::store_timing::CONFIG_FETCH_DELAY;
 use jujubewall_routing::fleet::store_timing::CONNECT_TIMEOUT;
 use jujubewall_routing::fleet::store_timing::MAX_RETRY_PAUSE;
 use jujubewall_routing::fleet::store_timing::MIN_RETRY_PAUSE;
 use jujubewall_routing::fleet::store_timing::PROBE_WAIT;
 use jujubewall_routing::fleet::store_timing::REPLY_TIMEOUT;
 use jujubewall_routing::fleet::store_timing::WATCH_OVERDUE;
+use jujubewall_routing::fleet::store_timing::follower_answer_age;
 use jujubewall_routing::fleet::store_timing::watch_wait;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
@@ -66,13 +67,32 @@
 /// The share of datagrams that the network loses.
 const LOSS: f64 = 0.02;
 
+/// The time between two writes of an upstream's entry.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
+
+/// How much later a slow store answers.
+const SLOW_ANSWER: Duration = Duration::from_millis(600);
+
 /// How the store turns a gateway away.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Away {
     /// Every call fails at once, also a watch that waits.
     Refused,
+    /// Every new call fails at once; a watch that waits goes on.
+    RateLimited,
     /// No call is answered.
     Silent,
+    /// Every call is answered late.
+    Slow,
+}
+
+/// Whether a gateway's process runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Life {
+    Running,
+    /// It was told to stop, and goes on for a while.
+    Stopping,
+    Ended,
 }
 
 /// The call to the store that a gateway makes.
@@ -88,6 +108,8 @@
     Watch {
         begun_at: Instant,
         ends_at: Instant,
+        /// When a second watch begins on a new connection.
+        overdue_at: Instant,
         /// Whether its connection has gone silent.
         is_silent: bool,
     },
@@ -125,11 +147,16 @@
     changed_at: Instant,
     retry_pause: Duration,
     behind_since: Option<Instant>,
-    is_running: bool,
+    life: Life,
     incarnation: u64,
     is_synced: bool,
     away: Option<(Away, Instant)>,
     is_cut: bool,
+    /// The calls to the store so far.
+    calls: u64,
+    config_version: u64,
+    /// Since when a peer has had a newer configuration.
+    config_behind_since: Option<Instant>,
     next_message_at: Instant,
     next_sync_at: Instant,
 }
@@ -144,7 +171,7 @@
             election: FollowerElection::new(),
             sync: EntrySync::new(),
             absences: Absences::new(),
-            belief: StoreBelief::new(),
+            belief: StoreBelief::new(HEARTBEAT_INTERVAL),
             table: InstanceTable::new(),
             log: EntryLog::new(),
             position: StorePosition::default(),
@@ -153,16 +180,27 @@
             changed_at: now,
             retry_pause: MIN_RETRY_PAUSE,
             behind_since: None,
-            is_running: true,
+            life: Life::Running,
             incarnation: 1,
             is_synced: false,
             away: None,
             is_cut: false,
+            calls: 0,
+            config_version: 1,
+            config_behind_since: None,
             next_message_at: now,
             next_sync_at: now,
         }
     }
 
+    fn is_running(&self) -> bool {
+        self.life != Life::Ended
+    }
+
+    fn is_draining(&self) -> bool {
+        self.life == Life::Stopping
+    }
+
     fn is_store_source(&self) -> bool {
         self.election.is_following()
             && self.belief.is_link_up()
@@ -198,7 +236,10 @@
                 incarnation: self.incarnation,
                 heartbeat: self.gossip.messages_sent(),
                 planner: PlannerRole::None,
-                follower: match (self.election.is_following(), self.is_store_source()) {
+                follower: match (
+                    self.election.is_following() && !self.is_draining(),
+                    self.is_store_source(),
+                ) {
                     (false, _) => FollowerRole::None,
                     (true, false) => FollowerRole::Unserved,
                     (true, true) => FollowerRole::Served,
@@ -206,8 +247,8 @@
                 instances_position: self.position,
                 instances_digest: self.table.entries_digest(),
             },
-            config_version: 1,
-            is_draining: false,
+            config_version: self.config_version,
+            is_draining: self.is_draining(),
             work: Vec::new(),
             suspects: Vec::new(),
             failing: Vec::new(),
@@ -258,12 +299,14 @@
         self.is_synced = true;
     }
 
-    fn on_answer(&mut self, now: Instant) {
+    /// Handles an answer that shows the store's state `at` a time. The calls for the
+    /// configuration are made at the same times.
+    fn on_answer(&mut self, store: &Store, at: Instant, now: Instant) {
         self.belief.on_call(StoreCall::Answered, now);
-        self.belief.on_present(now);
-        self.belief.on_read(Topic::Config, now);
-        self.belief.on_read(Topic::Entries, now);
+        self.belief.on_read(Topic::Config, at, now);
+        self.belief.on_read(Topic::Entries, at, now);
         self.retry_pause = MIN_RETRY_PAUSE;
+        self.config_version = self.config_version.max(store.config_version);
     }
 
     fn on_call_failed(&mut self, begun_at: Instant, now: Instant) {
@@ -284,15 +327,19 @@
         match self.call {
             Call::None { next_at } if now >= next_at => {
                 if self.log.is_running() {
+                    self.count_call();
                     self.call = Call::Watch {
                         begun_at: now,
                         ends_at: now + PROBE_WAIT,
+                        overdue_at: now + PROBE_WAIT + WATCH_OVERDUE,
                         is_silent: false,
                     };
                     return;
                 }
+                self.count_call();
                 let time = match away {
                     Some(Away::Silent) => CONNECT_TIMEOUT + REPLY_TIMEOUT,
+                    Some(Away::Slow) => SLOW_ANSWER,
                     _ => STEP,
                 };
                 self.call = Call::List {
@@ -301,11 +348,11 @@
                 };
             }
             Call::List { begun_at, ends_at } if now >= ends_at => {
-                if away.is_some() {
+                if away.is_some_and(|away| away != Away::Slow) {
                     self.on_call_failed(begun_at, now);
                     return;
                 }
-                self.on_answer(now);
+                self.on_answer(store, begun_at, now);
                 self.replace(&store.list(), now);
                 self.advance(store.newest_entry);
                 self.log.restart(Revision(store.revision));
@@ -313,14 +360,9 @@
                 self.changed_at = now;
                 self.begin_watch(now);
             }
-            Call::Watch {
-                begun_at,
-                ends_at,
-                is_silent,
-            } => {
-                let away = away.or(is_silent.then_some(Away::Silent));
-                self.watch(store, away, begun_at, ends_at, now);
-                if matches!(self.call, Call::Watch { .. }) {
+            Call::Watch { begun_at, .. } => {
+                self.watch(store, now);
+                if matches!(self.call, Call::Watch { begun_at: at, .. } if at == begun_at) {
                     self.check_behind(bounds, now);
                 }
             }
@@ -328,30 +370,30 @@
         }
     }
 
+    /// Counts a call for each topic.
+    const fn count_call(&mut self) {
+        self.calls += 2;
+    }
+
     fn begin_watch(&mut self, now: Instant) {
         let followers = self.served_peers(now) + 1;
         let wait = watch_wait(self.rank(now), followers, now - self.changed_at);
         self.behind_since = None;
+        self.count_call();
         self.call = Call::Watch {
             begun_at: now,
             ends_at: now + wait,
+            overdue_at: now + wait + WATCH_OVERDUE,
             is_silent: false,
         };
     }
 
-    fn counts(&self, now: Instant) -> FollowerCounts {
-        let silence = self.gossip.timing().silence_timeout();
-        let live: Vec<&RoleClaim> = self.gossip.claims().live_holders(silence, now).collect();
-        let count = |role: FollowerRole| live.iter().filter(|claim| claim.follower == role).count();
-        FollowerCounts {
-            served: count(FollowerRole::Served),
-            unserved: count(FollowerRole::Unserved),
-        }
-    }
-
     /// Returns the number of other gateways that follow the store and are served.
     fn served_peers(&self, now: Instant) -> usize {
-        self.counts(now).served
+        let silence = self.gossip.timing().silence_timeout();
+        let live = self.gossip.claims().live_holders(silence, now);
+        live.filter(|claim| claim.follower == FollowerRole::Served)
+            .count()
     }
 
     fn rank(&self, now: Instant) -> usize {
@@ -362,44 +404,81 @@
             .count()
     }
 
-    fn watch(
-        &mut self,
-        store: &Store,
-        away: Option<Away>,
-        begun_at: Instant,
-        ends_at: Instant,
-        now: Instant,
-    ) {
-        let overdue_at = ends_at + WATCH_OVERDUE;
-        let is_away = self.away(now).is_some();
-        match away {
-            Some(Away::Refused) => self.on_call_failed(begun_at, now),
-            // A second watch on a new connection is answered at once, or fails as well.
-            Some(Away::Silent) if is_away && now >= overdue_at + CONNECT_TIMEOUT => {
-                self.on_call_failed(overdue_at, now);
+    fn watch(&mut self, store: &Store, now: Instant) {
+        let Call::Watch {
+            begun_at,
+            ends_at,
+            overdue_at,
+            is_silent,
+        } = self.call
+        else {
+            return;
+        };
+        let was_overdue = now > overdue_at;
+        let overdue_at = if ends_at > begun_at + PROBE_WAIT && self.is_answer_overdue(now) {
+            overdue_at.min(now)
+        } else {
+            overdue_at
+        };
+        self.call = Call::Watch {
+            begun_at,
+            ends_at,
+            overdue_at,
+            is_silent,
+        };
+        let away = self.away(now);
+        let link = if is_silent { Some(Away::Silent) } else { away };
+        let is_overdue = now >= overdue_at;
+        if is_overdue && !was_overdue {
+            self.count_call();
+        }
+        match link {
+            Some(Away::Refused) => return self.on_call_failed(begun_at, now),
+            Some(Away::RateLimited) if now >= ends_at.min(overdue_at) => {
+                return self.on_call_failed(begun_at, now);
             }
-            Some(Away::Silent) if is_away || now < overdue_at => {}
-            _ if store.revision > self.watched => {
-                self.on_answer(now);
-                for (revision, upstream) in store.changes_after(self.watched) {
-                    self.advance(revision);
-                    self.log.note(Revision(revision), &id(upstream));
-                    if store.entries.contains(&upstream) {
-                        self.upsert(instance(upstream), now);
-                    } else {
-                        self.remove(&id(upstream), now);
-                    }
+            // A second watch on a new connection is answered at once, or fails as well.
+            Some(Away::Silent) if away == Some(Away::Silent) => {
+                if now >= overdue_at + CONNECT_TIMEOUT {
+                    self.on_call_failed(overdue_at, now);
                 }
-                self.watched = store.revision;
-                self.changed_at = now;
-                self.begin_watch(now + BATCH_PAUSE);
-            }
-            _ if now >= ends_at => {
-                self.on_answer(now);
-                self.begin_watch(now);
+                return;
             }
+            Some(Away::Silent) if !is_overdue => return,
             _ => {}
         }
+        let late = match away {
+            Some(Away::Slow) => SLOW_ANSWER,
+            _ => Duration::ZERO,
+        };
+        let has_changed = store.changed_at + late <= now && store.revision > self.watched;
+        if has_changed {
+            self.on_answer(store, now - late, now);
+            for (revision, upstream) in store.changes_after(self.watched) {
+                self.advance(revision);
+                self.log.note(Revision(revision), &id(upstream));
+                if store.entries.contains(&upstream) {
+                    self.upsert(instance(upstream), now);
+                } else {
+                    self.remove(&id(upstream), now);
+                }
+            }
+            self.watched = store.revision;
+            self.changed_at = now;
+            self.begin_watch(now + BATCH_PAUSE);
+        } else if now >= ends_at.min(overdue_at) + late {
+            self.on_answer(store, now - late, now);
+            self.begin_watch(now);
+        }
+    }
+
+    /// Returns whether it is this gateway's turn to ask the store beside its watch.
+    fn is_answer_overdue(&self, now: Instant) -> bool {
+        let answers = self.belief.answers().newest(self.belief.own_answers());
+        let answered_at = answers.answered_at(Topic::Entries);
+        answered_at.is_some_and(|at| {
+            now.saturating_duration_since(at) >= follower_answer_age(self.rank(now))
+        })
     }
 
     fn check_behind(&mut self, bounds: EntryBounds, now: Instant) {
@@ -422,15 +501,16 @@
         })
     }
 
-    fn weigh_followers(&mut self, now: Instant) {
-        let follows = self.election.is_following();
+    fn weigh_answers(&mut self, now: Instant) {
         let told = self.gossip.claims().newest_answers();
-        self.belief.weigh(told);
-        self.belief.on_followers(self.counts(now), follows, now);
+        let silence = self.gossip.timing().silence_timeout();
+        let mut live = self.gossip.claims().live_holders(silence, now);
+        let is_other_unserved = live.any(|claim| claim.follower == FollowerRole::Unserved);
+        self.belief.weigh(told, is_other_unserved, now);
     }
 
     fn remove_absent(&mut self, now: Instant) {
-        self.weigh_followers(now);
+        self.weigh_answers(now);
         if self.belief.is_away() {
             return;
         }
@@ -474,6 +554,8 @@
     newest_entry: u64,
     entries: BTreeSet<usize>,
     changes: Vec<(u64, usize)>,
+    changed_at: Instant,
+    config_version: u64,
 }
 
 impl Store {
@@ -484,7 +566,8 @@
             .collect()
     }
 
-    fn change(&mut self, upstream: usize, is_present: bool) {
+    fn change(&mut self, upstream: usize, is_present: bool, now: Instant) {
+        self.changed_at = now;
         self.revision += 1;
         if is_present {
             self.entries.insert(upstream);
@@ -534,9 +617,11 @@
             newest_entry: 10,
             entries: BTreeSet::new(),
             changes: Vec::new(),
+            changed_at: now,
+            config_version: 1,
         };
         for upstream in 0..UPSTREAMS {
-            store.change(upstream, true);
+            store.change(upstream, true, now);
         }
         Self {
             gateways: (0..size)
@@ -556,12 +641,79 @@
 
     /// Lets the store turn a share of the gateways away for some time.
     pub fn turn_away(&mut self, share: f64, away: Away, time: Duration) {
+        let chosen = self.sample(share);
+        self.turn_these_away(&chosen, away, time);
+    }
+
+    /// Lets the store turn some gateways away for some time.
+    pub fn turn_these_away(&mut self, chosen: &[usize], away: Away, time: Duration) {
         let until = self.now + time;
-        for index in self.sample(share) {
+        for &index in chosen {
             self.gateways[index].away = Some((away, until));
         }
     }
 
+    /// Tells gateways to stop: they go on for a while, and no longer hold a role.
+    pub fn stop(&mut self, chosen: &[usize]) {
+        for &index in chosen {
+            self.gateways[index].life = Life::Stopping;
+        }
+    }
+
+    /// Ends gateways.
+    pub fn end(&mut self, chosen: &[usize]) {
+        for &index in chosen {
+            self.gateways[index].life = Life::Ended;
+        }
+    }
+
+    /// Returns the gateways that follow the store.
+    pub fn followers(&self) -> Vec<usize> {
+        let follows = |index: &usize| {
+            let gateway = &self.gateways[*index];
+            gateway.is_running() && gateway.election.is_following()
+        };
+        (0..self.gateways.len()).filter(follows).collect()
+    }
+
+    /// Returns the number of calls to the store so far.
+    pub fn calls(&self) -> u64 {
+        self.gateways.iter().map(|gateway| gateway.calls).sum()
+    }
+
+    /// Returns the number of gateways.
+    pub fn len(&self) -> usize {
+        self.gateways.len()
+    }
+
+    /// Returns the failure domain of a gateway.
+    pub const fn domain_of(&self, index: usize) -> usize {
+        index % self.domains
+    }
+
+    /// Writes a newer configuration. Returns its version.
+    pub fn change_config(&mut self) -> u64 {
+        self.store.config_version += 1;
+        self.store.revision += 1;
+        self.store.changed_at = self.now;
+        self.store.config_version
+    }
+
+    /// Returns whether all of these gateways apply a configuration.
+    pub fn is_config_applied(&self, gateways: &[usize], version: u64) -> bool {
+        let mut versions = gateways
+            .iter()
+            .map(|index| self.gateways[*index].config_version);
+        versions.all(|applied| applied >= version)
+    }
+
+    /// Returns whether some of these gateways use an upstream.
+    pub fn is_known_to_any(&self, gateways: &[usize], upstream: usize) -> bool {
+        let id = id(upstream);
+        let mut tables = gateways.iter().map(|index| &self.gateways[*index].table);
+        tables.any(|table| table.by_id(&id).is_some())
+    }
+
     /// Makes the open connections of all gateways to the store go silent.
     pub fn silence_links(&mut self) {
         for gateway in &mut self.gateways {
@@ -586,11 +738,8 @@
 
     /// Kills all gateways that follow the store.
     pub fn kill_followers(&mut self) -> Vec<usize> {
-        let follows = |index: &usize| self.gateways[*index].election.is_following();
-        let killed: Vec<usize> = (0..self.gateways.len()).filter(follows).collect();
-        for &index in &killed {
-            self.gateways[index].is_running = false;
-        }
+        let killed = self.followers();
+        self.end(&killed);
         killed
     }
 
@@ -643,25 +792,25 @@
 
     /// Removes the entry of an upstream that leaves.
     pub fn remove_upstream(&mut self, upstream: usize) {
-        self.store.change(upstream, false);
+        self.store.change(upstream, false, self.now);
     }
 
     /// Removes all entries, as the store does when their leases end while it is down.
     pub fn lapse_entries(&mut self) {
         for upstream in 0..UPSTREAMS {
-            self.store.change(upstream, false);
+            self.store.change(upstream, false, self.now);
         }
     }
 
     /// Writes the entry of an upstream.
     pub fn write_entry(&mut self, upstream: usize) {
-        self.store.change(upstream, true);
+        self.store.change(upstream, true, self.now);
     }
 
     /// Writes the entries of all upstreams from `first` on again.
     pub fn rewrite_entries(&mut self, first: usize) {
         for upstream in first..UPSTREAMS {
-            self.store.change(upstream, true);
+            self.store.change(upstream, true, self.now);
         }
     }
 
@@ -682,7 +831,7 @@
     }
 
     fn running(&self) -> impl Iterator<Item = &Gateway> {
-        self.gateways.iter().filter(|gateway| gateway.is_running)
+        self.gateways.iter().filter(|gateway| gateway.is_running())
     }
 
     /// Returns whether some gateway believes that the store is away for all.
@@ -704,7 +853,7 @@
                 && self.next_change_at <= self.now
             {
                 self.next_change_at += interval;
-                self.store.change(UPSTREAMS - 1, true);
+                self.store.change(UPSTREAMS - 1, true, self.now);
             }
             for index in 0..self.gateways.len() {
                 self.step(index);
@@ -716,13 +865,14 @@
     fn step(&mut self, index: usize) {
         let now = self.now;
         let gateway = &mut self.gateways[index];
-        if !gateway.is_running {
+        if !gateway.is_running() {
             return;
         }
         let bounds = EntryBounds::new(self.bound, gateway.gossip.timing());
         gateway.follow(&self.store, bounds, now);
         if gateway.next_sync_at <= now {
             gateway.next_sync_at = now + SYNC_INTERVAL;
+            gateway.weigh_answers(now);
             let view = StoreView {
                 is_served: gateway.belief.is_link_up(),
                 answers: gateway.belief.answers(),
@@ -732,6 +882,8 @@
                 gateway.belief.forget_link();
             }
             gateway.remove_absent(now);
+            self.fetch_config(index);
+            let gateway = &mut self.gateways[index];
             if let Some(fetch) = gateway.next_fetch(bounds, now) {
                 self.fetch(index, fetch);
             }
@@ -739,6 +891,24 @@
         self.send_messages(index);
     }
 
+    fn fetch_config(&mut self, index: usize) {
+        let now = self.now;
+        let gateway = &mut self.gateways[index];
+        let version = gateway.config_version;
+        let newer = gateway.gossip.peer_with_newer_config(version, now);
+        let since = newer.and(gateway.config_behind_since.or(Some(now)));
+        gateway.config_behind_since = since;
+        let is_due = !gateway.is_store_source()
+            || since.is_some_and(|since| now - since >= CONFIG_FETCH_DELAY);
+        let is_cut = gateway.is_cut;
+        if is_due && let Some(peer) = newer {
+            let source = &self.gateways[index_of(peer)];
+            if source.is_running() && source.is_cut == is_cut {
+                self.gateways[index].config_version = version.max(source.config_version);
+            }
+        }
+    }
+
     fn fetch(&mut self, index: usize, fetch: EntryFetch) {
         let (peer, since) = match fetch {
             EntryFetch::Changes(peer) => (peer, Some(self.gateways[index].position.revision)),
@@ -746,7 +916,7 @@
         };
         let now = self.now;
         let source = &self.gateways[index_of(peer)];
-        let is_reachable = source.is_running && source.is_cut == self.gateways[index].is_cut;
+        let is_reachable = source.is_running() && source.is_cut == self.gateways[index].is_cut;
         if !is_reachable || !source.is_store_source() {
             return;
         }
@@ -760,7 +930,7 @@
         let changed = since.and_then(|since| source.log.since(since));
         let changed = changed.map(|ids| ids.into_iter().cloned().collect::<Vec<_>>());
         let gateway = &mut self.gateways[index];
-        gateway.weigh_followers(now);
+        gateway.weigh_answers(now);
         match changed {
             None => gateway.replace(&all, now),
             Some(ids) => {
@@ -791,7 +961,7 @@
             let is_cut = gateway.is_cut != self.gateways[index_of(target)].is_cut;
             if !is_cut && !self.rng.random_bool(LOSS) {
                 let receiver = &mut self.gateways[index_of(target)];
-                if !receiver.is_running {
+                if !receiver.is_running() {
                     continue;
                 }
                 receiver.gossip.on_message(from, &message, now);
--- a/routing/tests/test_fleet_entries.rs
+++ b/routing/tests/test_fleet_entries.rs
@@ -1,6 +1,10 @@
 //! How fast gateways learn of changes in the store, while it turns a third of them away, and
 //! after the loss of connections to it, of the gateways that follow it, or of the store itself.
 
+#[allow(
+    dead_code,
+    reason = "the simulated fleet also has what other tests use"
+)]
 mod entry_world;
 mod fleet_addresses;
 
--- a/routing/tests/test_store_belief.rs
+++ b/routing/tests/test_store_belief.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use jujubewall_routing::fleet::claims::FollowerCounts;
 use jujubewall_routing::fleet::follower_election::MAX_ANSWER_AGE;
 use jujubewall_routing::fleet::gossip_timing::GossipTiming;
 use jujubewall_routing::fleet::store_answers::AnswerAges;
@@ -21,6 +20,12 @@
 use jujubewall_routing::fleet::store_timing::watch_wait;
 use tokio::time::Instant;
 
+/// The time between two writes of an upstream's entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// A time without answers after which entries may have lapsed.
+const LONG: Duration = Duration::from_millis(2_400);
+
 /// The bounds of the platform's rules.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
@@ -84,7 +89,7 @@
 #[test]
 fn test_one_failed_call_is_no_outage() {
     let now = Instant::now();
-    let mut belief = StoreBelief::new();
+    let mut belief = StoreBelief::new(HEARTBEAT);
     belief.on_call(StoreCall::Answered, now);
     let begun_at = now;
     assert_eq!(
@@ -103,47 +108,121 @@
     assert!(!belief.is_link_up());
 }
 
+/// Returns a belief for which the store has answered at `start`.
+fn answered_belief(start: Instant) -> StoreBelief {
+    let mut belief = StoreBelief::new(HEARTBEAT);
+    assert_eq!(
+        belief.weigh(StoreAnswers::with_both(start), false, start),
+        None
+    );
+    belief
+}
+
+/// Guards against followers that fall silent and were taken for an outage.
 #[test]
-fn test_silent_followers_are_no_outage() {
+fn test_time_without_answers_is_no_outage_without_a_failed_call() {
     let now = Instant::now();
-    let mut belief = StoreBelief::new();
-    let served = FollowerCounts {
-        served: 2,
-        unserved: 0,
-    };
-    assert_eq!(belief.on_followers(served, false, now), None);
-    let silent = FollowerCounts::default();
-    assert_eq!(belief.on_followers(silent, false, now), None);
+    let mut belief = answered_belief(now);
+    assert_eq!(belief.weigh(StoreAnswers::new(), false, now + LONG), None);
     assert!(!belief.is_away());
-    assert_eq!(belief.on_present(now), None);
-    assert_eq!(belief.rewriting_until(now), None);
+    let returned_at = now + LONG + ms(100);
+    let returned = StoreAnswers::with_both(returned_at);
+    assert_eq!(belief.weigh(returned, false, returned_at), None);
+    assert_eq!(belief.rewriting_until(returned_at), None);
 }
 
+/// Guards against a gateway that was cut off from the store and took that for an outage, though
+/// the store answered others.
 #[test]
-fn test_store_that_serves_nobody_is_away_until_it_answers_somebody() {
-    let now = Instant::now();
-    let mut belief = StoreBelief::new();
-    let unserved = FollowerCounts {
-        served: 0,
-        unserved: 1,
-    };
-    let away = belief.on_followers(unserved, false, now);
+fn test_own_failed_calls_are_no_outage_while_others_are_answered() {
+    let start = Instant::now();
+    let mut belief = answered_belief(start);
+    for step in 1..60 {
+        let now = start + ms(100) * step;
+        belief.on_call(StoreCall::Failed { begun_at: now }, now);
+        assert_eq!(belief.weigh(StoreAnswers::with_both(now), false, now), None);
+    }
+    let back_at = start + ms(6_100);
+    belief.on_call(StoreCall::Answered, back_at);
+    assert_eq!(belief.on_read(Topic::Entries, back_at, back_at), None);
+    assert_eq!(belief.rewriting_until(back_at), None);
+}
+
+/// Guards against followers that are cut off, refused, stopping or just starting, and were taken
+/// for an outage by gateways that had not asked the store themselves.
+#[test]
+fn test_followers_that_are_not_served_are_no_outage_before_entries_may_have_lapsed() {
+    let start = Instant::now();
+    let mut belief = answered_belief(start);
+    // Others have asked by then.
+    let asked_at = start + MAX_ANSWER_AGE + ms(500);
+    assert_eq!(belief.weigh(StoreAnswers::new(), true, asked_at), None);
+    let answered = StoreAnswers::with_both(asked_at);
+    assert_eq!(belief.weigh(answered, true, asked_at), None);
+    assert_eq!(belief.rewriting_until(asked_at), None);
+}
+
+/// Guards against entries that lapsed and were dropped by a gateway whose first call came when
+/// the store had just returned.
+#[test]
+fn test_long_absence_for_others_is_an_outage() {
+    let start = Instant::now();
+    let mut belief = answered_belief(start);
+    let away = belief.weigh(StoreAnswers::new(), true, start + LONG);
     assert_eq!(away, Some(BeliefChange::WentAway));
-    // That the followers fall silent as well is no evidence of the store's return.
+    let returned_at = start + LONG + ms(10);
+    let change = belief.on_read(Topic::Entries, returned_at, returned_at);
+    assert!(matches!(change, Some(BeliefChange::Returned { .. })));
+    assert!(belief.rewriting_until(returned_at).is_some());
+}
+
+/// Guards against an absence shorter than the time in which entries lapse, after which an
+/// upstream that had left was kept.
+#[test]
+fn test_short_absence_lets_no_entry_lapse() {
+    let start = Instant::now();
+    let mut belief = answered_belief(start);
+    let now = start + MAX_ANSWER_AGE;
+    belief.on_call(StoreCall::Failed { begun_at: now }, now);
+    assert_eq!(
+        belief.weigh(StoreAnswers::new(), false, now + ms(300)),
+        None
+    );
+    let answered_at = now + ms(400);
     assert_eq!(
-        belief.on_followers(FollowerCounts::default(), false, now),
+        belief.on_read(Topic::Entries, answered_at, answered_at),
         None
     );
+    assert_eq!(belief.rewriting_until(answered_at), None);
+}
+
+#[test]
+fn test_store_that_serves_nobody_is_away_until_it_answers_somebody() {
+    let start = Instant::now();
+    let mut belief = answered_belief(start);
+    let failed_at = start + ms(500);
+    belief.on_call(
+        StoreCall::Failed {
+            begun_at: failed_at,
+        },
+        failed_at,
+    );
+    assert_eq!(
+        belief.weigh(StoreAnswers::new(), false, start + ms(2_000)),
+        None
+    );
+    let away = belief.weigh(StoreAnswers::new(), false, start + LONG);
+    assert_eq!(away, Some(BeliefChange::WentAway));
+    // An old answer that is heard of late is no evidence of the store's return.
+    let old = StoreAnswers::with_both(start);
+    assert_eq!(belief.weigh(old, false, start + LONG), None);
     assert!(belief.is_away());
-    let served = FollowerCounts {
-        served: 1,
-        unserved: 1,
-    };
-    let away_for = ms(700);
-    let change = belief.on_followers(served, false, now + away_for);
+    let away_for = LONG + ms(700);
+    let returned_at = start + away_for;
+    let change = belief.weigh(StoreAnswers::with_both(returned_at), false, returned_at);
     assert_eq!(change, Some(BeliefChange::Returned { away_for }));
-    let until = belief.rewriting_until(now + away_for);
-    assert_eq!(until, Some(now + away_for + REWRITE_GRACE));
+    let until = belief.rewriting_until(returned_at);
+    assert_eq!(until, Some(returned_at + REWRITE_GRACE));
 }
 
 /// Gateways that follow the store ask before others take that for a loss.
