gateway: test a planned stop of followers beside a leaving upstream

Cause: those that step in claim "not served" until they have read the store once, which the others took for an outage.

--- a/daemon/tests/test_gateway_store_trouble.rs
+++ b/daemon/tests/test_gateway_store_trouble.rs
@@ -202,3 +202,28 @@
     late.retain(|sent| !followers.contains(&sent.gateway));
     assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
 }
+
+/// Guards against the same after a planned stop of the followers, when those that step in have
+/// not read the store yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_that_leaves_gets_no_requests_after_a_planned_stop_of_followers() {
+    let mut fleet = start(&[HALL; 6]).await;
+    for index in 0..2 {
+        let followers = fleet.followers();
+        assert!(followers.len() < fleet.len(), "all follow the store");
+        fleet.terminate(&followers).await;
+        sleep(Duration::from_millis(300)).await;
+        let left_at = fleet.replace_runner(index).await;
+        sleep(OBSERVATION).await;
+        let runner = format!("ledger-{index}");
+        let late = fleet.runs_at(&runner, left_at + DRAIN, left_at);
+        assert!(late.is_empty(), "{} late: {:?}", late.len(), late.last());
+        for gateway in 0..fleet.len() {
+            let has_kept = fleet.log(gateway).contains("event=upstream_kept");
+            assert!(!has_kept, "gateway {gateway} took the stop for an outage");
+        }
+        fleet.wait_ended(&followers).await;
+        fleet.restart(&followers);
+        sleep(SETTLING).await;
+    }
+}
