http-client: a status that HTTP does not define is no answer

Statuses below 100 or not of three digits gave 502 before too.

Cause: the library parses any three digits from 100 on, and the check of heads looked at 101 and torn heads only.

The client gets 502 without a stamp, or another upstream's answer where the request may be repeated; an unsafe call runs once.

Measured: the tests of calls, streams and services failed on (600 passed on) and pass now, for twelve statuses; a resumed stream is cut and never looks complete, before and now (that test was first run without a retry budget on, which shows nothing).

--- a/daemon/tests/test_gateway_torn_answers.rs
+++ b/daemon/tests/test_gateway_torn_answers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt as _;
+use futures_util::future::join_all;
 use futures_util::stream;
 use jujubewall_testutils::scripted_upstream::After;
 use jujubewall_testutils::scripted_upstream::RawReply;
@@ -366,3 +367,92 @@
         assert_eq!(reply.status, 502, "{fields:?}: {reply:?}");
     }
 }
+
+/// The sites that run beside each other.
+const SITES_AT_ONCE: usize = 4;
+
+/// What an upstream in trouble may write in place of a status.
+const BAD_STATUSES: [&str; 12] = [
+    "000", "001", "042", "099", "600", "601", "999", "20", "1000", "2 00", "-20", "xyz",
+];
+
+/// Returns an answer to a request with a text in place of its status.
+fn answer_with_status(status: &str, received: &Received) -> Written {
+    let head = format!(
+        "HTTP/1.1 {status} Trouble\r\nrequest-id: {}\r\nresponse-stamp: raw\r\n\
+         content-type: text/event-stream\r\ncontent-length: 12\r\n\r\n",
+        received.id
+    );
+    Written::new(format!("{head}{CALL_BODY}"), After::Close)
+}
+
+/// Sends calls and a stream to upstreams that answer with this status.
+async fn check_bad_status(status: &'static str) {
+    let site = ScriptedSite::start(Path::new(PROGRAM), |_| {}).await;
+    let script: Script = Arc::new(move |received| answer_with_status(status, received));
+    let service = site.upstream("raw-0", "ledger", Arc::clone(&script)).await;
+    let _engine = site.upstream("engine-0", "llm", script).await;
+    for (method, path) in [
+        ("POST", "/orders/"),
+        ("GET", "/stock/"),
+        ("POST", "/notes/1"),
+    ] {
+        let id = format!("bad{}", path.replace('/', "-"));
+        let reply = site.raw_answer(method, path, &id).await;
+        assert_eq!(reply.status, 502, "{status} {path}: {reply:?}");
+        assert!(!reply.head.contains("raw"), "{status} {path}: {reply:?}");
+        assert!(!reply.body.contains(CALL_BODY), "{status} {path}");
+    }
+    let sends = service.received("bad-orders-").len();
+    assert_eq!(sends, 1, "{status}: an unsafe call was sent again");
+}
+
+/// Guards against statuses that HTTP does not define, as 000, which clients got as answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_status_that_http_does_not_define_is_not_passed_on_as_an_answer() {
+    for some in BAD_STATUSES.chunks(SITES_AT_ONCE) {
+        join_all(some.iter().map(|status| check_bad_status(status))).await;
+    }
+}
+
+/// Breaks a stream off after an event, and lets upstreams answer its next run with this status.
+async fn check_resumed_with_bad_status(status: &'static str) {
+    let site = ScriptedSite::start(Path::new(PROGRAM), |_| {}).await;
+    let script: Script = Arc::new(move |received| {
+        if received.last_event_id.is_some() {
+            return answer_with_status(status, received);
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {}\r\nresponse-stamp: first\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            received.id
+        );
+        let event = "id: 0\ndata: word\n\n";
+        let part = format!("{head}{:x}\r\n{event}\r\n", event.len());
+        Written::new(part, After::Close)
+    });
+    let engines = [
+        site.upstream("engine-0", "llm", Arc::clone(&script)).await,
+        site.upstream("engine-1", "llm", script).await,
+    ];
+    site.wait_for_retry_budget().await;
+    let reply = site.raw_answer("POST", "/notes/1", "resumed").await;
+    assert_eq!(reply.status, 200, "{status}: {reply:?}");
+    assert!(!reply.is_complete, "{status}: {reply:?}");
+    assert!(!reply.body.contains(CALL_BODY), "{status}: {reply:?}");
+    let received = engines.iter().flat_map(|engine| engine.received("resumed"));
+    let resumed = received.filter(|received| received.last_event_id.is_some());
+    assert!(resumed.count() > 0, "{status}: the stream is not resumed");
+}
+
+/// Guards against the same when a stream that broke off is resumed: nothing of such an answer
+/// belongs to it, and the stream does not look complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_stream_resumed_with_a_status_that_http_does_not_define_is_not_complete() {
+    for some in BAD_STATUSES.chunks(SITES_AT_ONCE) {
+        let some = some
+            .iter()
+            .map(|status| check_resumed_with_bad_status(status));
+        join_all(some).await;
+    }
+}
--- a/http-client/src/answer_head.rs
+++ b/http-client/src/answer_head.rs
@@ -1,11 +1,16 @@
 //! Whether a caller may rely on the head of an answer.
 
+use std::ops::RangeInclusive;
+
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::ext::ReasonPhrase;
 use hyper::header::HeaderValue;
 use thiserror::Error;
 
+/// The statuses that an answer may have; all others are invalid (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// The start of the first line of an HTTP/1 answer.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
 
@@ -16,6 +21,9 @@
     /// HTTP.
     #[error("the answer switches protocols")]
     SwitchesProtocols,
+    /// The status is outside the classes that HTTP defines, so it says nothing about the call.
+    #[error("the status {0} is none of HTTP")]
+    InvalidStatus(u16),
     /// A line of the head ends in the first line of another answer, so that the rest belongs
     /// to that one.
     #[error("another answer begins in the head")]
@@ -31,6 +39,10 @@
     if answer.status() == StatusCode::SWITCHING_PROTOCOLS {
         return Err(HeadFault::SwitchesProtocols);
     }
+    let status = answer.status().as_u16();
+    if !VALID_STATUSES.contains(&status) {
+        return Err(HeadFault::InvalidStatus(status));
+    }
     let reason = answer.extensions().get::<ReasonPhrase>();
     let values = answer.headers().values().map(HeaderValue::as_bytes);
     let mut lines = values.chain(reason.map(ReasonPhrase::as_bytes));
--- a/http-client/tests/test_answer_head.rs
+++ b/http-client/tests/test_answer_head.rs
@@ -36,3 +36,19 @@
         assert_eq!(check_head(&with_field(value.as_bytes())), Ok(()), "{value}");
     }
 }
+
+fn with_status(status: u16) -> Response<()> {
+    Response::builder().status(status).body(()).unwrap()
+}
+
+/// Guards against statuses of no class that were passed on as an answer.
+#[test]
+fn test_status_that_http_does_not_define_is_not_believed() {
+    for status in [600, 601, 999] {
+        let checked = check_head(&with_status(status));
+        assert_eq!(checked, Err(HeadFault::InvalidStatus(status)));
+    }
+    for status in [100, 200, 299, 404, 451, 500, 599] {
+        assert_eq!(check_head(&with_status(status)), Ok(()), "{status}");
+    }
+}
--- a/upstream/tests/test_torn_answers.rs
+++ b/upstream/tests/test_torn_answers.rs
@@ -135,3 +135,22 @@
         }
     }
 }
+
+/// Guards against statuses that HTTP does not define and that callers of the product's own entry
+/// got as answers of a service.
+#[tokio::test]
+async fn test_answer_with_a_status_that_http_does_not_define_is_lost() {
+    let mut servers = JoinSet::new();
+    for status in ["000", "099", "600", "999", "20", "1000", "xyz"] {
+        let answer = format!(
+            "HTTP/1.1 {status} Trouble\r\nx-request-id: {ID}\r\ncontent-length: 4\r\n\r\nnone"
+        );
+        let address = answers(answer.into_bytes(), &mut servers).await;
+        let reply = HttpService::new(address).call(request()).await;
+        assert_matches!(reply, Err(UpstreamError::ReplyLost(_)), "{status}");
+        let release = HttpEngine::new(address)
+            .release(RequestId(1), Attempt(1))
+            .await;
+        assert_matches!(release, Err(UpstreamError::ReplyLost(_)), "{status}");
+    }
+}
