instances: a returning entry continues the record of its incarnation

Cause: an entry that came back made a new record; announced leaving was copied from the old one, the pause, suspicion and pace were not.

Change: upsert lists the old record of the same incarnation again, so all that the upstream said of itself and all evidence go on, in one place. A paused record outlives the usual 30 s. An upstream that restarted begins anew.

--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -369,47 +369,54 @@
     pub fn upsert(&mut self, instance: Instance, now: Instant) -> InstanceKey {
         let mut pacing = Pacing::default();
         if let Some(&key) = self.by_id.get(&instance.id) {
-            let known = &mut self.instances[key];
-            if known.is_same_incarnation(&instance) {
-                let has_left = known.instance.state == InstanceState::Draining;
-                let has_other_layers = known.instance.layers != instance.layers;
-                known.instance = instance;
-                // An upstream that drains does not become ready again, whatever an older
-                // copy of its entry says.
-                if has_left {
-                    known.instance.state = InstanceState::Draining;
-                }
-                known.has_reported_layers = false;
-                if has_other_layers {
-                    self.begin_pace(key, Recovery::LayersChanged, now);
-                }
+            if self.instances[key].is_same_incarnation(&instance) {
+                self.update(key, instance, now);
                 return key;
             }
-            pacing = known.pacing.for_next_incarnation();
+            pacing = self.instances[key].pacing.for_next_incarnation();
             self.remove_key(key);
         }
-        let before = self.instances.values().find(|tracked| {
+        let departed = self.instances.iter().find(|(_, tracked)| {
             tracked.instance.id == instance.id && tracked.is_same_incarnation(&instance)
         });
-        let was_leaving = before.is_some_and(|before| {
-            before.has_announced_leaving || before.instance.state == InstanceState::Draining
-        });
-        let is_new = before.is_none();
-        let id = instance.id.clone();
-        let service = instance.service.clone();
+        if let Some((key, _)) = departed {
+            self.bring_back(key);
+            self.update(key, instance, now);
+            return key;
+        }
         let mut tracked = TrackedInstance::new(instance, now);
         tracked.pacing = pacing;
-        if was_leaving {
-            tracked.has_announced_leaving = true;
-            tracked.leaving_since = Some(now);
-        }
         let key = self.instances.insert(tracked);
+        self.bring_back(key);
+        self.begin_pace(key, Recovery::NewIncarnation, now);
+        key
+    }
+
+    /// Lists an incarnation as one that has an entry. What it has said of itself and what is
+    /// known of it belong to the incarnation, so one whose entry was gone goes on with both.
+    fn bring_back(&mut self, key: InstanceKey) {
+        let tracked = &mut self.instances[key];
+        tracked.departed_at = None;
+        let id = tracked.instance.id.clone();
+        let service = tracked.instance.service.clone();
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
-        if is_new {
-            self.begin_pace(key, Recovery::NewIncarnation, now);
+    }
+
+    fn update(&mut self, key: InstanceKey, instance: Instance, now: Instant) {
+        let known = &mut self.instances[key];
+        let has_left = known.instance.state == InstanceState::Draining;
+        let has_other_layers = known.instance.layers != instance.layers;
+        known.instance = instance;
+        // An upstream that drains does not become ready again, whatever an older copy of its
+        // entry says.
+        if has_left {
+            known.instance.state = InstanceState::Draining;
+        }
+        known.has_reported_layers = false;
+        if has_other_layers {
+            self.begin_pace(key, Recovery::LayersChanged, now);
         }
-        key
     }
 
     /// Stops giving new work to an upstream whose entry is gone.
@@ -428,9 +435,11 @@
     /// Removes upstreams that departed long ago.
     pub fn expire_departed(&mut self, now: Instant) {
         self.instances.retain(|_, tracked| {
-            tracked
-                .departed_at
-                .is_none_or(|at| now.saturating_duration_since(at) < DEPARTED_RETENTION)
+            // A pause holds for one whose entry comes back, however long that was gone.
+            tracked.is_paused(now)
+                || tracked
+                    .departed_at
+                    .is_none_or(|at| now.saturating_duration_since(at) < DEPARTED_RETENTION)
         });
     }
 
