soak: turn followers away, stop them as planned, two to nine gateways or many

Each gateway has a way of its own to the store now; followers are cut off, refused (429, 503) or closed on for 0.5 to 5 s while a key is taken away and a runner leaves, and are stopped two at a time beside a runner that leaves.

--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -3,8 +3,9 @@
 //! Gateways run before stand-ins of the store and the runners, behind loopback proxies.
 //! A seed decides what fails, when, and for how long: signals, restarts, silent
 //! connections, cut watches, the store's moods, outages that changes follow at once, followers
-//! killed together, runners that fail, leave and come back, changed configurations and keys. Planned work alone alternates with everything at once. What
-//! clients and runners see is checked against [`promises`].
+//! killed, stopped or turned away together, runners that fail, leave and come back, changed
+//! configurations and keys. Planned work alone alternates with everything at once. What clients
+//! and runners see is checked against [`promises`].
 
 pub mod clients;
 pub mod promises;
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -16,6 +16,9 @@
 /// The time for which only planned work is played, and then everything.
 const PHASE: Duration = Duration::from_secs(7);
 
+/// The time from a disturbance of followers to the changes beside it.
+const CHANGE_DELAY: Duration = Duration::from_millis(200);
+
 /// One thing that happens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Event {
@@ -27,6 +30,10 @@
     CutWatches,
     Kill(usize),
     KillFollowers,
+    /// A planned stop of followers beside a runner that leaves.
+    TerminateFollowers(u64),
+    /// A store that turns followers away and serves the others, beside changes.
+    TurnFollowersAway(StoreMood, Duration, u64),
     /// An outage of the store that is followed at once by changes.
     OutageThenChanges(StoreMood, Duration, u64),
     SilenceStoreLinks(u64),
@@ -48,6 +55,7 @@
                 | Self::RevokeKey
                 | Self::DrainRunner(_)
                 | Self::RemoveRunner(_)
+                | Self::TerminateFollowers(_)
                 | Self::CutWatches
         )
     }
@@ -100,7 +108,7 @@
         let gateway = rng.random_range(0..gateways);
         let runner: u64 = rng.random();
         let span = Duration::from_millis(rng.random_range(100..2_500));
-        match rng.random_range(0..19) {
+        match rng.random_range(0..22) {
             0 => Event::Terminate(gateway),
             1 => Event::Configure,
             2 => Event::RevokeKey,
@@ -131,6 +139,18 @@
                 let span = Duration::from_millis(rng.random_range(500..5_000));
                 Event::OutageThenChanges(mood, span, runner)
             }
+            18 => Event::TerminateFollowers(runner),
+            19 | 20 => {
+                let moods = [
+                    StoreMood::Silent,
+                    StoreMood::Refusing(429),
+                    StoreMood::Refusing(503),
+                    StoreMood::Closing,
+                ];
+                let mood = moods[rng.random_range(0..moods.len())];
+                let span = Duration::from_millis(rng.random_range(500..5_000));
+                Event::TurnFollowersAway(mood, span, runner)
+            }
             _ => {
                 let faults = runner_faults(rng.random_range(0..20));
                 let fault = faults[rng.random_range(0..faults.len())];
@@ -189,6 +209,19 @@
             let kills = world.kill_followers();
             tokio::join!(kills, world.replace_runner(0, Leave::RemoveEntry));
         }
+        Event::TerminateFollowers(pick) => {
+            let stops = world.terminate_followers();
+            tokio::join!(stops, world.replace_runner(pick, Leave::RemoveEntry));
+        }
+        Event::TurnFollowersAway(mood, span, pick) => {
+            let away = world.turn_followers_away(mood, span);
+            let changes = async {
+                sleep(CHANGE_DELAY).await;
+                world.revoke_key();
+                world.replace_runner(pick, Leave::RemoveEntry).await;
+            };
+            tokio::join!(away, changes);
+        }
         Event::SilenceStoreLinks(pick) => {
             world.silence_store_links();
             world.replace_runner(pick, Leave::RemoveEntry).await;
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -21,17 +21,15 @@
 use jujubewall_testutils::gateway_site::neighbour_at;
 use jujubewall_testutils::gateway_site::stream_request;
 use jujubewall_testutils::gateway_site::wait_until;
-use jujubewall_testutils::http_server::ServerHandle;
 use jujubewall_testutils::ports::free_address;
-use jujubewall_testutils::relay::Relay;
 use jujubewall_testutils::site_runner::RunnerFault;
 use jujubewall_testutils::site_runner::RunnerHandle;
 use jujubewall_testutils::site_runner::RunnerKind;
 use jujubewall_testutils::site_runner::SiteRunners;
 use jujubewall_testutils::site_store::SiteStore;
 use jujubewall_testutils::site_store::StoreMood;
+use jujubewall_testutils::store_door::StoreDoor;
 use serde_json::Value;
-use tokio::net::TcpListener;
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -43,7 +41,7 @@
 use crate::promises::Sent;
 
 /// The failure domains of gateways.
-const ZONES: [&str; 2] = ["hall", "apron"];
+const ZONES: [&str; 3] = ["hall", "apron", "dock"];
 
 /// The keys of clients, of which all but the first may be taken away.
 pub const KEYS: [&str; 4] = ["key-1", "key-2", "key-3", "key-4"];
@@ -72,6 +70,13 @@
 /// The time after which a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// The number of gateways of some seeds, and how many seeds there are to one of them.
+const MANY_GATEWAYS: usize = 24;
+const MANY_GATEWAYS_EVERY: u64 = 25;
+
+/// The number of gateways that planned work stops at a time.
+const MAX_STOPPED_AT_ONCE: usize = 2;
+
 /// How a runner leaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Leave {
@@ -98,7 +103,7 @@
     name: String,
     zone: &'static str,
     peers: SocketAddr,
-    store_link: Relay,
+    door: StoreDoor,
     process: AsyncMutex<GatewayProcess>,
 }
 
@@ -138,7 +143,6 @@
     program: PathBuf,
     folder: PathBuf,
     store: Arc<SiteStore>,
-    _store_server: ServerHandle,
     fleet: Arc<SiteRunners>,
     slots: Vec<Slot>,
     state: Mutex<State>,
@@ -146,17 +150,20 @@
 }
 
 impl World {
-    /// Starts everything, with two to six gateways in one or two failure domains as a seed
-    /// decides, and waits until it serves.
+    /// Starts everything, with two to nine gateways, or many, in one to three failure domains as
+    /// a seed decides, and waits until it serves.
     ///
     /// # Panics
     ///
     /// Panics if it does not serve in time.
     pub async fn start(program: &Path, folder: &Path, seed: u64) -> Arc<Self> {
-        let gateways = 2 + usize::try_from(seed % 5).unwrap_or_default();
-        let zones = 1 + usize::try_from(seed / 5 % 2).unwrap_or_default();
+        let gateways = if seed.is_multiple_of(MANY_GATEWAYS_EVERY) {
+            MANY_GATEWAYS
+        } else {
+            2 + usize::try_from(seed % 8).unwrap_or_default()
+        };
+        let zones = 1 + usize::try_from(seed / 8).unwrap_or_default() % ZONES.len();
         let store = SiteStore::new();
-        let store_server = store.serve(listener().await);
         let fleet = SiteRunners::new(&store, EVENTS);
         let mut runners = Vec::new();
         for zone in ["hall", "apron"] {
@@ -183,14 +190,14 @@
         for index in 0..gateways {
             let zone = ZONES[index % zones];
             let name = format!("front-{index}");
-            let store_link = Relay::new(listener().await, store_server.address());
+            let door = StoreDoor::new(&store).await;
             let seed = slots.first().map(|slot| slot.peers);
             let process = GatewayProcess::start(&GatewayStart {
                 program,
                 folder,
                 name: &name,
                 zone,
-                store: store_link.address(),
+                store: door.address(),
                 peers,
                 seed,
                 retry_burst: BOUNDS.retry_burst,
@@ -200,7 +207,7 @@
                 name,
                 zone,
                 peers,
-                store_link,
+                door,
                 process: AsyncMutex::new(process),
             });
             peers = neighbour_at(first_peers, u8::try_from(index + 1).unwrap_or(u8::MAX));
@@ -209,7 +216,6 @@
             program: program.to_owned(),
             folder: folder.to_owned(),
             store,
-            _store_server: store_server,
             fleet,
             slots,
             state: Mutex::new(state),
@@ -344,7 +350,7 @@
             folder: &self.folder,
             name: &slot.name,
             zone: slot.zone,
-            store: slot.store_link.address(),
+            store: slot.door.address(),
             peers: slot.peers,
             seed: Some(seed.peers),
             retry_burst: BOUNDS.retry_burst,
@@ -369,8 +375,8 @@
         self.slots.len()
     }
 
-    /// Kills all gateways that follow the store at once and starts them again.
-    pub async fn kill_followers(&self) {
+    /// Returns the gateways that follow the store, but for those that are stopped just now.
+    fn followers(&self) -> Vec<usize> {
         let mut followers = Vec::new();
         for (index, slot) in self.slots.iter().enumerate() {
             let Ok(process) = slot.process.try_lock() else {
@@ -383,12 +389,43 @@
                 followers.push(index);
             }
         }
+        followers
+    }
+
+    /// Kills all gateways that follow the store at once and starts them again.
+    pub async fn kill_followers(&self) {
+        let followers = self.followers();
         let kills = followers
             .iter()
             .map(|index| self.restart_gateway(*index, false));
         join_all(kills).await;
     }
 
+    /// Stops gateways that follow the store at once, as planned work does, and starts them again.
+    pub async fn terminate_followers(&self) {
+        let mut followers = self.followers();
+        followers.truncate(MAX_STOPPED_AT_ONCE.min(self.slots.len() / 2));
+        let stops = followers
+            .iter()
+            .map(|index| self.restart_gateway(*index, true));
+        join_all(stops).await;
+    }
+
+    /// Lets the store turn those gateways away that follow it, for a time.
+    pub async fn turn_followers_away(&self, mood: StoreMood, span: Duration) {
+        let followers = self.followers();
+        for is_begin in [true, false] {
+            for &index in &followers {
+                let mood = if is_begin { mood } else { StoreMood::Well };
+                self.slots[index].door.set_mood(mood);
+                self.state().disturbed_at[index] = Some(Instant::now());
+            }
+            if is_begin {
+                sleep(span).await;
+            }
+        }
+    }
+
     /// Kills all gateways at once and starts them again.
     pub async fn kill_all_gateways(&self) {
         // Requests that are in flight now are not cut by planned work.
@@ -484,7 +521,7 @@
     /// Silences a gateway's open connections to the store.
     pub fn silence_store_link(&self, index: usize) {
         self.state().disturbed_at[index] = Some(Instant::now());
-        self.slots[index].store_link.silence_open_connections();
+        self.slots[index].door.silence_open_connections();
     }
 
     /// Silences all open connections to runners.
@@ -597,10 +634,6 @@
     }
 }
 
-async fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").await.expect("a free port")
-}
-
 /// Returns the configuration with the keys that are left.
 fn document(state: &State) -> Value {
     let keys = KEYS.iter().filter(|key| !state.revoked.contains_key(*key));
