--- a/daemon/tests/test_gateway_wire.rs
+++ b/daemon/tests/test_gateway_wire.rs
@@ -17,8 +17,12 @@
 use jujubewall_routing::fleet::claims::RoleClaim;
 use jujubewall_routing::fleet::gossip::GossipMessage;
 use jujubewall_routing::fleet::gossip::PROTOCOL;
+use jujubewall_routing::fleet::gossip_datagram;
+use jujubewall_routing::fleet::gossip_datagram::CrashReports;
 use jujubewall_routing::fleet::instances::LayerReport;
 use jujubewall_routing::fleet::instances::SlowdownReport;
+use jujubewall_routing::fleet::store_answers::AnswerAges;
+use jujubewall_routing::fleet::store_answers::StoreAnswers;
 use jujubewall_testutils::gateway_site::GatewayProcess;
 use jujubewall_testutils::gateway_site::GatewayStart;
 use jujubewall_testutils::gateway_site::Site;
@@ -139,6 +143,19 @@
     assert_eq!(old_wire::decode_message(&datagram).unwrap(), old);
 }
 
+/// The old decoder reads a message beside the ages of the store's answers.
+#[test]
+fn test_old_build_reads_gossip_with_ages_of_answers() {
+    let now = Instant::now();
+    let ages = AnswerAges::new(StoreAnswers::with_both(now), now);
+    let mut message = message();
+    message.answer_ages = vec![ages; 1 + message.claims.len()];
+    let datagram = gossip_datagram::encode(message.clone(), &CrashReports::default()).unwrap();
+    let old: OldMessage = old_wire::decode_message(&old_wire::bytes(old_wire::GOSSIP)).unwrap();
+    assert_eq!(old_wire::decode_message(&datagram).unwrap(), old);
+    assert_eq!(gossip_datagram::decode(&datagram).unwrap().message, message);
+}
+
 #[test]
 fn test_configuration_of_the_old_build_has_the_same_values() {
     let bytes = old_wire::bytes(old_wire::CONFIG);
