--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -517,8 +517,8 @@
     }
 }
 
-/// Removes upstreams that have not rewritten their
-/// entries in time, or whose entries are gone for most of the gateways that follow the store.
+/// Removes upstreams that have not rewritten their entries in time, or whose entries are gone
+/// for most of the gateways that follow the store.
 async fn remove_absent(gateway: Rc<Gateway>) {
     loop {
         sleep(SYNC_INTERVAL).await;
