soak: a gateway that is turned away is not calm while that lasts

Trace: all nine gateways were turned away, five of them cut off for 4.8 s (calls of front-4 got no reply from 215.6 to 217.1 s, the configuration came at 218.8 s with the end of the cut), and the late requests were sent 3 s after the start of the cut at the earliest.

--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -124,6 +124,7 @@
     views: Vec<Option<GatewayView>>,
     running: HashSet<u64>,
     lives: u64,
+    /// Up to when each gateway is or was disturbed.
     disturbed_at: Vec<Option<Instant>>,
     store_disturbed_at: Option<Instant>,
     disturbances: u64,
@@ -328,7 +329,7 @@
         let Ok(mut process) = slot.process.try_lock() else {
             return;
         };
-        self.state().disturbed_at[index] = Some(Instant::now());
+        self.state().disturb(index, Instant::now());
         if is_planned {
             process.terminate().await;
             sleep(BALANCER_DELAY).await;
@@ -363,11 +364,11 @@
         let Ok(process) = self.slots[index].process.try_lock() else {
             return;
         };
-        self.state().disturbed_at[index] = Some(Instant::now());
+        self.state().disturb(index, Instant::now());
         process.pause().await;
         sleep(span).await;
         process.resume().await;
-        self.state().disturbed_at[index] = Some(Instant::now());
+        self.state().disturb(index, Instant::now());
     }
 
     /// Returns the number of gateways.
@@ -418,7 +419,8 @@
             for &index in &followers {
                 let mood = if is_begin { mood } else { StoreMood::Well };
                 self.slots[index].door.set_mood(mood);
-                self.state().disturbed_at[index] = Some(Instant::now());
+                let left = if is_begin { span } else { Duration::ZERO };
+                self.state().disturb(index, Instant::now() + left);
             }
             if is_begin {
                 sleep(span).await;
@@ -520,7 +522,7 @@
 
     /// Silences a gateway's open connections to the store.
     pub fn silence_store_link(&self, index: usize) {
-        self.state().disturbed_at[index] = Some(Instant::now());
+        self.state().disturb(index, Instant::now());
         self.slots[index].door.silence_open_connections();
     }
 
@@ -623,14 +625,19 @@
             self.disturbed_at.push(None);
         }
         self.views[index] = Some(view);
-        self.disturbed_at[index] = Some(Instant::now());
+        self.disturb(index, Instant::now());
     }
 
     fn end_life(&mut self, index: usize) {
         if let Some(view) = self.views[index].take() {
             self.running.remove(&view.life);
         }
-        self.disturbed_at[index] = Some(Instant::now());
+        self.disturb(index, Instant::now());
+    }
+
+    /// Notes that a gateway is disturbed up to a time; several disturbances may overlap.
+    fn disturb(&mut self, index: usize, until: Instant) {
+        self.disturbed_at[index] = self.disturbed_at[index].max(Some(until));
     }
 }
 
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -42,3 +42,10 @@
 async fn test_seed_49_breaks_no_promise() {
     play(49, Duration::from_secs(18)).await;
 }
+
+/// Gateways that the store turned away for longer than the stable window counted as calm while
+/// that lasted.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_seed_9543_breaks_no_promise() {
+    play(9543, Duration::from_secs(18)).await;
+}
