listening: let bursts of connections wait to be accepted

Callers: while a process was held up for a moment, the system answered 129 of 1,000 connections that came at once; the others were tried again after 1, 3, 7 and 15 s.

Cause: the sockets were bound with the library's queue of 128.

Change: one place binds all TCP sockets, with a queue of 4,096.

--- a/bench/src/overhead/pipeline.rs
+++ b/bench/src/overhead/pipeline.rs
@@ -61,10 +61,10 @@
     .await;
     let mut processes = Vec::new();
     for settings in site.agent_settings() {
-        processes.push(Running::start(&Settings::read(&settings)?).await?);
+        processes.push(Running::start(&Settings::read(&settings)?)?);
     }
     let settings = Settings::read(&site.entry_settings("entry-0"))?;
-    let entry = Running::start(&settings).await?;
+    let entry = Running::start(&settings)?;
     let operator = entry
         .operator_address()
         .ok_or_else(|| eyre!("no operators"))?;
--- a/daemon/examples/quickstart.rs
+++ b/daemon/examples/quickstart.rs
@@ -37,12 +37,12 @@
     .await;
     let mut agents = Vec::new();
     for settings in site.agent_settings() {
-        agents.push(Running::start(&Settings::read(&settings)?).await?);
+        agents.push(Running::start(&Settings::read(&settings)?)?);
     }
     let mut entries = Vec::new();
     for name in ["entry-0", "entry-1"] {
         let settings = site.entry_settings(name);
-        entries.push(Running::start(&Settings::read(&settings)?).await?);
+        entries.push(Running::start(&Settings::read(&settings)?)?);
     }
     println!(
         "started {} entries and {} agents",
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -47,7 +47,6 @@
 use jujubewall_routing::lifecycle::Lifecycle;
 use log::error;
 use log::info;
-use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -57,6 +56,7 @@
 use tokio::time::sleep_until;
 
 use crate::gateway::state::Gateway;
+use crate::listening;
 
 /// The time before the end of the grace period, when the process would be killed, at which
 /// a draining process stops by itself.
@@ -81,10 +81,10 @@
 }
 
 async fn serve(path: &Path, settings: SiteSettings) -> eyre::Result<()> {
-    let clients = bind(settings.client_address).await?;
-    let ready = bind(settings.ready_address).await?;
-    let metrics = bind(settings.metrics_address).await?;
-    let peer_calls = bind(settings.peer_address).await?;
+    let clients = listening::bind(settings.client_address)?;
+    let ready = listening::bind(settings.ready_address)?;
+    let metrics = listening::bind(settings.metrics_address)?;
+    let peer_calls = listening::bind(settings.peer_address)?;
     let peer_socket = UdpSocket::bind(settings.peer_address)
         .await
         .wrap_err_with(|| format!("cannot bind UDP {}", settings.peer_address))?;
@@ -113,12 +113,6 @@
     Ok(())
 }
 
-async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot bind {address}"))
-}
-
 async fn wait_for_stop() -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -50,6 +50,7 @@
 use crate::gateway::request::discard_body;
 use crate::gateway::state::Gateway;
 use crate::gateway::stream;
+use crate::listening::MAX_BACKLOG;
 use crate::metered_socket::MeteredSocket;
 use crate::request_memory::MEMORY_WAIT;
 use crate::request_memory::ReadFault;
@@ -65,9 +66,6 @@
 /// clients have stopped sending, are being closed.
 const MAX_EVICTING: usize = 64;
 
-/// The largest number of connections that wait to be accepted, by the system's usual limit.
-const MAX_BACKLOG: usize = 4_096;
-
 /// The time that a connection which has just been accepted gets to send its first request
 /// when the process stops. Clients send it at once, but over links that queue for up to
 /// half a second.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod alarm;
 pub mod entry;
 pub mod gateway;
+mod listening;
 pub mod membership;
 mod metered_socket;
 pub mod metrics;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -72,7 +72,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let running = Running::start(settings).await?;
+    let running = Running::start(settings)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -43,6 +43,7 @@
 use crate::entry::operators::Operators;
 use crate::entry::planner::PlannerActor;
 use crate::entry::planner::PlannerArgs;
+use crate::listening;
 use crate::membership::actor::AnnounceLeaving;
 use crate::metrics::Metrics;
 use crate::network::actor::RoundTrip;
@@ -94,14 +95,14 @@
 
 impl Running {
     /// Starts the process that the settings describe.
-    pub async fn start(checked: &CheckedSettings) -> eyre::Result<Self> {
+    pub fn start(checked: &CheckedSettings) -> eyre::Result<Self> {
         let settings = checked.settings();
         let (shared, events) = Shared::start(settings)?;
         let role = match checked.role() {
             RoleSettings::Entry {
                 caller_address,
                 operator_address,
-            } => start_entry(&shared, settings, caller_address, operator_address).await?,
+            } => start_entry(&shared, settings, caller_address, operator_address)?,
             RoleSettings::Agent => start_agent(&shared, settings),
         };
         let drain_grace = Duration::from_millis(settings.limits.drain_grace_ms);
@@ -117,7 +118,7 @@
         ));
         // A process that answers monitoring has bound all of its sockets.
         let (is_serving, serving) = watch::channel(true);
-        let monitoring = monitoring::start(settings, &shared.metrics, serving).await?;
+        let monitoring = monitoring::start(settings, &shared.metrics, serving)?;
         info!("{} {} serves", settings.role, settings.member);
         Ok(Self {
             shared,
@@ -225,7 +226,7 @@
     }
 }
 
-async fn start_entry(
+fn start_entry(
     shared: &Shared,
     settings: &Settings,
     caller_address: SocketAddr,
@@ -289,8 +290,8 @@
         ),
     };
     let connections = limits::connections(settings);
-    let caller_socket = limits::bind(caller_address).await?;
-    let operator_socket = limits::bind(operator_address).await?;
+    let caller_socket = listening::bind(caller_address)?;
+    let operator_socket = listening::bind(operator_address)?;
     Ok(RunningRole::Entry {
         actor,
         planner,
--- a/daemon/src/process/limits.rs
+++ b/daemon/src/process/limits.rs
@@ -1,25 +1,14 @@
 //! The settings' limits in the form that the listeners take.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr as _;
-use tokio::net::TcpListener;
-
 use crate::metrics::Metrics;
 use crate::request_memory::SharedRequestMemory;
 use crate::server::body::BodyLimits;
 use crate::server::listener::ConnectionLimits;
 use crate::settings::Settings;
 
-/// Binds a TCP socket.
-pub async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("{address} cannot be bound"))
-}
-
 /// Returns the limits on connections.
 pub fn connections(settings: &Settings) -> ConnectionLimits {
     let limits = &settings.limits;
--- a/daemon/src/process/monitoring.rs
+++ b/daemon/src/process/monitoring.rs
@@ -10,6 +10,7 @@
 use jujubewall_types::error::Failure;
 use tokio::sync::watch;
 
+use crate::listening;
 use crate::metrics::Metrics;
 use crate::process::limits;
 use crate::server::answer;
@@ -26,7 +27,7 @@
 /// Starts to serve the metrics and the state of the process.
 ///
 /// A process is ready once its role has applied a configuration, until it drains.
-pub async fn start(
+pub fn start(
     settings: &Settings,
     metrics: &Arc<Metrics>,
     is_serving: watch::Receiver<bool>,
@@ -38,7 +39,7 @@
         let answer = answer_path(request.uri().path(), &metrics, is_ready);
         async move { answer }
     };
-    let socket = limits::bind(settings.metrics_address).await?;
+    let socket = listening::bind(settings.metrics_address)?;
     Ok(Listener::start(
         socket,
         limits::connections(settings),
