store_belief: an old answer does not end an outage

Cause: any newer answer ended the outage, and ages were rounded down, so that one answer from before it looked newer whenever another gateway told of it.

Change: only an answer younger than the time in which entries lapse ends it; ages are rounded up.

Measured: test_answers_from_before_an_outage_do_not_end_it and test_ages_of_answers_are_told failed before and pass now (12 of 12 in test_store_belief).

--- a/routing/src/fleet/store_answers.rs
+++ b/routing/src/fleet/store_answers.rs
@@ -89,7 +89,7 @@
 /// The ages of answers, as gateways tell them to each other.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AnswerAges {
-    /// The age in units of 10 ms; the largest value if there was no answer.
+    /// The age in units of 10 ms, rounded up; the largest value if there was no answer.
     config: u16,
     /// The same for the upstreams' entries.
     entries: u16,
@@ -99,8 +99,9 @@
     /// Returns the ages of answers.
     pub fn new(answers: StoreAnswers, now: Instant) -> Self {
         let age = |at: Option<Instant>| {
-            let age = at.map(|at| now.saturating_duration_since(at).as_millis());
-            age.and_then(|age| u16::try_from(age / u128::from(AGE_UNIT_MS)).ok())
+            let age_ms = at.map(|at| now.saturating_duration_since(at).as_millis());
+            age_ms
+                .and_then(|age_ms| u16::try_from(age_ms.div_ceil(u128::from(AGE_UNIT_MS))).ok())
                 .unwrap_or(u16::MAX)
         };
         Self {
--- a/routing/src/fleet/store_belief.rs
+++ b/routing/src/fleet/store_belief.rs
@@ -194,11 +194,13 @@
         is_other_unserved: bool,
         now: Instant,
     ) -> Option<BeliefChange> {
-        let before = self.answers.last();
         self.answers = self.answers.newest(told);
-        let is_newer = self.answers.last() > before;
+        let last = self.answers.last()?;
+        let is_recent = now.saturating_duration_since(last) < self.lapse_time;
         if let Some(since) = self.away_since {
-            if !is_newer {
+            if !is_recent {
+                // An answer from before the outage may become known in the course of it.
+                self.away_since = Some(last);
                 return None;
             }
             self.away_since = None;
@@ -207,10 +209,9 @@
                 away_for: now.saturating_duration_since(since),
             });
         }
-        let last = self.answers.last()?;
         // In a large fleet, not every gateway has asked the store itself when it returns.
         let has_failed = is_other_unserved || self.failed_at.is_some_and(|at| at > last);
-        if has_failed && now.saturating_duration_since(last) >= self.lapse_time {
+        if has_failed && !is_recent {
             self.away_since = Some(last);
             return Some(BeliefChange::WentAway);
         }
