entry_sync: only followers that have read since entries differ vote

Cause: entries can differ at one position; followers that were cut off and had not noticed it outvoted the one that had read the store since.

Change: once entries differ, only followers that have read the store since then vote, by the ages in their claims. The time for which they differ starts anew after an agreement.

--- a/routing/src/fleet/entry_sync.rs
+++ b/routing/src/fleet/entry_sync.rs
@@ -4,9 +4,10 @@
 //! while it tries to follow a store that turns it away.
 //!
 //! Entries may differ at the same position of the store, when a follower keeps missing
-//! entries for a while. The entries that most followers know are then taken. The time for
-//! which they have differed goes on while changes arrive, because in a busy fleet there is
-//! hardly a moment without one.
+//! entries for a while, or when some followers have not read the store since an entry was
+//! removed. The entries that most followers know are then taken, of those that have read it
+//! since. The time for which they have differed goes on while changes arrive, because in a busy
+//! fleet there is hardly a moment without one.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use super::claims::RoleClaim;
 use super::claims::RoleClaims;
 use super::entry_bounds::EntryBounds;
+use super::store_answers::Topic;
 
 /// What a gateway knows of the upstreams' entries.
 #[derive(Clone, Copy, Debug)]
@@ -46,10 +48,22 @@
     Differing(SocketAddr),
 }
 
+/// Entries of a peer that differ from the own ones at the same position.
+#[derive(Clone, Copy, Debug)]
+struct Difference {
+    /// Since when there have been such entries.
+    since: Instant,
+    /// The digest of the last ones that became known.
+    digest: u64,
+    /// When a follower had read them, as far as is known. Those that have not read the store
+    /// since then may not know of a change that it knows.
+    read_at: Option<Instant>,
+}
+
 /// Decides when entries are fetched from a peer.
 #[derive(Debug, Default)]
 pub struct EntrySync {
-    differing_since: Option<Instant>,
+    difference: Option<Difference>,
 }
 
 impl EntrySync {
@@ -79,18 +93,35 @@
             return Some(EntryFetch::Changes(peer));
         }
         let at_own_position = |claim: &RoleClaim| claim.instances_position == own.position;
-        let common = most_common_digest(
-            served(claims, own.address, silence, now).filter(|claim| at_own_position(claim)),
-        );
-        let Some(common) = common else {
+        let read_at = |claim: &RoleClaim| {
+            let answers = claims.answers_of(claim.holder);
+            answers.answered_at(Topic::Entries)
+        };
+        let followers = || served(claims, own.address, silence, now);
+        let peers = || followers().filter(|claim| at_own_position(claim));
+        let newest = peers()
+            .filter(|claim| claim.instances_digest != own.digest)
+            .max_by_key(|claim| read_at(claim));
+        let Some(newest) = newest else {
             // Without a peer at the same position it stays unknown whether the entries differ.
+            if followers().all(at_own_position) {
+                self.difference = None;
+            }
             return None;
         };
-        if common == own.digest {
-            return None;
-        }
-        let since = *self.differing_since.get_or_insert(now);
-        if now.saturating_duration_since(since) < bounds.max_mismatch() {
+        let difference = match self.difference {
+            Some(known) if known.digest == newest.instances_digest => known,
+            known => Difference {
+                since: known.map_or(now, |known| known.since),
+                digest: newest.instances_digest,
+                read_at: read_at(newest),
+            },
+        };
+        self.difference = Some(difference);
+        let common =
+            most_common_digest(peers().filter(|claim| read_at(claim) >= difference.read_at))?;
+        let lasts = now.saturating_duration_since(difference.since);
+        if common == own.digest || lasts < bounds.max_mismatch() {
             return None;
         }
 
@@ -100,7 +131,9 @@
 
     /// Records that this gateway gets changes from the store itself, so that its entries do
     /// not depend on its peers'.
-    pub fn on_store_source(&mut self) {}
+    pub const fn on_store_source(&mut self) {
+        self.difference = None;
+    }
 }
 
 /// Returns whether more than half of the followers that the store answers have entries with
