claims: what a stopping gateway reads is no news of the fleet

Callers: simulated, with followers that get no answers and those that stepped in stopped as planned, a gateway that nothing disturbs knew an upstream's leaving 490 ms too late.

Cause: stopping gateways go on reading and pass nothing on, but their answers counted, so that nobody else asked the store.

Change: only answers of gateways that pass on what they read count for the fleet. The tests of losses learn followers whose calls get no answer, frozen ones and stops that last, alone and, but for the last, in pairs.

--- a/routing/src/fleet/claims.rs
+++ b/routing/src/fleet/claims.rs
@@ -114,7 +114,7 @@
 #[derive(Debug, Default)]
 pub struct RoleClaims {
     heard: BTreeMap<SocketAddr, HeardClaim>,
-    /// The store's newest answers to any holder.
+    /// The store's newest answers to any gateway that passes on what it reads.
     answers: StoreAnswers,
     has_seen_planner: bool,
 }
@@ -154,7 +154,10 @@
 
     fn insert(&mut self, claim: RoleClaim, answers: StoreAnswers, now: Instant) {
         self.has_seen_planner |= claim.planner.is_planning();
-        self.answers = self.answers.newest(answers);
+        // What others read, as one that stops, is passed on to nobody.
+        if claim.follower == FollowerRole::Served {
+            self.answers = self.answers.newest(answers);
+        }
         let unserved_at = if claim.follower == FollowerRole::Unserved {
             Some(now)
         } else {
@@ -190,7 +193,7 @@
             .filter(|claim| claim.has_role())
     }
 
-    /// Returns the store's newest answers to any gateway that has been heard of.
+    /// Returns the store's newest answers to any gateway that passes on what it reads.
     pub const fn newest_answers(&self) -> StoreAnswers {
         self.answers
     }
--- a/routing/tests/entry_world/mod.rs
+++ b/routing/tests/entry_world/mod.rs
@@ -80,18 +80,34 @@
     Refused,
     /// Every new call fails at once; a watch that waits goes on.
     RateLimited,
-    /// No call is answered.
+    /// No connection opens, and open ones are silent.
     Silent,
+    /// Connections open, and no call is answered.
+    Unanswered,
     /// Every call is answered late.
     Slow,
 }
 
+impl Away {
+    /// Returns the time after which a call without an answer fails; `None` if calls are
+    /// answered in some way.
+    const fn answer_timeout(self) -> Option<Duration> {
+        match self {
+            Self::Silent => Some(CONNECT_TIMEOUT),
+            Self::Unanswered => Some(REPLY_TIMEOUT),
+            Self::Refused | Self::RateLimited | Self::Slow => None,
+        }
+    }
+}
+
 /// Whether a gateway's process runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Life {
     Running,
     /// It was told to stop, and goes on for a while.
     Stopping,
+    /// It exists and does nothing.
+    Frozen,
     Ended,
 }
 
@@ -194,7 +210,7 @@
     }
 
     fn is_running(&self) -> bool {
-        self.life != Life::Ended
+        matches!(self.life, Life::Running | Life::Stopping)
     }
 
     fn is_draining(&self) -> bool {
@@ -339,6 +355,7 @@
                 self.count_call();
                 let time = match away {
                     Some(Away::Silent) => CONNECT_TIMEOUT + REPLY_TIMEOUT,
+                    Some(Away::Unanswered) => REPLY_TIMEOUT,
                     Some(Away::Slow) => SLOW_ANSWER,
                     _ => STEP,
                 };
@@ -438,8 +455,10 @@
                 return self.on_call_failed(begun_at, now);
             }
             // A second watch on a new connection is answered at once, or fails as well.
-            Some(Away::Silent) if away == Some(Away::Silent) => {
-                if now >= overdue_at + CONNECT_TIMEOUT {
+            Some(Away::Silent | Away::Unanswered)
+                if let Some(timeout) = away.and_then(Away::answer_timeout) =>
+            {
+                if now >= overdue_at + timeout {
                     self.on_call_failed(overdue_at, now);
                 }
                 return;
@@ -510,7 +529,6 @@
     }
 
     fn remove_absent(&mut self, now: Instant) {
-        self.weigh_answers(now);
         if self.belief.is_away() {
             return;
         }
@@ -660,6 +678,22 @@
         }
     }
 
+    /// Freezes the processes of gateways.
+    pub fn freeze(&mut self, chosen: &[usize]) {
+        for &index in chosen {
+            self.gateways[index].life = Life::Frozen;
+        }
+    }
+
+    /// Lets frozen gateways go on; what was sent to them meanwhile is lost.
+    pub fn thaw(&mut self, chosen: &[usize]) {
+        for &index in chosen {
+            let gateway = &mut self.gateways[index];
+            gateway.life = Life::Running;
+            gateway.next_message_at = self.now;
+        }
+    }
+
     /// Ends gateways.
     pub fn end(&mut self, chosen: &[usize]) {
         for &index in chosen {
--- a/routing/tests/test_store_losses.rs
+++ b/routing/tests/test_store_losses.rs
@@ -33,6 +33,9 @@
 /// The time after which killed gateways are started again.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 
+/// The time for which gateways are frozen.
+const FREEZE_TIME: Duration = Duration::from_millis(1_200);
+
 /// The times from a loss to the change.
 const MOMENTS_MS: [u64; 5] = [0, 200, 500, 900, 1_500];
 
@@ -50,6 +53,10 @@
     Restarted,
     /// They are told to stop, and end after a while.
     Stopped,
+    /// They are told to stop, and work in progress keeps them for long.
+    Draining,
+    /// Their processes do nothing for a while.
+    Frozen,
     /// The open connections of all gateways go silent.
     Links,
     /// The store closes all watches.
@@ -77,12 +84,14 @@
     let (next_at, next): (Duration, fn(&mut World, &[usize])) = match loss {
         Loss::Restarted => (RESTART_TIME, World::restart),
         Loss::Stopped => (STOP_TIME, World::end),
+        Loss::Frozen => (FREEZE_TIME, World::thaw),
         _ => (Duration::MAX, |_, _| {}),
     };
     match loss {
         Loss::TurnedAway(away) => world.turn_these_away(affected, away, LOSS_TIME),
         Loss::Killed | Loss::Restarted => world.end(affected),
-        Loss::Stopped => world.stop(affected),
+        Loss::Stopped | Loss::Draining => world.stop(affected),
+        Loss::Frozen => world.freeze(affected),
         Loss::Links => world.silence_links(),
         Loss::Watches => world.cut_watches(),
     }
@@ -162,6 +171,18 @@
     check(Loss::TurnedAway(Away::Silent));
 }
 
+/// Guards against followers whose calls get no answer and that keep the role.
+#[test]
+fn test_changes_are_learned_in_time_while_followers_get_no_answer() {
+    check(Loss::TurnedAway(Away::Unanswered));
+}
+
+/// Guards against frozen followers that go on with what they knew before.
+#[test]
+fn test_changes_are_learned_in_time_after_followers_were_frozen() {
+    check(Loss::Frozen);
+}
+
 /// Guards against followers whose calls the store refuses and that keep the role.
 #[test]
 fn test_changes_are_learned_in_time_while_followers_are_refused() {
@@ -198,6 +219,12 @@
     check(Loss::Stopped);
 }
 
+/// Guards against stopping followers that still read and pass nothing on.
+#[test]
+fn test_changes_are_learned_in_time_while_followers_finish_their_work() {
+    check(Loss::Draining);
+}
+
 /// Guards against silent connections that nobody notices.
 #[test]
 fn test_changes_are_learned_in_time_after_connections_went_silent() {
@@ -213,13 +240,15 @@
 /// Guards against losses in series: those that step in for lost followers are lost too.
 #[test]
 fn test_changes_are_learned_in_time_after_one_loss_upon_the_other() {
-    const LOSSES: [Loss; 6] = [
+    const LOSSES: [Loss; 8] = [
         Loss::TurnedAway(Away::Silent),
         Loss::TurnedAway(Away::Refused),
         Loss::TurnedAway(Away::RateLimited),
         Loss::Killed,
         Loss::Stopped,
         Loss::Links,
+        Loss::TurnedAway(Away::Unanswered),
+        Loss::Frozen,
     ];
     const LATER: Duration = Duration::from_millis(300);
 
