follower_election: a gateway that asked in vain asks again

Callers: simulated, a gateway that alone is served again learned changes up to 9.3 s (nine gateways) or more than 10 s (forty) later than the bound, after its stable window.

Cause: it left the next try to the order of holders until somebody was answered.

Change: it asks again 1.5 to 2.5 s after it gave up the role.

--- a/routing/src/fleet/follower_election.rs
+++ b/routing/src/fleet/follower_election.rs
@@ -8,7 +8,8 @@
 //!
 //! Holders of the role may all be alive and useless: cut off, refused, slow, just starting or
 //! stopping. So candidates also step in when the newest answer of the store to any gateway is
-//! too old, whatever the reason, each of them once until the store has answered somebody.
+//! too old, whatever the reason, each of them again after a pause until the store has answered
+//! somebody.
 //!
 //! A gateway that the store does not serve leaves the role to one that has not tried yet,
 //! which may be served: candidates follow such holders in a cyclic order. It never leaves the
@@ -58,6 +59,14 @@
 /// it serves others.
 const UNSERVED_MEMORY: Duration = Duration::from_secs(5);
 
+/// The time after which a gateway that gave up the role because the store did not serve it may
+/// ask the store again for the age of the newest answer alone, so that one that is served again
+/// is not held back by others that are not.
+const VAIN_TRY_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// The time over which the further tries of a large domain are spread.
+const VAIN_TRY_SPREAD_MS: u64 = 1_000;
+
 /// How long a surplus holder continues, during which another holder may be lost.
 const MIN_SURPLUS_TIME: Duration = Duration::from_secs(2);
 
@@ -229,7 +238,10 @@
         };
         let is_catching_up = self.catching_up_until.is_some_and(|until| now < until);
         // One that has just tried in vain leaves the next try to the order of holders.
-        let has_tried = self.gave_up_at.is_some_and(|at| at > answered_at);
+        let spread = Duration::from_millis(domain.own_score % VAIN_TRY_SPREAD_MS);
+        let has_tried = self.gave_up_at.is_some_and(|at| {
+            at > answered_at && now.saturating_duration_since(at) < VAIN_TRY_PAUSE + spread
+        });
         if is_catching_up || has_tried {
             return false;
         }
--- a/routing/tests/test_store_losses.rs
+++ b/routing/tests/test_store_losses.rs
@@ -286,10 +286,32 @@
     assert!(late.is_empty(), "{} late:\n{}", late.len(), late.join("\n"));
 }
 
-/// Guards against fleets of many gateways in which each asks the store for itself, beyond the
-/// calls that it allows.
+/// Guards against a gateway that asked in vain, and does not ask again when the store serves it
+/// while it serves nobody else.
 #[test]
-fn test_calls_to_the_store_stay_few_in_large_fleets() {
+fn test_gateway_that_alone_is_served_again_learns_changes_in_time() {
+    let mut late = Vec::new();
+    for size in [2, 5, 9, 40] {
+        for returning in 0..size.min(9) {
+            let seed = u64::try_from(returning).unwrap();
+            let mut world = World::with_domains(size, 1, DRAIN_BOUND, seed);
+            world.run_for(START);
+            let all: Vec<usize> = (0..size).collect();
+            world.turn_these_away(&all, Away::Refused, Duration::from_mins(1));
+            world.run_for(LOSS_TIME + Duration::from_millis(300 * seed));
+            world.turn_these_away(&[returning], Away::Refused, Duration::ZERO);
+            world.run_for(STABLE_WINDOW);
+            let time = lateness(&mut world, &[returning], Duration::ZERO);
+            if !time.is_zero() {
+                late.push(format!("{size} gateways, {returning} served: {time:?}"));
+            }
+        }
+    }
+    assert!(late.is_empty(), "{} late:\n{}", late.len(), late.join("\n"));
+}
+
+/// Fails if a large fleet in so many domains makes more calls to the store than it allows.
+fn check_calls(domains: usize) {
     /// The reading calls a second that the platform's store allows.
     const READS_PER_S: u64 = 2_000;
     /// The part of them that gateways may make while nothing happens.
@@ -297,7 +319,7 @@
     /// The part of them that gateways may make while the store is away.
     const AWAY_SHARE: u64 = 4;
 
-    let mut world = World::with_domains(300, MAX_DOMAINS, DRAIN_BOUND, 7);
+    let mut world = World::with_domains(300, domains, DRAIN_BOUND, 7);
     world.run_for(START);
     let before = world.calls();
     world.run_for(Duration::from_secs(3));
@@ -312,7 +334,22 @@
         let before = world.calls();
         world.run_for(Duration::from_secs(1));
         let calls = world.calls() - before;
-        println!("second {second} without the store: {calls} calls, {calm_per_s} before");
+        println!(
+            "{domains} domains, second {second} without the store: {calls} calls, {calm_per_s} before"
+        );
         assert!(calls <= READS_PER_S / AWAY_SHARE, "{calls} in a second");
     }
 }
+
+/// Guards against fleets of many gateways in which each asks the store for itself, beyond the
+/// calls that it allows.
+#[test]
+fn test_calls_to_the_store_stay_few_in_large_fleets() {
+    check_calls(MAX_DOMAINS);
+}
+
+/// Guards against many gateways of one domain that ask the store again at the same time.
+#[test]
+fn test_calls_to_the_store_stay_few_in_large_domains() {
+    check_calls(1);
+}
