followers: weigh the store's answers in one loop

The loop that decides whether to follow the store weighs them every 100 ms; the loop that removes missing entries did the same once more.

Measured: test_store_losses and test_fleet_entries, whose simulated gateways changed alike, pass.

--- a/daemon/src/gateway/followers.rs
+++ b/daemon/src/gateway/followers.rs
@@ -523,7 +523,6 @@
     loop {
         sleep(SYNC_INTERVAL).await;
         let now = Instant::now();
-        gateway.weigh_store_answers();
         if gateway.store_belief().is_away() {
             continue;
         }
--- a/testutils/src/store_door.rs
+++ b/testutils/src/store_door.rs
@@ -81,8 +81,8 @@
         self.link.silence_open_connections();
     }
 
-    /// Sets how the store treats calls of this gateway, watches that wait too. A silent store is one that the
-    /// gateway is cut off from, so that open connections go silent too.
+    /// Sets how the store treats calls of this gateway, watches that wait too. A silent store is
+    /// one that the gateway is cut off from, so that open connections go silent too.
     pub fn set_mood(&self, mood: StoreMood) {
         self.handler.mood.send_replace(mood);
         if mood == StoreMood::Silent {
