soak: frozen followers beside changes, and answers with invalid statuses

A second series beside the schedule stops the processes of followers while a key is taken away and a runner leaves, and lets runners answer 600, 777 and 999; the check of whole answers knows such statuses. A pause counts as a disturbance from its begin to its end.

--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -6,6 +6,7 @@
 
 use hyper::Request;
 use jujubewall_http_client::CallDeadlines;
+use jujubewall_http_client::HeadFault;
 use jujubewall_http_client::HttpCallError;
 use jujubewall_http_client::HttpClient;
 use jujubewall_testutils::gateway_site::all_events;
@@ -23,6 +24,7 @@
 use crate::promises::Kind;
 use crate::promises::Outcome;
 use crate::promises::Sent;
+use crate::schedule::INVALID_STATUSES;
 use crate::world::KEYS;
 use crate::world::World;
 
@@ -123,8 +125,9 @@
     id: &str,
     answer: Result<hyper::Response<hyper::body::Bytes>, HttpCallError>,
 ) -> Outcome {
-    let Ok(answer) = answer else {
-        return Outcome::Broken;
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(failure) => return broken_outcome(&failure),
     };
     let whole = match kind {
         Kind::Stream => all_events(),
@@ -136,3 +139,16 @@
         is_own: is_own_answer(&answer, id),
     }
 }
+
+/// Returns what a client got that has no answer by its library, which drops invalid statuses.
+fn broken_outcome(failure: &HttpCallError) -> Outcome {
+    let reason = failure.to_string();
+    let passed_on = INVALID_STATUSES
+        .into_iter()
+        .find(|status| reason.contains(&HeadFault::InvalidStatus(*status).to_string()));
+    passed_on.map_or(Outcome::Broken, |status| Outcome::Answer {
+        status,
+        is_whole: false,
+        is_own: false,
+    })
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -46,12 +46,14 @@
     let world = World::start(program, folder, seed).await;
     let load = clients::start(&world, seed);
     let failing = tokio::spawn(schedule::fail_runners(Arc::clone(&world), seed));
+    let beside = tokio::spawn(schedule::play_beside(Arc::clone(&world), seed));
     let mut schedule = Schedule::new(seed);
     let end = Instant::now() + length;
     while Instant::now() < end {
         schedule.play_next(&world).await;
     }
     failing.abort();
+    beside.abort();
     world.end_faults().await;
     world.kill_all_gateways().await;
     let has_recovered = world.serves_within(RECOVERY).await;
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -14,6 +15,9 @@
 /// The statuses that promise that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// The statuses that HTTP defines.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// The status of a request whose key is unknown.
 const UNKNOWN_KEY: u16 = 401;
 
@@ -176,6 +180,9 @@
             if *status == 200 && !(*is_whole && *is_own) {
                 note(Promise::WholeAnswers, "a success is not the runner's");
             }
+            if !VALID_STATUSES.contains(status) {
+                note(Promise::WholeAnswers, "HTTP does not define the status");
+            }
             if sent.kind == Kind::Order && NOT_RUN_STATUSES.contains(status) && ran > 0 {
                 note(Promise::TrueNotRun, "an order ran that was said not to");
             }
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -16,6 +16,9 @@
 /// The time for which only planned work is played, and then everything.
 const PHASE: Duration = Duration::from_secs(7);
 
+/// Statuses that HTTP does not define and that runners in trouble answer.
+pub const INVALID_STATUSES: [u16; 3] = [600, 777, 999];
+
 /// The time from a disturbance of followers to the changes beside it.
 const CHANGE_DELAY: Duration = Duration::from_millis(200);
 
@@ -34,6 +37,8 @@
     TerminateFollowers(u64),
     /// A store that turns followers away and serves the others, beside changes.
     TurnFollowersAway(StoreMood, Duration, u64),
+    /// Followers whose processes stand still for a time, beside changes.
+    PauseFollowers(Duration, u64),
     /// An outage of the store that is followed at once by changes.
     OutageThenChanges(StoreMood, Duration, u64),
     SilenceStoreLinks(u64),
@@ -194,6 +199,36 @@
     }
 }
 
+/// Lets frozen followers and answers of invalid statuses come in turn, beside the schedule, until
+/// the task is ended.
+pub async fn play_beside(world: Arc<World>, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    loop {
+        sleep(Duration::from_millis(rng.random_range(500..4_000))).await;
+        let pick = rng.random();
+        let span = Duration::from_millis(rng.random_range(100..3_000));
+        let event = if rng.random_bool(0.5) {
+            Event::PauseFollowers(span, pick)
+        } else {
+            let status = INVALID_STATUSES[rng.random_range(0..INVALID_STATUSES.len())];
+            Event::FailRunner(pick, RunnerFault::AnswerInvalid(status), span)
+        };
+        if !world.may_be_disturbed() {
+            continue;
+        }
+        let world = Arc::clone(&world);
+        let task = world.tasks();
+        task.spawn(async move { play(&world, event).await });
+    }
+}
+
+/// Takes a key away and removes a runner a little later.
+async fn change_soon(world: &World, pick: u64) {
+    sleep(CHANGE_DELAY).await;
+    world.revoke_key();
+    world.replace_runner(pick, Leave::RemoveEntry).await;
+}
+
 async fn play(world: &Arc<World>, event: Event) {
     if !event.is_planned() {
         world.note_disturbance();
@@ -214,13 +249,13 @@
             tokio::join!(stops, world.replace_runner(pick, Leave::RemoveEntry));
         }
         Event::TurnFollowersAway(mood, span, pick) => {
-            let away = world.turn_followers_away(mood, span);
-            let changes = async {
-                sleep(CHANGE_DELAY).await;
-                world.revoke_key();
-                world.replace_runner(pick, Leave::RemoveEntry).await;
-            };
-            tokio::join!(away, changes);
+            tokio::join!(
+                world.turn_followers_away(mood, span),
+                change_soon(world, pick)
+            );
+        }
+        Event::PauseFollowers(span, pick) => {
+            tokio::join!(world.pause_followers(span), change_soon(world, pick));
         }
         Event::SilenceStoreLinks(pick) => {
             world.silence_store_links();
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -365,7 +365,7 @@
         let Ok(process) = self.slots[index].process.try_lock() else {
             return;
         };
-        self.state().disturb(index, Instant::now());
+        self.state().disturb(index, Instant::now() + span);
         process.pause().await;
         sleep(span).await;
         process.resume().await;
@@ -429,6 +429,15 @@
         }
     }
 
+    /// Stops the processes of gateways that follow the store for a time, in which they do not end.
+    pub async fn pause_followers(&self, span: Duration) {
+        let followers = self.followers();
+        let pauses = followers
+            .iter()
+            .map(|index| self.pause_gateway(*index, span));
+        join_all(pauses).await;
+    }
+
     /// Kills all gateways at once and starts them again.
     pub async fn kill_all_gateways(&self) {
         // Requests that are in flight now are not cut by planned work.
@@ -495,24 +504,16 @@
 
     /// Treats calls to the store in another way for a time.
     pub async fn disturb_store(&self, mood: StoreMood, span: Duration) {
-        {
-            let mut state = self.state();
-            let until = Some(Instant::now() + span);
-            state.store_disturbed_at = state.store_disturbed_at.max(until);
-        }
+        self.state().disturb_store_until(Instant::now() + span);
         self.store.set_mood(mood);
         sleep(span).await;
         self.store.set_mood(StoreMood::Well);
-        let mut state = self.state();
-        state.store_disturbed_at = state.store_disturbed_at.max(Some(Instant::now()));
+        self.state().disturb_store_until(Instant::now());
     }
 
     /// Lets the store forget its history.
     pub fn compact_store(&self) {
-        {
-            let mut state = self.state();
-            state.store_disturbed_at = state.store_disturbed_at.max(Some(Instant::now()));
-        }
+        self.state().disturb_store_until(Instant::now());
         self.store.compact();
     }
 
@@ -648,6 +649,11 @@
     fn disturb(&mut self, index: usize, until: Instant) {
         self.disturbed_at[index] = self.disturbed_at[index].max(Some(until));
     }
+
+    /// Notes that the store is disturbed up to a time.
+    fn disturb_store_until(&mut self, until: Instant) {
+        self.store_disturbed_at = self.store_disturbed_at.max(Some(until));
+    }
 }
 
 /// Returns the configuration with the keys that are left.
--- a/soak/tests/test_promises.rs
+++ b/soak/tests/test_promises.rs
@@ -99,6 +99,15 @@
     }
 }
 
+#[test]
+fn test_answer_with_a_status_that_http_does_not_define() {
+    for status in [0, 99, 600, 999] {
+        let mut case = Case::new();
+        case.send("invalid", Kind::Stock, 5, answer(status));
+        assert_eq!(case.broken(), [Promise::WholeAnswers]);
+    }
+}
+
 #[test]
 fn test_order_that_runs_again() {
     let mut case = Case::new();
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -60,6 +60,8 @@
     Refuse,
     /// The request runs, and a failure is answered.
     Fail,
+    /// The request runs, and an answer has a status that HTTP does not define.
+    AnswerInvalid(u16),
     /// The answer belongs to another request.
     AnswerAnother,
     /// The request runs, and a late copy of another one's refusal is answered.
