soak: a gateway may lose touch between a request and its next run

Traced in the gateways' logs: front-7 took stream c4-49 in touch, was frozen for 2.9 s by the schedule, in which runner hall-0 left, and sent the stream on to hall-0 2 ms after it went on. The check asked only whether the gateway was in touch when the client sent the request.

Change: each request notes when its gateway or the store was disturbed after it; runs begun later than that do not count, runs before it do, and test_request_at_a_runner_that_left has both cases.

--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -102,6 +102,7 @@
             gateway_life: life,
             at,
             is_calm,
+            disturbed_at: world.disturbed_after(gateway.index, at),
             is_planned_only,
         });
     }
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::fmt;
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -63,6 +62,8 @@
     pub at: Instant,
     /// Whether the gateway and the store had been undisturbed for a while.
     pub is_calm: bool,
+    /// When the gateway or the store was disturbed after that, until the answer.
+    pub disturbed_at: Option<Instant>,
     /// Whether nothing but planned work touched the gateway until the answer.
     pub is_planned_only: bool,
     /// What the client got.
@@ -198,12 +199,18 @@
 }
 
 /// Checks the runs at leaving runners that gateways in touch with the store began; the
-/// others need not have learned that the runner leaves.
+/// others need not have learned that the runner leaves. A gateway may lose touch between a
+/// request and its next run.
 fn check_drained(history: &History, bounds: &Bounds, broken: &mut Vec<Broken>) {
     let calm = history.sent.iter().filter(|sent| sent.is_calm);
-    let calm: HashSet<&str> = calm.map(|sent| sent.id.as_str()).collect();
+    let calm: HashMap<&str, Option<Instant>> = calm
+        .map(|sent| (sent.id.as_str(), sent.disturbed_at))
+        .collect();
     for run in &history.runs {
-        if !calm.contains(run.id.as_str()) {
+        let Some(disturbed_at) = calm.get(run.id.as_str()) else {
+            continue;
+        };
+        if disturbed_at.is_some_and(|at| run.at > at) {
             continue;
         }
         let drained = history.drained.get(&run.runner);
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -128,6 +128,8 @@
     disturbed_at: Vec<Option<Instant>>,
     /// Up to when the store is or was disturbed.
     store_disturbed_at: Option<Instant>,
+    /// When each disturbance of a gateway, or of the store, began or ended.
+    disturbance_log: Vec<(Option<usize>, Instant)>,
     disturbances: u64,
     phase: Phase,
     version: u64,
@@ -256,6 +258,16 @@
         is_over(state.disturbed_at[gateway]) && is_over(state.store_disturbed_at)
     }
 
+    /// Returns when a gateway or the store was first disturbed after a time, if it was.
+    pub fn disturbed_after(&self, gateway: usize, after: Instant) -> Option<Instant> {
+        let state = self.state();
+        let concerns = |index: Option<usize>| index.is_none_or(|index| index == gateway);
+        let mut later = state.disturbance_log.iter();
+        later
+            .find(|(index, at)| concerns(*index) && *at > after)
+            .map(|(_, at)| *at)
+    }
+
     /// Returns the number of disturbances that have begun or ended.
     pub fn disturbances(&self) -> u64 {
         self.state().disturbances
@@ -648,11 +660,13 @@
     /// Notes that a gateway is disturbed up to a time; several disturbances may overlap.
     fn disturb(&mut self, index: usize, until: Instant) {
         self.disturbed_at[index] = self.disturbed_at[index].max(Some(until));
+        self.disturbance_log.push((Some(index), Instant::now()));
     }
 
     /// Notes that the store is disturbed up to a time.
     fn disturb_store_until(&mut self, until: Instant) {
         self.store_disturbed_at = self.store_disturbed_at.max(Some(until));
+        self.disturbance_log.push((None, Instant::now()));
     }
 }
 
--- a/soak/tests/test_promises.rs
+++ b/soak/tests/test_promises.rs
@@ -45,6 +45,7 @@
             gateway_life: 1,
             at: self.start + Duration::from_millis(at_ms),
             is_calm: true,
+            disturbed_at: None,
             is_planned_only: false,
             outcome,
         });
@@ -134,10 +135,19 @@
     case.send("cut off", Kind::Stock, 2_050, answer(200))
         .is_calm = false;
     case.run("cut off", 2_050);
+    let frozen_at = case.start + Duration::from_millis(1_950);
+    case.send("frozen", Kind::Stream, 1_900, answer(200))
+        .disturbed_at = Some(frozen_at);
+    case.run("frozen", 4_900);
     assert_eq!(case.broken(), []);
     case.send("late", Kind::Stock, 2_100, answer(200));
     case.run("late", 2_100);
     assert_eq!(case.broken(), [Promise::Drained]);
+    let frozen_at = case.start + Duration::from_millis(2_300);
+    case.send("frozen later", Kind::Stock, 2_100, answer(200))
+        .disturbed_at = Some(frozen_at);
+    case.run("frozen later", 2_200);
+    assert_eq!(case.broken(), [Promise::Drained; 2]);
 }
 
 #[test]
--- a/soak/tests/test_soak.rs
+++ b/soak/tests/test_soak.rs
@@ -49,3 +49,10 @@
 async fn test_seed_9543_breaks_no_promise() {
     play(9543, Duration::from_secs(18)).await;
 }
+
+/// A gateway was frozen after it had taken a stream, and sent it on to a runner that had left
+/// meanwhile when it went on; it was not in touch then.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_seed_9742_breaks_no_promise() {
+    play(9742, Duration::from_secs(18)).await;
+}
