review: an order that ran is answered 503

Cause: an upstream's answer to an order is passed on whatever its status. A 503 without the mark of a refusal does not state that the order has not run, but clients take it for that. Change: a case with a runner that fails orders after it has run them.

--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -2,6 +2,7 @@
 //! the repository. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod engines;
+mod false_promise;
 mod http;
 mod leaving_engine;
 mod record;
@@ -17,6 +18,7 @@
     let folder = PathBuf::from(arguments.next().unwrap_or_default());
     // A panic means that the case could not run; gateways are killed as they are dropped.
     let is_broken = panic::catch_unwind(|| match name.as_str() {
+        "false-promise" => false_promise::run(&folder),
         "leaving-engine" => leaving_engine::run(&folder),
         _ => panic!("there is no case {name}"),
     });
