review: a larger head is refused after the limit was raised

Cause: the read buffer of an open connection keeps the size that it got when the connection was accepted, and the connection is closed only after its next answer. Change: a case with clients that send large heads on kept connections.

--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,6 +5,7 @@
 mod false_promise;
 mod http;
 mod leaving_engine;
+mod raised_limit;
 mod record;
 mod site;
 
@@ -20,6 +21,7 @@
     let is_broken = panic::catch_unwind(|| match name.as_str() {
         "false-promise" => false_promise::run(&folder),
         "leaving-engine" => leaving_engine::run(&folder),
+        "raised-limit" => raised_limit::run(&folder),
         _ => panic!("there is no case {name}"),
     });
     match is_broken {
