review: a removed runner is used again after a copy of the store

Cause: an upstream whose entry was removed is brought back by whatever shows the entry again, also by a store that came back from a copy older than the removal. Change: a case with a store that comes back from a copy.

--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -7,6 +7,7 @@
 mod leaving_engine;
 mod raised_limit;
 mod record;
+mod returned_entry;
 mod site;
 
 use std::panic;
@@ -22,6 +23,7 @@
         "false-promise" => false_promise::run(&folder),
         "leaving-engine" => leaving_engine::run(&folder),
         "raised-limit" => raised_limit::run(&folder),
+        "returned-entry" => returned_entry::run(&folder),
         _ => panic!("there is no case {name}"),
     });
     match is_broken {
--- a/review/standin-3/src/site.rs
+++ b/review/standin-3/src/site.rs
@@ -11,6 +11,9 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -54,8 +57,8 @@
 const FIRST_BORN_UNIX_MS: usize = 1_770_000_000_000;
 
 /// The items of the store, with the revisions of their last changes.
-#[derive(Default)]
-struct Items {
+#[derive(Clone, Default)]
+pub struct Items {
     revision: u64,
     items: BTreeMap<String, (String, u64)>,
     /// The keys of removed items, with the revisions of their removals.
@@ -65,6 +68,9 @@
 /// The platform's store: it serves reads, watches without leases' effects, and leases.
 pub struct Store {
     items: Mutex<Items>,
+    /// How often the store has come back from a copy.
+    era: AtomicU64,
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -72,6 +78,8 @@
     pub fn start() -> (Arc<Self>, SocketAddr) {
         let store = Arc::new(Self {
             items: Mutex::default(),
+            era: AtomicU64::new(1),
+            is_away: AtomicBool::new(false),
         });
         store.put_config(7, DEFAULT_MAX_HEADER_BYTES);
         let served = Arc::clone(&store);
@@ -118,7 +126,35 @@
         self.put(&format!("servers/{id}"), &entry);
     }
 
+    /// Returns a copy of the items.
+    pub fn copy(&self) -> Items {
+        self.items.lock().expect("no writer has failed").clone()
+    }
+
+    /// Makes the store turn all calls away.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+    }
+
+    /// Lets the store serve again, from a copy of its items.
+    pub fn come_back(&self, copy: Items) {
+        *self.items.lock().expect("no writer has failed") = copy;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
     fn answer(&self, request: &Message) -> Message {
+        let reply = self.serve(request);
+        let reply = if self.is_away.load(Ordering::SeqCst) {
+            Message::reply(503, "{}")
+        } else {
+            reply
+        };
+        let era = self.era.load(Ordering::SeqCst);
+        reply.with("store-era", &era.to_string())
+    }
+
+    fn serve(&self, request: &Message) -> Message {
         let (path, query) = request
             .target()
             .split_once('?')
@@ -147,6 +183,12 @@
                 let end = Instant::now() + wait;
                 loop {
                     let (events, revision) = self.changed(text("path_prefix"), after);
+                    if after > revision {
+                        break Message::reply(410, "{}");
+                    }
+                    if self.is_away.load(Ordering::SeqCst) {
+                        break Message::reply(503, "{}");
+                    }
                     if !events.is_empty() || Instant::now() >= end {
                         let body =
                             format!(r#"{{"events":[{events}],"store_revision":{revision}}}"#);
