gateway: an upstream's word about itself is no evidence against another

Cause: the header by which an upstream announces its end counted as the word of the engine that its refusal names, and an announcement holds for the whole life of an engine. A pause was kept at the named engine, too. The planner believed a failed health check at once as if it were an announcement.

Change: `LeavingSign` in platform tells the speaker's own word from a sign that may be meant for another one; `instances::leaving::Leaving` keeps own word apart from conclusions, which the next health check takes back. After an unclear sign both engines are asked. A pause holds for the speaker. The stand-ins and the soak play engines that leave and blame others, and the soak demands service before it restarts all gateways.

Tests that changed: `note_leaving(_, is_leaving)` is `note_health(_, is_healthy)` now, with the same assertions; explain says "it may be leaving" of a failed health check, since the upstream did not say so.

--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -428,14 +428,21 @@
                 } else {
                     Contact::Answering
                 },
-                is_leaving: is_lingering
-                    || instance.state == InstanceState::Draining
-                    || tracked.leaving_since().is_some(),
+                is_leaving: is_lingering || is_leaving(tracked),
             })
         })
         .collect()
 }
 
+/// Returns whether an engine is about to end, by its own word or by another sign that it has not
+/// taken back for a while.
+fn is_leaving(tracked: &TrackedInstance) -> bool {
+    let inferred_at = tracked.inferred_leaving_since();
+    tracked.instance.state == InstanceState::Draining
+        || tracked.has_announced_leaving()
+        || inferred_at.is_some_and(|at| at.elapsed() >= LOSS_CONFIRMATION_TIME)
+}
+
 /// Returns whether an engine has been silent for so long that others should hold its layers
 /// too, if that aborts no streams.
 fn is_silent(tracked: &TrackedInstance) -> bool {
--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -22,6 +22,7 @@
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use jujubewall_platform::site::headers;
+use jujubewall_platform::site::headers::LeavingSign;
 use jujubewall_platform::site::order::ORDER_PATH;
 use jujubewall_platform::site::order::OrderAnswer;
 use jujubewall_platform::site::order::order_answer;
@@ -230,39 +231,39 @@
         return;
     };
     let now = Instant::now();
-    let is_new = gateway.instances_mut().note_leaving(key, !is_healthy, now);
-    if is_new {
+    let has_changed = gateway.instances_mut().note_health(key, is_healthy, now);
+    if has_changed {
         info!("event=health upstream={id} takes_work={is_healthy}");
     }
 }
 
-/// Processes what the head of an upstream's answer says about that upstream, and about the
-/// upstream that it names as faulty.
+/// Processes what the head of an upstream's answer says about that upstream.
+///
+/// What it says of another one is no evidence against that one, which is asked itself.
 pub fn process_answer_head(
     gateway: &Rc<Gateway>,
     key: InstanceKey,
     status: StatusCode,
     head: &HeaderMap,
 ) {
-    let named = headers::faulty_upstream(head);
-    let named = named.and_then(|address| gateway.instances().at_address(address));
-    let named = named.filter(|named| *named != key);
-    if headers::says_leaving(head) {
-        // A refusal that is due to another engine of the path may pass on that engine's
-        // leaving header.
-        note_leaving_announced(gateway, named.unwrap_or(key));
-        if named.is_some() {
-            spawn_local(check_leaving(Rc::clone(gateway), key));
+    let address = {
+        let instances = gateway.instances();
+        instances.get(key).map(|tracked| tracked.instance.address)
+    };
+    let Some(address) = address else {
+        return;
+    };
+    match headers::leaving_sign(head, address) {
+        LeavingSign::None => {}
+        LeavingSign::Own => note_leaving_announced(gateway, key),
+        LeavingSign::OwnOrNamed(named) => {
+            let named = gateway.instances().at_address(named);
+            ask_whether_leaving(gateway, key, named);
         }
     }
     match headers::requested_pause(status, head) {
         Ok(None) => {}
-        Ok(Some(pause)) => {
-            note_pause(gateway, key, pause);
-            if let Some(named) = named {
-                note_pause(gateway, named, pause);
-            }
-        }
+        Ok(Some(pause)) => note_pause(gateway, key, pause),
         Err(value) => {
             gateway.metrics.count("pause_unreadable");
             info!("event=pause_unreadable value=\"{value}\"");
@@ -270,6 +271,22 @@
     }
 }
 
+/// Checks the health of an upstream that said that it leaves, or passed on that the one which its
+/// refusal names does. Until it has answered, it gets no new work.
+fn ask_whether_leaving(gateway: &Rc<Gateway>, key: InstanceKey, named: Option<InstanceKey>) {
+    // One that counts as leaving already is asked from time to time.
+    if !gateway.instances_mut().infer_leaving(key, Instant::now()) {
+        return;
+    }
+    gateway.metrics.count("leaving_unclear");
+    if let Some(tracked) = gateway.instances().get(key) {
+        info!("event=leaving_unclear upstream={}", tracked.instance.id);
+    }
+    for asked in named.into_iter().chain([key]) {
+        spawn_local(check_leaving(Rc::clone(gateway), asked));
+    }
+}
+
 fn process_answer_from(gateway: &Rc<Gateway>, address: SocketAddr, answer: &Response<Incoming>) {
     let key = gateway.instances().at_address(address);
     if let Some(key) = key {
--- a/daemon/tests/test_gateway_platform.rs
+++ b/daemon/tests/test_gateway_platform.rs
@@ -2,6 +2,7 @@
 //! restored from an older copy.
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use jujubewall_testutils::gateway_site::Site;
@@ -9,6 +10,11 @@
 use jujubewall_testutils::gateway_site::request;
 use jujubewall_testutils::gateway_site::stream_request;
 use jujubewall_testutils::gateway_site::wait_until;
+use jujubewall_testutils::scripted_upstream::After;
+use jujubewall_testutils::scripted_upstream::Received;
+use jujubewall_testutils::scripted_upstream::Script;
+use jujubewall_testutils::scripted_upstream::ScriptedSite;
+use jujubewall_testutils::scripted_upstream::Written;
 use jujubewall_testutils::site_runner::RunnerFault;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -83,6 +89,54 @@
     assert_eq!(site.runners.arrived(&leaving).len(), reached);
 }
 
+/// Guards against a sound engine that a leaving one names in its last refusals being taken for
+/// leaving itself, for good: no path is left, and all streams are rejected.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_engine_that_a_leaving_one_names_is_used_again() {
+    for status in [503, 421] {
+        let site = start_site().await;
+        let leaving: Vec<String> = site
+            .engine_ids()
+            .into_iter()
+            .filter(|id| {
+                site.runners
+                    .layers_of(id)
+                    .is_some_and(|held| held.first == 0)
+            })
+            .collect();
+        for id in &leaving {
+            site.runners
+                .set_fault(id, RunnerFault::LeaveBlaming(status));
+        }
+        for index in 0..10 {
+            let id = format!("refused-{index}");
+            site.send(stream_request(&id)).await.unwrap();
+        }
+        let mut count = 0;
+        wait_until("the other engines serve all streams", async || {
+            count += 1;
+            let id = format!("after-{count}");
+            let answer = site.send(stream_request(&id)).await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+        let mut failed = Vec::new();
+        for index in 0..20 {
+            let id = format!("later-{index}");
+            let answer = site.send(stream_request(&id)).await.unwrap();
+            if answer.status() != 200 {
+                failed.push(format!("{id}: {}", answer.status()));
+            }
+        }
+        assert!(failed.is_empty(), "{status}: {failed:?}");
+        for id in site.engine_ids() {
+            let says = format!("event=says_leaving upstream={id}");
+            let is_believed = site.gateway.log().contains(&says);
+            assert!(!is_believed || leaving.contains(&id), "{status}: {id}");
+        }
+    }
+}
+
 /// BUDGET: an upstream that asks for a pause gets at most two requests from half a second
 /// after its refusal to the end of the pause, and serves requests again after it.
 #[tokio::test(flavor = "multi_thread")]
@@ -110,6 +164,51 @@
     call_until_reached(&site, "ledger-0", "later").await;
 }
 
+/// Guards against a pause that one engine asks for in a refusal being kept at the engine which the
+/// refusal names: that one has asked for none.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_pause_holds_for_the_engine_that_asks_for_it() {
+    let site = ScriptedSite::start(Path::new(PROGRAM), |_| {}).await;
+    let sound: Script = Arc::new(|received: &Received| {
+        let body = "id: 0\ndata: word\n\n";
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {}\r\nresponse-stamp: raw\r\n\
+             content-type: text/event-stream\r\ncontent-length: {}\r\n\r\n",
+            received.id,
+            body.len()
+        );
+        Written::new(head + body, After::Close)
+    });
+    let sound = site.upstream("engine-0", "llm", sound).await;
+    let named = sound.address;
+    let asking: Script = Arc::new(move |received: &Received| {
+        let head = format!(
+            "HTTP/1.1 503 Full\r\nrequest-id: {}\r\nnot-run: 1\r\nat-server: {named}\r\n\
+             retry-after: 30\r\ncontent-length: 0\r\n\r\n",
+            received.id
+        );
+        Written::new(head, After::Close)
+    });
+    let asking = site.upstream("engine-1", "llm", asking).await;
+    let mut refused = 0;
+    for index in 0..40 {
+        let id = format!("s-{index}");
+        let answer = site.gateway.send(stream_request(&id)).await.unwrap();
+        refused += asking.received(&id).len();
+        // The named engine is avoided for a moment.
+        if answer.status() != 200 {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    assert!(refused > 0, "no stream was refused");
+    let answer = site.gateway.send(stream_request("last")).await.unwrap();
+    assert_eq!(answer.status(), 200, "{answer:?}");
+    assert!(
+        refused <= 3,
+        "{refused} streams reached the engine in its pause"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_pause_without_a_valid_time_is_ignored() {
     let site = start_site().await;
--- a/routing/src/fleet/explain.rs
+++ b/routing/src/fleet/explain.rs
@@ -45,9 +45,14 @@
         exclusions.push(exclusion("its entry says that it drains", false));
     }
     if let Some(since) = tracked.leaving_since() {
+        let reason = if tracked.has_announced_leaving() {
+            "it says that it leaves"
+        } else {
+            "it may be leaving: a health check has to tell"
+        };
         exclusions.push(Exclusion {
             age_ms: age(since),
-            ..exclusion("it says that it leaves", false)
+            ..exclusion(reason, false)
         });
     }
     if let Some(since) = tracked.suspected_since() {
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -25,11 +25,13 @@
 use tokio::time::Instant;
 use twox_hash::XxHash64;
 
+mod leaving;
 mod pacing;
 mod recent;
 mod reports;
 mod unaccounted;
 
+use self::leaving::Leaving;
 pub use self::pacing::TimedAnswer;
 pub use self::recent::PeerSharing;
 use self::recent::RecentWork;
@@ -176,9 +178,7 @@
     recent: RecentWork,
     unaccounted: UnaccountedWork,
     departed_at: Option<Instant>,
-    leaving_since: Option<Instant>,
-    /// Whether this incarnation of the upstream has announced that it is about to end.
-    has_announced_leaving: bool,
+    leaving: Leaving,
     /// When the upstream accepts requests of this gateway again.
     paused_until: Option<Instant>,
     suspected_since: Option<Instant>,
@@ -208,8 +208,7 @@
             recent: RecentWork::new(now),
             unaccounted: UnaccountedWork::new(now),
             departed_at: None,
-            leaving_since: None,
-            has_announced_leaving: false,
+            leaving: Leaving::default(),
             paused_until: None,
             suspected_since: None,
             has_refused: false,
@@ -243,7 +242,7 @@
     pub fn is_usable(&self) -> bool {
         self.instance.state == InstanceState::Ready
             && self.departed_at.is_none()
-            && self.leaving_since.is_none()
+            && self.leaving.since().is_none()
             && self.suspected_since.is_none()
     }
 
@@ -278,10 +277,21 @@
         self.avoided_until.is_some_and(|until| now < until)
     }
 
-    /// Returns since when the upstream itself has said that it is leaving. Its entry does
-    /// not show this while the store is unavailable.
-    pub const fn leaving_since(&self) -> Option<Instant> {
-        self.leaving_since
+    /// Returns since when the upstream counts as leaving, by its own word or another sign. Its
+    /// entry does not show this while the store is unavailable.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        self.leaving.since()
+    }
+
+    /// Returns whether the upstream itself has announced that it is about to end.
+    pub const fn has_announced_leaving(&self) -> bool {
+        self.leaving.is_announced()
+    }
+
+    /// Returns since when other signs than its own word suggest that the upstream is about to
+    /// end.
+    pub const fn inferred_leaving_since(&self) -> Option<Instant> {
+        self.leaving.inferred_at()
     }
 
     /// Returns whether the upstream's entry is gone.
@@ -570,31 +580,6 @@
         Some(since)
     }
 
-    /// Records whether an upstream that rejected work says that it is leaving. Returns
-    /// whether this has changed.
-    pub fn note_leaving(&mut self, key: InstanceKey, is_leaving: bool, now: Instant) -> bool {
-        let Some(tracked) = self.instances.get_mut(key) else {
-            return false;
-        };
-        // Once announced, leaving holds for the whole incarnation, whatever a later answer
-        // says.
-        let is_leaving = is_leaving || tracked.has_announced_leaving;
-        let has_changed = tracked.leaving_since.is_some() != is_leaving;
-        if has_changed {
-            tracked.leaving_since = is_leaving.then_some(now);
-        }
-        has_changed
-    }
-
-    /// Records that an upstream announced in an answer that it is about to end. Returns
-    /// whether this is new.
-    pub fn note_leaving_announced(&mut self, key: InstanceKey, now: Instant) -> bool {
-        if let Some(tracked) = self.instances.get_mut(key) {
-            tracked.has_announced_leaving = true;
-        }
-        self.note_leaving(key, true, now)
-    }
-
     /// Records that an upstream asks for no requests for a time. Returns whether this
     /// extends the pause.
     pub fn pause(&mut self, key: InstanceKey, pause: Duration, now: Instant) -> bool {
@@ -615,16 +600,6 @@
             .min()
     }
 
-    /// Returns the upstreams that say themselves that they are leaving.
-    pub fn leaving(&self) -> Vec<InstanceKey> {
-        self.instances
-            .iter()
-            .filter(|(_, tracked)| tracked.leaving_since.is_some())
-            .filter(|(_, tracked)| tracked.departed_at.is_none())
-            .map(|(key, _)| key)
-            .collect()
-    }
-
     /// Returns the suspected upstreams, and since when they have been suspected.
     pub fn suspected(&self) -> Vec<(InstanceKey, Instant)> {
         self.instances
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -47,7 +47,7 @@
     let load = clients::start(&world, seed);
     let failing = tokio::spawn(schedule::fail_runners(Arc::clone(&world), seed));
     let beside = tokio::spawn(schedule::play_beside(Arc::clone(&world), seed));
-    let promising = tokio::spawn(schedule::fail_with_promises(Arc::clone(&world), seed));
+    let misleading = tokio::spawn(schedule::mislead(Arc::clone(&world), seed));
     let mut schedule = Schedule::new(seed);
     let end = Instant::now() + length;
     while Instant::now() < end {
@@ -55,13 +55,21 @@
     }
     failing.abort();
     beside.abort();
-    promising.abort();
+    misleading.abort();
     world.end_faults().await;
+    // What gateways wrongly believe has to pass without a restart.
+    let has_settled = world.serves_within(RECOVERY).await;
     world.kill_all_gateways().await;
     let has_recovered = world.serves_within(RECOVERY).await;
     load.stop().await;
     let history = world.history();
     let mut broken = promises::check(&history, &world::BOUNDS);
+    if !has_settled {
+        broken.push(Broken {
+            promise: Promise::Recovery,
+            seen: format!("not served {RECOVERY:?} after all faults"),
+        });
+    }
     if !has_recovered {
         broken.push(Broken {
             promise: Promise::Recovery,
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -53,6 +53,8 @@
     SilenceRunners,
     CrashRunner(u64, Duration),
     FailRunner(u64, RunnerFault, Duration),
+    /// A runner that leaves and refuses streams in the name of others.
+    LeaveBlaming(u64, u16),
 }
 
 impl Event {
@@ -219,17 +221,21 @@
     }
 }
 
-/// Lets runners fail with statuses that promise that nothing ran, beside the schedule, until the
-/// task is ended.
-pub async fn fail_with_promises(world: Arc<World>, seed: u64) {
+/// Lets runners say what is not so, beside the schedule, until the task is ended: that nothing ran
+/// which did, or that another runner is at fault.
+pub async fn mislead(world: Arc<World>, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     loop {
         sleep(Duration::from_millis(rng.random_range(200..2_000))).await;
         let runner = rng.random();
         let span = Duration::from_millis(rng.random_range(100..1_500));
-        let status = FALSE_PROMISES[rng.random_range(0..FALSE_PROMISES.len())];
+        let event = if rng.random_bool(0.8) {
+            let status = FALSE_PROMISES[rng.random_range(0..FALSE_PROMISES.len())];
+            Event::FailRunner(runner, RunnerFault::FailWith(status), span)
+        } else {
+            Event::LeaveBlaming(runner, if rng.random() { 503 } else { 421 })
+        };
         if world.may_be_disturbed() {
-            let event = Event::FailRunner(runner, RunnerFault::FailWith(status), span);
             spawn(&world, event);
         }
     }
@@ -294,6 +300,9 @@
         Event::SilenceRunners => world.silence_runners(),
         Event::CrashRunner(pick, span) => world.replace_runner(pick, Leave::Crash(span)).await,
         Event::FailRunner(pick, fault, span) => world.fail_runner(pick, fault, span).await,
+        Event::LeaveBlaming(pick, status) => {
+            world.replace_runner(pick, Leave::Blame(status)).await;
+        }
     }
     if !event.is_planned() {
         world.note_disturbance();
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -71,6 +71,9 @@
     DripAfter(u64),
     /// All answers say that the runner leaves, while its entry does not.
     SayLeaving,
+    /// The same, and streams that begin at the runner are refused with this status, since the last
+    /// part of their path gives up its layers.
+    LeaveBlaming(u16),
     /// The request is refused, and no other one is wanted for a time, as the header says.
     RefuseFor(&'static str),
 }
@@ -423,7 +426,11 @@
         };
         let state = self.state();
         let runner = state.runners.get(&id);
-        if runner.is_some_and(|runner| runner.fault == RunnerFault::SayLeaving) {
+        let fault = runner.map(|runner| runner.fault);
+        if matches!(
+            fault,
+            Some(RunnerFault::SayLeaving | RunnerFault::LeaveBlaming(_))
+        ) {
             let value = hyper::header::HeaderValue::from_static("1");
             reply.headers_mut().insert("server-leaving", value);
         }
--- a/testutils/src/site_runner/run.rs
+++ b/testutils/src/site_runner/run.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use jujubewall_types::layer::LayerRange;
@@ -74,6 +75,15 @@
             .get(id)
             .map(|runner| runner.fault)
             .unwrap_or_default();
+        if let RunnerFault::LeaveBlaming(status) = fault
+            && let Some(part) = path.rsplit(',').find_map(|part| part.split_once('='))
+        {
+            let mut refusal = not_run();
+            *refusal.status_mut() = StatusCode::from_u16(status).map_err(|_| CutError)?;
+            let value = part.0.parse().map_err(|_| CutError)?;
+            refusal.headers_mut().insert("at-server", value);
+            return Ok(Some(refusal));
+        }
         if fault == RunnerFault::Refuse {
             return Ok(Some(not_run()));
         }
