gateway: a limit on heads is that of the configuration in force

Cause: the HTTP library fixes its buffer, which limits heads, when it begins to serve a socket, and the gateway could only close a connection after its next answer, which may be that 431.

Change: `ClientConnection` compares the limit each time before the library reads. Between two requests, it hands the socket and what has been read of the next head to a new instance of the library. No connection is closed for a changed limit any more. The soak raises the limit under kept connections.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -10,6 +10,7 @@
 mod answer;
 mod body;
 mod call;
+mod client_connection;
 mod clients;
 mod clock;
 mod crash_watch;
--- a/daemon/src/gateway/clients.rs
+++ b/daemon/src/gateway/clients.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,9 +15,7 @@
 use hyper::header::CONNECTION;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
-use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use jujubewall_platform::site::headers;
 use jujubewall_routing::fleet::drain::DrainDecision;
 use jujubewall_routing::fleet::drain::PeerAvailability;
@@ -39,9 +38,11 @@
 
 use crate::gateway::activity::ActiveBody;
 use crate::gateway::activity::ConnectionActivity;
+use crate::gateway::activity::RequestBody;
 use crate::gateway::answer;
 use crate::gateway::answer::Reply;
 use crate::gateway::call;
+use crate::gateway::client_connection::ClientConnection;
 use crate::gateway::head_meter::HeadMeter;
 use crate::gateway::request;
 use crate::gateway::request::Admission;
@@ -51,7 +52,6 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::stream;
 use crate::listening::MAX_BACKLOG;
-use crate::metered_socket::MeteredSocket;
 use crate::request_memory::MEMORY_WAIT;
 use crate::request_memory::ReadFault;
 use crate::request_memory::read_body;
@@ -82,9 +82,6 @@
 /// The time beyond the configured idle timeout for which an idle connection is kept.
 const IDLE_SLACK: Duration = Duration::from_secs(1);
 
-/// The smallest buffer for a request's head that the HTTP library allows, in bytes.
-const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
-
 /// The `Retry-After` time that is sent while the gateway has no usable configuration.
 const START_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -217,27 +214,22 @@
 ) {
     // If this fails, small packets may be delayed, which does no other harm.
     let _ = stream.set_nodelay(true);
-    let limits = limits(gateway);
     let head = HeadMeter::new(&gateway.request_memory);
-    let activity = Rc::new(ConnectionActivity::new(Rc::clone(&head)));
+    let activity = Rc::new(ConnectionActivity::new(head));
     let first_request = Notify::new();
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         first_request.notify_one();
         let gateway = Rc::clone(gateway);
         let active = activity.begin_request();
+        let request = request.map(|body| RequestBody::new(body, &activity));
         async move {
-            let reply = serve_request(&gateway, request, limits).await;
+            let reply = serve_request(&gateway, request).await;
             Ok::<_, Infallible>(reply.map(|body| ActiveBody::new(body, active)))
         }
     });
-    let connection = http1::Builder::new()
-        .header_read_timeout(None)
-        // Parts of answers are copied into one buffer. Queued as they are, small ones would keep
-        // the larger buffers alive into which they were read.
-        .writev(false)
-        .max_buf_size(limits.max_header_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(MeteredSocket::new(stream, head)), service);
-    let mut connection = std::pin::pin!(connection);
+    let max_head_bytes = || limits(gateway).max_header_bytes;
+    let mut connection =
+        ClientConnection::new(stream, service, Rc::clone(&activity), max_head_bytes());
     // A connection that has just been accepted gets time for its first request, since a
     // graceful shutdown in the library closes a connection at once if nothing has been read
     // from it.
@@ -254,7 +246,7 @@
         tokio::select! {
             // Requests that have arrived are read before the connection is closed.
             biased;
-            served = connection.as_mut() => {
+            served = poll_fn(|context| connection.poll(max_head_bytes(), context)) => {
                 if let Err(failure) = served {
                     gateway.metrics.count("connection_failed");
                     info!("event=connection_failed closing={is_closing} reason=\"{failure}\"");
@@ -263,7 +255,7 @@
             }
             () = close_allowed.as_mut(), if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                connection.graceful_shutdown();
             }
             () = idle_end.as_mut() => return,
             () = evicted.as_mut() => {
@@ -299,28 +291,20 @@
     routes.map_or_else(ClientLimits::default, |routes| routes.config().limits)
 }
 
-/// Answers a request on a connection with the given limits.
-async fn serve_request(
-    gateway: &Rc<Gateway>,
-    request: Request<Incoming>,
-    accepted_limits: ClientLimits,
-) -> Reply {
+async fn serve_request(gateway: &Rc<Gateway>, request: Request<RequestBody>) -> Reply {
     let id = request.headers().get(headers::REQUEST_ID).cloned();
     let mut reply = answer_request(gateway, request).await;
     let fields = reply.headers_mut();
     if let Some(id) = id {
         fields.entry(headers::REQUEST_ID).or_insert(id);
     }
-    // The buffer of an open connection cannot be changed, so that the client has to open
-    // another one.
-    let is_buffer_old = limits(gateway).max_header_bytes != accepted_limits.max_header_bytes;
-    if gateway.is_draining() || is_buffer_old {
+    if gateway.is_draining() {
         fields.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     reply
 }
 
-async fn answer_request(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Reply {
+async fn answer_request(gateway: &Rc<Gateway>, request: Request<RequestBody>) -> Reply {
     let received_at = Instant::now();
     let (parts, mut body) = request.into_parts();
     let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default();
@@ -445,7 +429,7 @@
     gateway: &Gateway,
     routes: &RouteTable,
     parts: &hyper::http::request::Parts,
-    body: Incoming,
+    body: RequestBody,
     fault: ReadFault,
 ) -> Reply {
     let id = headers::text(&parts.headers, &headers::REQUEST_ID).unwrap_or_default();
--- a/daemon/src/gateway/head_meter.rs
+++ b/daemon/src/gateway/head_meter.rs
@@ -26,6 +26,7 @@
     head_bytes: Cell<usize>,
     last_read_bytes: Cell<usize>,
     is_in_head: Cell<bool>,
+    is_write_blocked: Cell<bool>,
 }
 
 impl HeadMeter {
@@ -39,6 +40,7 @@
             head_bytes: Cell::new(0),
             last_read_bytes: Cell::new(0),
             is_in_head: Cell::new(true),
+            is_write_blocked: Cell::new(false),
         })
     }
 
@@ -74,6 +76,11 @@
         self.share.evicted().await;
     }
 
+    /// Returns whether the client has not taken what was written last.
+    pub fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.get()
+    }
+
     /// Counts bytes that were read. Returns whether there is memory for them.
     fn count_read(&self, bytes: usize) -> bool {
         self.last_read_bytes.set(bytes);
@@ -104,7 +111,12 @@
     }
 
     fn on_written(&self, bytes: usize) {
+        self.is_write_blocked.set(false);
         // A client that takes an answer has not stopped.
         self.share.on_progress(bytes);
     }
+
+    fn on_write_blocked(&self) {
+        self.is_write_blocked.set(true);
+    }
 }
--- a/daemon/src/gateway/request.rs
+++ b/daemon/src/gateway/request.rs
@@ -10,7 +10,6 @@
 use hyper::Request;
 use hyper::Uri;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use hyper::header::EXPECT;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
@@ -28,6 +27,7 @@
 use tokio::time::Instant;
 use twox_hash::XxHash64;
 
+use crate::gateway::activity::RequestBody;
 use crate::gateway::answer::strip_connection_headers;
 use crate::gateway::crash_watch::Suspects;
 use crate::gateway::state::Gateway;
@@ -112,7 +112,7 @@
 ///
 /// A connection that is closed with unread data is reset, and its client may lose the
 /// refusal. Where many bodies are dropped already, that is accepted.
-pub fn discard_body(gateway: &Gateway, mut body: Incoming, fields: &HeaderMap) {
+pub fn discard_body(gateway: &Gateway, mut body: RequestBody, fields: &HeaderMap) {
     // A client that waits for leave to send the body may never send it.
     if body.is_end_stream() || fields.contains_key(EXPECT) {
         return;
--- a/daemon/src/metered_socket.rs
+++ b/daemon/src/metered_socket.rs
@@ -6,6 +6,7 @@
 use std::task::Poll;
 use std::task::ready;
 
+use bytes::Bytes;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -19,6 +20,9 @@
 
     /// Counts bytes that were written.
     fn on_written(&self, bytes: usize);
+
+    /// Records that the peer has not taken what was written before, so that a write has to wait.
+    fn on_write_blocked(&self) {}
 }
 
 /// The socket of a connection.
@@ -26,17 +30,34 @@
 pub struct MeteredSocket<M> {
     stream: TcpStream,
     meter: M,
+    /// Bytes that are read again before others, and were counted.
+    unread: Bytes,
 }
 
 impl<M: Meter> MeteredSocket<M> {
     /// Creates a socket whose bytes `meter` counts.
     pub const fn new(stream: TcpStream, meter: M) -> Self {
-        Self { stream, meter }
+        Self {
+            stream,
+            meter,
+            unread: Bytes::new(),
+        }
+    }
+
+    /// Takes back bytes that were read last, which are read again first.
+    pub fn unread(&mut self, bytes: Bytes) {
+        if self.unread.is_empty() {
+            self.unread = bytes;
+        } else if !bytes.is_empty() {
+            self.unread = [bytes, std::mem::take(&mut self.unread)].concat().into();
+        }
     }
 
     fn count_written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = written {
-            self.meter.on_written(bytes);
+        match written {
+            Poll::Ready(Ok(bytes)) => self.meter.on_written(bytes),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.meter.on_write_blocked(),
         }
         written
     }
@@ -48,6 +69,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unread.is_empty() {
+            let len = self.unread.len().min(buffer.remaining());
+            buffer.put_slice(&self.unread.split_to(len));
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         Poll::Ready(self.meter.on_read(buffer.filled().len() - before))
--- a/daemon/src/request_memory.rs
+++ b/daemon/src/request_memory.rs
@@ -14,8 +14,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
-use hyper::body::Body as _;
-use hyper::body::Incoming;
+use hyper::body::Body;
 use jujubewall_routing::fleet::request_memory::HolderKey;
 use jujubewall_routing::fleet::request_memory::MAX_SMALL_BYTES;
 use jujubewall_routing::fleet::request_memory::MAX_WAITING;
@@ -305,8 +304,8 @@
 ///
 /// The data is copied into one buffer, since each frame would keep the connection's read buffer.
 /// A body that there is no memory for is not read. After a fault, the rest of it is left.
-pub async fn read_body(
-    body: &mut Incoming,
+pub async fn read_body<B: Body<Data = Bytes> + Unpin>(
+    body: &mut B,
     share: &RequestShare,
     max_bytes: usize,
     give_up_at: Instant,
@@ -363,7 +362,11 @@
 }
 
 /// Reads and drops the rest of a body, up to a size and a time. Returns whether it has ended.
-pub async fn discard(body: &mut Incoming, max_bytes: usize, limit: Duration) -> bool {
+pub async fn discard<B: Body<Data = Bytes> + Unpin>(
+    body: &mut B,
+    max_bytes: usize,
+    limit: Duration,
+) -> bool {
     let discarded = timeout_at(Instant::now() + limit, async {
         let mut discarded_bytes = 0;
         while discarded_bytes < max_bytes {
--- a/soak/src/clients.rs
+++ b/soak/src/clients.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use hyper::Request;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use jujubewall_http_client::CallDeadlines;
 use jujubewall_http_client::HeadFault;
 use jujubewall_http_client::HttpCallError;
@@ -37,6 +39,15 @@
 /// The time for which a client waits, a little beyond the deadline that it states.
 const PATIENCE: Duration = Duration::from_secs(7);
 
+/// How many requests of a client there are to one whose head is as large as is allowed.
+const LARGE_HEAD_EVERY: u64 = 4;
+
+/// The size of a head without the header that makes it large, at most.
+const OTHER_HEAD_BYTES: usize = 512;
+
+/// The header that makes a head large.
+const NOTES: HeaderName = HeaderName::from_static("notes");
+
 /// The clients of a run.
 pub struct Load {
     stop: watch::Sender<bool>,
@@ -89,7 +100,15 @@
         let is_calm = world.is_calm(gateway.index);
         let disturbances = world.disturbances();
         let is_planned_phase = world.is_planned_phase();
-        let answer = connection.call(build(kind, &id, key)).await;
+        let mut request = build(kind, &id, key);
+        if number.is_multiple_of(LARGE_HEAD_EVERY) {
+            let bytes = world.max_head_bytes() - OTHER_HEAD_BYTES;
+            let notes = HeaderValue::from_bytes(&vec![b'n'; bytes]);
+            request
+                .headers_mut()
+                .extend(notes.map(|notes| (NOTES, notes)));
+        }
+        let answer = connection.call(request).await;
         if matches!(answer, Err(HttpCallError::NotSent(_))) {
             continue;
         }
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -20,6 +20,9 @@
 /// The status of a request whose key is unknown.
 const UNKNOWN_KEY: u16 = 401;
 
+/// The status of a request whose head is too large.
+const HEAD_TOO_LARGE: u16 = 431;
+
 /// What a request is for.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Kind {
@@ -190,6 +193,9 @@
             if matches!(*status, 403 | 404) {
                 note(Promise::AllowedServed, "a known route is refused");
             }
+            if *status == HEAD_TOO_LARGE && sent.is_calm {
+                note(Promise::AllowedServed, "a head within the limit is refused");
+            }
         }
         Outcome::Broken if sent.is_planned_only && ran > 0 => {
             note(Promise::NothingCut, "planned work cut a request");
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -70,6 +70,10 @@
 /// The time after which a process that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// The first limit on the heads of requests, and by how much a configuration raises it.
+const FIRST_MAX_HEAD_BYTES: usize = 8 * 1024;
+const HEAD_BYTES_STEP: usize = 4 * 1024;
+
 /// The number of gateways of some seeds, and how many seeds there are to one of them.
 const MANY_GATEWAYS: usize = 24;
 const MANY_GATEWAYS_EVERY: u64 = 25;
@@ -136,6 +140,8 @@
     disturbances: u64,
     phase: Phase,
     version: u64,
+    /// The limits on the heads of requests, each larger than the one before, and since when.
+    head_limits: Vec<(Instant, usize)>,
     revoked: HashMap<&'static str, Instant>,
     drained: HashMap<String, Instant>,
     sent: Vec<Sent>,
@@ -188,6 +194,7 @@
         let mut state = State {
             runners,
             version: 7,
+            head_limits: vec![(Instant::now(), FIRST_MAX_HEAD_BYTES)],
             ..State::default()
         };
         store.put_config(&document(&state));
@@ -495,13 +502,20 @@
         true
     }
 
-    /// Writes a configuration that changes times only.
+    /// Writes a configuration that changes times, and raises the limit on heads.
     pub fn configure(&self) {
         let mut state = self.state();
         state.version += 3;
+        let limit = state.max_head_bytes(Duration::ZERO) + HEAD_BYTES_STEP;
+        state.head_limits.push((Instant::now(), limit));
         self.store.put_config(&document(&state));
     }
 
+    /// Returns the size of heads that every configuration allows which may be in force.
+    pub fn max_head_bytes(&self) -> usize {
+        self.state().max_head_bytes(BOUNDS.config_apply)
+    }
+
     /// Takes a key away, unless only one is left.
     pub fn revoke_key(&self) {
         let mut state = self.state();
@@ -645,6 +659,13 @@
 }
 
 impl State {
+    /// Returns the limit on heads that was the newest one so long ago.
+    fn max_head_bytes(&self, ago: Duration) -> usize {
+        let mut older = self.head_limits.iter().rev();
+        let limit = older.find(|(since, _)| since.elapsed() >= ago);
+        limit.map_or(FIRST_MAX_HEAD_BYTES, |(_, bytes)| *bytes)
+    }
+
     fn begin_life(&mut self, index: usize, process: &GatewayProcess) {
         self.lives += 1;
         let view = GatewayView {
@@ -685,5 +706,7 @@
 fn document(state: &State) -> Value {
     let keys = KEYS.iter().filter(|key| !state.revoked.contains_key(*key));
     let keys: Vec<&str> = keys.copied().collect();
-    config_with(state.version, &keys, 7_000 + state.version % 5 * 500)
+    let mut document = config_with(state.version, &keys, 7_000 + state.version % 5 * 500);
+    document["limits"]["max_header_bytes"] = state.max_head_bytes(Duration::ZERO).into();
+    document
 }
