instances: one refused connection is no end of an upstream

Cause: one refused connection counted as the end of a process. A link that is cut for half a second refuses as well.

Change: `Reachability` keeps what connections have shown apart from the conclusion. An upstream that refuses is suspected at once, and presumed ended after 1.5 s without a sign of life, as a silent one; an event that passes through it is one; another incarnation ends it at once. The planner places layers anew as before.

--- a/daemon/src/gateway/crash_watch.rs
+++ b/daemon/src/gateway/crash_watch.rs
@@ -337,7 +337,7 @@
     let instances = gateway.instances();
     instances
         .get(key)
-        .is_none_or(|tracked| tracked.refuses_connections() || tracked.has_departed())
+        .is_none_or(|tracked| tracked.refused_since().is_some() || tracked.has_departed())
 }
 
 /// Returns whether the upstreams of two young runs of one request have crashed. The end of
@@ -366,7 +366,7 @@
     let instances = gateway.instances();
     instances.get(key).is_none_or(|tracked| {
         tracked.suspected_since().is_some()
-            || tracked.refuses_connections()
+            || tracked.refused_since().is_some()
             || tracked.has_departed()
     })
 }
--- a/daemon/src/gateway/planner.rs
+++ b/daemon/src/gateway/planner.rs
@@ -396,9 +396,9 @@
     let instances = gateway.instances();
     let now = Instant::now();
     let present = instances.of_service(service).filter(|(_, tracked)| {
-        let since = tracked.suspected_since();
-        tracked.is_presumed_alive(now)
-            || since.is_some_and(|since| since.elapsed() < LOSS_CONFIRMATION_TIME)
+        let is_refusing = tracked.suspected_since().and(tracked.refused_since());
+        let since = is_refusing.unwrap_or(now);
+        tracked.is_presumed_alive(now) && since.elapsed() < LOSS_CONFIRMATION_TIME
     });
     let present = present.map(|(_, tracked)| (tracked, false));
     let lingering = instances.lingering(service, now);
--- a/daemon/src/gateway/run/repair.rs
+++ b/daemon/src/gateway/run/repair.rs
@@ -6,7 +6,6 @@
 use jujubewall_platform::site::order::repath_order;
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
-use jujubewall_routing::fleet::instances::TrackedInstance;
 use jujubewall_routing::fleet::layer_path::PathRequest;
 use jujubewall_routing::fleet::layer_path::Preference;
 use jujubewall_routing::fleet::layer_path::repair_path;
@@ -109,12 +108,13 @@
         self.lost_parts().first().copied()
     }
 
-    /// Returns whether an engine of the path has ended.
+    /// Returns whether an engine of the path is presumed to have ended.
     pub(super) fn has_ended_part(&self) -> bool {
+        let now = Instant::now();
         let instances = self.work.gateway.instances();
         self.work.path.parts.iter().any(|part| {
             let tracked = instances.get(part.instance);
-            tracked.is_none_or(TrackedInstance::has_refused)
+            tracked.is_none_or(|tracked| !tracked.is_presumed_alive(now))
         })
     }
 
--- a/routing/src/fleet/explain.rs
+++ b/routing/src/fleet/explain.rs
@@ -56,7 +56,7 @@
         });
     }
     if let Some(since) = tracked.suspected_since() {
-        let belief = if tracked.has_refused() {
+        let belief = if tracked.refused_since().is_some() {
             "suspected: it refused a connection"
         } else {
             "suspected: it was silent"
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -7,7 +7,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,12 +26,17 @@
 
 mod leaving;
 mod pacing;
+mod reachability;
 mod recent;
 mod reports;
 mod unaccounted;
 
 use self::leaving::Leaving;
 pub use self::pacing::TimedAnswer;
+pub use self::reachability::Evidence;
+use self::reachability::MAX_SUSPECTED_SHARE;
+use self::reachability::Reachability;
+pub use self::reachability::Suspicion;
 pub use self::recent::PeerSharing;
 use self::recent::RecentWork;
 pub use self::reports::LayerReport;
@@ -66,10 +70,6 @@
 /// How long an upstream may continue its work after its entry is gone.
 const LINGERING_TIME: Duration = Duration::from_secs(6);
 
-/// The time after which an upstream that has been silent since it was suspected is presumed
-/// ended or partitioned. A sound one may be silent for a second or so.
-const MAX_SOUND_SILENCE: Duration = Duration::from_millis(1_500);
-
 /// The number of peers to which an upstream must have refused connections before this
 /// gateway avoids it too, so that one gateway with a broken link does not decide for all.
 const MIN_SUSPECTING_PEERS: usize = 2;
@@ -78,10 +78,6 @@
 /// it too. In a large fleet, some run fails nearly everywhere.
 const MIN_FAILING_PEER_SHARE: f64 = 0.06;
 
-/// The largest share of all upstreams that a gateway may suspect. A gateway that suspects
-/// more has lost its own link.
-const MAX_SUSPECTED_SHARE: f64 = 0.34;
-
 /// How long a token that passed through an upstream proves that it is alive.
 const LIVENESS_TTL: Duration = Duration::from_millis(20);
 
@@ -97,10 +93,6 @@
 /// leave after about two seconds of silence, and events come many times as often.
 const MAX_REFERENCE_AGE: Duration = Duration::from_secs(1);
 
-/// The longest time that an event is under way. One that arrives later shows that the upstream
-/// was alive after it was suspected.
-const EVENT_TRANSFER_TIME: Duration = Duration::from_millis(100);
-
 /// The weight of one outcome in the failure rate.
 const FAILURE_RATE_STEP: f64 = 0.1;
 
@@ -135,35 +127,6 @@
     }
 }
 
-/// Evidence that an upstream is down.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Evidence {
-    /// The host refused a connection, so the upstream's process has ended.
-    Refused,
-    /// The upstream did not answer in time.
-    Silent,
-}
-
-impl fmt::Display for Evidence {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            Self::Refused => "refused",
-            Self::Silent => "silent",
-        })
-    }
-}
-
-/// The effect of evidence against an upstream.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Suspicion {
-    /// The upstream is suspected from now on.
-    New,
-    /// The upstream was suspected before, or is gone.
-    Known,
-    /// Too many upstreams would be suspected, so the fault is in this process's own link.
-    OwnLink,
-}
-
 /// One incarnation of an upstream and what is known of it.
 #[derive(Debug)]
 pub struct TrackedInstance {
@@ -181,9 +144,7 @@
     leaving: Leaving,
     /// When the upstream accepts requests of this gateway again.
     paused_until: Option<Instant>,
-    suspected_since: Option<Instant>,
-    has_refused: bool,
-    refused_at: Option<Instant>,
+    reachability: Reachability,
     failed_runs_in_a_row: u32,
     avoided_until: Option<Instant>,
     probed_at: Option<Instant>,
@@ -210,9 +171,7 @@
             departed_at: None,
             leaving: Leaving::default(),
             paused_until: None,
-            suspected_since: None,
-            has_refused: false,
-            refused_at: None,
+            reachability: Reachability::default(),
             failed_runs_in_a_row: 0,
             avoided_until: None,
             probed_at: None,
@@ -243,7 +202,7 @@
         self.instance.state == InstanceState::Ready
             && self.departed_at.is_none()
             && self.leaving.since().is_none()
-            && self.suspected_since.is_none()
+            && self.reachability.suspected_since().is_none()
     }
 
     /// Returns whether the upstream has asked this gateway to send no requests for now.
@@ -257,21 +216,6 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Returns whether the upstream's process has ended, as far as is known.
-    pub const fn has_refused(&self) -> bool {
-        self.suspected_since.is_some() && self.has_refused
-    }
-
-    /// Returns whether this incarnation of the upstream may still be running.
-    ///
-    /// A merely silent upstream is presumed alive until it has been silent for a while,
-    /// during which it is probed again.
-    pub fn is_presumed_alive(&self, now: Instant) -> bool {
-        self.suspected_since.is_none_or(|since| {
-            !self.has_refused && now.saturating_duration_since(since) < MAX_SOUND_SILENCE
-        })
-    }
-
     /// Returns whether runs of this gateway on the upstream have recently failed.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
@@ -299,17 +243,6 @@
         self.departed_at.is_some()
     }
 
-    /// Returns whether the upstream refuses connections, also if too many others are suspected
-    /// for it to be.
-    pub const fn refuses_connections(&self) -> bool {
-        self.refused_at.is_some()
-    }
-
-    /// Returns since when there has been direct evidence against the upstream.
-    pub const fn suspected_since(&self) -> Option<Instant> {
-        self.suspected_since
-    }
-
     /// Returns the work that this gateway has in flight at the upstream.
     pub const fn own_work(&self) -> &Work {
         &self.own
@@ -534,7 +467,7 @@
         self.instances
             .values()
             .filter(move |tracked| tracked.departed_at.is_some_and(is_recent))
-            .filter(|tracked| tracked.suspected_since.is_none())
+            .filter(|tracked| tracked.suspected_since().is_none())
             .filter(move |tracked| tracked.instance.service == *service)
     }
 
@@ -545,41 +478,6 @@
             .filter(|(_, tracked)| tracked.departed_at.is_none())
     }
 
-    /// Records that an upstream did not answer over a new connection, or that a path
-    /// reported it as lost.
-    ///
-    /// If too many upstreams seem lost at once, the fault is in this process's own link.
-    pub fn suspect(&mut self, key: InstanceKey, evidence: Evidence, now: Instant) -> Suspicion {
-        let suspected = self.suspected().len();
-        let max_suspected = MAX_SUSPECTED_SHARE * self.instances.len() as f64;
-        let Some(tracked) = self.instances.get_mut(key) else {
-            return Suspicion::Known;
-        };
-        if evidence == Evidence::Refused {
-            tracked.refused_at = Some(now);
-        }
-        if tracked.suspected_since.is_some() {
-            tracked.has_refused |= evidence == Evidence::Refused;
-            return Suspicion::Known;
-        }
-        if suspected as f64 >= max_suspected.max(2.0) {
-            return Suspicion::OwnLink;
-        }
-        tracked.suspected_since = Some(now);
-        tracked.has_refused = evidence == Evidence::Refused;
-        Suspicion::New
-    }
-
-    /// Records that an upstream answered over a new connection. Returns since when it was
-    /// suspected.
-    pub fn clear_suspicion(&mut self, key: InstanceKey, now: Instant) -> Option<Instant> {
-        let tracked = self.instances.get_mut(key)?;
-        tracked.refused_at = None;
-        let since = tracked.suspected_since.take()?;
-        self.begin_pace(key, Recovery::SuspicionCleared, now);
-        Some(since)
-    }
-
     /// Records that an upstream asks for no requests for a time. Returns whether this
     /// extends the pause.
     pub fn pause(&mut self, key: InstanceKey, pause: Duration, now: Instant) -> bool {
@@ -600,14 +498,6 @@
             .min()
     }
 
-    /// Returns the suspected upstreams, and since when they have been suspected.
-    pub fn suspected(&self) -> Vec<(InstanceKey, Instant)> {
-        self.instances
-            .iter()
-            .filter_map(|(key, tracked)| Some((key, tracked.suspected_since?)))
-            .collect()
-    }
-
     /// Records that a run failed at an upstream, which is then avoided for a while even if
     /// it answers otherwise.
     pub fn note_failed_run(&mut self, key: InstanceKey, now: Instant) {
@@ -644,11 +534,7 @@
             if let Some(tracked) = self.instances.get_mut(key) {
                 tracked.alive_at = Some(now);
                 tracked.event_gap = event_gap;
-                let is_answered = |since: &Instant| {
-                    !tracked.has_refused
-                        && now.saturating_duration_since(*since) >= EVENT_TRANSFER_TIME
-                };
-                if let Some(since) = tracked.suspected_since.take_if(|since| is_answered(since)) {
+                if let Some(since) = tracked.reachability.on_event(now) {
                     cleared.push((key, since));
                     self.begin_pace(key, Recovery::SuspicionCleared, now);
                 }
@@ -694,7 +580,9 @@
         };
         self.instances
             .iter()
-            .filter(|(_, tracked)| tracked.active_streams > 0 && tracked.suspected_since.is_none())
+            .filter(|(_, tracked)| {
+                tracked.active_streams > 0 && tracked.suspected_since().is_none()
+            })
             .filter(|(_, tracked)| is_silent(tracked))
             .map(|(key, _)| key)
             .collect()
@@ -817,7 +705,7 @@
         self.instances
             .iter()
             .filter(|(_, tracked)| {
-                tracked.suspected_since.is_none() && digests.contains(&tracked.digest)
+                tracked.suspected_since().is_none() && digests.contains(&tracked.digest)
             })
             .map(|(key, _)| key)
             .collect()
--- a/routing/src/fleet/instances/reports.rs
+++ b/routing/src/fleet/instances/reports.rs
@@ -267,7 +267,7 @@
 
     /// Returns the digests of the suspected upstreams, to send to peers.
     pub fn suspected_digests(&self) -> Vec<u64> {
-        self.digests(|tracked| tracked.suspected_since.is_some())
+        self.digests(|tracked| tracked.suspected_since().is_some())
     }
 
     /// Returns the digests of the upstreams at which runs of this gateway have recently
--- a/soak/src/promises.rs
+++ b/soak/src/promises.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -23,6 +24,12 @@
 /// The status of a request whose head is too large.
 const HEAD_TOO_LARGE: u16 = 431;
 
+/// The runners at which the routes allow a request to run.
+const MAX_ATTEMPTS: usize = 2;
+
+/// The requests that may run at more runners, by the platform's rules.
+const MAX_EXCEEDING: usize = 3;
+
 /// What a request is for.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Kind {
@@ -93,6 +100,8 @@
     pub runs: Vec<Run>,
     /// When runners said that they leave.
     pub drained: HashMap<String, Instant>,
+    /// When runners ended, which may have come back under their names.
+    pub ended: Vec<(String, Instant)>,
     /// When keys were taken away.
     pub revoked: HashMap<&'static str, Instant>,
 }
@@ -138,6 +147,8 @@
     AllowedServed,
     /// Repeated runs keep to their budget.
     RetryBudget,
+    /// A request runs at no more runners than its route allows.
+    MaxAttempts,
     /// Planned work cuts no request that has run.
     NothingCut,
     /// All is served again soon after everything has failed.
@@ -164,6 +175,7 @@
     check_drained(history, bounds, &mut broken);
     check_keys(history, bounds, &mut broken);
     check_budget(history, bounds, &mut broken);
+    check_attempts(&runs, history, &mut broken);
     broken
 }
 
@@ -267,6 +279,32 @@
     }
 }
 
+/// Checks at how many runners each request ran that had not ended when it ran for the last time.
+fn check_attempts(runs: &HashMap<&str, Vec<&Run>>, history: &History, broken: &mut Vec<Broken>) {
+    let mut exceeding = Vec::new();
+    for (id, runs) in runs {
+        let Some(last) = runs.last() else { continue };
+        let goes_on = |run: &&&Run| {
+            let mut ended = history.ended.iter();
+            ended.all(|(runner, at)| *runner != run.runner || *at < run.at || *at > last.at)
+        };
+        let runners: HashSet<&str> = runs
+            .iter()
+            .filter(goes_on)
+            .map(|run| run.runner.as_str())
+            .collect();
+        if runners.len() > MAX_ATTEMPTS {
+            exceeding.push(*id);
+        }
+    }
+    if exceeding.len() > MAX_EXCEEDING {
+        broken.push(Broken {
+            promise: Promise::MaxAttempts,
+            seen: format!("{exceeding:?} ran at more than {MAX_ATTEMPTS} runners"),
+        });
+    }
+}
+
 fn check_budget(history: &History, bounds: &Bounds, broken: &mut Vec<Broken>) {
     let mut seen: HashMap<&str, u32> = HashMap::new();
     let mut repeats = Vec::new();
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -55,6 +55,8 @@
     FailRunner(u64, RunnerFault, Duration),
     /// A runner that leaves and refuses streams in the name of others.
     LeaveBlaming(u64, u16),
+    /// A link to a runner that is cut again and again for a moment.
+    CutRunner(u64),
 }
 
 impl Event {
@@ -221,19 +223,21 @@
     }
 }
 
-/// Lets runners say what is not so, beside the schedule, until the task is ended: that nothing ran
-/// which did, or that another runner is at fault.
+/// Lets runners give signs that mislead, beside the schedule, until the task is ended: that nothing
+/// ran which did, that another runner is at fault, or refused connections of one that goes on.
 pub async fn mislead(world: Arc<World>, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     loop {
         sleep(Duration::from_millis(rng.random_range(200..2_000))).await;
         let runner = rng.random();
         let span = Duration::from_millis(rng.random_range(100..1_500));
-        let event = if rng.random_bool(0.8) {
-            let status = FALSE_PROMISES[rng.random_range(0..FALSE_PROMISES.len())];
-            Event::FailRunner(runner, RunnerFault::FailWith(status), span)
-        } else {
-            Event::LeaveBlaming(runner, if rng.random() { 503 } else { 421 })
+        let event = match rng.random_range(0..10) {
+            0 => Event::LeaveBlaming(runner, if rng.random() { 503 } else { 421 }),
+            1..4 => Event::CutRunner(runner),
+            _ => {
+                let status = FALSE_PROMISES[rng.random_range(0..FALSE_PROMISES.len())];
+                Event::FailRunner(runner, RunnerFault::FailWith(status), span)
+            }
         };
         if world.may_be_disturbed() {
             spawn(&world, event);
@@ -300,6 +304,7 @@
         Event::SilenceRunners => world.silence_runners(),
         Event::CrashRunner(pick, span) => world.replace_runner(pick, Leave::Crash(span)).await,
         Event::FailRunner(pick, fault, span) => world.fail_runner(pick, fault, span).await,
+        Event::CutRunner(pick) => world.cut_runner(pick).await,
         Event::LeaveBlaming(pick, status) => {
             world.replace_runner(pick, Leave::Blame(status)).await;
         }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -74,6 +74,10 @@
 const FIRST_MAX_HEAD_BYTES: usize = 8 * 1024;
 const HEAD_BYTES_STEP: usize = 4 * 1024;
 
+/// How often a link is cut, and for how long each time.
+const LINK_CUTS: usize = 4;
+const LINK_CUT_TIME: Duration = Duration::from_millis(500);
+
 /// The number of gateways of some seeds, and how many seeds there are to one of them.
 const MANY_GATEWAYS: usize = 24;
 const MANY_GATEWAYS_EVERY: u64 = 25;
@@ -144,6 +148,8 @@
     head_limits: Vec<(Instant, usize)>,
     revoked: HashMap<&'static str, Instant>,
     drained: HashMap<String, Instant>,
+    /// When runners ended, which may have come back under their names.
+    ended: Vec<(String, Instant)>,
     sent: Vec<Sent>,
     runners: Vec<RunnerHandle>,
     /// The runners that leave or are about to come back.
@@ -342,6 +348,7 @@
                 })
                 .collect(),
             drained: state.drained.clone(),
+            ended: state.ended.clone(),
             revoked: state.revoked.clone(),
         }
     }
@@ -582,6 +589,25 @@
         self.fleet.set_fault(&id, RunnerFault::None);
     }
 
+    /// Cuts the link to a runner, which goes on, several times for a moment.
+    pub async fn cut_runner(&self, pick: u64) {
+        let Some(id) = self.pick_runner(pick) else {
+            return;
+        };
+        for _ in 0..LINK_CUTS {
+            self.cut_link(&id);
+            sleep(LINK_CUT_TIME * 2).await;
+        }
+    }
+
+    fn cut_link(&self, id: &str) {
+        let state = self.state();
+        let mut runners = state.runners.iter();
+        if let Some(runner) = runners.find(|runner| runner.id() == id) {
+            runner.cut_link(LINK_CUT_TIME);
+        }
+    }
+
     fn pick_runner(&self, pick: u64) -> Option<String> {
         let state = self.state();
         let index = pick.checked_rem(state.runners.len() as u64)?;
@@ -640,6 +666,7 @@
         }
         let ended = {
             let mut state = self.state();
+            state.ended.push((id.clone(), Instant::now()));
             let index = state.runners.iter().position(|runner| runner.id() == id);
             index.map(|index| state.runners.swap_remove(index))
         };
--- a/soak/tests/test_promises.rs
+++ b/soak/tests/test_promises.rs
@@ -207,3 +207,30 @@
     case.run("cut", 6);
     assert_eq!(case.broken(), [Promise::NothingCut]);
 }
+
+#[test]
+fn test_requests_at_too_many_runners_are_found_unless_runners_ended() {
+    let mut case = Case::new();
+    for number in 0..4 {
+        let id = format!("stream-{number}");
+        case.send(&id, Kind::Stream, 0, answer(200));
+        for (index, runner) in ["a", "b", "c"].into_iter().enumerate() {
+            case.run(&id, 100 * index as u64);
+            case.history.runs.last_mut().unwrap().runner = runner.to_owned();
+        }
+    }
+    assert!(case.broken().contains(&Promise::MaxAttempts));
+    let ended_at = case.start + Duration::from_millis(50);
+    case.history.ended.push(("a".to_owned(), ended_at));
+    assert!(!case.broken().contains(&Promise::MaxAttempts));
+}
+
+#[test]
+fn test_head_within_the_limit_that_is_refused_is_found() {
+    let mut case = Case::new();
+    case.send("large", Kind::Order, 0, answer(431));
+    assert_eq!(case.broken(), [Promise::AllowedServed]);
+    let mut case = Case::new();
+    case.send("large", Kind::Order, 0, answer(431)).is_calm = false;
+    assert_eq!(case.broken(), []);
+}
--- a/testutils/src/relay.rs
+++ b/testutils/src/relay.rs
@@ -1,7 +1,8 @@
-//! A TCP relay whose open connections can go silent for good.
+//! A TCP relay whose open connections can go silent for good, and that can be cut for a time.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -12,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 /// The size of the buffer of each direction, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -20,6 +22,7 @@
 pub struct Relay {
     address: SocketAddr,
     silenced: Arc<watch::Sender<u64>>,
+    cuts: watch::Sender<Duration>,
     task: JoinHandle<()>,
 }
 
@@ -32,10 +35,13 @@
     pub fn new(listener: TcpListener, target: SocketAddr) -> Self {
         let address = listener.local_addr().expect("a listener has an address");
         let silenced = Arc::new(watch::Sender::new(0));
-        let task = tokio::spawn(accept_all(listener, target, Arc::clone(&silenced)));
+        let cuts = watch::Sender::new(Duration::ZERO);
+        let coming = cuts.subscribe();
+        let task = tokio::spawn(accept_all(listener, target, Arc::clone(&silenced), coming));
         Self {
             address,
             silenced,
+            cuts,
             task,
         }
     }
@@ -51,6 +57,11 @@
     pub fn silence_open_connections(&self) {
         self.silenced.send_modify(|generation| *generation += 1);
     }
+
+    /// Breaks all open connections and refuses others for a time.
+    pub fn cut(&self, span: Duration) {
+        self.cuts.send_replace(span);
+    }
 }
 
 impl Drop for Relay {
@@ -59,7 +70,13 @@
     }
 }
 
-async fn accept_all(listener: TcpListener, target: SocketAddr, silenced: Arc<watch::Sender<u64>>) {
+async fn accept_all(
+    mut listener: TcpListener,
+    target: SocketAddr,
+    silenced: Arc<watch::Sender<u64>>,
+    mut cuts: watch::Receiver<Duration>,
+) {
+    let address = listener.local_addr().expect("a listener has an address");
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
@@ -67,6 +84,13 @@
                 let Ok((stream, _)) = accepted else { continue };
                 connections.spawn(forward(stream, target, silenced.subscribe()));
             }
+            Ok(()) = cuts.changed() => {
+                let span = *cuts.borrow_and_update();
+                drop(listener);
+                connections.shutdown().await;
+                sleep(span).await;
+                listener = TcpListener::bind(address).await.expect("the address is free");
+            }
             Some(_) = connections.join_next() => {}
         }
     }
--- a/testutils/src/site_runner.rs
+++ b/testutils/src/site_runner.rs
@@ -181,6 +181,14 @@
         }
     }
 
+    /// Breaks all connections to the runner and refuses others for a time, if it is behind a relay.
+    /// The runner goes on.
+    pub fn cut_link(&self, span: Duration) {
+        if let Some(relay) = &self.relay {
+            relay.cut(span);
+        }
+    }
+
     /// Returns the identifier.
     pub fn id(&self) -> &str {
         &self.id
