instances: a removal is not reverted by an entry that is older

Cause: an entry was taken for news whenever it was shown. `draining` was kept against older copies, a removal was not.

Change: an entry that is back after its removal, for the same life, makes the upstream count as leaving by conclusion, which its answer to a health check takes back. Upstreams in doubt are asked in the rounds in which suspected ones are probed; those that have announced their end are not asked any more.

Test that changed: a suspicion that outlives an entry is still asserted, after the health check that the returned entry needs now.

--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -95,7 +95,7 @@
 /// The largest answer that is read from an upstream: a report of some hundred streams.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
-/// Starts to probe suspected upstreams until they answer, and to check for silent engines.
+/// Starts to probe suspected and doubtful upstreams until they answer, and to check for silent engines.
 pub fn start(gateway: &Rc<Gateway>) {
     gateway.spawn_loop("probe_suspects", probe_suspects);
     gateway.spawn_loop("watch_silence", watch_silence);
@@ -118,35 +118,33 @@
 }
 
 async fn probe_suspects(gateway: Rc<Gateway>) {
-    let mut rounds: u32 = 0;
     loop {
         sleep(PROBE_INTERVAL).await;
         gateway.connections.expire();
         gateway.instances_mut().expire_departed(Instant::now());
         log_pace_changes(&gateway);
-        rounds = rounds.wrapping_add(1);
-        if rounds.is_multiple_of(RARE_PROBE_ROUNDS) {
-            let leaving = gateway.instances().leaving();
-            for key in leaving {
+        let in_doubt = gateway.instances().in_doubt();
+        for (key, since) in in_doubt {
+            if is_probe_due(since) {
                 spawn_local(check_leaving(Rc::clone(&gateway), key));
             }
         }
         let suspected = gateway.instances().suspected();
-        for (key, suspected_since) in suspected {
-            if is_paused(&gateway, key) {
-                continue;
-            }
-            let silent_rounds = suspected_since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
-            let silent_rounds = u32::try_from(silent_rounds).unwrap_or(u32::MAX);
-            if silent_rounds <= FREQUENT_PROBE_ROUNDS
-                || silent_rounds.is_multiple_of(RARE_PROBE_ROUNDS)
-            {
+        for (key, since) in suspected {
+            if !is_paused(&gateway, key) && is_probe_due(since) {
                 spawn_local(clear_if_answering(Rc::clone(&gateway), key));
             }
         }
     }
 }
 
+/// Returns whether an upstream is probed in this round that has been in doubt since a time.
+fn is_probe_due(since: Instant) -> bool {
+    let rounds = since.elapsed().as_millis() / PROBE_INTERVAL.as_millis();
+    let rounds = u32::try_from(rounds).unwrap_or(u32::MAX);
+    rounds <= FREQUENT_PROBE_ROUNDS || rounds.is_multiple_of(RARE_PROBE_ROUNDS)
+}
+
 /// Returns whether an upstream has asked for a pause that has not ended yet.
 fn is_paused(gateway: &Gateway, key: InstanceKey) -> bool {
     let instances = gateway.instances();
--- a/daemon/tests/test_gateway_platform.rs
+++ b/daemon/tests/test_gateway_platform.rs
@@ -333,3 +333,46 @@
     }
     assert_eq!(site.runners.arrived("ledger-0").len(), reached);
 }
+
+/// Guards against an upstream whose removal was seen being used again when an older copy of the
+/// store shows its entry: a removal is not taken back by an entry that is older.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_removal_is_not_reverted_by_an_older_copy() {
+    let site = start_site().await;
+    site.store.keep_copy();
+    site.runners.remove_entry("ledger-0");
+    let gone = "event=upstream_gone id=ledger-0";
+    wait_until("the gateway knows that the upstream is gone", async || {
+        site.gateway.log().contains(gone)
+    })
+    .await;
+    // It says so in all its answers, of which the gateway has got none.
+    site.runners.set_fault("ledger-0", RunnerFault::SayLeaving);
+    let reached = site.runners.arrived("ledger-0").len();
+    site.store.restore();
+    let end = Instant::now() + Duration::from_secs(4);
+    let mut index = 0;
+    while Instant::now() < end {
+        let id = format!("after-{index}");
+        site.send(request("GET", "/stock/", &id)).await.unwrap();
+        index += 1;
+        sleep(Duration::from_millis(30)).await;
+    }
+    assert_eq!(site.runners.arrived("ledger-0").len(), reached);
+}
+
+/// An upstream whose entry lapsed while it was cut off from the store is used again soon after
+/// the entry is back.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_whose_entry_lapsed_is_used_again() {
+    let site = start_site().await;
+    site.runners.remove_entry("ledger-0");
+    let gone = "event=upstream_gone id=ledger-0";
+    wait_until("the gateway knows that the upstream is gone", async || {
+        site.gateway.log().contains(gone)
+    })
+    .await;
+    site.runners.rewrite_entries();
+    sleep(Duration::from_secs(1)).await;
+    call_until_reached(&site, "ledger-0", "back").await;
+}
--- a/routing/src/fleet/instances.rs
+++ b/routing/src/fleet/instances.rs
@@ -325,6 +325,8 @@
         if let Some((key, _)) = departed {
             self.bring_back(key);
             self.update(key, instance, now);
+            // Its removal may be newer than the entry, which can be an old copy.
+            self.infer_leaving(key, now);
             return key;
         }
         let mut tracked = TrackedInstance::new(instance, now);
--- a/routing/src/fleet/instances/leaving.rs
+++ b/routing/src/fleet/instances/leaving.rs
@@ -8,7 +8,8 @@
 /// What is known of the end that one incarnation of an upstream is about to meet.
 ///
 /// Only the upstream itself knows. Other signs are conclusions that it takes back by its answer
-/// to a health check.
+/// to a health check: an earlier check that failed, a refusal that may speak of another upstream,
+/// an entry that is back after its removal and may be an old copy.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Leaving {
     /// When the upstream said so itself, which holds as long as it lives.
@@ -71,11 +72,12 @@
         before != tracked.leaving.since().is_some()
     }
 
-    /// Returns the upstreams that have an entry and count as leaving.
-    pub fn leaving(&self) -> Vec<InstanceKey> {
+    /// Returns the upstreams that have an entry and that only a conclusion makes count as leaving,
+    /// and since when.
+    pub fn in_doubt(&self) -> Vec<(InstanceKey, Instant)> {
         self.iter()
-            .filter(|(_, tracked)| tracked.leaving_since().is_some())
-            .map(|(key, _)| key)
+            .filter(|(_, tracked)| !tracked.has_announced_leaving())
+            .filter_map(|(key, tracked)| Some((key, tracked.inferred_leaving_since()?)))
             .collect()
     }
 }
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -730,7 +730,7 @@
     assert_eq!(fleet.domain_of(&path), "b");
     // Its running streams are not lost.
     assert_eq!(fleet.table.get(leaving).unwrap().suspected_since(), None);
-    assert_eq!(fleet.table.leaving(), [leaving]);
+    assert_eq!(fleet.table.in_doubt(), [(leaving, fleet.now)]);
     fleet.table.note_health(leaving, true, fleet.now);
     assert!(fleet.table.get(leaving).unwrap().is_usable());
 }
--- a/routing/tests/test_returning_upstreams.rs
+++ b/routing/tests/test_returning_upstreams.rs
@@ -102,6 +102,7 @@
         table.suspect(key, Evidence::Silent, now);
     };
     let (mut table, key, now) = after_return(suspect, GONE, instance(1));
+    table.note_health(key, true, now);
     assert!(!table.get(key).unwrap().is_usable());
     table.clear_suspicion(key, now);
     assert!(table.get(key).unwrap().is_usable());
@@ -138,3 +139,19 @@
     assert!(!table.note_health(key, true, now));
     assert!(!table.get(key).unwrap().is_usable());
 }
+
+/// Guards against an old copy of an entry making an upstream usable whose removal is newer: only
+/// the upstream itself can tell that it goes on.
+#[test]
+fn test_upstream_whose_entry_is_back_has_to_answer_first() {
+    let (mut table, key, now) = after_return(|_, _, _| {}, GONE, instance(1));
+    assert!(!table.get(key).unwrap().is_usable());
+    assert_eq!(table.in_doubt().len(), 1);
+    assert!(table.note_health(key, true, now));
+    assert!(table.get(key).unwrap().is_usable());
+    assert!(table.in_doubt().is_empty());
+    // Its own word is final.
+    table.note_leaving_announced(key, now);
+    table.infer_leaving(key, now);
+    assert!(table.in_doubt().is_empty());
+}
