testutils: neighbours of two processes do not take one another's addresses

Cause: the hosts of a process's own addresses come from its identifier, those of its gateways' peers overlap with other processes'. Change: the soak takes a first address whose neighbours are free.

--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -21,7 +21,7 @@
 use jujubewall_testutils::gateway_site::neighbour_at;
 use jujubewall_testutils::gateway_site::stream_request;
 use jujubewall_testutils::gateway_site::wait_until;
-use jujubewall_testutils::ports::free_address;
+use jujubewall_testutils::ports::free_neighbourhood;
 use jujubewall_testutils::site_runner::RunnerFault;
 use jujubewall_testutils::site_runner::RunnerHandle;
 use jujubewall_testutils::site_runner::RunnerKind;
@@ -205,7 +205,7 @@
         };
         store.put_config(&document(&state));
         let mut slots: Vec<Slot> = Vec::new();
-        let first_peers = free_address();
+        let first_peers = free_neighbourhood(u8::try_from(gateways).unwrap_or(u8::MAX));
         let mut peers = first_peers;
         for index in 0..gateways {
             let zone = ZONES[index % zones];
--- a/testutils/src/ports.rs
+++ b/testutils/src/ports.rs
@@ -11,6 +11,8 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use crate::gateway_site::neighbour_at;
+
 /// The first port that is given out.
 const FIRST_PORT: u32 = 10_000;
 
@@ -48,13 +50,35 @@
         let index = GIVEN_OUT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
         let port = u16::try_from(FIRST_PORT + index).unwrap_or_default();
         let address = SocketAddr::from((own_host(), port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
     panic!("no port is free");
 }
 
+/// Returns whether an address is free for TCP and UDP.
+fn is_free(address: SocketAddr) -> bool {
+    TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
+}
+
+/// Returns an address whose neighbours, for so many peers in all, are free too. Neighbours of two
+/// processes can be the same.
+///
+/// # Panics
+///
+/// Panics if there is none.
+pub fn free_neighbourhood(peers: u8) -> SocketAddr {
+    for _ in 0..PORT_COUNT {
+        let first = free_address();
+        let _guard = lock_inheritable_sockets();
+        if (1..peers).all(|index| is_free(neighbour_at(first, index))) {
+            return first;
+        }
+    }
+    panic!("no neighbourhood is free");
+}
+
 /// Returns the loopback address of this process, which is never 127.0.0.x.
 fn own_host() -> Ipv4Addr {
     let [_, high, middle, low] = process::id().to_be_bytes();
