--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -45,7 +45,7 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::Connection;
 
-/// The interval between rounds of probes of suspected upstreams.
+/// The interval between rounds of probes of upstreams that are suspected or may be leaving.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// The number of rounds in which a suspected upstream is probed each time. Later probes are
@@ -95,7 +95,8 @@
 /// The largest answer that is read from an upstream: a report of some hundred streams.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 
-/// Starts to probe suspected and doubtful upstreams until they answer, and to check for silent engines.
+/// Starts to probe upstreams that are suspected or may be leaving until they answer, and to check
+/// for silent engines.
 pub fn start(gateway: &Rc<Gateway>) {
     gateway.spawn_loop("probe_suspects", probe_suspects);
     gateway.spawn_loop("watch_silence", watch_silence);
--- a/daemon/tests/test_gateway_platform.rs
+++ b/daemon/tests/test_gateway_platform.rs
@@ -33,6 +33,18 @@
     Site::start(Path::new(PROGRAM), RETRY_BURST).await
 }
 
+/// Sends calls one after the other for a time, whatever their answers are.
+async fn call_for(site: &Site, time: Duration) {
+    let end = Instant::now() + time;
+    let mut index = 0;
+    while Instant::now() < end {
+        let id = format!("after-{index}");
+        site.send(request("GET", "/stock/", &id)).await.unwrap();
+        index += 1;
+        sleep(Duration::from_millis(30)).await;
+    }
+}
+
 /// Sends calls one after the other until one has reached `runner`.
 async fn call_until_reached(site: &Site, runner: &str, name: &str) {
     let before = site.runners.arrived(runner).len();
@@ -323,14 +335,7 @@
     .await;
     let reached = site.runners.arrived("ledger-0").len();
     site.store.restore();
-    let end = Instant::now() + Duration::from_secs(4);
-    let mut index = 0;
-    while Instant::now() < end {
-        let id = format!("after-{index}");
-        site.send(request("GET", "/stock/", &id)).await.unwrap();
-        index += 1;
-        sleep(Duration::from_millis(30)).await;
-    }
+    call_for(&site, Duration::from_secs(4)).await;
     assert_eq!(site.runners.arrived("ledger-0").len(), reached);
 }
 
@@ -350,14 +355,7 @@
     site.runners.set_fault("ledger-0", RunnerFault::SayLeaving);
     let reached = site.runners.arrived("ledger-0").len();
     site.store.restore();
-    let end = Instant::now() + Duration::from_secs(4);
-    let mut index = 0;
-    while Instant::now() < end {
-        let id = format!("after-{index}");
-        site.send(request("GET", "/stock/", &id)).await.unwrap();
-        index += 1;
-        sleep(Duration::from_millis(30)).await;
-    }
+    call_for(&site, Duration::from_secs(4)).await;
     assert_eq!(site.runners.arrived("ledger-0").len(), reached);
 }
 
