instances: a refusal from before is no evidence in a later suspicion

Cause: found on reading. A refusal while too many upstreams were suspected left its time behind; when the upstream was suspected for its silence later, the planner counted it as refusing since then, and an event did not clear it. Change: a suspicion begins with its own evidence, and a connection that is accepted takes back a refusal at which the upstream was not suspected. Its assertion stays, and names the answers now. Result: `test_earlier_refusal_is_no_evidence_in_a_later_suspicion` passes; not run against the build before.

--- a/daemon/src/gateway/probe.rs
+++ b/daemon/src/gateway/probe.rs
@@ -442,7 +442,7 @@
         let gateway = Rc::clone(gateway);
         spawn_local(async move {
             match probe(address, control).await {
-                ProbeResult::Answers => {}
+                ProbeResult::Answers => gateway.instances_mut().note_accepted(key),
                 ProbeResult::Lost(evidence) => suspect(&gateway, key, evidence, reason),
                 ProbeResult::Unknown => gateway.metrics.count("own_link_doubted"),
             }
--- a/daemon/tests/test_gateway_poison.rs
+++ b/daemon/tests/test_gateway_poison.rs
@@ -1,6 +1,7 @@
 //! Tests gateways with requests that crash the engines that run them: some part of their
 //! prompt, which they share with others, ends each engine that begins to write an answer.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
 
@@ -225,9 +226,14 @@
         usual > 0.9,
         "{usual} of the sound requests before the first crash"
     );
+    let refused: BTreeSet<String> = after
+        .iter()
+        .filter(|sent| !sent.is_complete())
+        .map(|sent| format!("{:?}", sent.answer.as_ref().map(hyper::Response::body)))
+        .collect();
     assert!(
         served >= usual / 2.0,
-        "{served} of the sound requests, before {usual}"
+        "{served} of the sound requests, before {usual}; the others: {refused:?}"
     );
 }
 
--- a/routing/src/fleet/instances/reachability.rs
+++ b/routing/src/fleet/instances/reachability.rs
@@ -138,7 +138,12 @@
         if suspected as f64 >= max_suspected.max(2.0) {
             return Suspicion::OwnLink;
         }
-        reachability.suspected_since = Some(now);
+        // A refusal from before, at which the upstream was not suspected, says nothing now.
+        *reachability = Reachability {
+            suspected_since: Some(now),
+            refused_since: (evidence == Evidence::Refused).then_some(now),
+            event_at: None,
+        };
         Suspicion::New
     }
 
@@ -151,6 +156,16 @@
         Some(since)
     }
 
+    /// Records that an upstream accepted a connection, which is newer than a refusal at which it
+    /// was not suspected.
+    pub fn note_accepted(&mut self, key: InstanceKey) {
+        if let Some(tracked) = self.instances.get_mut(key)
+            && tracked.suspected_since().is_none()
+        {
+            tracked.reachability.refused_since = None;
+        }
+    }
+
     /// Returns the suspected upstreams, and since when they have been suspected.
     pub fn suspected(&self) -> Vec<(InstanceKey, Instant)> {
         self.instances
--- a/routing/tests/test_attempts.rs
+++ b/routing/tests/test_attempts.rs
@@ -8,6 +8,7 @@
 use jujubewall_routing::fleet::instances::Evidence;
 use jujubewall_routing::fleet::instances::InstanceKey;
 use jujubewall_routing::fleet::instances::InstanceTable;
+use jujubewall_routing::fleet::instances::Suspicion;
 use jujubewall_types::fleet::Instance;
 use jujubewall_types::fleet::InstanceState;
 use jujubewall_types::fleet::RequestKind;
@@ -128,3 +129,30 @@
     table.upsert(instance, now);
     assert_eq!(attempts.barred(&table, now), None);
 }
+
+/// Guards against a refusal from before being taken for one of the present suspicion: too many
+/// upstreams were suspected then, and the upstream has accepted connections since.
+#[test]
+fn test_earlier_refusal_is_no_evidence_in_a_later_suspicion() {
+    let now = Instant::now();
+    let (mut table, [first, second, key]) = engines(now);
+    for other in [first, second] {
+        table.suspect(other, Evidence::Silent, now);
+    }
+    let suspicion = table.suspect(key, Evidence::Refused, now);
+    assert_eq!(suspicion, Suspicion::OwnLink);
+    assert!(table.get(key).unwrap().refused_since().is_some());
+    for other in [first, second] {
+        table.clear_suspicion(other, now);
+    }
+    let later = now + Duration::from_secs(9);
+    table.suspect(key, Evidence::Silent, later);
+    assert_eq!(table.get(key).unwrap().refused_since(), None);
+    table.clear_suspicion(key, later);
+    for other in [first, second] {
+        table.suspect(other, Evidence::Silent, later);
+    }
+    table.suspect(key, Evidence::Refused, later);
+    table.note_accepted(key);
+    assert_eq!(table.get(key).unwrap().refused_since(), None);
+}
