gateway: streams through an engine that is only silent are kept

Cause: with refusals and silence weighed alike, silence for 1.5 s counted as the end of a part of its path, too. Change: `has_ended` asks for refused connections beside the time out of reach.

--- a/daemon/src/gateway/run/repair.rs
+++ b/daemon/src/gateway/run/repair.rs
@@ -108,13 +108,14 @@
         self.lost_parts().first().copied()
     }
 
-    /// Returns whether an engine of the path is presumed to have ended.
+    /// Returns whether an engine of the path has ended, as far as is known. One that is only silent
+    /// may go on.
     pub(super) fn has_ended_part(&self) -> bool {
         let now = Instant::now();
         let instances = self.work.gateway.instances();
         self.work.path.parts.iter().any(|part| {
             let tracked = instances.get(part.instance);
-            tracked.is_none_or(|tracked| !tracked.is_presumed_alive(now))
+            tracked.is_none_or(|tracked| tracked.has_ended(now))
         })
     }
 
--- a/routing/src/fleet/instances/reachability.rs
+++ b/routing/src/fleet/instances/reachability.rs
@@ -110,6 +110,12 @@
         since.is_none_or(|since| now.saturating_duration_since(since) < MAX_SOUND_SILENCE)
     }
 
+    /// Returns whether this incarnation of the upstream has ended, as far as is known: it refuses
+    /// connections, and has given no sign of life for a while.
+    pub fn has_ended(&self, now: Instant) -> bool {
+        self.reachability.refused_since.is_some() && !self.is_presumed_alive(now)
+    }
+
     /// Returns since when the upstream has refused connections, also if too many others are
     /// suspected for it to be.
     pub const fn refused_since(&self) -> Option<Instant> {
--- a/routing/tests/test_fleet_paths.rs
+++ b/routing/tests/test_fleet_paths.rs
@@ -656,6 +656,13 @@
         assert!(is_alive(key, 1_200));
         assert!(!is_alive(key, 2_000));
     }
+    let has_ended = |key, age_ms| {
+        let now = fleet.now + Duration::from_millis(age_ms);
+        fleet.table.get(key).unwrap().has_ended(now)
+    };
+    assert!(!has_ended(refusing, 1_200) && has_ended(refusing, 2_000));
+    // The streams of one that is only silent are kept for as long as their clients wait.
+    assert!(!has_ended(silent, 2_000));
 }
 
 /// Guards against a refused connection being taken for the end of an engine through which events
